root: order of incarnations, loads and the store's state in Member

Cause: incarnations are drawn at random, so nothing ordered two records of one host; loads change far more often than the rest of a record and must not make it new; claims need to tell a store outage from being cut off alone. Weighed: an incarnation from the wall clock (two starts in one millisecond, clock set back); ruled out, since an incarnation must never be used twice.

--- a/member.go
+++ b/member.go
@@ -25,6 +25,8 @@
 	Zone        ZoneID
 	Region      RegionID
 	Incarnation Incarnation
+	// Started orders the incarnations of one host; the latest is valid.
+	Started Instant
 	// Version orders the records of one incarnation; the highest is valid.
 	Version uint64
 	State   HostState
@@ -34,6 +36,11 @@
 	CallerURL string
 	// Revision is the configuration in force on the host.
 	Revision Revision
+	// StoreUp is true while the host reaches the platform's key-value service.
+	StoreUp bool
+	// LoadVersion orders the loads, Running and those of Claims, within one
+	// Version.
+	LoadVersion uint64
 	// Running counts the requests the host serves as their entry.
 	Running int
 	// Claims are the shards the host owns.
