--- /dev/null
+++ b/host/doc.go
@@ -0,0 +1,3 @@
+// Package host keeps the membership of the entry hosts and answers which of
+// them a caller should use.
+package host
--- /dev/null
+++ b/host/options.go
@@ -0,0 +1,38 @@
+package host
+
+import (
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+type options struct {
+	clock     cicadapitch.Clock
+	log       zerolog.Logger
+	peers     []string
+	list      cicadapitch.HostList
+	seed      uint64
+	transport Transport
+}
+
+// Option changes a Group.
+type Option func(*options)
+
+// WithClock sets the clock.
+func WithClock(c cicadapitch.Clock) Option { return func(o *options) { o.clock = c } }
+
+// WithLog sets the logger.
+func WithLog(log zerolog.Logger) Option { return func(o *options) { o.log = log } }
+
+// WithPeers names addresses, ip:port, of hosts to begin with.
+func WithPeers(addresses []string) Option { return func(o *options) { o.peers = addresses } }
+
+// WithHostList sets the platform's list of hosts, which gives addresses to
+// begin with and hosts that leave.
+func WithHostList(l cicadapitch.HostList) Option { return func(o *options) { o.list = l } }
+
+// WithSeed sets the seed of all random choices.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithTransport sets what carries the pings.
+func WithTransport(t Transport) Option { return func(o *options) { o.transport = t } }
