--- /dev/null
+++ b/internal/form/decode.go
@@ -0,0 +1,149 @@
+package form
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+func (f *Form) decode(node ast.Node, out any) {
+	f.value(node, reflect.ValueOf(out).Elem(), "")
+}
+
+// value decodes one node into v. The types of out bound the recursion.
+func (f *Form) value(node ast.Node, v reflect.Value, path string) {
+	if node == nil || node.Type() == ast.NullType {
+		return
+	}
+	if _, ok := f.lines[path]; !ok {
+		f.lines[path] = node.GetToken().Position.Line
+	}
+	if v.Kind() == reflect.Pointer {
+		v.Set(reflect.New(v.Type().Elem()))
+		f.value(node, v.Elem(), path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		f.mapping(node, v, path)
+	case reflect.Slice:
+		f.sequence(node, v, path)
+	default:
+		f.scalar(node, v, path)
+	}
+}
+
+func (f *Form) mapping(node ast.Node, v reflect.Value, path string) {
+	entries, ok := entriesOf(node)
+	if !ok {
+		f.Add(path, "is not a set of fields", "write fields of the form Name: value")
+		return
+	}
+	seen := make(map[string]bool)
+	for _, e := range entries {
+		name := e.Key.GetToken().Value
+		field := join(path, name)
+		if seen[name] {
+			f.Add(field, "is given twice", "keep one")
+			continue
+		}
+		seen[name] = true
+		f.lines[field] = e.Key.GetToken().Position.Line
+		member := v.FieldByName(name)
+		if !member.IsValid() {
+			f.Add(field, "is not a known field", "remove it or use one of "+fieldNames(v.Type()))
+			continue
+		}
+		f.value(e.Value, member, field)
+	}
+}
+
+func entriesOf(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+func (f *Form) sequence(node ast.Node, v reflect.Value, path string) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		f.Add(path, "is not a list", "write one entry a line, each after a dash")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
+	for i, n := range list.Values {
+		f.value(n, v.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (f *Form) scalar(node ast.Node, v reflect.Value, path string) {
+	text, ok := textOf(node)
+	if !ok {
+		f.Add(path, "is not a single value", "write one value")
+		return
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := u.UnmarshalText([]byte(text)); err != nil {
+			f.Add(path, err.Error(), "use one of the values that the guide lists")
+		}
+		return
+	}
+	f.plain(text, v, path)
+}
+
+func (f *Form) plain(text string, v reflect.Value, path string) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(text)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		f.Check(err == nil, path, fmt.Sprintf("%q is neither true nor false", text), "write true or false")
+		v.SetBool(b)
+	case reflect.Int, reflect.Int64:
+		n, err := strconv.ParseInt(text, 10, 64)
+		f.Check(err == nil, path, fmt.Sprintf("%q is not a whole number", text), "write a whole number")
+		v.SetInt(n)
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		ok := err == nil && n-n == 0
+		f.Check(ok, path, fmt.Sprintf("%q is not a finite number", text), "write a number")
+		if ok {
+			v.SetFloat(n)
+		}
+	}
+}
+
+func textOf(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode:
+		return node.GetToken().Value, true
+	}
+	return "", false
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func fieldNames(t reflect.Type) string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Name)
+	}
+	return strings.Join(names, ", ")
+}
