--- a/internal/form/decode.go
+++ b/internal/form/decode.go
@@ -47,12 +47,12 @@
 	for _, e := range entries {
 		name := e.Key.GetToken().Value
 		field := join(path, name)
+		f.lines[field] = e.Key.GetToken().Position.Line
 		if seen[name] {
 			f.Add(field, "is given twice", "keep one")
 			continue
 		}
 		seen[name] = true
-		f.lines[field] = e.Key.GetToken().Position.Line
 		member := v.FieldByName(name)
 		if !member.IsValid() {
 			f.Add(field, "is not a known field", "remove it or use one of "+fieldNames(v.Type()))
