--- /dev/null
+++ b/daemon/wire.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/booking"
+	"cicadapitch.example/cicadapitch/claim"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/driver"
+	"cicadapitch.example/cicadapitch/endpoint"
+	"cicadapitch.example/cicadapitch/entry"
+	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/settings"
+)
+
+// deploymentKey is the key that hosts prove to each other and sign tokens with.
+type deploymentKey []byte
+
+// provide registers how each role is made. Roles are made on first use.
+func provide(i do.Injector) {
+	do.Provide(i, newSelf)
+	do.Provide(i, newStore)
+	do.Provide(i, newFollower)
+	do.Provide(i, newDialer)
+	do.Provide(i, newPeerServer)
+	do.Provide(i, newGroup)
+	do.Provide(i, newClaims)
+	do.Provide(i, newOwner)
+	do.Provide(i, newMinter)
+	do.Provide(i, newEntry)
+}
+
+func newSelf(i do.Injector) (cicadapitch.Member, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return cicadapitch.Member{
+		Host:        s.Host,
+		Zone:        s.Zone,
+		Region:      s.Region,
+		Incarnation: newIncarnation(),
+		Started:     clockOf(i).Now(),
+		State:       cicadapitch.Starting,
+		PeerAddress: s.PeerAddress,
+		CallerURL:   s.CallerURL,
+	}, nil
+}
+
+// newIncarnation draws 64 random bits, so that no incarnation is used twice.
+func newIncarnation() cicadapitch.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return cicadapitch.Incarnation(binary.BigEndian.Uint64(b[:]))
+}
+
+func newStore(i do.Injector) (cicadapitch.Store, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return platform.NewStore(s.Store), nil
+}
+
+func newFollower(i do.Injector) (*configuration.Follower, error) {
+	return configuration.NewFollower(clockOf(i)), nil
+}
+
+func newDialer(i do.Injector) (*peer.Dialer, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	key := do.MustInvoke[deploymentKey](i)
+	return peer.NewDialer(s.Host, key, peer.WithClock(clockOf(i)), peer.WithLog(logOf(i))), nil
+}
+
+func newPeerServer(i do.Injector) (*peer.Server, error) {
+	key := do.MustInvoke[deploymentKey](i)
+	return peer.NewServer(key, peer.WithClock(clockOf(i)), peer.WithLog(logOf(i))), nil
+}
+
+func newGroup(i do.Injector) (*host.Group, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	opts := []host.Option{
+		host.WithClock(clockOf(i)),
+		host.WithLog(logOf(i)),
+		host.WithPeers(s.SeedPeers),
+		host.WithTransport(pinger{do.MustInvoke[*peer.Dialer](i)}),
+	}
+	if s.HostList != "" {
+		opts = append(opts, host.WithHostList(platform.NewHostList(s.HostList)))
+	}
+	return host.New(do.MustInvoke[cicadapitch.Member](i), opts...), nil
+}
+
+func newClaims(i do.Injector) (*claim.Claims, error) {
+	return claim.New(
+		do.MustInvoke[cicadapitch.Store](i),
+		do.MustInvoke[*host.Group](i),
+		do.MustInvoke[*configuration.Follower](i),
+		clockOf(i),
+	), nil
+}
+
+func newOwner(i do.Injector) (*endpoint.Owner, error) {
+	claims := do.MustInvoke[*claim.Claims](i)
+	drivers := map[cicadapitch.PoolKind]cicadapitch.Driver{
+		cicadapitch.Service: driver.NewService(driver.WithClock(clockOf(i))),
+		cicadapitch.Engine:  driver.NewEngine(driver.WithClock(clockOf(i))),
+	}
+	owner := endpoint.NewOwner(do.MustInvoke[*configuration.Follower](i), drivers, claims.Holds,
+		clockOf(i), endpoint.WithLogger(logOf(i)))
+	claims.OnGain(owner.Gain)
+	claims.OnLoss(owner.Lose)
+	return owner, nil
+}
+
+func newMinter(i do.Injector) (*booking.Minter, error) {
+	self := do.MustInvoke[cicadapitch.Member](i)
+	key := do.MustInvoke[deploymentKey](i)
+	return booking.NewMinter(self.Host, self.Incarnation, self.CallerURL, key,
+		booking.WithMinterClock(clockOf(i))), nil
+}
+
+func newEntry(i do.Injector) (*entry.Server, error) {
+	self := do.MustInvoke[cicadapitch.Member](i)
+	dialer := do.MustInvoke[*peer.Dialer](i)
+	run := &runner{self: self.Host, local: do.MustInvoke[*endpoint.Owner](i), dialer: dialer}
+	return entry.NewServer(
+		do.MustInvoke[*configuration.Follower](i),
+		do.MustInvoke[*host.Group](i),
+		do.MustInvoke[*claim.Claims](i),
+		run,
+		clockOf(i),
+		entry.WithMinter(do.MustInvoke[*booking.Minter](i)),
+		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
+		entry.WithForwarder(forwarder{dialer}),
+	), nil
+}
+
+func clockOf(i do.Injector) cicadapitch.Clock { return do.MustInvoke[cicadapitch.Clock](i) }
+
+func logOf(i do.Injector) zerolog.Logger { return do.MustInvoke[zerolog.Logger](i) }
