--- /dev/null
+++ b/driver/driver_test.go
@@ -0,0 +1,173 @@
+package driver_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/driver"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+var clock = cicadapitch.NewSystemClock()
+
+func callTo(t *testing.T, h http.Handler) cicadapitch.Call {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return cicadapitch.Call{
+		Attempt:   cicadapitch.AttemptID{Request: "r1", Stage: "generate", Number: 1},
+		Customer:  "club",
+		Endpoint:  cicadapitch.Endpoint{ID: "e1", Address: srv.URL},
+		Input:     "a prompt",
+		MaxTokens: 12,
+	}
+}
+
+func TestEngineStreamsTheWholeAnswer(t *testing.T) {
+	engine := standin.NewEngine(clock)
+	c := callTo(t, engine)
+	var parts []string
+	r, err := driver.NewEngine().Call(context.Background(), c, func(s string) { parts = append(parts, s) })
+	require.NoError(t, err)
+	require.Equal(t, standin.Completion("a prompt", 12), r.Output)
+	require.Equal(t, r.Output, strings.Join(parts, ""))
+	require.Equal(t, cicadapitch.Tokens(12), r.Tokens)
+	runs := engine.Runs()
+	require.Len(t, runs, 1)
+	require.Equal(t, "r1/generate/1", runs[0].Attempt)
+	require.Equal(t, cicadapitch.CustomerID("club"), runs[0].Customer)
+}
+
+func TestEngineDiesMidStreamAndIsResumed(t *testing.T) {
+	engine := standin.NewEngine(clock)
+	c := callTo(t, engine)
+	d := driver.NewEngine()
+	engine.DieAfter(5)
+	first, err := d.Call(context.Background(), c, nil)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, standin.Completion("a prompt", 5), first.Output)
+	c.Resume = first.Output
+	second, err := d.Call(context.Background(), c, nil)
+	require.NoError(t, err)
+	require.Equal(t, standin.Completion("a prompt", 12), first.Output+second.Output)
+}
+
+func TestColdEngineFailsAboveWhatItBears(t *testing.T) {
+	engine := standin.NewEngine(clock, standin.WithCold(0, 1))
+	_, err := driver.NewEngine().Call(context.Background(), callTo(t, engine), nil)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, 1, engine.Overloads())
+	require.Empty(t, engine.Runs())
+}
+
+func TestServiceSaysNotRunOnlyByItsOwnStatement(t *testing.T) {
+	d := driver.NewService()
+	for _, stated := range []bool{true, false} {
+		c := callTo(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if stated {
+				w.Header().Set(driver.HeaderNotRun, "true")
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		_, err := d.Call(context.Background(), c, nil)
+		require.Equal(t, stated, cicadapitch.KindOf(err) == cicadapitch.NotRun)
+	}
+}
+
+func TestNoConnectionIsNotRun(t *testing.T) {
+	c := cicadapitch.Call{Endpoint: cicadapitch.Endpoint{Address: "http://127.0.0.1:1"}}
+	for _, d := range []cicadapitch.Driver{driver.NewService(), driver.NewEngine()} {
+		_, err := d.Call(context.Background(), c, nil)
+		require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+		require.Positive(t, cicadapitch.AsError(err).RetryAfter)
+	}
+}
+
+func TestLostAnswerIsNeverSentAgain(t *testing.T) {
+	service := standin.NewService(clock, standin.WithBookings())
+	c := callTo(t, service)
+	d := driver.NewService()
+	_, err := d.Call(context.Background(), c, nil)
+	require.NoError(t, err)
+	service.SetFaults(standin.ServiceFaults{LoseAnswers: 1})
+	_, err = d.Call(context.Background(), c, nil)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Len(t, service.Bookings(), 2, "one for each call, none by the transport")
+}
+
+// Reused connections that the endpoint closes at any moment must never turn a
+// call that ran into NotRun.
+func TestNotRunIsTrueOnConnectionsThatClose(t *testing.T) {
+	service := standin.NewService(clock, standin.WithBookings())
+	srv := httptest.NewServer(service)
+	d := driver.NewService()
+	notRun := make(map[string]bool)
+	for i := range 300 {
+		c := cicadapitch.Call{
+			Attempt:  cicadapitch.AttemptID{Request: "r", Number: i},
+			Endpoint: cicadapitch.Endpoint{Address: srv.URL},
+		}
+		go srv.CloseClientConnections()
+		_, err := d.Call(context.Background(), c, nil)
+		if err != nil && cicadapitch.KindOf(err) == cicadapitch.NotRun {
+			notRun[c.Attempt.String()] = true
+		}
+	}
+	srv.Close()
+	for _, b := range service.Bookings() {
+		require.False(t, notRun[b.Attempt], "booked although reported as not run")
+	}
+}
+
+func TestLoadReportLags(t *testing.T) {
+	manual := cicadapitch.NewManualClock(1000)
+	engine := standin.NewEngine(manual, standin.WithReportLag(100))
+	c := callTo(t, engine)
+	engine.GoCold()
+	d := driver.NewEngine()
+	for _, cold := range []bool{false, true} {
+		r, err := d.Load(context.Background(), c.Endpoint)
+		require.NoError(t, err)
+		require.Equal(t, cold, r.Cold)
+		manual.Advance(100)
+	}
+}
+
+func TestOrderWithAnOldFencingNumberIsRefusedWhereChecked(t *testing.T) {
+	ctx := context.Background()
+	for _, checks := range []bool{true, false} {
+		var opts []standin.EngineOption
+		if checks {
+			opts = append(opts, standin.WithFencingCheck())
+		}
+		engine := standin.NewEngine(clock, opts...)
+		e := callTo(t, engine).Endpoint
+		d := driver.NewEngine()
+		require.NoError(t, d.Order(ctx, e, cicadapitch.EndpointOrder{Model: "m", Fencing: 2}))
+		err := d.Order(ctx, e, cicadapitch.EndpointOrder{Model: "m", Fencing: 1})
+		require.Equal(t, checks, err != nil)
+		require.Equal(t, checks, len(engine.Record().Orders) == 1)
+	}
+}
+
+func FuzzReadCompletion(f *testing.F) {
+	for _, seed := range []string{
+		"data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n",
+		"data: [DONE", "data: {}\n", "data: {\"choices\":[]}\n\n", "event: x\n", ":\n\n", "data: {\"error\":{\"message\":\"m\"}}\n",
+		"data:" + strings.Repeat("x", 4096),
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, stream string) {
+		err := driver.ReadCompletion(strings.NewReader(stream), func(string) {})
+		if err == nil {
+			require.Contains(t, stream, "[DONE]")
+		}
+	})
+}
--- /dev/null
+++ b/driver/events.go
@@ -0,0 +1,66 @@
+package driver
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+const (
+	// maxEventBytes bounds one line of a stream.
+	maxEventBytes = 1 << 20
+	doneEvent     = "[DONE]"
+)
+
+var errBrokenStream = errors.New("the stream ended before its last event")
+
+type completionChunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// ReadCompletion reads the server-sent events of a completion and passes on
+// the text of each chunk. It returns nil only once the last event has come.
+func ReadCompletion(r io.Reader, sink func(text string)) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == doneEvent {
+			return nil
+		}
+		if err := passChunk(data, sink); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return errs.Wrap(err)
+	}
+	return errBrokenStream
+}
+
+func passChunk(data string, sink func(text string)) error {
+	var c completionChunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return errs.New("a chunk is not JSON: %v", err)
+	}
+	if c.Error != nil {
+		return errs.New("the engine reports: %s", c.Error.Message)
+	}
+	if len(c.Choices) > 0 && c.Choices[0].Text != "" {
+		sink(c.Choices[0].Text)
+	}
+	return nil
+}
--- /dev/null
+++ b/driver/service.go
@@ -0,0 +1,63 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Service is the driver of plain services.
+type Service struct{ transport }
+
+var _ cicadapitch.Driver = (*Service)(nil)
+
+// NewService returns a driver of plain services.
+func NewService(opts ...Option) *Service { return &Service{newTransport(opts)} }
+
+// serviceCall is the body of POST /call.
+type serviceCall struct {
+	Input  string
+	Prefix string `json:",omitempty"`
+}
+
+// serviceAnswer is the answer to POST /call. Output is a pointer, since an
+// answer without it is broken.
+type serviceAnswer struct {
+	Output *string
+	Tokens cicadapitch.Tokens
+}
+
+// Call implements cicadapitch.Driver. The sink gets the whole output at once.
+func (s *Service) Call(ctx context.Context, c cicadapitch.Call, sink func(text string)) (cicadapitch.CallResult, error) {
+	ctx, cancel := withTimeout(ctx, c.Timeout)
+	defer cancel()
+	start := s.opts.clock.Now()
+	w, err := s.post(ctx, c, "/call", serviceCall{Input: c.Input, Prefix: c.Prefix})
+	if err != nil {
+		return cicadapitch.CallResult{}, err
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(w.Body, int64(s.opts.maxOutput)+1))
+	if err != nil {
+		return cicadapitch.CallResult{}, lost(c.Endpoint, err.Error())
+	}
+	var a serviceAnswer
+	if len(b) > int(s.opts.maxOutput) || json.Unmarshal(b, &a) != nil || a.Output == nil {
+		return cicadapitch.CallResult{}, lost(c.Endpoint, "the answer is too large or not the JSON of a service")
+	}
+	if sink != nil {
+		sink(*a.Output)
+	}
+	first := s.opts.clock.Now().Sub(start)
+	return cicadapitch.CallResult{Output: *a.Output, Tokens: a.Tokens, FirstToken: first}, nil
+}
+
+// withTimeout bounds ctx, 0 for no bound.
+func withTimeout(ctx context.Context, m cicadapitch.Millis) (context.Context, context.CancelFunc) {
+	if m <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, m.Duration())
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	defaultHistory    = 10_000
+	retryAfterRefusal = 200 * cicadapitch.Millis(1)
+)
+
+// MemoryStore is a cicadapitch.Store in memory, with faults.
+type MemoryStore struct {
+	clock         cicadapitch.Clock
+	reads, writes *rate.Limiter
+	historyLimit  int
+
+	mu        sync.Mutex
+	down      bool
+	delay     cicadapitch.Millis
+	lose      int
+	revision  cicadapitch.StoreRevision
+	pairs     map[string]cicadapitch.Pair
+	leases    map[cicadapitch.LeaseID]*lease
+	nextLease cicadapitch.LeaseID
+	history   []cicadapitch.WatchEvent
+	compacted cicadapitch.StoreRevision
+	changed   chan struct{}
+	calls     Calls
+}
+
+type lease struct {
+	ttl  cicadapitch.Millis
+	ends cicadapitch.Instant
+}
+
+var _ cicadapitch.Store = (*MemoryStore)(nil)
+
+// NewMemoryStore returns an empty store.
+func NewMemoryStore(clock cicadapitch.Clock, opts ...StoreOption) *MemoryStore {
+	s := &MemoryStore{
+		clock:        clock,
+		reads:        newLimiter(0),
+		writes:       newLimiter(0),
+		historyLimit: defaultHistory,
+		pairs:        make(map[string]cicadapitch.Pair),
+		leases:       make(map[cicadapitch.LeaseID]*lease),
+		nextLease:    1,
+		changed:      make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Get implements cicadapitch.Store.
+func (s *MemoryStore) Get(ctx context.Context, key string) (cicadapitch.Pair, error) {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.Get++ }, s.reads)
+	if err != nil {
+		return cicadapitch.Pair{}, err
+	}
+	defer unlock()
+	p, ok := s.pairs[key]
+	if !ok {
+		return cicadapitch.Pair{}, cicadapitch.NewError(cicadapitch.NotFound, "no key "+key, "write it first")
+	}
+	p.Value = slices.Clone(p.Value)
+	return p, nil
+}
+
+// List implements cicadapitch.Store.
+func (s *MemoryStore) List(ctx context.Context, prefix string) ([]cicadapitch.Pair, cicadapitch.StoreRevision, error) {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.List++ }, s.reads)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer unlock()
+	var list []cicadapitch.Pair
+	for _, key := range slices.Sorted(maps.Keys(s.pairs)) {
+		if strings.HasPrefix(key, prefix) {
+			p := s.pairs[key]
+			p.Value = slices.Clone(p.Value)
+			list = append(list, p)
+		}
+	}
+	return list, s.revision, nil
+}
+
+// Commit implements cicadapitch.Store.
+func (s *MemoryStore) Commit(ctx context.Context, conditions []cicadapitch.Compare, writes []cicadapitch.Put) (cicadapitch.StoreRevision, error) {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.Commit++ }, s.writes)
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	for _, c := range conditions {
+		if s.pairs[c.Key].Revision != c.Revision {
+			return 0, cicadapitch.NewError(cicadapitch.Conflict, "key "+c.Key+" has changed", "read it again and decide anew")
+		}
+	}
+	if err := s.checkWrites(writes); err != nil {
+		return 0, err
+	}
+	s.revision++
+	for _, w := range writes {
+		s.apply(w)
+	}
+	s.wake()
+	return s.revision, s.loseAnswer()
+}
+
+func (s *MemoryStore) checkWrites(writes []cicadapitch.Put) error {
+	for _, w := range writes {
+		if cicadapitch.Bytes(len(w.Value)) > cicadapitch.MaxValueBytes {
+			return cicadapitch.NewError(cicadapitch.Invalid, "value of "+w.Key+" is too large", "write less than a megabyte")
+		}
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return errNoLease()
+		}
+	}
+	return nil
+}
+
+func (s *MemoryStore) apply(w cicadapitch.Put) {
+	if w.Delete {
+		s.remove(w.Key)
+		return
+	}
+	p := cicadapitch.Pair{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Lease: w.Lease}
+	s.pairs[w.Key] = p
+	s.record(cicadapitch.WatchEvent{Pair: p})
+}
+
+func (s *MemoryStore) remove(key string) {
+	if _, ok := s.pairs[key]; !ok {
+		return
+	}
+	delete(s.pairs, key)
+	gone := cicadapitch.Pair{Key: key, Revision: s.revision}
+	s.record(cicadapitch.WatchEvent{Pair: gone, Deleted: true})
+}
+
+// begin counts a call, applies the faults and locks the store.
+func (s *MemoryStore) begin(ctx context.Context, count func(*Calls), limit *rate.Limiter) (func(), error) {
+	s.mu.Lock()
+	count(&s.calls)
+	delay := s.delay
+	s.mu.Unlock()
+	if delay > 0 {
+		if err := s.clock.Sleep(ctx, delay); err != nil {
+			return nil, cicadapitch.NewError(cicadapitch.Unavailable, "the store was too slow", "try again later")
+		}
+	}
+	s.mu.Lock()
+	if err := s.refuse(limit); err != nil {
+		s.calls.Refused++
+		s.mu.Unlock()
+		return nil, err
+	}
+	s.sweep()
+	return s.mu.Unlock, nil
+}
+
+func (s *MemoryStore) refuse(limit *rate.Limiter) error {
+	if s.down {
+		return cicadapitch.NewError(cicadapitch.Unavailable, "the store is down", "try again once it is back")
+	}
+	if !limit.AllowN(time.UnixMilli(int64(s.clock.Now())), 1) {
+		e := cicadapitch.NewError(cicadapitch.Unavailable, "the store refused the call by its rate limit", "call less often")
+		e.RetryAfter = retryAfterRefusal
+		return e
+	}
+	return nil
+}
+
+func (s *MemoryStore) loseAnswer() error {
+	if s.lose == 0 {
+		return nil
+	}
+	s.lose--
+	return cicadapitch.NewOutcomeUnknown("the store's answer was lost")
+}
--- /dev/null
+++ b/standin/storecalls.go
@@ -0,0 +1,27 @@
+package standin
+
+// Calls counts the calls to a store by kind.
+type Calls struct {
+	Get, List, Commit, Grant, Renew, Revoke, Watch int64
+	// Waiting counts the watches that are open now.
+	Waiting int64
+	// Refused counts the calls that were refused, which are counted by kind
+	// as well.
+	Refused int64
+}
+
+// Total returns the number of calls of all kinds.
+func (c Calls) Total() int64 { return c.Reads() + c.Writes() }
+
+// Reads returns the number of calls that only read.
+func (c Calls) Reads() int64 { return c.Get + c.List + c.Watch }
+
+// Writes returns the number of calls that write.
+func (c Calls) Writes() int64 { return c.Commit + c.Grant + c.Renew + c.Revoke }
+
+// Calls returns the counts so far.
+func (s *MemoryStore) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- /dev/null
+++ b/standin/storelease.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+func errNoLease() error {
+	return cicadapitch.NewError(cicadapitch.NotFound, "no such lease", "grant a new one")
+}
+
+// Grant implements cicadapitch.Store.
+func (s *MemoryStore) Grant(ctx context.Context, ttl cicadapitch.Millis) (cicadapitch.LeaseID, error) {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.Grant++ }, s.writes)
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	id := s.nextLease
+	s.nextLease++
+	s.leases[id] = &lease{ttl: ttl, ends: s.clock.Now().Add(ttl)}
+	if err := s.loseAnswer(); err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// Renew implements cicadapitch.Store.
+func (s *MemoryStore) Renew(ctx context.Context, id cicadapitch.LeaseID) (cicadapitch.Millis, error) {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.Renew++ }, s.writes)
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return 0, errNoLease()
+	}
+	l.ends = s.clock.Now().Add(l.ttl)
+	if err := s.loseAnswer(); err != nil {
+		return 0, err
+	}
+	return l.ttl, nil
+}
+
+// Revoke implements cicadapitch.Store.
+func (s *MemoryStore) Revoke(ctx context.Context, id cicadapitch.LeaseID) error {
+	unlock, err := s.begin(ctx, func(c *Calls) { c.Revoke++ }, s.writes)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	if _, ok := s.leases[id]; !ok {
+		return errNoLease()
+	}
+	s.end(id)
+	return s.loseAnswer()
+}
+
+// Sweep ends the leases that have lapsed. Every call does so as well.
+func (s *MemoryStore) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep()
+}
+
+func (s *MemoryStore) sweep() {
+	if s.down {
+		return
+	}
+	now := s.clock.Now()
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if s.leases[id].ends <= now {
+			s.end(id)
+		}
+	}
+}
+
+func (s *MemoryStore) end(id cicadapitch.LeaseID) {
+	delete(s.leases, id)
+	s.revision++
+	for _, key := range slices.Sorted(maps.Keys(s.pairs)) {
+		if s.pairs[key].Lease == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
