configuration: changes by compare-and-swap with audit, spread by few watchers and peers

Cause: a follower alone refused lower revisions, but nothing wrote, audited or spread a configuration. Weighed: one key for each object (ruled out: a change of several objects would need a commit over all of them, and a reader a consistent list) against one value of the whole (chosen: 1 commit, checked whole). An index of change ids for lost answers (grows for ever) against the latest 64 ids in a small head key (chosen, also what is watched and polled). Every host watching the store (340 waiting watches, 340 reads a change) against 3 watchers by rendezvous hashing and deltas between peers (chosen). Watches alone (a silent connection would hide changes) against a poll of the head every 2 s by each watcher besides (chosen).

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -7,12 +7,22 @@
 	"cicadapitch.example/cicadapitch"
 )
 
-// Follower holds the configuration in force on this host.
+// defaultHistory is how many deltas a host keeps for its peers.
+const defaultHistory = 64
+
+// Follower holds the configuration in force on this host, and the latest
+// changes for peers that fetch them.
 type Follower struct {
-	clock       cicadapitch.Clock
-	current     atomic.Pointer[cicadapitch.Configuration]
+	clock     cicadapitch.Clock
+	current   atomic.Pointer[cicadapitch.Configuration]
+	confirmed atomic.Bool
+
 	mu          sync.Mutex
+	encoded     []byte
+	deltas      []Delta
+	history     int
 	subscribers []func(*cicadapitch.Configuration)
+	since       cicadapitch.Instant
 }
 
 var _ cicadapitch.Configurations = (*Follower)(nil)
@@ -20,9 +30,14 @@
 // FollowerOption sets an option of a Follower.
 type FollowerOption func(*Follower)
 
+// WithHistory keeps n deltas for peers.
+func WithHistory(n int) FollowerOption {
+	return func(f *Follower) { f.history = n }
+}
+
 // NewFollower returns a follower without a configuration.
 func NewFollower(clock cicadapitch.Clock, opts ...FollowerOption) *Follower {
-	f := &Follower{clock: clock}
+	f := &Follower{clock: clock, history: defaultHistory}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -32,24 +47,64 @@
 // Current implements cicadapitch.Configurations.
 func (f *Follower) Current() *cicadapitch.Configuration { return f.current.Load() }
 
+// Revision returns the revision in force, 0 for none.
+func (f *Follower) Revision() cicadapitch.Revision {
+	if cfg := f.current.Load(); cfg != nil {
+		return cfg.Revision
+	}
+	return 0
+}
+
+// InForceSince returns when the present configuration came into force here.
+func (f *Follower) InForceSince() cicadapitch.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since
+}
+
+// Confirmed tells whether the store or peers have said since the start that
+// no higher revision was in force than the one that this host then had.
+func (f *Follower) Confirmed() bool { return f.confirmed.Load() && f.current.Load() != nil }
+
+func (f *Follower) confirm() { f.confirmed.Store(true) }
+
 // Offer puts cfg in force if its revision is higher than the present one, and
 // returns whether it did. The caller must not change cfg afterwards.
 func (f *Follower) Offer(cfg *cicadapitch.Configuration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if have := f.current.Load(); have != nil && cfg.Revision <= have.Revision {
+	have := f.current.Load()
+	if have != nil && cfg.Revision <= have.Revision {
+		return false
+	}
+	encoded, err := Encode(cfg)
+	if err != nil {
 		return false
 	}
+	var deltas []Delta
+	if have != nil {
+		deltas = []Delta{newDelta(have, cfg, checksum(encoded))}
+	}
+	f.put(cfg, encoded, deltas)
+	return true
+}
+
+// put takes a higher revision and tells the subscribers. The caller holds the
+// lock.
+func (f *Follower) put(cfg *cicadapitch.Configuration, encoded []byte, deltas []Delta) {
+	f.deltas = append(f.deltas, deltas...)
+	f.deltas = f.deltas[max(0, len(f.deltas)-f.history):]
+	f.encoded = encoded
+	f.since = f.clock.Now()
 	f.current.Store(cfg)
 	for _, notify := range f.subscribers {
 		notify(cfg)
 	}
-	return true
 }
 
 // Subscribe calls notify with the present configuration, if there is one, and
 // with each later one, in the order of their revisions. notify must not block
-// and must not call the Follower's Offer or Subscribe.
+// and must not call the Follower's Offer, Take or Subscribe.
 func (f *Follower) Subscribe(notify func(*cicadapitch.Configuration)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
