daemon, deployment, cmd/cicadapitchd: life cycle of a host and a local deployment

Cause: the roles need a process that starts, keeps its own record and shuts down gracefully; quickstart and the proofs need a whole deployment in one process.

--- /dev/null
+++ b/daemon/handler.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/entry"
+	"cicadapitch.example/cicadapitch/host"
+)
+
+// apiVersion is the version of the HTTP API, not of the program.
+const apiVersion = "1.0.0"
+
+// callerHandler serves callers, operators and scrapers.
+func (d *Daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	api := humago.New(mux, huma.DefaultConfig("cicadapitch", apiVersion))
+	entry.Register(api, d.entry, d.directory)
+	mux.HandleFunc("GET /healthz", d.health)
+	mux.HandleFunc("GET /readyz", d.ready)
+	return mux
+}
+
+// directory answers which hosts a caller in a zone should use.
+func (d *Daemon) directory(zone cicadapitch.ZoneID, caller string) entry.DirectoryAnswer {
+	cfg := d.follower.Current()
+	q := host.Query{Caller: caller, Zone: zone, Region: regionOf(cfg, zone)}
+	listing := host.Directory(d.group.Members(), cfg, q)
+	answer := entry.DirectoryAnswer{TTL: listing.TTL}
+	for _, m := range listing.Hosts {
+		h := entry.DirectoryHost{Host: m.Host, Zone: m.Zone, URL: m.CallerURL}
+		answer.Hosts = append(answer.Hosts, h)
+	}
+	return answer
+}
+
+func regionOf(cfg *cicadapitch.Configuration, zone cicadapitch.ZoneID) cicadapitch.RegionID {
+	if cfg == nil {
+		return ""
+	}
+	z, _ := cfg.Zone(zone)
+	return z.Region
+}
+
+// health tells that the process answers.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// ready tells whether the host takes callers.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.group.Self().State != cicadapitch.Ready {
+		http.Error(w, d.group.Self().State.String(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/examples/quickstart/quickstart.go
@@ -0,0 +1,10 @@
+// Package quickstart holds the questionnaire answers and the settings of a
+// small deployment that runs on one machine.
+package quickstart
+
+import _ "embed"
+
+// Questionnaire is the file questionnaire.yaml.
+//
+//go:embed questionnaire.yaml
+var Questionnaire []byte
