--- a/request.go
+++ b/request.go
@@ -17,6 +17,9 @@
 	Token Token
 	// IdempotencyKey is the caller's own key, used where there is no token.
 	IdempotencyKey string
+	// Repeated is true where the caller has sent the request before under the
+	// same token or key. An earlier sending may then have run.
+	Repeated bool
 }
 
 // Token is minted by an entry host before a non-idempotent request is sent.
@@ -66,7 +69,8 @@
 	Streams    bool
 	// Remaining is the span until the stage must have ended.
 	Remaining Millis
-	// Resume is the text that an earlier attempt already delivered.
+	// Resume is the text that an earlier attempt already delivered. The
+	// chunks and the output of the attempt hold only what follows it.
 	Resume string
 	// Share is the customer's share of a contended capacity.
 	Share Share
@@ -105,6 +109,8 @@
 	// will, and OutcomeUnknown if that cannot be told.
 	Run(ctx context.Context, owner Member, a Attempt, sink func(Chunk)) (StageResult, error)
 	// Outcome asks what became of an attempt. An attempt that the owner does
-	// not know is refused for good: it never starts there afterwards.
+	// not know is refused for good: it never starts there afterwards. Only
+	// the incarnation that owner names can tell; where another one answers at
+	// its address, Outcome returns an OutcomeUnknown error.
 	Outcome(ctx context.Context, owner Member, id AttemptID) (AttemptState, error)
 }
