entry, pipeline, booking, client: request path

One record a request runs the stages in order; attempts are matched by request, stage and number; tokens and a ledger keep what may not be repeated from running twice; the choice among shards, the deadline split and the retry rules are pure functions in pipeline.

--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/booking"
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
+)
+
+const (
+	bodyReadTimeout = 10 * time.Second
+	maxTokensAsked  = 64
+	bodyOverhead    = 16 << 10
+)
+
+// Directory answers which hosts a caller in a zone should use. Caller is the
+// remote address of the caller.
+type Directory func(zone cicadapitch.ZoneID, caller string) DirectoryAnswer
+
+// callerAPI offers a server to callers.
+type callerAPI struct {
+	server    *Server
+	directory Directory
+	keys      *authenticator
+}
+
+var setTypedErrors = sync.OnceFunc(func() { huma.NewError = typedErrors })
+
+// Register adds the callers' operations to an API: the directory, requests and
+// their outcomes. Errors of the API become typed ones.
+func Register(api huma.API, s *Server, directory func(zone cicadapitch.ZoneID, caller string) DirectoryAnswer) {
+	setTypedErrors()
+	c := &callerAPI{server: s, directory: directory, keys: &authenticator{configurations: s.configurations}}
+	huma.Register(api, huma.Operation{
+		OperationID: "getDirectory",
+		Method:      http.MethodGet,
+		Path:        "/v1/directory",
+		Summary:     "Tells which hosts to use and mints tokens",
+		Tags:        []string{"Queries"},
+	}, c.getDirectory)
+	c.registerRequests(api)
+	huma.Register(api, huma.Operation{
+		OperationID: "getOutcome",
+		Method:      http.MethodGet,
+		Path:        "/v1/requests/{Token}/outcome",
+		Summary:     "Tells what became of a token; one that has not begun never will afterwards",
+		Tags:        []string{"Queries"},
+	}, c.getOutcome)
+}
+
+type directoryInput struct {
+	Zone          string `query:"Zone" doc:"Availability zone of the caller" maxLength:"256"`
+	Tokens        int    `query:"Tokens" doc:"How many tokens to mint" minimum:"0" maximum:"64" default:"16"`
+	Authorization string `header:"Authorization"`
+	remote        string
+}
+
+// Resolve takes the remote address of the caller.
+func (d *directoryInput) Resolve(ctx huma.Context) []error {
+	d.remote = ctx.RemoteAddr()
+	return nil
+}
+
+type directoryOutput struct {
+	CacheControl string `header:"Cache-Control"`
+	Body         DirectoryAnswer
+}
+
+func (c *callerAPI) getDirectory(_ context.Context, in *directoryInput) (*directoryOutput, error) {
+	answer := c.directory(cicadapitch.ZoneID(in.Zone), in.remote)
+	if answer.Hosts == nil {
+		answer.Hosts = []DirectoryHost{}
+	}
+	if in.Authorization != "" {
+		customer, err := c.keys.customer(in.Authorization)
+		if err != nil {
+			return nil, NewAPIError(err)
+		}
+		answer.Once = c.once()
+		if c.server.minter != nil && len(answer.Once) > 0 {
+			answer.Tokens = c.server.minter.MintN(customer, min(in.Tokens, maxTokensAsked))
+		}
+	}
+	return &directoryOutput{CacheControl: "no-store", Body: answer}, nil
+}
+
+func (c *callerAPI) once() []cicadapitch.PipelineID {
+	cfg := c.server.configurations.Current()
+	if cfg == nil {
+		return nil
+	}
+	return lo.FilterMap(cfg.Pipelines, func(p cicadapitch.Pipeline, _ int) (cicadapitch.PipelineID, bool) {
+		return p.ID, !Idempotent(p)
+	})
+}
+
+type outcomeInput struct {
+	Token         string `path:"Token" maxLength:"1024"`
+	Authorization string `header:"Authorization"`
+}
+
+// OutcomeBody is what became of a token.
+type OutcomeBody struct {
+	Phase  string      `json:"Phase" enum:"Refused,Queued,Running,Done,Failed"`
+	Answer *AnswerBody `json:"Answer,omitempty"`
+	Error  *APIError   `json:"Error,omitempty"`
+}
+
+type outcomeOutput struct{ Body OutcomeBody }
+
+func (c *callerAPI) getOutcome(ctx context.Context, in *outcomeInput) (*outcomeOutput, error) {
+	customer, err := c.keys.customer(in.Authorization)
+	if err != nil {
+		return nil, NewAPIError(err)
+	}
+	o, err := c.server.Outcome(ctx, customer, cicadapitch.Token(in.Token))
+	if err != nil {
+		return nil, NewAPIError(err)
+	}
+	return &outcomeOutput{Body: outcomeBody(o)}, nil
+}
+
+func outcomeBody(o booking.Outcome) OutcomeBody {
+	body := OutcomeBody{Phase: o.Phase.String()}
+	if o.Answer != nil {
+		body.Answer = newAnswerBody(*o.Answer)
+	}
+	if o.Error != nil {
+		body.Error = NewAPIError(o.Error)
+	}
+	return body
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
+)
+
+// maxFlights bounds the attempts of one stage that run at the same time.
+const maxFlights = 2
+
+// flight is one attempt on its way.
+type flight struct {
+	attempt cicadapitch.Attempt
+	owner   cicadapitch.Member
+	gather  *gatherer
+	cancel  context.CancelFunc
+	// before counts the chunks of the text that the attempt resumes from.
+	before int
+	// over is set once the result is no longer awaited.
+	over atomic.Bool
+}
+
+// landing is how a flight ended.
+type landing struct {
+	flight *flight
+	result cicadapitch.StageResult
+	err    error
+}
+
+// launch sends a new attempt to the owner of a shard.
+func (r *stageRun) launch(ctx context.Context, landings chan<- landing) (*flight, error) {
+	budget, limit := r.s.split(r.rec, r.index)
+	if limit <= 0 {
+		return nil, cicadapitch.NewNotRun("the deadline has passed", 1)
+	}
+	owner, err := r.target(budget)
+	if err != nil {
+		return nil, err
+	}
+	f := &flight{attempt: r.describe(limit), owner: owner, before: r.chunks}
+	f.gather = newGatherer(f.attempt.ID, r.deliver, r.s.metrics.Dropped)
+	ctx, f.cancel = context.WithCancel(ctx)
+	r.rec.open(r.stage.Idempotent)
+	r.s.router.begin(f.attempt.Shard)
+	go r.fly(ctx, f, landings)
+	return f, nil
+}
+
+func (r *stageRun) fly(ctx context.Context, f *flight, landings chan<- landing) {
+	res, err := r.s.runner.Run(ctx, f.owner, f.attempt, f.gather.take)
+	if err == nil && f.over.Load() {
+		r.s.metrics.Dropped(DroppedLate)
+	}
+	landings <- landing{flight: f, result: res, err: err}
+}
+
+// target picks the shard of the next attempt and its owner.
+func (r *stageRun) target(budget cicadapitch.Millis) (cicadapitch.Member, error) {
+	if owner := r.owner; owner != nil {
+		r.owner = nil
+		return *owner, nil
+	}
+	c, ok := r.s.choose(r.rec, r.stage, pipeline.Query{Budget: budget, Avoid: r.avoid})
+	if !ok {
+		return cicadapitch.Member{}, cicadapitch.NewNotRun(
+			"no endpoint of the pool "+string(r.stage.Pool)+" is in service", cicadapitch.Second)
+	}
+	owner, ok := r.s.owners.Owner(c.Shard)
+	if !ok {
+		r.avoid = append(r.avoid, c.Shard)
+		return cicadapitch.Member{}, cicadapitch.NewNotRun("no host owns the shard "+string(c.Shard), cicadapitch.Second)
+	}
+	r.shard = c
+	return owner, nil
+}
+
+func (r *stageRun) describe(limit cicadapitch.Millis) cicadapitch.Attempt {
+	r.number++
+	return cicadapitch.Attempt{
+		ID:         cicadapitch.AttemptID{Request: r.rec.id, Stage: r.stage.ID, Number: r.number},
+		Entry:      r.s.members.Self().Host,
+		Customer:   r.rec.req.Customer,
+		Pipeline:   r.rec.req.Pipeline,
+		Pool:       r.stage.Pool,
+		Shard:      r.shard.Shard,
+		Input:      r.input,
+		Prefix:     r.rec.req.Prefix,
+		MaxTokens:  r.tokensLeft(),
+		Idempotent: r.stage.Idempotent,
+		Streams:    r.stage.Streams,
+		Remaining:  limit,
+		Resume:     r.delivered,
+		Share:      r.rec.share,
+	}
+}
+
+// tokensLeft subtracts a token for each chunk that earlier attempts brought.
+func (r *stageRun) tokensLeft() cicadapitch.Tokens {
+	if r.stage.MaxTokens == 0 {
+		return 0
+	}
+	return max(r.stage.MaxTokens-cicadapitch.Tokens(r.chunks), 1)
+}
+
+func (r *stageRun) deliver(c cicadapitch.Chunk) {
+	if r.stage.Streams {
+		r.rec.out.send(c)
+	}
+}
+
+// land ends a flight and returns the whole output of the stage, or an error
+// that says whether the attempt may have started.
+func (r *stageRun) land(ctx context.Context, l landing) (cicadapitch.StageResult, error) {
+	f := l.flight
+	f.cancel()
+	res, err := r.match(l)
+	if err != nil && !r.stage.Idempotent {
+		res, err = r.settle(ctx, f, err)
+	}
+	if err == nil {
+		r.s.router.end(f.attempt.Shard, &res.Load)
+		return r.join(f, res)
+	}
+	r.s.router.end(f.attempt.Shard, nil)
+	r.fail(f, err)
+	return cicadapitch.StageResult{}, err
+}
+
+// match drops a result that belongs to another attempt.
+func (r *stageRun) match(l landing) (cicadapitch.StageResult, error) {
+	if l.err != nil {
+		return cicadapitch.StageResult{}, l.err
+	}
+	if l.result.Attempt != l.flight.attempt.ID {
+		r.s.metrics.Dropped(DroppedCrossed)
+		return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the result of another attempt came")
+	}
+	return l.result, nil
+}
+
+// join puts the text that the attempt resumed from before its output. The
+// output must begin with what the caller has got as chunks.
+func (r *stageRun) join(f *flight, res cicadapitch.StageResult) (cicadapitch.StageResult, error) {
+	if !f.gather.complete(res.Output) && r.stage.Streams {
+		r.broken = true
+		return cicadapitch.StageResult{}, cicadapitch.NewError(cicadapitch.Internal,
+			"the chunks of the attempt are not the beginning of its result", "report the endpoint "+string(res.Endpoint))
+	}
+	res.Output = f.attempt.Resume + res.Output
+	return res, nil
+}
+
+// fail keeps what a failed flight brought, so that the next attempt resumes
+// there, and avoids its shard from then on.
+func (r *stageRun) fail(f *flight, err error) {
+	kind := cicadapitch.KindOf(err)
+	text, n := f.gather.close()
+	if whole := f.attempt.Resume + text; r.stage.Idempotent && len(whole) > len(r.delivered) {
+		r.delivered = whole
+		r.chunks = f.before + n
+	}
+	if kind != cicadapitch.Redirected {
+		r.avoid = append(r.avoid, f.attempt.Shard)
+	}
+	switch {
+	case pipeline.NotStarted(kind):
+		r.rec.undo(r.stage.Idempotent)
+	case pipeline.Final(kind) && !r.stage.Idempotent:
+		r.rec.settle()
+	}
+}
+
+// abandon ends a flight whose result is no longer awaited.
+func (r *stageRun) abandon(f *flight) {
+	f.over.Store(true)
+	f.cancel()
+	f.gather.close()
+	r.s.router.end(f.attempt.Shard, nil)
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,58 @@
+package entry
+
+import "cicadapitch.example/cicadapitch"
+
+// Dropped says why a chunk or result was dropped.
+type Dropped string
+
+// The reasons for drops.
+const (
+	// DroppedLate came after its attempt had ended.
+	DroppedLate Dropped = "late"
+	// DroppedCrossed belongs to another attempt.
+	DroppedCrossed Dropped = "crossed"
+	// DroppedDoubled had come before.
+	DroppedDoubled Dropped = "doubled"
+	// DroppedAhead came too far ahead of its turn.
+	DroppedAhead Dropped = "ahead"
+)
+
+// Metrics receives measurements. Its methods must be safe for concurrent use
+// and must not wait.
+type Metrics interface {
+	// Answered reports a whole answer and whether it came in time.
+	Answered(customer cicadapitch.CustomerID, p cicadapitch.PipelineID, took cicadapitch.Millis, inTime bool)
+	// Refused reports a request that ended with an error.
+	Refused(customer cicadapitch.CustomerID, p cicadapitch.PipelineID, kind cicadapitch.Kind)
+	// Stage reports what one stage of an answered request took.
+	Stage(customer cicadapitch.CustomerID, p cicadapitch.PipelineID, r cicadapitch.StageReport)
+	// Retried reports a second attempt of a stage, by the kind of the error
+	// that led to it.
+	Retried(stage cicadapitch.StageID, kind cicadapitch.Kind)
+	// Hedged reports an attempt that was started beside a slow one.
+	Hedged(stage cicadapitch.StageID)
+	// Dropped reports a chunk or result that matched no open attempt.
+	Dropped(reason Dropped)
+}
+
+// NoMetrics drops all measurements.
+type NoMetrics struct{}
+
+// Answered implements Metrics.
+func (NoMetrics) Answered(cicadapitch.CustomerID, cicadapitch.PipelineID, cicadapitch.Millis, bool) {
+}
+
+// Refused implements Metrics.
+func (NoMetrics) Refused(cicadapitch.CustomerID, cicadapitch.PipelineID, cicadapitch.Kind) {}
+
+// Stage implements Metrics.
+func (NoMetrics) Stage(cicadapitch.CustomerID, cicadapitch.PipelineID, cicadapitch.StageReport) {}
+
+// Retried implements Metrics.
+func (NoMetrics) Retried(cicadapitch.StageID, cicadapitch.Kind) {}
+
+// Hedged implements Metrics.
+func (NoMetrics) Hedged(cicadapitch.StageID) {}
+
+// Dropped implements Metrics.
+func (NoMetrics) Dropped(Dropped) {}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/booking"
+)
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithMinter sets the minter of this host's tokens. Without one, pipelines
+// with a stage that is not idempotent take idempotency keys only.
+func WithMinter(m *booking.Minter) Option { return func(s *Server) { s.minter = m } }
+
+// WithLedger sets the ledger of this host's incarnation.
+func WithLedger(l *booking.Ledger) Option { return func(s *Server) { s.ledger = l } }
+
+// WithForwarder sets the way to the other hosts, for tokens that they minted.
+func WithForwarder(f Forwarder) Option { return func(s *Server) { s.forwarder = f } }
+
+// WithClaims sets the claims on callers' own idempotency keys.
+func WithClaims(c Claims) Option { return func(s *Server) { s.claims = c } }
+
+// WithMetrics sets the receiver of measurements.
+func WithMetrics(m Metrics) Option { return func(s *Server) { s.metrics = m } }
+
+// WithRetryBudget bounds retries and hedges to a ratio of the requests, with
+// limit of them saved up at most.
+func WithRetryBudget(ratio, limit float64) Option {
+	return func(s *Server) { s.budget.set(ratio, limit) }
+}
+
+// WithHedging sets whether slow idempotent attempts get a second one beside
+// them. It is on at first.
+func WithHedging(on bool) Option { return func(s *Server) { s.hedging = on } }
+
+// WithAdmission sets whether requests that cannot meet their deadline are
+// refused early. It is on at first.
+func WithAdmission(on bool) Option { return func(s *Server) { s.admission = on } }
+
+// WithSeed seeds the random numbers of choices and backoff.
+func WithSeed(seed uint64) Option {
+	return func(s *Server) { s.random.source = rand.NewPCG(seed, seed) }
+}
+
+// WithMaxInput bounds the input of a request.
+func WithMaxInput(n cicadapitch.Bytes) Option { return func(s *Server) { s.maxInput = n } }
--- /dev/null
+++ b/entry/settle.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
+)
+
+const (
+	// askMillis bounds one question about an attempt.
+	askMillis = cicadapitch.Second
+	// pollMillis is the span between two questions about a running attempt.
+	pollMillis cicadapitch.Millis = 50
+)
+
+// settle finds out what became of an attempt that may not be repeated and that
+// ended without a result. It returns the result, an error that says that the
+// attempt never ran, or OutcomeUnknown where nobody can tell.
+func (r *stageRun) settle(ctx context.Context, f *flight, err error) (cicadapitch.StageResult, error) {
+	kind := cicadapitch.KindOf(err)
+	if _, step := pipeline.Next(r.progress, kind, askMillis, 0); step.Move != pipeline.Ask {
+		return cicadapitch.StageResult{}, err
+	}
+	for {
+		state, asked := r.ask(ctx, f)
+		if asked != nil || state.Attempt != f.attempt.ID {
+			return cicadapitch.StageResult{}, unknown(err)
+		}
+		switch state.Phase {
+		case cicadapitch.Queued, cicadapitch.Running:
+			if r.s.clock.Sleep(ctx, pollMillis) != nil {
+				return cicadapitch.StageResult{}, unknown(err)
+			}
+		default:
+			return read(state, err)
+		}
+	}
+}
+
+// read returns the result or error of an attempt that has ended.
+func read(state cicadapitch.AttemptState, err error) (cicadapitch.StageResult, error) {
+	switch {
+	case state.Phase == cicadapitch.Refused:
+		return cicadapitch.StageResult{}, cicadapitch.NewNotRun("the attempt did not reach its owner", 1)
+	case state.Phase == cicadapitch.Done && state.Result != nil && state.Result.Attempt == state.Attempt:
+		return *state.Result, nil
+	case state.Phase == cicadapitch.Failed && state.Error != nil:
+		if kind := state.Error.Kind; pipeline.Final(kind) || pipeline.NotStarted(kind) {
+			return cicadapitch.StageResult{}, state.Error
+		}
+		return cicadapitch.StageResult{}, unknown(state.Error)
+	}
+	return cicadapitch.StageResult{}, unknown(err)
+}
+
+// ask asks once, for no longer than askMillis.
+func (r *stageRun) ask(ctx context.Context, f *flight) (cicadapitch.AttemptState, error) {
+	ctx, cancel := withTimeout(ctx, r.s.clock, askMillis)
+	defer cancel()
+	return await(ctx, func() (cicadapitch.AttemptState, error) {
+		return r.s.runner.Outcome(ctx, f.owner, f.attempt.ID)
+	})
+}
+
+func unknown(err error) error {
+	reason := err.Error()
+	if e := cicadapitch.AsError(err); e != nil {
+		reason = e.Reason
+	}
+	return cicadapitch.NewOutcomeUnknown(reason)
+}
--- /dev/null
+++ b/entry/work.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"cicadapitch.example/cicadapitch"
+	"github.com/samber/lo"
+)
+
+const (
+	maxKeyBytes    = 256
+	maxPrefixBytes = 4096
+)
+
+// work is a request with the settings that it runs under. They stay the same
+// while it runs, whatever operators change.
+type work struct {
+	req        cicadapitch.Request
+	cfg        *cicadapitch.Configuration
+	pipeline   cicadapitch.Pipeline
+	share      cicadapitch.Share
+	span       cicadapitch.Millis
+	deadline   cicadapitch.Instant
+	idempotent bool
+}
+
+// resolve checks a request and looks up its names.
+func (s *Server) resolve(req cicadapitch.Request) (work, error) {
+	cfg := s.configurations.Current()
+	if cfg == nil {
+		return work{}, unconfigured(req)
+	}
+	if err := s.checkSizes(req); err != nil {
+		return work{}, err
+	}
+	c, ok := cfg.Customer(req.Customer)
+	if !ok || c.Out {
+		return work{}, cicadapitch.NewError(cicadapitch.Denied, "the customer is not in service", "ask an operator")
+	}
+	p, ok := cfg.Pipeline(req.Pipeline)
+	if !ok || len(p.Stages) == 0 {
+		return work{}, cicadapitch.NewError(cicadapitch.NotFound, "there is no such pipeline", "check the name of the pipeline")
+	}
+	if req.Deadline < 0 {
+		return work{}, cicadapitch.NewError(cicadapitch.Invalid, "the deadline has passed", "send the request with time left")
+	}
+	span := cfg.DeadlineFor(req.Customer, p)
+	if req.Deadline > 0 {
+		span = min(span, req.Deadline)
+	}
+	return work{
+		req:        req,
+		cfg:        cfg,
+		pipeline:   p,
+		share:      c.Share,
+		span:       span,
+		idempotent: Idempotent(p),
+	}, nil
+}
+
+// unconfigured says NotRun only where no other host can have run the request.
+func unconfigured(req cicadapitch.Request) error {
+	const reason = "the host has no configuration yet"
+	if req.Token != "" || req.IdempotencyKey != "" {
+		return cicadapitch.NewOutcomeUnknown(reason)
+	}
+	return cicadapitch.NewNotRun(reason, cicadapitch.Second)
+}
+
+// Idempotent reports whether a whole pipeline may be run again.
+func Idempotent(p cicadapitch.Pipeline) bool {
+	return lo.EveryBy(p.Stages, func(st cicadapitch.Stage) bool { return st.Idempotent })
+}
+
+func (s *Server) checkSizes(req cicadapitch.Request) error {
+	switch {
+	case cicadapitch.Bytes(len(req.Input)) > s.maxInput:
+		return cicadapitch.NewError(cicadapitch.Invalid, "the input is too long", "send a shorter input")
+	case len(req.Prefix) > maxPrefixBytes:
+		return cicadapitch.NewError(cicadapitch.Invalid, "the prefix is too long", "send a hash of the prefix")
+	case len(req.IdempotencyKey) > maxKeyBytes:
+		return cicadapitch.NewError(cicadapitch.Invalid, "the idempotency key is too long", "send a key of up to 256 bytes")
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/choose.go
@@ -0,0 +1,209 @@
+package pipeline
+
+import (
+	"math"
+
+	"cicadapitch.example/cicadapitch"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	sampledInZone   = 2
+	sampledInRegion = 2
+	sampledAnywhere = 1
+	maxCandidates   = affinityRanks + sampledInZone + sampledInRegion + sampledAnywhere
+
+	zoneMillis   = 1
+	regionMillis = 40
+
+	// loadHalfLife is the span after which half of a reported queue is no
+	// longer believed.
+	loadHalfLife = cicadapitch.Second
+	// prefixSaving is the part of a service time that a cached prefix saves.
+	prefixSaving = 0.3
+	// minWaitWeight keeps a queue from growing without bound where only cost
+	// counts.
+	minWaitWeight = 0.2
+	// lateWeight makes a completion after the budget worse than any in time.
+	lateWeight = 10
+)
+
+// ShardState is what a host knows about a shard when it chooses.
+type ShardState struct {
+	// Known is false where no load has been heard of.
+	Known bool
+	Load  cicadapitch.ShardLoad
+	// Age is the span since the load was read.
+	Age cicadapitch.Millis
+	// Inflight counts this host's own attempts at the shard, and Since those
+	// of them that were sent after the load was read.
+	Inflight int
+	Since    int
+}
+
+// Query asks for a shard.
+type Query struct {
+	Prefix string
+	Zone   cicadapitch.ZoneID
+	Region cicadapitch.RegionID
+	// Expected is the typical service time of the stage.
+	Expected cicadapitch.Millis
+	// Budget is the span in which the stage should end.
+	Budget cicadapitch.Millis
+	Weight cicadapitch.Weight
+	// Avoid names shards that have failed this request.
+	Avoid []cicadapitch.ShardID
+	// Random is a random number for the samples.
+	Random uint64
+}
+
+// Choice is a chosen shard with the completion that is expected there.
+type Choice struct {
+	Shard   cicadapitch.ShardID
+	Zone    cicadapitch.ZoneID
+	Wait    cicadapitch.Millis
+	Service cicadapitch.Millis
+	// Affine is true where the prefix of the request belongs to the shard.
+	Affine bool
+
+	score float64
+	index int32
+}
+
+// Completion returns the expected span until the attempt ends.
+func (c Choice) Completion() cicadapitch.Millis { return c.Wait + c.Service }
+
+// Choose returns the best of a few candidates: the shards to which the prefix
+// belongs and random ones, near ones first. Its cost does not depend on the
+// number of shards. It returns false where the group has no shard.
+func Choose(g *Group, state func(member int) ShardState, q Query) (Choice, bool) {
+	var seen [maxCandidates]int32
+	candidates := g.sample(seen[:0], q)
+	best := Choice{index: -1}
+	for _, i := range candidates {
+		c := g.score(i, state(int(i)), q)
+		if best.index < 0 || c.score < best.score {
+			best = c
+		}
+	}
+	return best, best.index >= 0
+}
+
+func (g *Group) sample(seen []int32, q Query) []int32 {
+	if len(g.Members) == 0 {
+		return seen
+	}
+	if q.Prefix != "" {
+		for _, i := range g.affinity[xxh3.HashString(q.Prefix)%affinityBuckets] {
+			seen = add(seen, i)
+		}
+	}
+	r := q.Random
+	seen, r = draw(seen, g.zones[q.Zone], sampledInZone, r)
+	seen, r = draw(seen, g.regions[q.Region], sampledInRegion, r)
+	n := sampledAnywhere
+	if len(seen) == 0 {
+		n += sampledInZone + sampledInRegion
+	}
+	for range n {
+		r = mix(r + 1)
+		seen = add(seen, int32(r%uint64(len(g.Members))))
+	}
+	return seen
+}
+
+// draw adds up to n members of a list, without drawing one twice where the
+// list is short.
+func draw(seen, list []int32, n int, r uint64) ([]int32, uint64) {
+	if len(list) == 0 {
+		return seen, r
+	}
+	r = mix(r + 1)
+	start := r % uint64(len(list))
+	step := uint64(1)
+	if len(list) > 2 {
+		step += mix(r) % uint64(len(list)-1)
+	}
+	for i := range min(n, len(list)) {
+		seen = add(seen, list[(start+uint64(i)*step)%uint64(len(list))])
+	}
+	return seen, r
+}
+
+func add(seen []int32, i int32) []int32 {
+	if i < 0 || len(seen) == cap(seen) {
+		return seen
+	}
+	for _, s := range seen {
+		if s == i {
+			return seen
+		}
+	}
+	return append(seen, i)
+}
+
+func (g *Group) score(i int32, s ShardState, q Query) Choice {
+	m := &g.Members[i]
+	c := Choice{Shard: m.Shard, Zone: m.Zone, index: i}
+	c.Affine = g.affine(i, q.Prefix)
+	service := serviceTime(s, q)
+	if c.Affine {
+		service *= 1 - prefixSaving
+	}
+	wait := waitTime(s, m, serviceTime(s, q)) + distance(m, q)
+	c.Wait = cicadapitch.Millis(math.Ceil(wait))
+	c.Service = cicadapitch.Millis(math.Ceil(service))
+	c.score = max(float64(q.Weight), minWaitWeight)*wait + service
+	if late := wait + service - float64(q.Budget); q.Budget > 0 && late > 0 {
+		c.score += lateWeight * late
+	}
+	for _, a := range q.Avoid {
+		if a == m.Shard {
+			c.score += lateWeight * float64(max(q.Budget, cicadapitch.Minute))
+		}
+	}
+	return c
+}
+
+func (g *Group) affine(i int32, prefix string) bool {
+	return prefix != "" && g.affinity[xxh3.HashString(prefix)%affinityBuckets][0] == i
+}
+
+func serviceTime(s ShardState, q Query) float64 {
+	if s.Known && s.Load.ServiceMillis > 0 {
+		return float64(s.Load.ServiceMillis)
+	}
+	return float64(max(q.Expected, 1))
+}
+
+// waitTime returns the expected wait for a slot. A reported queue drains with
+// its age; what this host has sent since the report comes on top.
+func waitTime(s ShardState, m *Member, service float64) float64 {
+	slots := float64(m.Endpoints)
+	free := slots
+	queued := 0.0
+	ahead := float64(s.Inflight)
+	if s.Known {
+		slots = max(float64(s.Load.Total), 0)
+		free = float64(s.Load.Free)
+		queued = float64(s.Load.Queued) * math.Exp2(-float64(s.Age)/float64(loadHalfLife))
+		ahead = float64(s.Since)
+	}
+	if slots == 0 {
+		return noSlotsWait(service)
+	}
+	return max(queued+ahead+1-free, 0) * service / slots
+}
+
+// noSlotsWait is the wait at a shard that bears nothing now.
+func noSlotsWait(service float64) float64 { return 10*service + float64(cicadapitch.Second) }
+
+func distance(m *Member, q Query) float64 {
+	switch {
+	case m.Zone == q.Zone:
+		return 0
+	case m.Region == q.Region:
+		return zoneMillis
+	}
+	return regionMillis
+}
--- /dev/null
+++ b/pipeline/estimate.go
@@ -0,0 +1,41 @@
+package pipeline
+
+import "cicadapitch.example/cicadapitch"
+
+const (
+	estimateGain     = 0.1
+	deviationsOfTail = 3
+	minTailMillis    = 20
+)
+
+// Estimate is a moving estimate of a service time in milliseconds.
+type Estimate struct {
+	Mean      float64
+	Deviation float64
+	Samples   int
+}
+
+// NewEstimate returns the estimate to start from before measurements exist.
+func NewEstimate(expected cicadapitch.Millis) Estimate {
+	return Estimate{Mean: float64(max(expected, 1)), Deviation: float64(expected) / 2}
+}
+
+// Add returns the estimate after a further measurement.
+func (e Estimate) Add(m cicadapitch.Millis) Estimate {
+	e.Samples++
+	// The first measurements weigh more, so that a wrong expectation does not
+	// last.
+	gain := max(estimateGain, 1/float64(e.Samples+1))
+	d := float64(m) - e.Mean
+	e.Mean += gain * d
+	e.Deviation += gain * (max(d, -d) - e.Deviation)
+	return e
+}
+
+// Typical returns the mean service time.
+func (e Estimate) Typical() cicadapitch.Millis { return cicadapitch.Millis(e.Mean) }
+
+// Tail returns a span that few attempts exceed.
+func (e Estimate) Tail() cicadapitch.Millis {
+	return max(cicadapitch.Millis(e.Mean+deviationsOfTail*e.Deviation), minTailMillis)
+}
--- /dev/null
+++ b/pipeline/plan.go
@@ -0,0 +1,65 @@
+package pipeline
+
+import "cicadapitch.example/cicadapitch"
+
+const (
+	minRetryMillis cicadapitch.Millis = 50
+	maxRetryMillis                    = 5 * cicadapitch.Second
+)
+
+// Part is what one stage of a plan is expected to take.
+type Part struct {
+	Wait    cicadapitch.Millis
+	Service cicadapitch.Millis
+}
+
+// Plan is the expected course of the stages that a request still has before
+// it.
+type Plan []Part
+
+// Total returns the expected span of the whole plan.
+func (p Plan) Total() cicadapitch.Millis {
+	var sum cicadapitch.Millis
+	for _, part := range p {
+		sum += part.Wait + part.Service
+	}
+	return sum
+}
+
+// Service returns the expected span of the plan without waiting.
+func (p Plan) Service() cicadapitch.Millis {
+	var sum cicadapitch.Millis
+	for _, part := range p {
+		sum += part.Service
+	}
+	return sum
+}
+
+// Admit refuses a plan that cannot end within left, with the span after which
+// the queues that it found will have drained far enough.
+func (p Plan) Admit(left cicadapitch.Millis) error {
+	over := p.Total() - left
+	if over <= 0 {
+		return nil
+	}
+	if p.Service() > left {
+		return cicadapitch.NewError(cicadapitch.NotRun,
+			"the deadline is shorter than the stages take", "send the request with a longer deadline").
+			After(maxRetryMillis)
+	}
+	return cicadapitch.NewNotRun("the queues are too long for the deadline",
+		min(max(over, minRetryMillis), maxRetryMillis))
+}
+
+// Split divides the span that is left among the stages. Budget is the first
+// stage's part by its service time. Limit is the latest end that leaves the
+// later stages their service times.
+func (p Plan) Split(left cicadapitch.Millis) (budget, limit cicadapitch.Millis) {
+	if len(p) == 0 || left <= 0 {
+		return 0, 0
+	}
+	service := max(p.Service(), 1)
+	budget = max(left*p[0].Service/service, 1)
+	limit = left - p[1:].Service()
+	return budget, max(limit, budget)
+}
