endpoint, customer: decisions of a shard and fair queueing

State takes messages and instants and returns commands: slots that grow by good calls after a load report says warm and fall back at once on latency, refusal, failure or report; admission by predicted wait; earliest deadline within start-time fair queueing over customers, measured in slot time; choice by expected completion and cost; ejection that always leaves half of a shard in; running work of a previous owner counted before the first start.

Weighed: deficit round robin over customers. Start-time tags give the work ahead of a new entry in one pass over customers, which admission needs. Weighed: subtracting the own calls from a load report to find foreign work in steady state. The report lags, so own calls that began within the lag would count as foreign; only the first report after a claim and calls of unknown end are counted, and both run out with time.

--- /dev/null
+++ b/endpoint/backend.go
@@ -0,0 +1,116 @@
+package endpoint
+
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/customer"
+)
+
+// job is a Job on its way through the shard.
+type job struct {
+	Job
+	item     *customer.Item[*job]
+	arrived  cicadapitch.Instant
+	started  cicadapitch.Instant
+	on       *backend
+	hit      float64
+	first    cicadapitch.Millis
+	declines int
+}
+
+// backend is what the shard knows about one endpoint.
+type backend struct {
+	cicadapitch.Endpoint
+
+	// out is set by operators, leaving by the endpoint itself, removed by a
+	// configuration without the endpoint.
+	out     bool
+	leaving bool
+	removed bool
+
+	running []*job
+	// line holds jobs that wait for this endpoint's prefix cache.
+	line []*job
+	// strays are the instants by which calls have ended that this owner no
+	// longer follows, or never did.
+	strays []cicadapitch.Instant
+
+	// bears is the number of calls the endpoint is trusted with.
+	bears cicadapitch.Slots
+	// since is when the endpoint was last taken as cold.
+	since cicadapitch.Instant
+	// credit counts good calls towards the next slot, need is its price.
+	credit int
+	need   int
+
+	// added is when the shard got the endpoint.
+	added cicadapitch.Instant
+	// seen is true once its running work is known.
+	seen       bool
+	reportCold bool
+	// read is when the last load report was asked for.
+	read    cicadapitch.Instant
+	polled  cicadapitch.Instant
+	polling bool
+
+	// speed is the endpoint's latency as a multiple of the shard's.
+	speed    mean
+	failures int
+	// ejected is the end of the ejection, 0 for none.
+	ejected   cicadapitch.Instant
+	ejections int
+
+	prefixes prefixView
+}
+
+func newBackend(now cicadapitch.Instant, e cicadapitch.Endpoint, p Policy, pool cicadapitch.Pool) *backend {
+	return &backend{
+		Endpoint: e,
+		bears:    pool.ColdSlots,
+		since:    now,
+		need:     1,
+		added:    now,
+		polled:   now.Add(-p.PollEvery),
+		prefixes: newPrefixView(p.MaxPrefixes),
+	}
+}
+
+// inService is true while the endpoint may get new work.
+func (b *backend) inService() bool { return !b.out && !b.leaving && !b.removed }
+
+// busy counts the calls that are or may be running at the endpoint.
+func (b *backend) busy() cicadapitch.Slots {
+	return cicadapitch.Slots(len(b.running) + len(b.strays))
+}
+
+// pace returns the endpoint's latency as a multiple of the shard's.
+func (b *backend) pace() float64 {
+	if b.speed.samples == 0 {
+		return 1
+	}
+	return min(max(b.speed.value, minPace), maxPace)
+}
+
+// The bounds of pace.
+const (
+	minPace = 0.25
+	maxPace = 8
+)
+
+func (b *backend) drop(j *job) {
+	b.running = slices.DeleteFunc(b.running, func(k *job) bool { return k == j })
+}
+
+func (b *backend) stray(until cicadapitch.Instant) {
+	b.strays = append(b.strays, until)
+	slices.Sort(b.strays)
+}
+
+func (b *backend) expireStrays(now cicadapitch.Instant) {
+	n := 0
+	for n < len(b.strays) && b.strays[n] <= now {
+		n++
+	}
+	b.strays = b.strays[n:]
+}
--- a/endpoint/calloutcome_enumer.go
+++ b/endpoint/calloutcome_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _CallOutcomeName = "SucceededBrokenDeclinedCanceled"
+const _CallOutcomeName = "SucceededBrokenDeclinedCanceledUnstarted"
 
-var _CallOutcomeIndex = [...]uint8{0, 9, 15, 23, 31}
+var _CallOutcomeIndex = [...]uint8{0, 9, 15, 23, 31, 40}
 
-const _CallOutcomeLowerName = "succeededbrokendeclinedcanceled"
+const _CallOutcomeLowerName = "succeededbrokendeclinedcanceledunstarted"
 
 func (i CallOutcome) String() string {
 	if i < 0 || i >= CallOutcome(len(_CallOutcomeIndex)-1) {
@@ -29,15 +29,17 @@
 	_ = x[Broken-(1)]
 	_ = x[Declined-(2)]
 	_ = x[Canceled-(3)]
+	_ = x[Unstarted-(4)]
 }
 
-var _CallOutcomeValues = []CallOutcome{Succeeded, Broken, Declined, Canceled}
+var _CallOutcomeValues = []CallOutcome{Succeeded, Broken, Declined, Canceled, Unstarted}
 
 var _CallOutcomeNameToValueMap = map[string]CallOutcome{
 	_CallOutcomeName[0:9]:   Succeeded,
 	_CallOutcomeName[9:15]:  Broken,
 	_CallOutcomeName[15:23]: Declined,
 	_CallOutcomeName[23:31]: Canceled,
+	_CallOutcomeName[31:40]: Unstarted,
 }
 
 var _CallOutcomeLowerNameToValueMap = map[string]CallOutcome{
@@ -45,6 +47,7 @@
 	_CallOutcomeLowerName[9:15]:  Broken,
 	_CallOutcomeLowerName[15:23]: Declined,
 	_CallOutcomeLowerName[23:31]: Canceled,
+	_CallOutcomeLowerName[31:40]: Unstarted,
 }
 
 var _CallOutcomeNames = []string{
@@ -52,6 +55,7 @@
 	_CallOutcomeName[9:15],
 	_CallOutcomeName[15:23],
 	_CallOutcomeName[23:31],
+	_CallOutcomeName[31:40],
 }
 
 // CallOutcomeString retrieves an enum value from the enum constants string name.
--- a/endpoint/job.go
+++ b/endpoint/job.go
@@ -9,11 +9,12 @@
 	Attempt  cicadapitch.AttemptID
 	Customer cicadapitch.CustomerID
 	Share    cicadapitch.Share
-	// Size is the number of tokens asked for, or 1 for plain services.
-	Size     cicadapitch.Tokens
-	Prefix   string
-	Deadline cicadapitch.Instant
-	Avoid    []cicadapitch.EndpointID
+	// Size is the number of tokens asked for, 0 for plain services.
+	Size       cicadapitch.Tokens
+	Prefix     string
+	Deadline   cicadapitch.Instant
+	Idempotent bool
+	Avoid      []cicadapitch.EndpointID
 }
 
 // CallOutcome is how a call ended.
@@ -29,6 +30,8 @@
 	Declined
 	// Canceled calls were ended by this side.
 	Canceled
+	// Unstarted calls were given up before anything was sent.
+	Unstarted
 )
 
 // CallEnd reports the end of a call.
@@ -42,12 +45,13 @@
 // JobOf returns the job of an attempt that arrived at now.
 func JobOf(a cicadapitch.Attempt, now cicadapitch.Instant) Job {
 	return Job{
-		Attempt:  a.ID,
-		Customer: a.Customer,
-		Share:    a.Share,
-		Size:     max(a.MaxTokens, 1),
-		Prefix:   a.Prefix,
-		Deadline: now.Add(a.Remaining),
-		Avoid:    a.Avoid,
+		Attempt:    a.ID,
+		Customer:   a.Customer,
+		Share:      a.Share,
+		Size:       a.MaxTokens,
+		Prefix:     a.Prefix,
+		Deadline:   now.Add(a.Remaining),
+		Idempotent: a.Idempotent,
+		Avoid:      a.Avoid,
 	}
 }
--- a/endpoint/ledger.go
+++ b/endpoint/ledger.go
@@ -39,10 +39,20 @@
 }
 
 // entry is what the ledger knows about one attempt. Its state is guarded by
-// the stripe; done is closed once the state is final.
+// the stripe; started is closed once a call has begun, done once the state is
+// final.
 type entry struct {
-	state cicadapitch.AttemptState
-	done  chan struct{}
+	state   cicadapitch.AttemptState
+	started chan struct{}
+	done    chan struct{}
+}
+
+func newEntry(id cicadapitch.AttemptID) *entry {
+	return &entry{
+		state:   cicadapitch.AttemptState{Attempt: id, Phase: cicadapitch.Queued},
+		started: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
 }
 
 func newLedger(keepResult, keepID cicadapitch.Millis) *ledger {
@@ -67,10 +77,7 @@
 	if e, ok := s.entries[id]; ok {
 		return e, false
 	}
-	e := &entry{
-		state: cicadapitch.AttemptState{Attempt: id, Phase: cicadapitch.Queued},
-		done:  make(chan struct{}),
-	}
+	e := newEntry(id)
 	s.entries[id] = e
 	return e, true
 }
@@ -80,9 +87,12 @@
 	s := l.stripe(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e, ok := s.entries[id]; ok {
-		e.state.Phase = cicadapitch.Running
+	e, ok := s.entries[id]
+	if !ok || e.state.Phase == cicadapitch.Running {
+		return
 	}
+	e.state.Phase = cicadapitch.Running
+	close(e.started)
 }
 
 // settle records the final state of an attempt.
@@ -106,7 +116,7 @@
 	s.forget(now, l.keepResult, l.keepID)
 	e, ok := s.entries[id]
 	if !ok {
-		e = &entry{done: make(chan struct{})}
+		e = newEntry(id)
 		s.entries[id] = e
 		s.settle(now, e, cicadapitch.AttemptState{Attempt: id, Phase: cicadapitch.Refused})
 	}
--- a/endpoint/loop.go
+++ b/endpoint/loop.go
@@ -13,16 +13,40 @@
 func (o *Owner) Start(ctx context.Context) {
 	go func() {
 		for o.clock.Sleep(ctx, o.policy.TickEvery) == nil {
-			o.tick(o.clock.Now(), o.configurations.Current())
+			o.tick(ctx)
 		}
 	}()
 }
 
-func (o *Owner) tick(now cicadapitch.Instant, cfg *cicadapitch.Configuration) {
+func (o *Owner) tick(ctx context.Context) {
+	now := o.clock.Now()
+	cfg := o.configurations.Current()
 	o.mu.RLock()
 	shards := lo.Values(o.shards)
 	o.mu.RUnlock()
 	for _, s := range shards {
 		s.tick(now, cfg)
+		for _, e := range s.due(now) {
+			go o.poll(ctx, s, e)
+		}
+	}
+}
+
+// poll reads one endpoint's load report.
+func (o *Owner) poll(ctx context.Context, s *shard, e cicadapitch.Endpoint) {
+	_, driver, err := o.route(e.Pool)
+	if err != nil {
+		s.unread(e.ID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.policy.PollTimeout.Duration())
+	defer cancel()
+	asked := o.clock.Now()
+	r, err := driver.Load(ctx, e)
+	if err != nil {
+		s.unread(e.ID)
+		o.log.Debug().Str("endpoint", string(e.ID)).Err(err).Msg("load report unread")
+		return
 	}
+	s.report(o.clock.Now(), asked, e.ID, r)
 }
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -109,7 +109,7 @@
 	if !ok {
 		return cicadapitch.ShardLoad{}
 	}
-	return s.load()
+	return s.load(o.clock.Now())
 }
 
 // Outcome tells what became of an attempt. An unknown one is refused for good:
@@ -125,6 +125,35 @@
 	return s, ok
 }
 
+// held returns the shard if this host owns it, and takes over a claim that it
+// has not been told of yet.
+func (o *Owner) held(id cicadapitch.ShardID) (*shard, bool) {
+	fencing, ok := o.holds(id)
+	if !ok {
+		return nil, false
+	}
+	s, ok := o.shard(id)
+	if ok && s.fencing == fencing {
+		return s, true
+	}
+	o.Gain(cicadapitch.Claim{Shard: id, Fencing: fencing})
+	return o.shard(id)
+}
+
+// route returns the pool and the driver of its kind.
+func (o *Owner) route(id cicadapitch.PoolID) (cicadapitch.Pool, cicadapitch.Driver, error) {
+	cfg := o.configurations.Current()
+	if cfg == nil {
+		return cicadapitch.Pool{}, nil, cicadapitch.NewNotRun("this host has no configuration yet", cicadapitch.Second)
+	}
+	pool, ok := cfg.Pool(id)
+	driver := o.drivers[pool.Kind]
+	if !ok || driver == nil {
+		return pool, nil, cicadapitch.NewNotRun("the pool is not in the configuration in force", cicadapitch.Second)
+	}
+	return pool, driver, nil
+}
+
 func (o *Owner) unsettled() int {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -31,17 +31,22 @@
 	return res, err
 }
 
-// await waits for the final state of an attempt. An idempotent attempt ends
-// soon after ctx does, so its true end is awaited.
+// await waits for the final state of an attempt. After ctx has ended, a call
+// that may not be repeated is not waited for any longer; all else ends soon
+// after ctx does.
 func (o *Owner) await(ctx context.Context, e *entry, a cicadapitch.Attempt) (cicadapitch.StageResult, error) {
-	done := ctx.Done()
-	if a.Idempotent {
-		done = nil
-	}
 	select {
 	case <-e.done:
-	case <-done:
-		return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the attempt was given up while it ran")
+	case <-ctx.Done():
+		started := e.started
+		if a.Idempotent {
+			started = nil
+		}
+		select {
+		case <-e.done:
+		case <-started:
+			return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the attempt was given up while it ran")
+		}
 	}
 	state := o.ledger.final(e, a.ID)
 	switch {
@@ -83,29 +88,30 @@
 	return res, nil
 }
 
-// serve waits for a slot and makes the call.
+// serve waits for a slot and makes the call. An endpoint that declines the
+// call sends the attempt back to the queue.
 func (r *run) serve(ctx context.Context) (cicadapitch.StageResult, error) {
 	o := r.owner
-	fencing, ok := o.holds(r.attempt.Shard)
+	s, ok := o.held(r.attempt.Shard)
 	if !ok {
 		return cicadapitch.StageResult{}, redirected("another host owns the shard")
 	}
-	s, ok := o.shard(r.attempt.Shard)
-	if !ok || s.fencing != fencing {
-		o.Gain(cicadapitch.Claim{Shard: r.attempt.Shard, Fencing: fencing})
-		if s, ok = o.shard(r.attempt.Shard); !ok {
-			return cicadapitch.StageResult{}, redirected("another host owns the shard")
-		}
-	}
 	ch, ok := s.submit(o.clock.Now(), JobOf(r.attempt, r.arrived))
 	if !ok {
 		return cicadapitch.StageResult{}, redirected("another host owns the shard")
 	}
-	c := r.command(ctx, s, ch)
-	if c.Action == Refuse {
-		return cicadapitch.StageResult{}, refusal(c)
+	for {
+		c := r.command(ctx, s, ch)
+		if c.Action == Refuse {
+			return cicadapitch.StageResult{}, refusal(c)
+		}
+		res, outcome, err := r.call(ctx, s, c)
+		ch = s.finish(o.clock.Now(), CallEnd{Attempt: r.attempt.ID, Outcome: outcome, Tokens: res.Tokens})
+		if outcome != Declined {
+			res.Load = s.load(o.clock.Now())
+			return res, err
+		}
 	}
-	return r.call(ctx, s, c)
 }
 
 func (r *run) command(ctx context.Context, s *shard, ch <-chan Command) Command {
@@ -118,35 +124,33 @@
 	}
 }
 
-// call makes the call that a command asks for.
-func (r *run) call(ctx context.Context, s *shard, c Command) (cicadapitch.StageResult, error) {
+// call makes the call that a command asks for, if this host still owns the
+// shard.
+func (r *run) call(ctx context.Context, s *shard, c Command) (cicadapitch.StageResult, CallOutcome, error) {
 	o := r.owner
-	end := CallEnd{Attempt: r.attempt.ID, Outcome: Declined}
-	defer func() { s.finish(o.clock.Now(), end) }()
-	fencing, held := o.holds(r.attempt.Shard)
-	if !held || fencing != s.fencing {
-		return cicadapitch.StageResult{}, redirected("another host took the shard over")
+	pool, driver, err := o.route(r.attempt.Pool)
+	if err != nil {
+		return cicadapitch.StageResult{}, Unstarted, err
 	}
 	remaining := r.attempt.Remaining - o.clock.Now().Sub(r.arrived)
 	if remaining <= 0 || ctx.Err() != nil {
-		return cicadapitch.StageResult{}, cicadapitch.NewNotRun("the attempt was given up before it started", 1)
-	}
-	cfg := o.configurations.Current()
-	pool, _ := cfg.Pool(r.attempt.Pool)
-	driver := o.drivers[pool.Kind]
-	if driver == nil {
-		return cicadapitch.StageResult{}, cicadapitch.NewError(cicadapitch.Invalid,
-			"no driver for the pool's kind", "correct the pool in the configuration")
+		return cicadapitch.StageResult{}, Unstarted, cicadapitch.NewNotRun("the attempt was given up before it started", 1)
 	}
 	callCtx, cancel := r.callContext(ctx, remaining)
 	defer cancel()
+	fencing, held := o.holds(r.attempt.Shard)
+	if !held || fencing != s.fencing {
+		return cicadapitch.StageResult{}, Unstarted, redirected("another host took the shard over")
+	}
 	o.ledger.running(r.attempt.ID)
 	began := o.clock.Now()
-	res, err := driver.Call(callCtx, r.message(c, pool, fencing, remaining), r.out.text)
-	end.Outcome = outcomeOf(callCtx, err)
-	end.Tokens = res.Tokens
+	sink := func(text string) {
+		s.progress(o.clock.Now(), r.attempt.ID)
+		r.out.text(text)
+	}
+	res, err := r.ask(callCtx, driver, r.message(c, pool, fencing, remaining), pool.RecognisesRepeats, sink)
 	if err != nil {
-		return cicadapitch.StageResult{}, r.failure(callCtx, err)
+		return cicadapitch.StageResult{}, outcomeOf(callCtx, err), r.failure(callCtx, err)
 	}
 	served := o.clock.Now().Sub(began)
 	return cicadapitch.StageResult{
@@ -158,8 +162,38 @@
 		Served:   served,
 		Tokens:   res.Tokens,
 		Cost:     pool.CostPerSlotSecond * cicadapitch.Cost(served) / cicadapitch.Cost(cicadapitch.Second),
-		Load:     s.load(),
-	}, nil
+	}, Succeeded, nil
+}
+
+// The number of times that a call with an unknown outcome is asked for again,
+// and the pause before the first.
+const (
+	maxRepeats                     = 3
+	repeatPause cicadapitch.Millis = 50
+)
+
+// ask makes the call. Where the endpoint recognises repeats, a call that may
+// not be repeated and has failed is asked for again under the same attempt id
+// at the same endpoint, which returns the first run's answer.
+func (r *run) ask(ctx context.Context, d cicadapitch.Driver, m cicadapitch.Call, recognised bool, sink func(string)) (cicadapitch.CallResult, error) {
+	res, err := d.Call(ctx, m, sink)
+	if r.attempt.Idempotent || !recognised {
+		return res, err
+	}
+	for n := 0; n < maxRepeats && unknown(err); n++ {
+		if r.owner.clock.Sleep(ctx, repeatPause<<n) != nil {
+			break
+		}
+		again, errAgain := d.Call(ctx, m, func(string) {})
+		if errAgain == nil {
+			return again, nil
+		}
+	}
+	return res, err
+}
+
+func unknown(err error) bool {
+	return err != nil && cicadapitch.KindOf(err) != cicadapitch.NotRun
 }
 
 // callContext ends when the attempt's time is up. An idempotent call also ends
--- a/endpoint/shard.go
+++ b/endpoint/shard.go
@@ -56,10 +56,46 @@
 	s.pass(s.state.Withdraw(now, id))
 }
 
-func (s *shard) finish(now cicadapitch.Instant, end CallEnd) {
+func (s *shard) progress(now cicadapitch.Instant, id cicadapitch.AttemptID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.state.Progress(now, id)
+}
+
+// finish hands over the end of a call. After a declined call, the next command
+// for the attempt comes over the returned channel.
+func (s *shard) finish(now cicadapitch.Instant, end CallEnd) <-chan Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ch chan Command
+	if end.Outcome == Declined {
+		ch = make(chan Command, 1)
+		s.waiters[end.Attempt] = ch
+	}
 	s.pass(s.state.Finish(now, end))
+	if s.lost && end.Outcome == Declined {
+		s.pass(s.state.Surrender(now))
+	}
+	return ch
+}
+
+// due returns the endpoints whose load report is to be read now.
+func (s *shard) due(now cicadapitch.Instant) []cicadapitch.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Due(now)
+}
+
+func (s *shard) report(now, asked cicadapitch.Instant, id cicadapitch.EndpointID, r cicadapitch.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass(s.state.Report(now, asked, id, r))
+}
+
+func (s *shard) unread(id cicadapitch.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Unread(id)
 }
 
 func (s *shard) surrender(now cicadapitch.Instant) {
@@ -76,10 +112,10 @@
 	s.pass(s.state.Tick(now))
 }
 
-func (s *shard) load() cicadapitch.ShardLoad {
+func (s *shard) load(now cicadapitch.Instant) cicadapitch.ShardLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Load()
+	return s.state.Load(now)
 }
 
 func (s *shard) configure(now cicadapitch.Instant, cfg *cicadapitch.Configuration) {
--- /dev/null
+++ b/endpoint/slots.go
@@ -0,0 +1,83 @@
+package endpoint
+
+import "cicadapitch.example/cicadapitch"
+
+// limit returns the number of calls the endpoint may have at once now.
+func (s *State) limit(now cicadapitch.Instant, b *backend) cicadapitch.Slots {
+	switch {
+	case !b.inService() || !b.seen || now < b.ejected:
+		return 0
+	case b.ejected > 0:
+		return 1
+	case !s.policy.SlowStart:
+		return s.pool.WarmSlots
+	default:
+		return b.bears
+	}
+}
+
+// free returns the number of calls the endpoint can take now.
+func (s *State) free(now cicadapitch.Instant, b *backend) cicadapitch.Slots {
+	return max(s.limit(now, b)-b.busy(), 0)
+}
+
+// fall takes the endpoint as cold from now on.
+func (s *State) fall(now cicadapitch.Instant, b *backend) {
+	if b.bears > s.pool.ColdSlots {
+		b.need = min(b.need*2, maxNeed)
+	}
+	b.bears = s.pool.ColdSlots
+	b.since = now
+	b.credit = 0
+	s.scatter(b)
+}
+
+// maxNeed bounds the good calls that one more slot can cost.
+const maxNeed = 16
+
+// grow gives the endpoint another slot for good calls that started after it
+// was last cold, once a load report of that time says that it is warm.
+func (s *State) grow(b *backend, j *job) {
+	if j.started < b.since || b.reportCold || b.read < b.since {
+		return
+	}
+	b.credit++
+	if b.credit < b.need {
+		return
+	}
+	b.credit = 0
+	b.bears = min(b.bears+1, s.pool.WarmSlots)
+	if b.bears == s.pool.WarmSlots {
+		b.need = 1
+	}
+}
+
+// overdue is true while a running call takes so long that the endpoint must
+// have turned cold.
+func (s *State) overdue(now cicadapitch.Instant, j *job) bool {
+	usual := s.model.longest(j.Size)
+	if j.first == 0 {
+		usual = s.model.first(0)
+	}
+	usual = max(usual*max(j.on.pace(), 1), float64(s.policy.LatencyFloor))
+	return float64(now.Sub(j.started)) > usual*s.policy.ColdFactor
+}
+
+// watch takes endpoints with overdue calls as cold.
+func (s *State) watch(now cicadapitch.Instant) {
+	for _, b := range s.endpoints {
+		b.expireStrays(now)
+		if !b.seen && now.Sub(b.added) >= s.policy.ForeignWork {
+			b.seen = true
+		}
+		if b.bears == s.pool.ColdSlots {
+			continue
+		}
+		for _, j := range b.running {
+			if s.overdue(now, j) {
+				s.fall(now, b)
+				break
+			}
+		}
+	}
+}
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -4,69 +4,73 @@
 	"slices"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/customer"
 )
 
-// State holds the decisions of one shard. It is not safe for concurrent use.
+// State holds the decisions of one shard. Each message returns the commands it
+// leads to, which are valid until the next message. State is not safe for
+// concurrent use.
 type State struct {
 	policy    Policy
 	pool      cicadapitch.Pool
+	weight    cicadapitch.Weight
+	model     model
 	endpoints []*backend
-	waiting   []*job
+	queue     *customer.Queue[*job]
+	waiting   map[cicadapitch.AttemptID]*job
 	running   map[cicadapitch.AttemptID]*job
+	turn      int
+	paces     []float64
 	commands  []Command
 }
 
-type job struct {
-	Job
-	arrived cicadapitch.Instant
-	started cicadapitch.Instant
-	on      *backend
-}
-
-type backend struct {
-	cicadapitch.Endpoint
-	out     bool
-	running cicadapitch.Slots
-}
-
 // NewState returns the state of a shard without endpoints.
 func NewState(policy Policy) *State {
-	return &State{policy: policy, running: make(map[cicadapitch.AttemptID]*job)}
-}
-
-// Configure takes over the pool and the endpoints of the shard.
-func (s *State) Configure(now cicadapitch.Instant, cfg *cicadapitch.Configuration, shard cicadapitch.Shard) []Command {
-	s.commands = s.commands[:0]
-	s.pool, _ = cfg.Pool(shard.Pool)
-	zone, _ := cfg.Zone(shard.Zone)
-	old := s.endpoints
-	s.endpoints = nil
-	for _, e := range shard.Endpoints {
-		i := slices.IndexFunc(old, func(b *backend) bool { return b.ID == e.ID })
-		b := &backend{}
-		if i >= 0 {
-			b = old[i]
-		}
-		b.Endpoint = e
-		b.out = e.Out || zone.Out
-		s.endpoints = append(s.endpoints, b)
+	return &State{
+		policy:  policy,
+		queue:   customer.NewQueue[*job](policy.Quantum),
+		waiting: make(map[cicadapitch.AttemptID]*job),
+		running: make(map[cicadapitch.AttemptID]*job),
 	}
-	return s.dispatch(now)
 }
 
 // Submit takes a job.
 func (s *State) Submit(now cicadapitch.Instant, j Job) []Command {
 	s.commands = s.commands[:0]
-	s.waiting = append(s.waiting, &job{Job: j, arrived: now})
+	w := &job{Job: j, arrived: now}
+	if !s.admit(now, w) {
+		return s.commands
+	}
+	s.enqueue(w)
 	return s.dispatch(now)
 }
 
+// Progress takes the first output of a running call.
+func (s *State) Progress(now cicadapitch.Instant, id cicadapitch.AttemptID) {
+	if j, ok := s.running[id]; ok && j.first == 0 {
+		j.first = max(now.Sub(j.started), 1)
+	}
+}
+
 // Finish takes the end of a call.
 func (s *State) Finish(now cicadapitch.Instant, end CallEnd) []Command {
 	s.commands = s.commands[:0]
-	if j, ok := s.running[end.Attempt]; ok {
-		j.on.running--
-		delete(s.running, end.Attempt)
+	j, ok := s.running[end.Attempt]
+	if !ok {
+		return nil
+	}
+	delete(s.running, end.Attempt)
+	j.on.drop(j)
+	s.queue.Charge(j.item, customer.Work(now.Sub(j.started)))
+	switch end.Outcome {
+	case Succeeded:
+		s.succeeded(now, j, end.Tokens)
+	case Broken:
+		s.broken(now, j)
+	case Declined:
+		s.declined(now, j)
+	case Canceled:
+		j.on.stray(now.Add(s.policy.CancelLag))
 	}
 	return s.dispatch(now)
 }
@@ -74,10 +78,9 @@
 // Withdraw removes a job that waits.
 func (s *State) Withdraw(now cicadapitch.Instant, id cicadapitch.AttemptID) []Command {
 	s.commands = s.commands[:0]
-	i := slices.IndexFunc(s.waiting, func(j *job) bool { return j.Attempt == id })
-	if i >= 0 {
-		s.refuse(now, s.waiting[i], Withdrawn)
-		s.waiting = slices.Delete(s.waiting, i, i+1)
+	if j, ok := s.waiting[id]; ok {
+		s.unqueue(j)
+		s.refuse(now, j, Withdrawn, 1)
 	}
 	return s.commands
 }
@@ -85,83 +88,81 @@
 // Surrender refuses all jobs that wait, since the shard has moved.
 func (s *State) Surrender(now cicadapitch.Instant) []Command {
 	s.commands = s.commands[:0]
-	for _, j := range s.waiting {
-		s.refuse(now, j, Moved)
+	for _, b := range s.endpoints {
+		s.scatter(b)
 	}
-	s.waiting = nil
+	s.queue.Expire(
+		func(*customer.Item[*job]) bool { return true },
+		func(it *customer.Item[*job]) { s.refuse(now, it.Value, Moved, 1) },
+	)
 	return s.commands
 }
 
 // Tick looks at the time.
 func (s *State) Tick(now cicadapitch.Instant) []Command {
 	s.commands = s.commands[:0]
-	s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool {
-		if now < j.Deadline {
-			return false
-		}
-		s.refuse(now, j, Expired)
-		return true
-	})
+	s.watch(now)
+	s.expire(now)
 	return s.dispatch(now)
 }
 
 // Load summarises the shard.
-func (s *State) Load() cicadapitch.ShardLoad {
-	l := cicadapitch.ShardLoad{Queued: len(s.waiting)}
+func (s *State) Load(now cicadapitch.Instant) cicadapitch.ShardLoad {
+	l := cicadapitch.ShardLoad{Queued: len(s.waiting), ServiceMillis: cicadapitch.Millis(s.usual())}
 	for _, b := range s.endpoints {
-		if b.out {
-			continue
-		}
-		l.Total += s.pool.ColdSlots
-		l.Free += max(s.pool.ColdSlots-b.running, 0)
+		l.Total += s.limit(now, b)
+		l.Free += s.free(now, b)
 	}
 	return l
 }
 
-func (s *State) dispatch(now cicadapitch.Instant) []Command {
-	for len(s.waiting) > 0 {
-		b := s.choose()
-		if b == nil {
-			break
-		}
-		s.start(now, s.waiting[0], b)
-		s.waiting = s.waiting[1:]
+func (s *State) succeeded(now cicadapitch.Instant, j *job, tokens cicadapitch.Tokens) {
+	b := j.on
+	done := sample{
+		service: float64(max(now.Sub(j.started), 1)),
+		first:   float64(j.first),
+		hit:     j.hit,
+		size:    j.Size,
+		tokens:  tokens,
 	}
-	return s.commands
-}
-
-func (s *State) choose() *backend {
-	var best *backend
-	for _, b := range s.endpoints {
-		if b.out || b.running >= s.pool.ColdSlots {
-			continue
-		}
-		if best == nil || b.running < best.running {
-			best = b
-		}
+	if j.first == 0 {
+		done.first = done.service
 	}
-	return best
+	b.failures = 0
+	b.prefixes.note(now, j.Prefix)
+	s.readmit(now, b)
+	ratio := s.model.ratio(done)
+	if ratio > s.policy.ColdFactor*max(b.pace(), 1) && done.service > float64(s.policy.LatencyFloor) {
+		s.fall(now, b)
+	} else {
+		s.grow(b, j)
+	}
+	b.speed.add(ratio)
+	s.model.learn(done)
+	s.judge(now, b)
 }
 
-func (s *State) start(now cicadapitch.Instant, j *job, b *backend) {
-	j.started = now
-	j.on = b
-	b.running++
-	s.running[j.Attempt] = j
-	s.commands = append(s.commands, Command{
-		Action:   Start,
-		Attempt:  j.Attempt,
-		Endpoint: b.Endpoint,
-		Queued:   now.Sub(j.arrived),
-	})
+// broken takes a call as a failure whose work may still run.
+func (s *State) broken(now cicadapitch.Instant, j *job) {
+	b := j.on
+	b.failures++
+	b.stray(min(now.Add(s.policy.ForeignWork), max(j.Deadline, now.Add(s.policy.CancelLag))))
+	s.fall(now, b)
+	s.judge(now, b)
 }
 
-func (s *State) refuse(now cicadapitch.Instant, j *job, cause Cause) {
-	s.commands = append(s.commands, Command{
-		Action:     Refuse,
-		Cause:      cause,
-		Attempt:    j.Attempt,
-		RetryAfter: 100,
-		Queued:     now.Sub(j.arrived),
-	})
+// declined offers the job to another endpoint.
+func (s *State) declined(now cicadapitch.Instant, j *job) {
+	b := j.on
+	b.failures++
+	s.fall(now, b)
+	s.judge(now, b)
+	j.declines++
+	if j.declines > s.policy.MaxDeclines {
+		s.refuse(now, j, Overloaded, s.retryAfter(s.look(now, j), 0))
+		return
+	}
+	j.Avoid = append(slices.Clip(j.Avoid), b.ID)
+	j.first = 0
+	s.enqueue(j)
 }
