claim: ownership of shards by compare-and-swap under one lease a host

Cause: owners were the winners of rendezvous hashing alone, so two hosts with different views both owned a shard, and a paused one went on owning. Weighed: a watch of all claims by each host (340 waiting watches) against owners that the heartbeats carry (chosen). One write a shard against up to 32 in one write (chosen, singly after a conflict). A fixed renewal span (170 renewals a second at 340 hosts) against one that grows with the fleet to at most 100 a second (chosen). In an outage: everybody stops (ruled out, stops what runs), everybody carries on (ruled out, a host cut off alone would own beside its successor), or a host carries on only while it hears most of the hosts that it knew and none of them reaches the store (chosen); after an outage new claims wait 6 s for whoever carried on. Not proved: that the write compares the claim key, that doubtful claims of others are settled and that a slow return of the store loses no shard; tests for these follow. Two sides of a partition of which only the smaller reaches the store can both own a shard.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -3,167 +3,200 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"cicadapitch.example/cicadapitch"
 )
 
-// Claims implements cicadapitch.ShardOwners.
+// tickEvery is the span between two ticks.
+const tickEvery = 500 * cicadapitch.Millis(1)
+
+// Claims owns shards for this host and knows the owners of the others.
 type Claims struct {
 	store   cicadapitch.Store
 	members cicadapitch.Members
 	configs cicadapitch.Configurations
 	clock   cicadapitch.Clock
+	peers   Peers
+	policy  Policy
+	log     zerolog.Logger
 
+	// mu guards state and orders the calls of the hooks.
 	mu     sync.Mutex
-	loads  map[cicadapitch.ShardID]cicadapitch.ShardLoad
-	owned  map[cicadapitch.ShardID]cicadapitch.FencingNumber
+	state  *State
+	places places
 	gained []func(cicadapitch.Claim)
 	lost   []func(cicadapitch.ShardID)
+
+	view     atomic.Pointer[view]
+	loads    loads
+	observed loads
 }
 
 var _ cicadapitch.ShardOwners = (*Claims)(nil)
 
-// Option sets an option of Claims.
-type Option func(*Claims)
+// places keeps the shards of one configuration.
+type places struct {
+	of    *cicadapitch.Configuration
+	list  []Place
+	hosts int
+}
 
-// New returns claims that own nothing until Run is called.
+// New returns claims that own nothing until Run or Step is called.
 func New(store cicadapitch.Store, members cicadapitch.Members, configs cicadapitch.Configurations, clock cicadapitch.Clock, opts ...Option) *Claims {
 	c := &Claims{
 		store:   store,
 		members: members,
 		configs: configs,
 		clock:   clock,
-		loads:   make(map[cicadapitch.ShardID]cicadapitch.ShardLoad),
-		owned:   make(map[cicadapitch.ShardID]cicadapitch.FencingNumber),
+		peers:   heardPeers{members},
+		policy:  StandardPolicy(),
+		log:     zerolog.Nop(),
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.state = NewState(clock.Now(), c.policy)
+	c.view.Store(&view{})
 	return c
 }
 
-const tickEvery = 500 * cicadapitch.Millis(1)
+// OnGain calls f for each shard that this host comes to own. Call it before
+// Run. f must not block and must not call Step, Release or ReleaseAll.
+func (c *Claims) OnGain(f func(cicadapitch.Claim)) { c.gained = append(c.gained, f) }
+
+// OnLoss calls f for each shard that this host no longer owns, under the same
+// rules.
+func (c *Claims) OnLoss(f func(cicadapitch.ShardID)) { c.lost = append(c.lost, f) }
 
 // Run keeps the claims up to date until ctx ends.
 func (c *Claims) Run(ctx context.Context) error {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
-		c.tick()
+		for _, cmd := range c.Step() {
+			calls.Go(func() { c.Execute(ctx, cmd) })
+		}
 		if err := c.clock.Sleep(ctx, tickEvery); err != nil {
 			return err
 		}
 	}
 }
 
-func (c *Claims) tick() {
+// Step makes one tick and returns the commands that call the store.
+func (c *Claims) Step() []Command {
 	cfg := c.configs.Current()
 	if cfg == nil {
-		return
+		return nil
 	}
-	self := c.members.Self()
-	for _, s := range cfg.Shards() {
-		w, ok := c.winner(cfg, s)
-		c.set(s.ID, ok && w.Host == self.Host)
+	up, down := c.peers.StoreSeen()
+	t := Tick{Now: c.clock.Now(), Self: c.members.Self(), Members: c.members.Members(), Up: up, Down: down}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.places.of != cfg {
+		in := lo.CountBy(cfg.Hosts, func(h cicadapitch.HostSetting) bool { return !h.Out })
+		c.places = places{of: cfg, list: Places(cfg), hosts: in}
 	}
+	t.Shards, t.Hosts = c.places.list, c.places.hosts
+	cmds := c.next(t)
+	c.view.Store(c.state.view(t))
+	return cmds
 }
 
-func (c *Claims) winner(cfg *cicadapitch.Configuration, s cicadapitch.Shard) (cicadapitch.Member, bool) {
-	z, _ := cfg.Zone(s.Zone)
-	return Winner(s, z.Region, c.members.Members())
-}
-
-func (c *Claims) set(shard cicadapitch.ShardID, mine bool) {
-	c.mu.Lock()
-	_, had := c.owned[shard]
-	if mine {
-		c.owned[shard] = 1
-	} else {
-		delete(c.owned, shard)
-	}
-	c.mu.Unlock()
-	if mine && !had {
-		for _, f := range c.gained {
-			f(cicadapitch.Claim{Shard: shard, Fencing: 1})
-		}
-	}
-	if had && !mine {
-		for _, f := range c.lost {
-			f(shard)
+// next takes a message, calls the hooks and returns the commands that call the
+// store. The caller holds the lock.
+func (c *Claims) next(m Message) []Command {
+	var calls []Command
+	cmds := c.state.Next(m)
+	c.view.Store(c.state.refresh(c.view.Load()))
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case Gain:
+			c.gain(cmd.Claim)
+		case Lose:
+			c.lose(cmd.Shard)
+		default:
+			calls = append(calls, cmd)
 		}
 	}
+	return calls
 }
 
-// OnGain calls f for each shard that this host comes to own. Call it before Run.
-func (c *Claims) OnGain(f func(cicadapitch.Claim)) { c.gained = append(c.gained, f) }
-
-// OnLoss calls f for each shard that this host no longer owns. Call it before
-// Run.
-func (c *Claims) OnLoss(f func(cicadapitch.ShardID)) { c.lost = append(c.lost, f) }
-
-// Owned returns the shards that this host owns now.
-func (c *Claims) Owned() []cicadapitch.Claim {
+func (c *Claims) handle(m Message) []Command {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make([]cicadapitch.Claim, 0, len(c.owned))
-	for shard, n := range c.owned {
-		list = append(list, cicadapitch.Claim{Shard: shard, Fencing: n, Load: c.loads[shard]})
-	}
-	return list
+	return c.next(m)
 }
 
-// Holds returns the fencing number of a shard that this host owns now.
-func (c *Claims) Holds(shard cicadapitch.ShardID) (cicadapitch.FencingNumber, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n, ok := c.owned[shard]
-	return n, ok
+func (c *Claims) gain(claim cicadapitch.Claim) {
+	c.log.Info().Str("Shard", string(claim.Shard)).Int64("Fencing", int64(claim.Fencing)).Msg("shard claimed")
+	for _, f := range c.gained {
+		f(claim)
+	}
 }
 
-// SetLoad records the load of an owned shard.
-func (c *Claims) SetLoad(shard cicadapitch.ShardID, load cicadapitch.ShardLoad) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.loads[shard] = load
+func (c *Claims) lose(shard cicadapitch.ShardID) {
+	c.log.Info().Str("Shard", string(shard)).Msg("shard given up")
+	c.loads.forget(shard)
+	for _, f := range c.lost {
+		f(shard)
+	}
 }
 
-// Release gives up a shard so that another host can claim it at once.
-func (c *Claims) Release(_ context.Context, shard cicadapitch.ShardID) error {
-	c.set(shard, false)
-	return nil
+// Execute carries out a command of Step, and what follows from its end.
+func (c *Claims) Execute(ctx context.Context, cmd Command) {
+	x := executor{store: c.store, clock: c.clock, leaseTimeout: c.policy.LeaseTimeout}
+	var end Message
+	switch cmd := cmd.(type) {
+	case GrantLease:
+		end = x.grant(ctx, cmd)
+	case RenewLease:
+		end = x.renew(ctx, cmd)
+	case RevokeLease:
+		// A lease that cannot be revoked runs out by itself.
+		_ = c.store.Revoke(ctx, cmd.Lease)
+		return
+	case AcquireShards:
+		results := x.claim(ctx, cmd)
+		end = ClaimsAnswer{Now: c.clock.Now(), Lease: cmd.Lease, Results: results}
+	case ReleaseShards:
+		err := x.release(ctx, cmd)
+		end = ReleaseAnswer{Now: c.clock.Now(), Shards: cmd.Shards, Err: err}
+	default:
+		return
+	}
+	for _, next := range c.handle(end) {
+		c.Execute(ctx, next)
+	}
 }
 
-// ReleaseAll gives up all shards.
-func (c *Claims) ReleaseAll(ctx context.Context) error {
-	for _, claim := range c.Owned() {
-		if err := c.Release(ctx, claim.Shard); err != nil {
-			return err
-		}
+// Release gives up a shard so that another host can claim it at once. A store
+// that is down gets the release later.
+func (c *Claims) Release(ctx context.Context, shard cicadapitch.ShardID) error {
+	for _, cmd := range c.handle(GiveUp{Now: c.clock.Now(), Shard: shard}) {
+		c.Execute(ctx, cmd)
 	}
-	return nil
+	return ctx.Err()
 }
 
-// Owner implements cicadapitch.ShardOwners.
-func (c *Claims) Owner(shard cicadapitch.ShardID) (cicadapitch.Member, bool) {
-	cfg := c.configs.Current()
-	if cfg == nil {
-		return cicadapitch.Member{}, false
-	}
-	for _, s := range cfg.Shards() {
-		if s.ID == shard {
-			return c.winner(cfg, s)
-		}
+// ReleaseAll gives up all shards and the lease for good, with one call of the
+// store. Use it when the host leaves.
+func (c *Claims) ReleaseAll(ctx context.Context) error {
+	for _, cmd := range c.handle(GiveUp{Now: c.clock.Now(), All: true}) {
+		c.Execute(ctx, cmd)
 	}
-	return cicadapitch.Member{}, false
+	return ctx.Err()
 }
 
-// Load implements cicadapitch.ShardOwners.
-func (c *Claims) Load(shard cicadapitch.ShardID) (cicadapitch.ShardLoad, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l, ok := c.loads[shard]
-	return l, ok
+// SetLoad records the load of an owned shard.
+func (c *Claims) SetLoad(shard cicadapitch.ShardID, load cicadapitch.ShardLoad) {
+	c.loads.set(shard, load, c.clock.Now())
 }
 
 // Observe implements cicadapitch.ShardOwners.
 func (c *Claims) Observe(shard cicadapitch.ShardID, load cicadapitch.ShardLoad) {
-	c.SetLoad(shard, load)
+	c.observed.set(shard, load, c.clock.Now())
 }
--- /dev/null
+++ b/claim/fleet_test.go
@@ -0,0 +1,230 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/claim"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+const (
+	step = 250 * cicadapitch.Millis(1)
+	// heartbeat is the span after which hosts hear of each other.
+	heartbeat = cicadapitch.Second
+	// suspectAfter is how long a silent host is taken to live.
+	suspectAfter = 3 * cicadapitch.Second
+)
+
+// fleet drives the decisions of many hosts on virtual time, one after another.
+type fleet struct {
+	t      require.TestingT
+	clock  *cicadapitch.ManualClock
+	store  *standin.MemoryStore
+	cfg    *configuration.Follower
+	shards []cicadapitch.ShardID
+	hosts  []*host
+}
+
+// host is one host with its own way to the store.
+type host struct {
+	*standin.MemoryStore
+	fleet  *fleet
+	self   cicadapitch.Member
+	claims *claim.Claims
+	// cut hosts cannot reach the store, alone ones no other host.
+	cut, alone   bool
+	frozen, dead bool
+	record       cicadapitch.Member
+	beatAt       cicadapitch.Instant
+	heard        map[cicadapitch.HostID]cicadapitch.Member
+	heardAt      map[cicadapitch.HostID]cicadapitch.Instant
+	gains, loss  int
+	lose         int
+}
+
+func (h *host) Self() cicadapitch.Member { return h.self }
+
+// Members is what a host has heard. It keeps the last record of a host that
+// has gone silent.
+func (h *host) Members() []cicadapitch.Member {
+	list := []cicadapitch.Member{h.self}
+	list[0].StoreUp = h.claims.StoreUp()
+	for _, p := range h.fleet.hosts {
+		if p == h {
+			continue
+		}
+		if !h.alone && !p.alone {
+			h.heard[p.self.Host] = p.record
+			h.heardAt[p.self.Host] = p.beatAt
+		}
+		silence := h.fleet.clock.Now().Sub(h.heardAt[p.self.Host])
+		if silence > 4*suspectAfter {
+			continue
+		}
+		m := h.heard[p.self.Host]
+		if silence > suspectAfter {
+			m.State = cicadapitch.Suspect
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func (h *host) fail() error {
+	if h.cut {
+		return cicadapitch.NewError(cicadapitch.Unavailable, "cut", "wait")
+	}
+	return nil
+}
+
+func (h *host) List(ctx context.Context, prefix string) ([]cicadapitch.Pair, cicadapitch.StoreRevision, error) {
+	if err := h.fail(); err != nil {
+		return nil, 0, err
+	}
+	return h.MemoryStore.List(ctx, prefix)
+}
+
+func (h *host) Commit(ctx context.Context, c []cicadapitch.Compare, w []cicadapitch.Put) (cicadapitch.StoreRevision, error) {
+	if err := h.fail(); err != nil {
+		return 0, err
+	}
+	if h.lose > 0 {
+		h.lose--
+		h.LoseAnswers(1)
+	}
+	return h.MemoryStore.Commit(ctx, c, w)
+}
+
+func (h *host) Grant(ctx context.Context, ttl cicadapitch.Millis) (cicadapitch.LeaseID, error) {
+	if err := h.fail(); err != nil {
+		return 0, err
+	}
+	return h.MemoryStore.Grant(ctx, ttl)
+}
+
+func (h *host) Renew(ctx context.Context, id cicadapitch.LeaseID) (cicadapitch.Millis, error) {
+	if err := h.fail(); err != nil {
+		return 0, err
+	}
+	return h.MemoryStore.Renew(ctx, id)
+}
+
+// newFleet returns hosts spread over the zones of one region, with shards in
+// each zone.
+func newFleet(t require.TestingT, hosts, zones, shards int) *fleet {
+	f := &fleet{t: t, clock: cicadapitch.NewManualClock(1_000_000)}
+	f.store = standin.NewMemoryStore(f.clock)
+	f.cfg = configuration.NewFollower(f.clock)
+	cfg := &cicadapitch.Configuration{Revision: 1}
+	for z := range zones {
+		cfg.Zones = append(cfg.Zones, cicadapitch.Zone{ID: zone(z), Region: "north"})
+	}
+	for i := range shards {
+		id := cicadapitch.ShardID(fmt.Sprintf("shard-%d", i))
+		f.shards = append(f.shards, id)
+		cfg.Endpoints = append(cfg.Endpoints, cicadapitch.Endpoint{Shard: id, Zone: zone(i % zones)})
+	}
+	for range hosts {
+		h := f.start(zones)
+		cfg.Hosts = append(cfg.Hosts, cicadapitch.HostSetting{ID: h.self.Host})
+	}
+	f.cfg.Offer(cfg)
+	return f
+}
+
+func zone(i int) cicadapitch.ZoneID { return cicadapitch.ZoneID(fmt.Sprintf("zone-%d", i)) }
+
+func (f *fleet) start(zones int) *host {
+	n := len(f.hosts)
+	h := &host{MemoryStore: f.store, fleet: f}
+	h.heard = make(map[cicadapitch.HostID]cicadapitch.Member)
+	h.heardAt = make(map[cicadapitch.HostID]cicadapitch.Instant)
+	h.self = cicadapitch.Member{
+		Host:        cicadapitch.HostID(fmt.Sprintf("host-%d", n)),
+		Zone:        zone(n % zones),
+		Region:      "north",
+		Incarnation: cicadapitch.Incarnation(n + 1),
+		State:       cicadapitch.Ready,
+	}
+	h.claims = claim.New(h, h, f.cfg, f.clock)
+	h.claims.OnGain(func(cicadapitch.Claim) { h.gains++ })
+	h.claims.OnLoss(func(cicadapitch.ShardID) { h.loss++ })
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// run lets m pass and checks after each step that no shard has two holders.
+func (f *fleet) run(m cicadapitch.Millis) {
+	for ; m > 0; m -= step {
+		f.clock.Advance(step)
+		f.beat()
+		for _, h := range f.hosts {
+			if !h.frozen && !h.dead {
+				f.act(h)
+			}
+			require.Empty(f.t, f.doubles(), "two hosts hold a shard")
+		}
+	}
+}
+
+func (f *fleet) act(h *host) {
+	if f.clock.Now()%(2*cicadapitch.Instant(step)) == 0 {
+		for _, c := range h.claims.Step() {
+			h.claims.Execute(context.Background(), c)
+		}
+	}
+}
+
+// beat lets each live host tell the others about itself.
+func (f *fleet) beat() {
+	if f.clock.Now()%cicadapitch.Instant(heartbeat) != 0 {
+		return
+	}
+	for _, h := range f.hosts {
+		if h.frozen || h.dead {
+			continue
+		}
+		h.beatAt = f.clock.Now()
+		h.record = h.self
+		h.record.Claims = h.claims.Owned()
+		h.record.StoreUp = h.claims.StoreUp()
+	}
+}
+
+func (f *fleet) holders() map[cicadapitch.ShardID][]*host {
+	holders := make(map[cicadapitch.ShardID][]*host)
+	for _, h := range f.hosts {
+		if h.dead {
+			continue
+		}
+		for _, c := range h.claims.Owned() {
+			holders[c.Shard] = append(holders[c.Shard], h)
+		}
+	}
+	return holders
+}
+
+func (f *fleet) doubles() []cicadapitch.ShardID {
+	var list []cicadapitch.ShardID
+	for shard, hosts := range f.holders() {
+		if len(hosts) > 1 {
+			list = append(list, shard)
+		}
+	}
+	return list
+}
+
+// settle runs until every shard has a holder and returns the span.
+func (f *fleet) settle(limit cicadapitch.Millis) cicadapitch.Millis {
+	start := f.clock.Now()
+	for len(f.holders()) < len(f.shards) {
+		f.run(step)
+		require.LessOrEqual(f.t, f.clock.Now().Sub(start), limit, "%d of %d shards are held", len(f.holders()), len(f.shards))
+	}
+	return f.clock.Now().Sub(start)
+}
--- /dev/null
+++ b/claim/lease.go
@@ -0,0 +1,204 @@
+package claim
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// basisSpan is how long a host that is no longer seen counts as one that may
+// still run, while the store is up.
+const basisSpan = 1 * cicadapitch.Minute
+
+// lease is what a host knows of its own lease.
+type lease struct {
+	id cicadapitch.LeaseID
+	// until is the instant, by this host's own clock, after which it starts
+	// nothing under the lease.
+	until cicadapitch.Instant
+	// carry is the same for shards that hang on an earlier lease, which ran
+	// out in an outage.
+	carry  cicadapitch.Instant
+	next   cicadapitch.Instant
+	inCall bool
+	// failing is true after a call for the lease gave no answer.
+	failing bool
+	// extended is true while the host carries on without a lease.
+	extended bool
+	lastTick cicadapitch.Instant
+	// doubt is the instant until which a host that was paused, or that lost
+	// its shards while it heard too few hosts, does not carry on without a
+	// lease.
+	doubt cicadapitch.Instant
+}
+
+// StoreUp tells whether the last call for the lease was answered.
+func (s *State) StoreUp() bool { return !s.leasing.failing }
+
+// until returns the instant after which this host starts nothing for a shard.
+func (s *State) until(o ownership) cicadapitch.Instant {
+	if s.leasing.id != 0 && o.lease == s.leasing.id {
+		return s.leasing.until
+	}
+	return s.leasing.carry
+}
+
+// keepOrLose extends the validity while the store is down for all, and gives
+// up what has run out.
+func (s *State) keepOrLose(t Tick) []Command {
+	l := &s.leasing
+	if t.Now.Sub(l.lastTick) > s.policy.MaxTickGap && t.Now >= max(l.until, l.carry) {
+		l.doubt = t.Now.Add(s.policy.Doubt)
+	}
+	l.lastTick = t.Now
+	if l.failing {
+		s.outage = t.Now
+	}
+	if t.Up > 0 {
+		clear(s.lapsed)
+	}
+	if !s.quorum(t) {
+		l.carry = 0
+		if len(s.lapsed) > 0 {
+			l.doubt = t.Now.Add(s.policy.Doubt)
+		}
+	}
+	if s.mayExtend(t) {
+		l.until = max(l.until, t.Now.Add(s.policy.Extension))
+		l.carry = max(l.carry, t.Now.Add(s.policy.Extension))
+		l.extended = true
+		return s.regain()
+	}
+	var cmds []Command
+	for _, shard := range s.ownedShards() {
+		o := s.owned[shard]
+		if t.Now < s.until(o) {
+			continue
+		}
+		s.lapsed[shard] = o
+		s.unsettled[shard] = true
+		cmds = append(cmds, s.lose(shard))
+	}
+	return cmds
+}
+
+// mayExtend tells whether nobody can claim the shards of this host: it was not
+// paused just now, its own calls fail, and most of the hosts that it knew are
+// heard, none of which reaches the store.
+func (s *State) mayExtend(t Tick) bool {
+	l := s.leasing
+	if !l.failing || t.Now < l.doubt || s.closed {
+		return false
+	}
+	return t.Up == 0 && s.quorum(t)
+}
+
+// quorum tells whether this host hears most of the hosts that it knew or that
+// are configured. It is false until a host has had the time to hear of others.
+func (s *State) quorum(t Tick) bool {
+	basis := max(len(s.known), t.Hosts)
+	return 2*(t.Up+t.Down) > basis && t.Now.Sub(s.started) >= s.policy.Acquaint
+}
+
+// regain takes back what lapsed in an outage, unless another host has it.
+func (s *State) regain() []Command {
+	var cmds []Command
+	for _, shard := range slices.Sorted(maps.Keys(s.lapsed)) {
+		if _, ok := s.advertised[shard]; ok {
+			continue
+		}
+		o := s.lapsed[shard]
+		s.owned[shard] = o
+		delete(s.lapsed, shard)
+		cmds = append(cmds, Gain{cicadapitch.Claim{Shard: shard, Fencing: o.fencing}})
+	}
+	return cmds
+}
+
+// lease grants or renews the lease when it is time.
+func (s *State) lease(t Tick) []Command {
+	l := &s.leasing
+	if l.inCall || t.Now < l.next {
+		return nil
+	}
+	if l.id != 0 {
+		l.inCall = true
+		return []Command{RenewLease{l.id}}
+	}
+	if s.closed || t.Self.State != cicadapitch.Ready || t.Now < s.started.Add(s.startDelay(t)) {
+		return nil
+	}
+	l.inCall = true
+	return []Command{GrantLease{s.policy.ttl(len(t.Members))}}
+}
+
+// startDelay spreads the first calls of a fleet that starts all at once.
+func (s *State) startDelay(t Tick) cicadapitch.Millis {
+	span := uint64(s.policy.renewEvery(len(t.Members)))
+	return cicadapitch.Millis(xxh3.HashString(string(t.Self.Host)) % span)
+}
+
+func (s *State) leaseAnswered(a LeaseAnswer) []Command {
+	l := &s.leasing
+	l.inCall = false
+	switch {
+	case a.Err == nil && s.closed:
+		return []Command{RevokeLease{a.Lease}}
+	case a.Err == nil:
+		s.leaseConfirmed(a)
+		return s.claim(s.lastAt(a.Now))
+	case cicadapitch.KindOf(a.Err) == cicadapitch.NotFound:
+		return s.leaseLapsed(a)
+	default:
+		l.failing = true
+		l.next = a.Now.Add(s.retryAfter())
+	}
+	return nil
+}
+
+// retryAfter spreads the calls of a fleet that waits for the store.
+func (s *State) retryAfter() cicadapitch.Millis {
+	span := max(s.policy.RetryEvery, s.policy.renewEvery(len(s.known))/2)
+	return span/2 + s.spread(span)
+}
+
+// spread returns a span below limit that differs from host to host and from
+// instant to instant.
+func (s *State) spread(limit cicadapitch.Millis) cicadapitch.Millis {
+	seed := uint64(s.last.Now)
+	return cicadapitch.Millis(xxh3.HashStringSeed(string(s.last.Self.Host), seed) % uint64(limit))
+}
+
+// leaseConfirmed counts the validity from when the call was sent, since the
+// store may have begun to count then.
+func (s *State) leaseConfirmed(a LeaseAnswer) {
+	l := &s.leasing
+	l.failing, l.extended = false, false
+	l.id = a.Lease
+	l.until = a.Sent.Add(a.TTL - s.policy.Margin)
+	l.next = a.Sent.Add(min(s.policy.renewEvery(len(s.known)), a.TTL/2))
+	clear(s.lapsed)
+}
+
+// leaseLapsed asks for a new lease. A host that carried on through an outage
+// has a short span to claim its shards again, which its peers leave to it,
+// since it advertises them. Any other host has lost them.
+func (s *State) leaseLapsed(a LeaseAnswer) []Command {
+	l := &s.leasing
+	carry := l.extended
+	l.id, l.until, l.failing, l.extended = 0, 0, false, false
+	l.next = a.Now
+	clear(s.lapsed)
+	if carry {
+		l.carry = a.Now.Add(s.policy.Reclaim)
+		return s.lease(s.lastAt(a.Now))
+	}
+	var cmds []Command
+	for _, shard := range s.ownedShards() {
+		cmds = append(cmds, s.lose(shard))
+	}
+	return cmds
+}
--- /dev/null
+++ b/claim/message.go
@@ -0,0 +1,125 @@
+package claim
+
+import "cicadapitch.example/cicadapitch"
+
+// Message tells a State what happened.
+type Message interface{ isMessage() }
+
+// Tick comes several times a second.
+type Tick struct {
+	Now     cicadapitch.Instant
+	Self    cicadapitch.Member
+	Members []cicadapitch.Member
+	Shards  []Place
+	// Hosts counts the hosts that operators have configured and not taken out.
+	Hosts int
+	// Up and Down count the hosts, this one included, that reach the store
+	// and those that do not.
+	Up, Down int
+}
+
+// Place is a shard and the region of its zone.
+type Place struct {
+	Shard  cicadapitch.Shard
+	Region cicadapitch.RegionID
+}
+
+// LeaseAnswer ends a GrantLease or a RenewLease that was sent at Sent.
+type LeaseAnswer struct {
+	Sent, Now cicadapitch.Instant
+	Lease     cicadapitch.LeaseID
+	TTL       cicadapitch.Millis
+	Err       error
+}
+
+// ClaimsAnswer ends a AcquireShards.
+type ClaimsAnswer struct {
+	Now     cicadapitch.Instant
+	Lease   cicadapitch.LeaseID
+	Results []Result
+}
+
+// Result is what became of the claim of one shard. Won is false where another
+// host holds the shard, or where Err is set.
+type Result struct {
+	Shard    cicadapitch.ShardID
+	Won      bool
+	Fencing  cicadapitch.FencingNumber
+	Revision cicadapitch.StoreRevision
+	// Number is the revision of the key that keeps the fencing number.
+	Number cicadapitch.StoreRevision
+	Err    error
+}
+
+// ReleaseAnswer ends a ReleaseShards.
+type ReleaseAnswer struct {
+	Now    cicadapitch.Instant
+	Shards []Held
+	Err    error
+}
+
+// GiveUp asks to release a shard, or all shards for good where All is set.
+type GiveUp struct {
+	Now   cicadapitch.Instant
+	Shard cicadapitch.ShardID
+	All   bool
+}
+
+func (Tick) isMessage()          {}
+func (LeaseAnswer) isMessage()   {}
+func (ClaimsAnswer) isMessage()  {}
+func (ReleaseAnswer) isMessage() {}
+func (GiveUp) isMessage()        {}
+
+// Command is what a State wants done.
+type Command interface{ isCommand() }
+
+// GrantLease makes a lease. It ends with LeaseAnswer.
+type GrantLease struct{ TTL cicadapitch.Millis }
+
+// RenewLease extends the lease. It ends with LeaseAnswer.
+type RenewLease struct{ Lease cicadapitch.LeaseID }
+
+// RevokeLease ends the lease and all claims under it.
+type RevokeLease struct{ Lease cicadapitch.LeaseID }
+
+// AcquireShards claims shards in the store. It ends with ClaimsAnswer.
+type AcquireShards struct {
+	Lease       cicadapitch.LeaseID
+	Host        cicadapitch.HostID
+	Incarnation cicadapitch.Incarnation
+	Shards      []cicadapitch.ShardID
+	// Again are shards that this process owned under an earlier lease. They
+	// are claimed without a read where nobody has claimed them since.
+	Again []Owned
+}
+
+// Owned is an owned shard with what the store had of it.
+type Owned struct {
+	Shard   cicadapitch.ShardID
+	Fencing cicadapitch.FencingNumber
+	Number  cicadapitch.StoreRevision
+}
+
+// ReleaseShards deletes claims in the store. It ends with ReleaseAnswer.
+type ReleaseShards struct{ Shards []Held }
+
+// Held is a claim as the store has it.
+type Held struct {
+	Shard    cicadapitch.ShardID
+	Revision cicadapitch.StoreRevision
+}
+
+// Gain tells this host that it owns a shard.
+type Gain struct{ Claim cicadapitch.Claim }
+
+// Lose tells this host that it no longer owns a shard.
+type Lose struct{ Shard cicadapitch.ShardID }
+
+func (GrantLease) isCommand()    {}
+func (RenewLease) isCommand()    {}
+func (RevokeLease) isCommand()   {}
+func (AcquireShards) isCommand() {}
+func (ReleaseShards) isCommand() {}
+func (Gain) isCommand()          {}
+func (Lose) isCommand()          {}
--- /dev/null
+++ b/claim/options.go
@@ -0,0 +1,127 @@
+package claim
+
+import (
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Policy holds the spans by which ownership is decided.
+type Policy struct {
+	// RenewEvery is the least span between two renewals of the lease.
+	RenewEvery cicadapitch.Millis
+	// RenewalsPerSecond bounds the renewals of the whole fleet. The span
+	// between two renewals grows with the fleet to keep to it.
+	RenewalsPerSecond int
+	// RenewalsPerLease is how many renewals fit into a lease.
+	RenewalsPerLease int
+	// LeaseTimeout bounds one call for the lease, so that hosts notice an
+	// outage before their leases run out.
+	LeaseTimeout cicadapitch.Millis
+	// Margin is how long before the end of its lease a host stops to start
+	// work.
+	Margin cicadapitch.Millis
+	// MaxTickGap is the longest span between two ticks of a host that was
+	// not paused.
+	MaxTickGap cicadapitch.Millis
+	// Extension is how long a host carries on without a lease after each
+	// tick at which the store is down for all.
+	Extension cicadapitch.Millis
+	// Reclaim is how long a host that carried on has, once the store is back
+	// and its lease gone, to claim its shards again.
+	Reclaim cicadapitch.Millis
+	// Acquaint is how long after its start a host has heard of the others.
+	Acquaint cicadapitch.Millis
+	// Doubt is how long a host that was paused watches its peers before it
+	// carries on without a lease.
+	Doubt cicadapitch.Millis
+	// HandOverAfter is how long another host must be the better owner before
+	// a shard moves to it.
+	HandOverAfter cicadapitch.Millis
+	// HandOversPerTick bounds the shards that move at once.
+	HandOversPerTick int
+	// Silence is how long a host waits after an outage of the store, and after
+	// the last sign of an owner that may have carried on through it, before it
+	// claims a shard. It is longer than peers take to suspect each other and
+	// Extension together.
+	Silence cicadapitch.Millis
+	// RetryEvery is the span between two claims of a shard that another host
+	// holds.
+	RetryEvery cicadapitch.Millis
+	// ForeignAfter is how long a region must be without hosts before hosts of
+	// other regions own its shards.
+	ForeignAfter cicadapitch.Millis
+	// ShardsPerCommit bounds the shards that one write claims.
+	ShardsPerCommit int
+}
+
+// StandardPolicy returns the spans that a deployment uses.
+func StandardPolicy() Policy {
+	return Policy{
+		RenewEvery:        2 * cicadapitch.Second,
+		RenewalsPerSecond: 100,
+		RenewalsPerLease:  3,
+		Margin:            1 * cicadapitch.Second,
+		MaxTickGap:        2 * cicadapitch.Second,
+		Extension:         2 * cicadapitch.Second,
+		LeaseTimeout:      1 * cicadapitch.Second,
+		Reclaim:           6 * cicadapitch.Second,
+		Acquaint:          10 * cicadapitch.Second,
+		Doubt:             5 * cicadapitch.Second,
+		HandOverAfter:     5 * cicadapitch.Second,
+		HandOversPerTick:  4,
+		Silence:           6 * cicadapitch.Second,
+		RetryEvery:        1 * cicadapitch.Second,
+		ForeignAfter:      10 * cicadapitch.Minute,
+		ShardsPerCommit:   32,
+	}
+}
+
+// renewEvery returns the span between renewals in a fleet of n hosts.
+func (p Policy) renewEvery(n int) cicadapitch.Millis {
+	return max(p.RenewEvery, cicadapitch.Millis(n)*cicadapitch.Second/cicadapitch.Millis(p.RenewalsPerSecond))
+}
+
+// ttl returns the length of a lease in a fleet of n hosts, in whole seconds.
+func (p Policy) ttl(n int) cicadapitch.Millis {
+	span := p.renewEvery(n) * cicadapitch.Millis(p.RenewalsPerLease)
+	return (span + cicadapitch.Second - 1) / cicadapitch.Second * cicadapitch.Second
+}
+
+// Peers tells what the other hosts see of the store.
+type Peers interface {
+	// StoreSeen counts the hosts, this one included, that reach the store
+	// and those that do not. Hosts that do not answer count in neither.
+	StoreSeen() (up, down int)
+}
+
+// heardPeers is the standard implementation of Peers. It goes by what the
+// members that are heard say of themselves.
+type heardPeers struct{ members cicadapitch.Members }
+
+// StoreSeen implements Peers.
+func (p heardPeers) StoreSeen() (up, down int) {
+	for _, m := range p.members.Members() {
+		switch {
+		case m.State == cicadapitch.Suspect || m.State == cicadapitch.Dead:
+		case m.StoreUp:
+			up++
+		default:
+			down++
+		}
+	}
+	return up, down
+}
+
+// Option sets an option of Claims.
+type Option func(*Claims)
+
+// WithPeers lets a host that cannot reach the store ask its peers whether they
+// do.
+func WithPeers(p Peers) Option { return func(c *Claims) { c.peers = p } }
+
+// WithPolicy replaces the standard policy.
+func WithPolicy(p Policy) Option { return func(c *Claims) { c.policy = p } }
+
+// WithLog sets the log.
+func WithLog(log zerolog.Logger) Option { return func(c *Claims) { c.log = log } }
--- /dev/null
+++ b/claim/placing.go
@@ -0,0 +1,207 @@
+package claim
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/samber/lo"
+	"github.com/zeebo/xxh3"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// placing keeps the best owner of each shard. It is worked out anew only when
+// the ready hosts or the shards change.
+type placing struct {
+	fingerprint uint64
+	winners     map[cicadapitch.ShardID]cicadapitch.Member
+}
+
+// advert is what a member says that it owns.
+type advert struct {
+	member  cicadapitch.Member
+	fencing cicadapitch.FencingNumber
+	load    cicadapitch.ShardLoad
+}
+
+// learn takes in what a tick says of members and shards.
+func (s *State) learn(t Tick) {
+	for _, m := range t.Members {
+		s.known[m.Host] = t.Now
+		if m.State == cicadapitch.Ready || m.State == cicadapitch.Leaving {
+			s.regions[m.Region] = t.Now
+		}
+	}
+	if !s.leasing.failing {
+		maps.DeleteFunc(s.known, func(_ cicadapitch.HostID, at cicadapitch.Instant) bool {
+			return t.Now.Sub(at) > basisSpan
+		})
+	}
+	s.advertised = advertised(t.Self.Host, t.Members)
+	for shard, a := range s.advertised {
+		if a.member.State != cicadapitch.Suspect {
+			s.heard[shard] = t.Now
+		}
+	}
+	s.place(t)
+}
+
+// advertised returns, for each shard, the other member that advertises the
+// highest fencing number.
+func advertised(self cicadapitch.HostID, members []cicadapitch.Member) map[cicadapitch.ShardID]advert {
+	best := make(map[cicadapitch.ShardID]advert)
+	for _, m := range members {
+		if m.State == cicadapitch.Dead || m.Host == self {
+			continue
+		}
+		for _, c := range m.Claims {
+			if a, ok := best[c.Shard]; !ok || c.Fencing > a.fencing {
+				best[c.Shard] = advert{member: m, fencing: c.Fencing, load: c.Load}
+			}
+		}
+	}
+	return best
+}
+
+func (s *State) place(t Tick) {
+	f := s.fingerprint(t)
+	if f == s.placing.fingerprint && s.placing.winners != nil {
+		return
+	}
+	byRegion := lo.GroupBy(t.Members, func(m cicadapitch.Member) cicadapitch.RegionID { return m.Region })
+	winners := make(map[cicadapitch.ShardID]cicadapitch.Member, len(t.Shards))
+	for _, p := range t.Shards {
+		candidates := byRegion[p.Region]
+		if s.foreign(t, p.Region) {
+			candidates = t.Members
+		}
+		if m, ok := Winner(p.Shard, candidates); ok {
+			winners[p.Shard.ID] = m
+		}
+	}
+	s.placing = placing{fingerprint: f, winners: winners}
+}
+
+// foreign tells whether a region has been without hosts for so long that hosts
+// of other regions own its shards.
+func (s *State) foreign(t Tick, r cicadapitch.RegionID) bool {
+	last := max(s.started, s.regions[r])
+	return t.Now.Sub(last) > s.policy.ForeignAfter
+}
+
+// fingerprint changes whenever the placing may change.
+func (s *State) fingerprint(t Tick) uint64 {
+	var sum uint64
+	for _, m := range t.Members {
+		if m.State == cicadapitch.Ready {
+			// A sum does not depend on the order of the members.
+			sum += xxh3.HashString(string(m.Host) + "\x00" + string(m.Zone) + "\x00" + string(m.Region))
+		}
+	}
+	for _, p := range t.Shards {
+		sum += xxh3.HashStringSeed(string(p.Shard.ID)+"\x00"+string(p.Shard.Zone)+"\x00"+string(p.Region), 1)
+		if s.foreign(t, p.Region) {
+			sum++
+		}
+	}
+	return sum
+}
+
+// claim returns the claim of the shards that this host should own and that no
+// live host advertises.
+func (s *State) claim(t Tick) []Command {
+	l := s.leasing
+	if s.inClaim || l.id == 0 || l.failing || t.Now >= l.until || t.Self.State != cicadapitch.Ready {
+		return nil
+	}
+	c := AcquireShards{Lease: l.id, Host: t.Self.Host, Incarnation: t.Self.Incarnation}
+	for _, p := range t.Shards {
+		shard := p.Shard.ID
+		if len(c.Shards)+len(c.Again) == s.policy.ShardsPerCommit {
+			break
+		}
+		if !s.wants(t, shard) {
+			continue
+		}
+		if o, ok := s.owned[shard]; ok {
+			c.Again = append(c.Again, Owned{Shard: shard, Fencing: o.fencing, Number: o.number})
+			continue
+		}
+		c.Shards = append(c.Shards, shard)
+	}
+	if len(c.Shards)+len(c.Again) == 0 {
+		return nil
+	}
+	s.inClaim = true
+	return []Command{c}
+}
+
+// wants tells whether to claim a shard now.
+func (s *State) wants(t Tick, shard cicadapitch.ShardID) bool {
+	if _, ok := s.releasing[shard]; ok || t.Now < s.retryAt[shard] {
+		return false
+	}
+	if o, ok := s.owned[shard]; ok {
+		return o.lease != s.leasing.id
+	}
+	if a, ok := s.advertised[shard]; ok && a.member.State != cicadapitch.Suspect {
+		return false
+	}
+	if s.mayBeCarried(t, shard) {
+		return false
+	}
+	return s.unsettled[shard] || s.placing.winners[shard].Host == t.Self.Host
+}
+
+// mayBeCarried tells whether another host may hold a shard without a lease,
+// since it carried on through an outage.
+func (s *State) mayBeCarried(t Tick, shard cicadapitch.ShardID) bool {
+	if s.outage == 0 || t.Now.Sub(s.outage) >= basisSpan {
+		return false
+	}
+	last := max(s.outage, s.heard[shard])
+	return t.Now.Sub(last) < s.policy.Silence
+}
+
+// handOver releases shards that another ready host has been the better owner
+// of for a while, and shards that are no longer configured.
+func (s *State) handOver(t Tick) []Command {
+	configured := lo.SliceToMap(t.Shards, func(p Place) (cicadapitch.ShardID, bool) { return p.Shard.ID, true })
+	var cmds []Command
+	for _, shard := range s.ownedShards() {
+		if len(cmds) >= s.policy.HandOversPerTick {
+			break
+		}
+		if !configured[shard] || s.dueHandOver(t, shard) {
+			cmds = append(cmds, s.startRelease(shard)...)
+		}
+	}
+	return cmds
+}
+
+func (s *State) dueHandOver(t Tick, shard cicadapitch.ShardID) bool {
+	to := s.placing.winners[shard].Host
+	if to == t.Self.Host || to == "" || s.leasing.failing {
+		delete(s.handOvers, shard)
+		return false
+	}
+	h, ok := s.handOvers[shard]
+	if !ok || h.to != to {
+		s.handOvers[shard] = handOver{to: to, since: t.Now}
+		return false
+	}
+	return t.Now.Sub(h.since) >= s.policy.HandOverAfter
+}
+
+// Places returns the shards of a configuration with their regions, by id.
+func Places(cfg *cicadapitch.Configuration) []Place {
+	regions := lo.SliceToMap(cfg.Zones, func(z cicadapitch.Zone) (cicadapitch.ZoneID, cicadapitch.RegionID) {
+		return z.ID, z.Region
+	})
+	places := lo.Map(cfg.Shards(), func(s cicadapitch.Shard, _ int) Place {
+		return Place{Shard: s, Region: regions[s.Zone]}
+	})
+	slices.SortFunc(places, func(a, b Place) int { return cmp.Compare(a.Shard.ID, b.Shard.ID) })
+	return places
+}
