daemon, deployment: the whole path answers in one process

Cause: callers of a host without a configuration were told that their key is wrong; the directory left out hosts at revision 0. Change: such a host answers NotRun with when to come back; the local deployment starts at revision 1. Conclusion: the path stands; the configuration is still polled.

--- a/cmd/cicadapitchd/main.go
+++ b/cmd/cicadapitchd/main.go
@@ -21,7 +21,8 @@
 	flaggy.String(&file, "s", "settings", "YAML file with the settings of this host")
 	flaggy.Parse()
 	if err := run(file); err != nil {
-		newLogger(zerolog.ErrorLevel).Error().Err(err).Msg("ended")
+		log := newLogger(zerolog.ErrorLevel)
+		log.Error().Err(err).Msg("ended")
 		os.Exit(1)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	roles    do.Injector
 
 	self     cicadapitch.Member
+	store    cicadapitch.Store
 	group    *host.Group
 	follower *configuration.Follower
 	claims   *claim.Claims
@@ -70,6 +71,7 @@
 		return cicadapitch.Wrap(err)
 	}
 	d.self = do.MustInvoke[cicadapitch.Member](d.roles)
+	d.store = do.MustInvoke[cicadapitch.Store](d.roles)
 	d.group = do.MustInvoke[*host.Group](d.roles)
 	d.follower = do.MustInvoke[*configuration.Follower](d.roles)
 	d.claims = do.MustInvoke[*claim.Claims](d.roles)
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
@@ -22,6 +23,7 @@
 	serviceTimeout cicadapitch.Millis = 5 * cicadapitch.Second
 	leaseMillis    cicadapitch.Millis = 3 * cicadapitch.Second
 	graceMillis    cicadapitch.Millis = 20 * cicadapitch.Second
+	readyInterval  cicadapitch.Millis = 50
 	keyBytes                          = 32
 )
 
@@ -82,6 +84,15 @@
 		return err
 	}
 	l.storeURL = url
+	l.Configuration.Revision = 1
+	value, err := cbor.Marshal(l.Configuration)
+	if err != nil {
+		return cicadapitch.Wrap(err)
+	}
+	writes := []cicadapitch.Put{{Key: "configuration/current", Value: value}}
+	if _, err := l.Store.Commit(context.Background(), nil, writes); err != nil {
+		return err
+	}
 	return l.planHosts(a)
 }
 
@@ -124,6 +135,31 @@
 	return nil
 }
 
+// WaitReady waits until every host takes callers.
+func (l *Local) WaitReady(ctx context.Context) error {
+	for _, s := range l.hosts {
+		for !isReady(ctx, s.CallerURL) {
+			if err := l.clock.Sleep(ctx, readyInterval); err != nil {
+				return cicadapitch.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
 func (l *Local) run(ctx context.Context, d *daemon.Daemon) {
 	if err := d.Run(ctx); err != nil {
 		l.log.Error().Err(err).Msg("daemon_ended")
--- /dev/null
+++ b/deployment/local_test.go
@@ -0,0 +1,32 @@
+package deployment_test
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/client"
+	"cicadapitch.example/cicadapitch/deployment"
+	"cicadapitch.example/cicadapitch/examples/quickstart"
+)
+
+func TestLocalAnswersBothPipelines(t *testing.T) {
+	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true})
+	l, err := deployment.NewLocal(quickstart.Questionnaire, deployment.WithLog(log))
+	require.NoError(t, err)
+	require.NoError(t, l.Start(context.Background()))
+	defer l.Stop()
+	require.NoError(t, l.WaitReady(context.Background()))
+	c := client.New(l.Seeds(), "sample-key-of-club")
+	for _, p := range []cicadapitch.PipelineID{"answer", "book"} {
+		a, err := c.Do(context.Background(), cicadapitch.Request{Pipeline: p, Input: "which slots are free"}, nil)
+		require.NoError(t, err)
+		require.NotEmpty(t, a.Output)
+		t.Log(a)
+	}
+	require.Len(t, l.Bookings("booking"), 1)
+}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -10,6 +10,9 @@
 	"cicadapitch.example/cicadapitch"
 )
 
+// startingRetryAfter is when callers come back to a host that has just started.
+const startingRetryAfter cicadapitch.Millis = 500
+
 // keyTable holds the key hashes of the customers of one configuration.
 type keyTable struct {
 	revision cicadapitch.Revision
@@ -28,7 +31,10 @@
 func (a *authenticator) customer(authorization string) (cicadapitch.CustomerID, error) {
 	key, ok := strings.CutPrefix(authorization, "Bearer ")
 	t := a.current()
-	if !ok || key == "" || t == nil {
+	if t == nil {
+		return "", cicadapitch.NewNotRun("the host has no configuration yet", startingRetryAfter)
+	}
+	if !ok || key == "" {
 		return "", denied()
 	}
 	sum := sha256.Sum256([]byte(key))
