--- a/cmd/cicadapitchd/main.go
+++ b/cmd/cicadapitchd/main.go
@@ -21,7 +21,7 @@
 	flaggy.String(&file, "s", "settings", "YAML file with the settings of this host")
 	flaggy.Parse()
 	if err := run(file); err != nil {
-		log := newLogger(zerolog.ErrorLevel)
+		log := daemon.NewLogger(os.Stderr, zerolog.ErrorLevel)
 		log.Error().Err(err).Msg("ended")
 		os.Exit(1)
 	}
@@ -34,7 +34,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := daemon.New(s, daemon.WithLog(newLogger(s.Level())))
+	d, err := daemon.New(s, daemon.WithLog(daemon.NewLogger(os.Stderr, s.Level())))
 	if err != nil {
 		return err
 	}
@@ -49,9 +49,3 @@
 	defer f.Close()
 	return settings.Read(f, file)
 }
-
-// newLogger writes one line of key=value pairs for each event.
-func newLogger(level zerolog.Level) zerolog.Logger {
-	w := zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"}
-	return zerolog.New(w).Level(level).With().Timestamp().Logger()
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,9 +26,9 @@
 	roles    do.Injector
 
 	self     cicadapitch.Member
-	store    cicadapitch.Store
 	group    *host.Group
 	follower *configuration.Follower
+	spreader *configuration.Spreader
 	claims   *claim.Claims
 	owner    *endpoint.Owner
 	entry    *entry.Server
@@ -71,9 +71,9 @@
 		return cicadapitch.Wrap(err)
 	}
 	d.self = do.MustInvoke[cicadapitch.Member](d.roles)
-	d.store = do.MustInvoke[cicadapitch.Store](d.roles)
 	d.group = do.MustInvoke[*host.Group](d.roles)
 	d.follower = do.MustInvoke[*configuration.Follower](d.roles)
+	d.spreader = do.MustInvoke[*configuration.Spreader](d.roles)
 	d.claims = do.MustInvoke[*claim.Claims](d.roles)
 	d.owner = do.MustInvoke[*endpoint.Owner](d.roles)
 	d.peers = do.MustInvoke[*peer.Server](d.roles)
@@ -107,9 +107,9 @@
 	go func() { failed <- callers.Serve(callerListener) }()
 	go func() { failed <- peers.Serve(peerListener) }()
 	d.startRoles(work)
-	d.log.Info().Str("host", string(d.self.Host)).Str("zone", string(d.self.Zone)).
-		Str("caller_url", d.self.CallerURL).Str("peer_address", d.self.PeerAddress).
-		Uint64("incarnation", uint64(d.self.Incarnation)).Msg("started")
+	d.log.Info().Str("Host", string(d.self.Host)).Str("Zone", string(d.self.Zone)).
+		Str("CallerURL", d.self.CallerURL).Str("PeerAddress", d.self.PeerAddress).
+		Uint64("Incarnation", uint64(d.self.Incarnation)).Msg("started")
 	select {
 	case err := <-failed:
 		return cicadapitch.Wrap(err)
@@ -120,6 +120,7 @@
 
 func (d *Daemon) registerPeerMessages() {
 	serveMembership(d.peers, d.group)
+	serveConfiguration(d.peers, d.follower)
 	serveAttempts(d.peers, d.owner)
 	serveForwarded(d.peers, d.self, d.entry)
 }
@@ -128,7 +129,7 @@
 	go func() { _ = d.group.Run(ctx) }()
 	go func() { _ = d.claims.Run(ctx) }()
 	d.owner.Start(ctx)
-	go d.followStore(ctx)
+	go func() { _ = d.spreader.Run(ctx) }()
 	go d.keepRecord(ctx)
 }
 
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -22,6 +22,7 @@
 		owned[i].Load = d.owner.Load(owned[i].Shard)
 	}
 	cfg := d.follower.Current()
+	confirmed := d.follower.Confirmed()
 	running := d.entry.Running()
 	d.group.Update(func(m *cicadapitch.Member) {
 		m.Claims = owned
@@ -30,7 +31,9 @@
 			return
 		}
 		m.Revision = cfg.Revision
-		if m.State == cicadapitch.Starting {
+		// A host takes callers only with a configuration that its peers or
+		// the store have confirmed.
+		if m.State == cicadapitch.Starting && confirmed {
 			m.State = cicadapitch.Ready
 		}
 	})
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -15,7 +15,7 @@
 // shutDown leaves the directory, waits until callers have stopped using it,
 // hands the shards over and ends once the last request has its answer.
 func (d *Daemon) shutDown(work context.Context, callers, peers *http.Server) error {
-	d.log.Info().Str("host", string(d.self.Host)).Msg("leaving")
+	d.log.Info().Str("Host", string(d.self.Host)).Msg("leaving")
 	grace, cancel := context.WithTimeout(work, d.settings.ShutdownGraceMillis.Duration())
 	defer cancel()
 	d.group.Update(func(m *cicadapitch.Member) { m.State = cicadapitch.Leaving })
@@ -25,7 +25,7 @@
 	_ = d.peers.Close(grace)
 	_ = peers.Shutdown(grace)
 	_ = d.dialer.Close(grace)
-	d.log.Info().Str("host", string(d.self.Host)).Bool("cut", err != nil).Msg("stopped")
+	d.log.Info().Str("Host", string(d.self.Host)).Bool("Cut", err != nil).Msg("stopped")
 	return cicadapitch.Wrap(err)
 }
 
@@ -34,7 +34,7 @@
 func (d *Daemon) drain(ctx context.Context) error {
 	ownerErr := d.owner.Drain(ctx)
 	if err := d.claims.ReleaseAll(ctx); err != nil {
-		d.log.Warn().Err(err).Msg("claims_not_released")
+		d.log.Warn().Err(err).Msg("claims not released")
 	}
 	if err := d.entry.Drain(ctx); err != nil {
 		return err
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -31,6 +31,7 @@
 	do.Provide(i, newDialer)
 	do.Provide(i, newPeerServer)
 	do.Provide(i, newGroup)
+	do.Provide(i, newSpreader)
 	do.Provide(i, newClaims)
 	do.Provide(i, newOwner)
 	do.Provide(i, newMinter)
@@ -92,6 +93,17 @@
 	return host.New(do.MustInvoke[cicadapitch.Member](i), opts...), nil
 }
 
+func newSpreader(i do.Injector) (*configuration.Spreader, error) {
+	return configuration.NewSpreader(
+		do.MustInvoke[*configuration.Follower](i),
+		do.MustInvoke[cicadapitch.Store](i),
+		do.MustInvoke[*host.Group](i),
+		fetcher{do.MustInvoke[*peer.Dialer](i)},
+		clockOf(i),
+		configuration.WithLog(logOf(i)),
+	), nil
+}
+
 func newClaims(i do.Injector) (*claim.Claims, error) {
 	return claim.New(
 		do.MustInvoke[cicadapitch.Store](i),
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/daemon"
 	"cicadapitch.example/cicadapitch/questionnaire"
 	"cicadapitch.example/cicadapitch/settings"
@@ -84,13 +84,12 @@
 		return err
 	}
 	l.storeURL = url
-	l.Configuration.Revision = 1
-	value, err := cbor.Marshal(l.Configuration)
-	if err != nil {
-		return cicadapitch.Wrap(err)
+	change := configuration.Change{
+		ID: "first", Operator: "quickstart", At: l.clock.Now(),
+		Summary: "first configuration", Whole: l.Configuration,
 	}
-	writes := []cicadapitch.Put{{Key: "configuration/current", Value: value}}
-	if _, err := l.Store.Commit(context.Background(), nil, writes); err != nil {
+	applier := configuration.NewApplier(l.Store, l.clock)
+	if _, err := applier.Apply(context.Background(), change); err != nil {
 		return err
 	}
 	return l.planHosts(a)
@@ -162,7 +161,7 @@
 
 func (l *Local) run(ctx context.Context, d *daemon.Daemon) {
 	if err := d.Run(ctx); err != nil {
-		l.log.Error().Err(err).Msg("daemon_ended")
+		l.log.Error().Err(err).Msg("daemon ended")
 	}
 }
 
--- a/deployment/local_test.go
+++ b/deployment/local_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"os"
 	"testing"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
@@ -15,8 +13,7 @@
 )
 
 func TestLocalAnswersBothPipelines(t *testing.T) {
-	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true})
-	l, err := deployment.NewLocal(quickstart.Questionnaire, deployment.WithLog(log))
+	l, err := deployment.NewLocal(quickstart.Questionnaire)
 	require.NoError(t, err)
 	require.NoError(t, l.Start(context.Background()))
 	defer l.Stop()
@@ -26,7 +23,6 @@
 		a, err := c.Do(context.Background(), cicadapitch.Request{Pipeline: p, Input: "which slots are free"}, nil)
 		require.NoError(t, err)
 		require.NotEmpty(t, a.Output)
-		t.Log(a)
 	}
 	require.Len(t, l.Bookings("booking"), 1)
 }
