booking, entry, client: at most once under faults

A token now stays spent after a refusal, because a sending that was lost may still arrive after its caller was told NotRun and has begun another. An idempotency key is given back, because its caller must come back with the same key.

Weighed: giving the token back and marking repeats; the mark depends on the caller, the spent token does not.

--- a/booking/entry.go
+++ b/booking/entry.go
@@ -19,8 +19,11 @@
 
 // Entry is one right that has begun.
 type Entry struct {
-	ledger   *shard
-	key      Key
+	ledger *shard
+	id     digest
+	// returns is true where the right can begin again after a run in which
+	// nothing that may not be repeated has started.
+	returns  bool
 	mintedAt cicadapitch.Instant
 	done     chan struct{}
 
@@ -34,18 +37,34 @@
 }
 
 // Finish ends the run with its answer or error. A NotRun or DeadlineExceeded
-// error means that nothing which may not be repeated has started; it returns
-// the right, so that the same token may begin again.
+// error means that nothing which may not be repeated has started. The right of
+// an idempotency key may then begin again. A token stays spent, so that a
+// sending of it that arrives late cannot run after its caller was told NotRun.
 func (e *Entry) Finish(a cicadapitch.Answer, err error) {
 	if err == nil {
 		e.conclude(Outcome{Phase: cicadapitch.Done, Answer: &a})
 		e.ledger.keep(e, cicadapitch.Bytes(len(a.Output)))
 		return
 	}
-	if repeatable(err) {
+	failure := errorOf(err)
+	phase := cicadapitch.Failed
+	if repeatable(failure.Kind) {
+		phase = cicadapitch.Refused
+		failure = e.giveBack(failure)
+	}
+	e.conclude(Outcome{Phase: phase, Error: failure})
+}
+
+// giveBack says with what the request may be sent again.
+func (e *Entry) giveBack(err *cicadapitch.Error) *cicadapitch.Error {
+	c := *err
+	if e.returns {
 		e.ledger.release(e)
+		c.Remedy = "send the request again with the same idempotency key"
+		return &c
 	}
-	e.conclude(Outcome{Phase: cicadapitch.Failed, Error: errorOf(err)})
+	c.Remedy = "send the request again with a new token"
+	return &c
 }
 
 // Wait returns the answer or error of the run once it has ended. Where ctx ends
@@ -112,8 +131,7 @@
 	close(e.done)
 }
 
-func repeatable(err error) bool {
-	kind := cicadapitch.KindOf(err)
+func repeatable(kind cicadapitch.Kind) bool {
 	return kind == cicadapitch.NotRun || kind == cicadapitch.DeadlineExceeded
 }
 
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -1,7 +1,7 @@
 package booking
 
 import (
-	"hash/maphash"
+	"crypto/sha256"
 
 	"cicadapitch.example/cicadapitch"
 )
@@ -17,6 +17,18 @@
 	IdempotencyKey string
 }
 
+// digest is a short form of a Key that callers cannot make collide.
+type digest [16]byte
+
+func (k Key) digest() digest {
+	h := sha256.New()
+	for _, part := range []string{string(k.Customer), string(k.Token), k.IdempotencyKey} {
+		sum := sha256.Sum256([]byte(part))
+		h.Write(sum[:])
+	}
+	return digest(h.Sum(nil)[:len(digest{})])
+}
+
 // Limits bounds what a ledger keeps.
 type Limits struct {
 	// Retention is the span after the mint time in which a right may start
@@ -36,7 +48,6 @@
 	clock       cicadapitch.Clock
 	incarnation cicadapitch.Incarnation
 	limits      Limits
-	seed        maphash.Seed
 	shards      [ledgerShards]shard
 }
 
@@ -52,13 +63,12 @@
 		clock:       clock,
 		incarnation: incarnation,
 		limits:      Limits{Retention: 10 * cicadapitch.Minute, Bytes: 32 << 20, Entries: 200_000},
-		seed:        maphash.MakeSeed(),
 	}
 	for _, opt := range opts {
 		opt(l)
 	}
 	for i := range l.shards {
-		l.shards[i].entries = make(map[Key]*Entry)
+		l.shards[i].entries = make(map[digest]*Entry)
 		l.shards[i].limit = l.limits.Bytes / ledgerShards
 	}
 	return l
@@ -73,11 +83,12 @@
 // may have run and been forgotten. A full ledger gives a NotRun error.
 func (l *Ledger) Begin(k Key, mintedAt cicadapitch.Instant) (e *Entry, first bool, err error) {
 	now := l.clock.Now()
-	s := l.shard(k)
+	id := k.digest()
+	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now, l.limits.Retention)
-	if e, ok := s.entries[k]; ok {
+	if e, ok := s.entries[id]; ok {
 		return e, false, nil
 	}
 	if now.Sub(mintedAt) > l.limits.Retention {
@@ -86,7 +97,7 @@
 	if len(s.entries) >= max(l.limits.Entries/ledgerShards, 1) {
 		return nil, false, cicadapitch.NewNotRun("the host remembers as many requests as it can", cicadapitch.Second)
 	}
-	return s.add(k, mintedAt), true, nil
+	return s.add(id, k.Token == "", mintedAt), true, nil
 }
 
 // Settle returns the entry of a right for a caller that asks for the outcome.
@@ -103,6 +114,16 @@
 	return e, nil
 }
 
+// Find returns the entry of a right that has begun and is still kept.
+func (l *Ledger) Find(k Key) (*Entry, bool) {
+	id := k.digest()
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	return e, ok
+}
+
 // Len returns the number of kept rights.
 func (l *Ledger) Len() int {
 	n := 0
@@ -112,8 +133,8 @@
 	return n
 }
 
-func (l *Ledger) shard(k Key) *shard {
-	return &l.shards[maphash.Comparable(l.seed, k)%ledgerShards]
+func (l *Ledger) shard(id digest) *shard {
+	return &l.shards[id[0]%ledgerShards]
 }
 
 func expired() error {
--- a/booking/shard.go
+++ b/booking/shard.go
@@ -10,7 +10,7 @@
 // shard is a part of a ledger under its own lock.
 type shard struct {
 	mu      sync.Mutex
-	entries map[Key]*Entry
+	entries map[digest]*Entry
 	// order holds the entries in the order in which they began.
 	order list.List
 	// answers holds the entries whose answer is kept, oldest first.
@@ -19,10 +19,10 @@
 	limit   cicadapitch.Bytes
 }
 
-func (s *shard) add(k Key, mintedAt cicadapitch.Instant) *Entry {
-	e := &Entry{ledger: s, key: k, mintedAt: mintedAt, done: make(chan struct{})}
+func (s *shard) add(id digest, returns bool, mintedAt cicadapitch.Instant) *Entry {
+	e := &Entry{ledger: s, id: id, returns: returns, mintedAt: mintedAt, done: make(chan struct{})}
 	e.outcome.Phase = cicadapitch.Running
-	s.entries[k] = e
+	s.entries[id] = e
 	e.element = s.order.PushBack(e)
 	return e
 }
@@ -47,10 +47,10 @@
 }
 
 func (s *shard) forget(e *Entry) {
-	if s.entries[e.key] != e {
+	if s.entries[e.id] != e {
 		return
 	}
-	delete(s.entries, e.key)
+	delete(s.entries, e.id)
 	s.order.Remove(e.element)
 	if e.kept != nil {
 		s.answers.Remove(e.kept)
@@ -63,7 +63,7 @@
 func (s *shard) keep(e *Entry, n cicadapitch.Bytes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entries[e.key] != e {
+	if s.entries[e.id] != e {
 		return
 	}
 	e.bytes = n
--- a/client/delivery.go
+++ b/client/delivery.go
@@ -43,7 +43,7 @@
 		}
 		host, err := d.prepare(ctx)
 		if err != nil {
-			return cicadapitch.Answer{}, d.conclude(cicadapitch.AsError(err))
+			return d.conclude(ctx, cicadapitch.AsError(err))
 		}
 		d.stream.restart()
 		r := d.c.send(ctx, host, d.body(), d.stream.take)
@@ -52,7 +52,7 @@
 		}
 		last = d.note(host, r)
 	}
-	return cicadapitch.Answer{}, d.conclude(last)
+	return d.conclude(ctx, last)
 }
 
 // prepare picks the host of the next sending, and the token where one is
@@ -99,24 +99,35 @@
 	}
 }
 
-// note takes in how a sending failed and returns its error. A token that no
-// host can have got is given up together with its host.
+// note takes in how a sending failed and returns its error. A token from the
+// directory is replaced where no host can have got it, or where its host said
+// that nothing has run under it.
 func (d *delivery) note(host string, r reply) *cicadapitch.Error {
 	d.failed = append(d.failed, host)
-	d.sent = d.sent || r.sent
-	switch {
-	case r.heard:
+	if r.heard {
 		d.unsettled = false
-		return cicadapitch.AsError(r.err)
-	case r.sent:
-		d.unsettled = true
-	case d.own && !d.sent:
-		d.token, d.own = "", false
+		e := cicadapitch.AsError(r.err)
+		if d.own && d.repeatable(e) {
+			d.renew()
+		}
+		return e
+	}
+	d.sent = d.sent || r.sent
+	d.unsettled = d.unsettled || r.sent
+	if d.own && !d.sent {
+		d.renew()
 	}
 	d.c.hosts.forget()
 	return cicadapitch.NewNotRun("a host gave no answer: "+r.err.Error(), lostRetryMillis)
 }
 
+// renew gives up a token under which nothing has run.
+func (d *delivery) renew() {
+	d.token = ""
+	d.own = false
+	d.sent = false
+}
+
 // again waits for the next sending, or returns false where there must be none.
 func (d *delivery) again(ctx context.Context, last *cicadapitch.Error) bool {
 	if !d.repeatable(last) || !d.c.budget.spend() {
@@ -140,18 +151,21 @@
 	return false
 }
 
-// conclude returns the final error. It says NotRun only where no sending can
-// have run.
-func (d *delivery) conclude(e *cicadapitch.Error) error {
+// conclude returns the final answer or error. It says NotRun only where no
+// sending can have run, and asks the host of the token where one may have.
+func (d *delivery) conclude(ctx context.Context, e *cicadapitch.Error) (cicadapitch.Answer, error) {
+	var none cicadapitch.Answer
 	switch {
 	case e == nil:
-		return cicadapitch.NewError(cicadapitch.Internal, "the request could not be sent", "report it")
+		return none, cicadapitch.NewError(cicadapitch.Internal, "the request could not be sent", "report it")
 	case !d.unsettled:
-		return e
+		return none, e
+	case d.token != "":
+		return d.c.settle(ctx, d.token, e)
 	case d.once:
-		return cicadapitch.NewOutcomeUnknown(e.Reason)
+		return none, cicadapitch.NewOutcomeUnknown(e.Reason)
 	}
-	return &cicadapitch.Error{
+	return none, &cicadapitch.Error{
 		Kind:       cicadapitch.DeadlineExceeded,
 		Reason:     e.Reason,
 		Remedy:     "send the request again",
--- a/entry/fakerunner_test.go
+++ b/entry/fakerunner_test.go
@@ -84,3 +84,10 @@
 		Served:  10,
 	}
 }
+
+// setState sets what the owner says about an attempt.
+func (r *fakeRunner) setState(id cicadapitch.AttemptID, st cicadapitch.AttemptState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.states[id] = st
+}
--- a/entry/once.go
+++ b/entry/once.go
@@ -64,12 +64,16 @@
 			"the pipeline may not be repeated and the request has no token",
 			"send a token from the directory or an idempotency key")
 	}
+	key := booking.Key{Customer: req.Customer, IdempotencyKey: req.IdempotencyKey}
+	if _, ok := s.ledger.Find(key); ok {
+		self := s.members.Self()
+		return right{key: key, host: self.Host, incarnation: self.Incarnation, since: s.clock.Now()}, nil
+	}
 	c, err := s.claims.Claim(ctx, req.Customer, req.IdempotencyKey)
 	if err != nil {
 		return right{}, unclaimed(req, err)
 	}
-	key := booking.Key{Customer: req.Customer, IdempotencyKey: req.IdempotencyKey}
-	return right{key: key, host: c.Host, incarnation: c.Incarnation, since: c.ClaimedAt}, nil
+	return right{key: key, host: c.Holder.Host, incarnation: c.Holder.Incarnation, since: c.ClaimedAt}, nil
 }
 
 // unclaimed says NotRun only to a caller that has not sent the key before. An
--- a/entry/server.go
+++ b/entry/server.go
@@ -94,7 +94,7 @@
 	defer out.close()
 	w, err := s.resolve(req)
 	if err != nil {
-		s.metrics.Refused(req.Customer, req.Pipeline, cicadapitch.KindOf(err))
+		s.refused(req, err)
 		return cicadapitch.Answer{}, err
 	}
 	w.deadline = arrived.Add(w.span)
@@ -122,7 +122,7 @@
 func (s *Server) report(w work, arrived cicadapitch.Instant, a cicadapitch.Answer, err error) {
 	took := s.clock.Now().Sub(arrived)
 	if err != nil {
-		s.metrics.Refused(w.req.Customer, w.req.Pipeline, cicadapitch.KindOf(err))
+		s.refused(w.req, err)
 		return
 	}
 	s.metrics.Answered(w.req.Customer, w.req.Pipeline, took, took <= w.span)
@@ -131,6 +131,20 @@
 	}
 }
 
+// refused counts an error. Names that a caller made up are not passed on, so
+// that callers cannot add series to the metrics.
+func (s *Server) refused(req cicadapitch.Request, err error) {
+	if cfg := s.configurations.Current(); cfg != nil {
+		if _, ok := cfg.Pipeline(req.Pipeline); !ok {
+			req.Pipeline = ""
+		}
+		if _, ok := cfg.Customer(req.Customer); !ok {
+			req.Customer = ""
+		}
+	}
+	s.metrics.Refused(req.Customer, req.Pipeline, cicadapitch.KindOf(err))
+}
+
 // nextID returns an id that no other request of any host has. A caller's own
 // id is not used, so that two callers can never share one.
 func (s *Server) nextID() cicadapitch.RequestID {
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -114,7 +114,7 @@
 	if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
 		reason = "the deadline has passed"
 	}
-	if e := cicadapitch.AsError(last); e != nil {
+	if e := cicadapitch.AsError(last); e != nil && e.Kind != cicadapitch.DeadlineExceeded {
 		reason += " after: " + e.Reason
 	}
 	return cicadapitch.NewError(cicadapitch.DeadlineExceeded, reason, "send the request again")
