--- a/configuration.go
+++ b/configuration.go
@@ -39,6 +39,9 @@
 	Model    ModelID
 	Version  ModelVersion
 	Adapters []AdapterID
+	// Role says what the engines of the pool do, such as prefill or decode;
+	// empty for everything.
+	Role string
 	// ColdSlots is what an endpoint bears in a cold start.
 	ColdSlots Slots
 	// WarmSlots is what an endpoint bears once it is warm.
