order: orders as pure mutations, applied with a change id

Each order is a mutation of the configuration that runs inside the compare-and-swap, so that operators who race commute where they can; the operator's right and the whole configuration are checked on the copy that is changed, because the answering host may lag. Ruled out: letting a revised questionnaire set Out, since applying it would bring a zone back that an order took out.

--- /dev/null
+++ b/order/service.go
@@ -0,0 +1,187 @@
+package order
+
+import (
+	"context"
+	"fmt"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Mutation changes a configuration or refuses to. It is called again on a
+// newer configuration where another operator's change came first, and must
+// have no other effects.
+type Mutation func(*cicadapitch.Configuration) error
+
+// Change is one change of the configuration.
+type Change struct {
+	ID       cicadapitch.ChangeID
+	Operator cicadapitch.OperatorID
+	At       cicadapitch.Instant
+	Summary  string
+	Mutate   Mutation
+}
+
+// Applied is the outcome of a change that was accepted.
+type Applied struct {
+	Revision cicadapitch.Revision
+	// Repeated is true where the change id had been accepted before.
+	Repeated bool
+}
+
+// Applier makes changes in the platform's service. Its errors are of kind
+// Invalid or Conflict (the change was refused), Unavailable (not accepted) or
+// OutcomeUnknown (repeat it with the same id).
+type Applier interface {
+	Apply(ctx context.Context, c Change) (Applied, error)
+}
+
+// Spread tells how far a revision has come.
+type Spread interface {
+	// InForce returns on how many of how many hosts the revision or a later
+	// one is in force.
+	InForce(ctx context.Context, r cicadapitch.Revision) (n, m int)
+}
+
+// MaxWait bounds the wait until a change is in force everywhere.
+const MaxWait = 6 * cicadapitch.Second
+
+// pollInterval is the time between two looks at the hosts' revisions.
+const pollInterval cicadapitch.Millis = 50
+
+// Service gives orders.
+type Service struct {
+	configurations cicadapitch.Configurations
+	applier        Applier
+	spread         Spread
+	clock          cicadapitch.Clock
+	wait           cicadapitch.Millis
+	bootstrapHash  string
+}
+
+// NewService returns a service that makes its changes through applier.
+func NewService(
+	configurations cicadapitch.Configurations,
+	applier Applier,
+	spread Spread,
+	clock cicadapitch.Clock,
+	opts ...Option,
+) *Service {
+	s := &Service{
+		configurations: configurations,
+		applier:        applier,
+		spread:         spread,
+		clock:          clock,
+		wait:           MaxWait,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Result is the answer to an order that was accepted.
+type Result struct {
+	Change   cicadapitch.ChangeID `json:"Change"`
+	Revision cicadapitch.Revision `json:"Revision"`
+	Summary  string               `json:"Summary"`
+	// InForce counts the hosts on which the change is in force, Hosts all.
+	InForce  int  `json:"InForce"`
+	Hosts    int  `json:"Hosts"`
+	Repeated bool `json:"Repeated" doc:"True where this change id had been accepted before"`
+}
+
+// String returns the result on one line.
+func (r Result) String() string {
+	s := fmt.Sprintf("%s: accepted as revision %d, in force on %d of %d hosts", r.Summary, r.Revision, r.InForce, r.Hosts)
+	if r.Repeated {
+		s += ", had been accepted before"
+	}
+	return s
+}
+
+// Give makes the change of an operator and waits until it is in force on all
+// hosts, for MaxWait at most.
+func (s *Service) Give(ctx context.Context, who Orderer, o Order) (Result, error) {
+	if err := checkChangeID(o.Change); err != nil {
+		return Result{}, err
+	}
+	applied, err := s.applier.Apply(ctx, Change{
+		ID:       o.Change,
+		Operator: who.Operator,
+		At:       s.clock.Now(),
+		Summary:  o.Summary,
+		Mutate:   guarded(who, o.Mutate),
+	})
+	if err != nil {
+		return Result{}, explain(err)
+	}
+	n, m := s.awaitInForce(ctx, applied.Revision)
+	return Result{
+		Change: o.Change, Revision: applied.Revision, Summary: o.Summary,
+		InForce: n, Hosts: m, Repeated: applied.Repeated,
+	}, nil
+}
+
+// Order is one order with its effect.
+type Order struct {
+	Change  cicadapitch.ChangeID
+	Summary string
+	Mutate  Mutation
+}
+
+// guarded checks the operator's right on the configuration that is changed,
+// because this host's may be older, and checks the changed configuration.
+func guarded(who Orderer, m Mutation) Mutation {
+	return func(cfg *cicadapitch.Configuration) error {
+		if err := who.allowed(cfg); err != nil {
+			return err
+		}
+		if err := m(cfg); err != nil {
+			return err
+		}
+		return Check(cfg)
+	}
+}
+
+func (s *Service) awaitInForce(ctx context.Context, r cicadapitch.Revision) (n, m int) {
+	end := s.clock.Now().Add(s.wait)
+	for {
+		n, m = s.spread.InForce(ctx, r)
+		if (m > 0 && n >= m) || s.clock.Now() >= end {
+			return n, m
+		}
+		if s.clock.Sleep(ctx, pollInterval) != nil {
+			return n, m
+		}
+	}
+}
+
+// explain says what the failure of an order means.
+func explain(err error) error {
+	e := cicadapitch.AsError(err)
+	if e == nil {
+		return cicadapitch.NewOutcomeUnknown("the order failed: " + err.Error())
+	}
+	told := *e
+	switch e.Kind {
+	case cicadapitch.Unavailable, cicadapitch.NotRun:
+		told.Kind = cicadapitch.Unavailable
+		told.Reason = "not accepted, the store is down: " + e.Reason
+		told.Remedy = "give the order again later; nothing was changed"
+	case cicadapitch.OutcomeUnknown, cicadapitch.DeadlineExceeded:
+		told.Kind = cicadapitch.OutcomeUnknown
+		told.Reason = "it is not known whether the order was accepted: " + e.Reason
+		told.Remedy = "give the order again with the same change id, which applies it once at most"
+	}
+	return &told
+}
+
+const maxChangeIDLength = 128
+
+func checkChangeID(id cicadapitch.ChangeID) error {
+	if len(id) >= 8 && len(id) <= maxChangeIDLength {
+		return nil
+	}
+	return cicadapitch.NewError(cicadapitch.Invalid, "the change id is missing or of the wrong length",
+		fmt.Sprintf("mint one of 8 to %d characters and keep it for repeats", maxChangeIDLength))
+}
