--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/order"
+	"cicadapitch.example/cicadapitch/configuration"
 )
 
 // fakeApplier keeps one configuration by compare-and-swap. It is also the
@@ -29,24 +29,24 @@
 	return f.cfg
 }
 
-func (f *fakeApplier) Apply(_ context.Context, c order.Change) (order.Applied, error) {
+func (f *fakeApplier) Apply(_ context.Context, c configuration.Change) (configuration.Outcome, error) {
 	for {
 		if r, ok := f.accepted(c.ID); ok {
-			return order.Applied{Revision: r, Repeated: true}, nil
+			return configuration.Outcome{Result: configuration.Repeated, Revision: r}, nil
 		}
 		if f.fail != nil && !f.lost {
-			return order.Applied{}, f.fail
+			return configuration.Outcome{}, f.fail
 		}
 		base := f.Current()
 		next := clone(base)
 		if err := c.Mutate(next); err != nil {
-			return order.Applied{}, err
+			return configuration.Outcome{}, err
 		}
 		if hook := f.takeHook(); hook != nil {
 			hook()
 		}
 		if f.swap(base, next, c.ID) {
-			return order.Applied{Revision: next.Revision}, f.fail
+			return configuration.Outcome{Result: configuration.Applied, Revision: next.Revision}, f.fail
 		}
 	}
 }
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/questionnaire"
 )
@@ -240,6 +241,7 @@
 		{"zone", ``, http.StatusBadRequest},
 		{"configuration", strings.Repeat("[", 2<<20), http.StatusRequestEntityTooLarge},
 		{"model", `{"Change":"change-1","Pool":"booking","Model":"x"}`, http.StatusBadRequest},
+		{"customer", `{"Change":"change-1","Action":"Replace","Customer":{"ID":"universities","Share":1,"KeyHash":"` + f.Current().Operators[0].KeyHash + `","Deadlines":null,"Out":false}}`, http.StatusBadRequest},
 		{"pipeline-remove", `{"Change":"change-1","Pipeline":"nothing"}`, http.StatusNotFound},
 		{"deadline", `{"Change":"change-1","Customer":"universities","Pipeline":"book-slot","Deadline":-1}`, http.StatusUnprocessableEntity},
 	} {
@@ -272,5 +274,5 @@
 	require.Equal(t, http.StatusOK, f.post("pipeline-remove", operatorKey, `{"Change":"change-6","Pipeline":"copy"}`).Code)
 	cu, _ := f.Current().Customer("technicians")
 	require.Empty(t, cu.Deadlines)
-	require.NoError(t, order.Check(f.Current()))
+	require.NoError(t, configuration.Check(f.Current()))
 }
--- a/order/service.go
+++ b/order/service.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 )
 
 // Mutation changes a configuration or refuses to. It is called again on a
@@ -12,27 +13,10 @@
 // have no other effects.
 type Mutation func(*cicadapitch.Configuration) error
 
-// Change is one change of the configuration.
-type Change struct {
-	ID       cicadapitch.ChangeID
-	Operator cicadapitch.OperatorID
-	At       cicadapitch.Instant
-	Summary  string
-	Mutate   Mutation
-}
-
-// Applied is the outcome of a change that was accepted.
-type Applied struct {
-	Revision cicadapitch.Revision
-	// Repeated is true where the change id had been accepted before.
-	Repeated bool
-}
-
-// Applier makes changes in the platform's service. Its errors are of kind
-// Invalid or Conflict (the change was refused), Unavailable (not accepted) or
-// OutcomeUnknown (repeat it with the same id).
+// Applier makes changes in the platform's service, as configuration.Applier
+// does. The same change id is applied once.
 type Applier interface {
-	Apply(ctx context.Context, c Change) (Applied, error)
+	Apply(ctx context.Context, c configuration.Change) (configuration.Outcome, error)
 }
 
 // Spread tells how far a revision has come.
@@ -42,7 +26,8 @@
 	InForce(ctx context.Context, r cicadapitch.Revision) (n, m int)
 }
 
-// MaxWait bounds the wait until a change is in force everywhere.
+// MaxWait bounds the wait until a change is in force everywhere, and the wait
+// for the store before that.
 const MaxWait = 6 * cicadapitch.Second
 
 // pollInterval is the time between two looks at the hosts' revisions.
@@ -105,7 +90,7 @@
 	if err := checkChangeID(o.Change); err != nil {
 		return Result{}, err
 	}
-	applied, err := s.applier.Apply(ctx, Change{
+	out, err := s.apply(ctx, configuration.Change{
 		ID:       o.Change,
 		Operator: who.Operator,
 		At:       s.clock.Now(),
@@ -115,13 +100,23 @@
 	if err != nil {
 		return Result{}, explain(err)
 	}
-	n, m := s.awaitInForce(ctx, applied.Revision)
+	n, m := s.awaitInForce(ctx, out.Revision)
 	return Result{
-		Change: o.Change, Revision: applied.Revision, Summary: o.Summary,
-		InForce: n, Hosts: m, Repeated: applied.Repeated,
+		Change:   o.Change,
+		Revision: out.Revision,
+		Summary:  o.Summary,
+		InForce:  n,
+		Hosts:    m,
+		Repeated: out.Result == configuration.Repeated,
 	}, nil
 }
 
+func (s *Service) apply(ctx context.Context, c configuration.Change) (configuration.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, MaxWait.Duration())
+	defer cancel()
+	return s.applier.Apply(ctx, c)
+}
+
 // Order is one order with its effect.
 type Order struct {
 	Change  cicadapitch.ChangeID
@@ -130,7 +125,8 @@
 }
 
 // guarded checks the operator's right on the configuration that is changed,
-// because this host's may be older, and checks the changed configuration.
+// because this host's may be older, and checks the changed configuration beyond
+// what the applier checks.
 func guarded(who Orderer, m Mutation) Mutation {
 	return func(cfg *cicadapitch.Configuration) error {
 		if err := who.allowed(cfg); err != nil {
@@ -139,7 +135,7 @@
 		if err := m(cfg); err != nil {
 			return err
 		}
-		return Check(cfg)
+		return check(cfg)
 	}
 }
 
--- a/order/spread.go
+++ b/order/spread.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 )
 
 // MemberSpread reads the hosts' revisions from the membership records.
@@ -14,17 +15,7 @@
 	return &MemberSpread{members: members}
 }
 
-// InForce implements Spread. Hosts that are still starting take no callers and
-// do not count.
+// InForce implements Spread.
 func (s *MemberSpread) InForce(_ context.Context, r cicadapitch.Revision) (n, m int) {
-	for _, h := range s.members.Members() {
-		if h.State == cicadapitch.Starting || h.State == cicadapitch.Dead {
-			continue
-		}
-		m++
-		if h.Revision >= r {
-			n++
-		}
-	}
-	return n, m
+	return configuration.InForce(s.members.Members(), r)
 }
