--- /dev/null
+++ b/order/spread.go
@@ -0,0 +1,21 @@
+package order
+
+import (
+	"context"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
+)
+
+// MemberSpread reads the hosts' revisions from the membership records.
+type MemberSpread struct{ members cicadapitch.Members }
+
+// NewMemberSpread returns a spread over the members.
+func NewMemberSpread(members cicadapitch.Members) *MemberSpread {
+	return &MemberSpread{members: members}
+}
+
+// InForce implements Spread.
+func (s *MemberSpread) InForce(_ context.Context, r cicadapitch.Revision) (n, m int) {
+	return configuration.InForce(s.members.Members(), r)
+}
