--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"cicadapitch.example/cicadapitch/endpoint"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/settings"
 )
@@ -32,6 +33,7 @@
 	claims   *claim.Claims
 	owner    *endpoint.Owner
 	entry    *entry.Server
+	orders   *order.Service
 	peers    *peer.Server
 	dialer   *peer.Dialer
 }
@@ -70,6 +72,9 @@
 	if d.entry, err = do.Invoke[*entry.Server](d.roles); err != nil {
 		return cicadapitch.Wrap(err)
 	}
+	if d.orders, err = do.Invoke[*order.Service](d.roles); err != nil {
+		return cicadapitch.Wrap(err)
+	}
 	d.self = do.MustInvoke[cicadapitch.Member](d.roles)
 	d.group = do.MustInvoke[*host.Group](d.roles)
 	d.follower = do.MustInvoke[*configuration.Follower](d.roles)
--- a/daemon/handler.go
+++ b/daemon/handler.go
@@ -9,6 +9,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/order"
 )
 
 // apiVersion is the version of the HTTP API, not of the program.
@@ -19,6 +20,7 @@
 	mux := http.NewServeMux()
 	api := humago.New(mux, huma.DefaultConfig("cicadapitch", apiVersion))
 	entry.Register(api, d.entry, d.directory)
+	order.Register(api, d.orders)
 	mux.HandleFunc("GET /healthz", d.health)
 	mux.HandleFunc("GET /readyz", d.ready)
 	return mux
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -15,6 +15,7 @@
 	"cicadapitch.example/cicadapitch/endpoint"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/settings"
@@ -36,6 +37,7 @@
 	do.Provide(i, newOwner)
 	do.Provide(i, newMinter)
 	do.Provide(i, newEntry)
+	do.Provide(i, newOrders)
 }
 
 func newSelf(i do.Injector) (cicadapitch.Member, error) {
@@ -146,9 +148,26 @@
 		entry.WithMinter(do.MustInvoke[*booking.Minter](i)),
 		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
 		entry.WithForwarder(forwarder{dialer}),
+		entry.WithClaims(newKeyClaims(i, self)),
 	), nil
 }
 
+// newKeyClaims gives the right to run callers' own idempotency keys.
+func newKeyClaims(i do.Injector, self cicadapitch.Member) *booking.Claims {
+	holder := booking.Holder{Host: self.Host, Incarnation: self.Incarnation, Address: self.CallerURL}
+	return booking.NewClaims(do.MustInvoke[cicadapitch.Store](i), clockOf(i), holder)
+}
+
+func newOrders(i do.Injector) (*order.Service, error) {
+	follower := do.MustInvoke[*configuration.Follower](i)
+	applier := configuration.NewApplier(do.MustInvoke[cicadapitch.Store](i), clockOf(i),
+		configuration.WithFollower(follower))
+	spread := order.NewMemberSpread(do.MustInvoke[*host.Group](i))
+	s := do.MustInvoke[*settings.Settings](i)
+	return order.NewService(follower, applier, spread, clockOf(i),
+		order.WithBootstrapKey(s.DeploymentKey)), nil
+}
+
 func clockOf(i do.Injector) cicadapitch.Clock { return do.MustInvoke[cicadapitch.Clock](i) }
 
 func logOf(i do.Injector) zerolog.Logger { return do.MustInvoke[zerolog.Logger](i) }
