proof: rolling restart and killed hosts with real processes

Cause: the invariants about processes need processes that are really ended. With hosts killed in turn one streamed text lacked its end while the answer was whole: fault under examination.

--- a/deployment/local.go
+++ b/deployment/local.go
@@ -167,13 +167,22 @@
 
 // Stop shuts the daemons down gracefully and then ends the stand-ins.
 func (l *Local) Stop() {
-	l.cancel()
+	if l.cancel != nil {
+		l.cancel()
+	}
 	l.running.Wait()
 	for _, s := range l.servers {
 		_ = s.Close()
 	}
 }
 
+// Settings returns the settings of each host, for a caller that runs the
+// daemons itself.
+func (l *Local) Settings() []*settings.Settings { return l.hosts }
+
+// StoreURL returns the base URL of the key-value service.
+func (l *Local) StoreURL() string { return l.storeURL }
+
 // Seeds returns the base URLs of the hosts for callers.
 func (l *Local) Seeds() []string {
 	var urls []string
