--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -10,6 +10,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/booking"
 	"cicadapitch.example/cicadapitch/entry"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -170,8 +171,8 @@
 		host := cicadapitch.HostID([]string{"h1", "h2"}[i%2])
 		wg.Go(func() {
 			got, err := p.hosts[host].Serve(context.Background(), req, nil)
-			require.NoError(t, err)
-			require.Equal(t, "book(encode(x))", got.Output)
+			assert.NoError(t, err)
+			assert.Equal(t, "book(encode(x))", got.Output)
 		})
 	}
 	wg.Wait()
--- /dev/null
+++ b/entry/policy_test.go
@@ -0,0 +1,179 @@
+package entry_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/entry"
+	"github.com/stretchr/testify/require"
+)
+
+func draft() cicadapitch.Request {
+	return cicadapitch.Request{Customer: "club", Pipeline: "draft", Input: "x"}
+}
+
+// hang runs an attempt that ignores its context until release is closed.
+func hang(stage cicadapitch.StageID, release <-chan struct{}) behaviour {
+	return func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+		if a.ID.Stage == stage {
+			<-release
+		}
+		return cicadapitch.StageResult{}, nil, false
+	}
+}
+
+func TestRequestEndsAtItsDeadlineWhateverTheRunnerDoes(t *testing.T) {
+	for _, pipeline := range []cicadapitch.PipelineID{"draft", "reserve"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			release := make(chan struct{})
+			defer close(release)
+			f.runner = newFakeRunner(hang("encode", release))
+			s := f.server()
+			start := f.clock.Now()
+			req := draft()
+			req.Pipeline, req.Deadline, req.Token = pipeline, 700, f.minter.Mint("club")
+			_, err := s.Serve(context.Background(), req, nil)
+			require.Equal(t, cicadapitch.DeadlineExceeded, cicadapitch.KindOf(err))
+			require.Positive(t, cicadapitch.AsError(err).RetryAfter)
+			require.Equal(t, cicadapitch.Millis(700), f.clock.Now().Sub(start))
+		})
+	}
+}
+
+func TestSlowAttemptIsHedgedAtAnotherShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		release := make(chan struct{})
+		defer close(release)
+		var first atomic.Bool
+		var mu sync.Mutex
+		var shards []cicadapitch.ShardID
+		f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+			if a.ID.Stage != "encode" {
+				return cicadapitch.StageResult{}, nil, false
+			}
+			mu.Lock()
+			shards = append(shards, a.Shard)
+			mu.Unlock()
+			if first.CompareAndSwap(false, true) {
+				<-release
+			}
+			return cicadapitch.StageResult{}, nil, false
+		})
+		d := &drops{counts: make(map[entry.Dropped]int)}
+		start := f.clock.Now()
+		owners := loaded{f, cicadapitch.ShardLoad{Free: 10, Total: 10, ServiceMillis: 10}}
+		s := entry.NewServer(f, f, owners, f.runner, f.clock, entry.WithMetrics(d), entry.WithSeed(1))
+		_, err := s.Serve(context.Background(), draft(), nil)
+		require.NoError(t, err)
+		require.Less(t, f.clock.Now().Sub(start), cicadapitch.Second)
+		require.Equal(t, 1, d.hedges)
+		require.Len(t, shards, 2)
+		require.NotEqual(t, shards[0], shards[1])
+	})
+}
+
+func TestFailuresDoNotBecomeAStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		var attempts atomic.Int64
+		f.runner = newFakeRunner(func(context.Context, cicadapitch.Attempt, func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+			attempts.Add(1)
+			return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the endpoint fails"), true
+		})
+		const requests, saved = 1000, 20
+		s := f.server(entry.WithRetryBudget(0.1, saved))
+		var wg sync.WaitGroup
+		for range requests {
+			wg.Go(func() { _, _ = s.Serve(context.Background(), draft(), nil) })
+		}
+		wg.Wait()
+		require.LessOrEqual(t, attempts.Load(), int64(requests*11/10+saved))
+		require.Greater(t, attempts.Load(), int64(requests))
+	})
+}
+
+// loaded reports the same load for each shard.
+type loaded struct {
+	*fixture
+	load cicadapitch.ShardLoad
+}
+
+func (l loaded) Load(cicadapitch.ShardID) (cicadapitch.ShardLoad, bool) { return l.load, true }
+
+func TestWhatCannotMeetItsDeadlineIsRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		owners := loaded{f, cicadapitch.ShardLoad{Total: 2, Queued: 100, ServiceMillis: 100}}
+		s := entry.NewServer(f, f, owners, f.runner, f.clock, entry.WithMinter(f.minter))
+		start := f.clock.Now()
+		req := draft()
+		req.Deadline = 5000
+		_, err := s.Serve(context.Background(), req, nil)
+		require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+		require.Positive(t, cicadapitch.AsError(err).RetryAfter)
+		require.Equal(t, start, f.clock.Now())
+		require.Zero(t, f.runner.(*fakeRunner).starts("encode"))
+		req.Deadline = 30_000
+		_, err = s.Serve(context.Background(), req, nil)
+		require.NoError(t, err)
+	})
+}
+
+func TestZoneTakenOutGetsNoFurtherStage(t *testing.T) {
+	f := newFixture()
+	var mu sync.Mutex
+	zones := make(map[cicadapitch.ShardID]int)
+	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		zones[a.Shard]++
+		next := testConfiguration()
+		next.Revision = 2
+		next.Zones[0].Out = true
+		f.cfg = next
+		return cicadapitch.StageResult{}, nil, false
+	})
+	s := f.server()
+	for range 50 {
+		_, err := s.Serve(context.Background(), draft(), nil)
+		require.NoError(t, err)
+	}
+	require.Zero(t, zones["engines-z1"])
+	require.Equal(t, 50, zones["engines-z2"])
+}
+
+func TestDrainEndsWhatRunsAndRefusesWhatIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		release := make(chan struct{})
+		f.runner = newFakeRunner(hang("generate", release))
+		s := f.server()
+		served := make(chan error, 1)
+		go func() {
+			_, err := s.Serve(context.Background(), draft(), nil)
+			served <- err
+		}()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(context.Background()) }()
+		synctest.Wait()
+		for _, p := range []cicadapitch.PipelineID{"draft", "reserve"} {
+			req := draft()
+			req.Pipeline, req.Token = p, f.minter.Mint("club")
+			_, err := s.Serve(context.Background(), req, nil)
+			require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+			require.Positive(t, cicadapitch.AsError(err).RetryAfter)
+		}
+		require.Empty(t, drained)
+		require.Equal(t, 1, s.Running())
+		close(release)
+		require.NoError(t, <-served)
+		require.NoError(t, <-drained)
+	})
+}
