--- /dev/null
+++ b/endpoint/state.go
@@ -0,0 +1,168 @@
+package endpoint
+
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/customer"
+)
+
+// State holds the decisions of one shard. Each message returns the commands it
+// leads to, which are valid until the next message. State is not safe for
+// concurrent use.
+type State struct {
+	policy    Policy
+	pool      cicadapitch.Pool
+	weight    cicadapitch.Weight
+	model     model
+	endpoints []*backend
+	queue     *customer.Queue[*job]
+	waiting   map[cicadapitch.AttemptID]*job
+	running   map[cicadapitch.AttemptID]*job
+	turn      int
+	paces     []float64
+	commands  []Command
+}
+
+// NewState returns the state of a shard without endpoints.
+func NewState(policy Policy) *State {
+	return &State{
+		policy:  policy,
+		queue:   customer.NewQueue[*job](policy.Quantum),
+		waiting: make(map[cicadapitch.AttemptID]*job),
+		running: make(map[cicadapitch.AttemptID]*job),
+	}
+}
+
+// Submit takes a job.
+func (s *State) Submit(now cicadapitch.Instant, j Job) []Command {
+	s.commands = s.commands[:0]
+	w := &job{Job: j, arrived: now}
+	if !s.admit(now, w) {
+		return s.commands
+	}
+	s.enqueue(w)
+	return s.dispatch(now)
+}
+
+// Progress takes the first output of a running call.
+func (s *State) Progress(now cicadapitch.Instant, id cicadapitch.AttemptID) {
+	if j, ok := s.running[id]; ok && j.first == 0 {
+		j.first = max(now.Sub(j.started), 1)
+	}
+}
+
+// Finish takes the end of a call.
+func (s *State) Finish(now cicadapitch.Instant, end CallEnd) []Command {
+	s.commands = s.commands[:0]
+	j, ok := s.running[end.Attempt]
+	if !ok {
+		return nil
+	}
+	delete(s.running, end.Attempt)
+	j.on.drop(j)
+	s.queue.Charge(j.item, customer.Work(now.Sub(j.started)))
+	switch end.Outcome {
+	case Succeeded:
+		s.succeeded(now, j, end.Tokens)
+	case Broken:
+		s.broken(now, j)
+	case Declined:
+		s.declined(now, j)
+	case Canceled:
+		j.on.stray(now.Add(s.policy.CancelLag))
+	}
+	return s.dispatch(now)
+}
+
+// Withdraw removes a job that waits.
+func (s *State) Withdraw(now cicadapitch.Instant, id cicadapitch.AttemptID) []Command {
+	s.commands = s.commands[:0]
+	if j, ok := s.waiting[id]; ok {
+		s.unqueue(j)
+		s.refuse(now, j, Withdrawn, 1)
+	}
+	return s.commands
+}
+
+// Surrender refuses all jobs that wait, since the shard has moved.
+func (s *State) Surrender(now cicadapitch.Instant) []Command {
+	s.commands = s.commands[:0]
+	for _, b := range s.endpoints {
+		s.scatter(b)
+	}
+	s.queue.Expire(
+		func(*customer.Item[*job]) bool { return true },
+		func(it *customer.Item[*job]) { s.refuse(now, it.Value, Moved, 1) },
+	)
+	return s.commands
+}
+
+// Tick looks at the time.
+func (s *State) Tick(now cicadapitch.Instant) []Command {
+	s.commands = s.commands[:0]
+	s.watch(now)
+	s.expire(now)
+	return s.dispatch(now)
+}
+
+// Load summarises the shard.
+func (s *State) Load(now cicadapitch.Instant) cicadapitch.ShardLoad {
+	l := cicadapitch.ShardLoad{Queued: len(s.waiting), ServiceMillis: cicadapitch.Millis(s.usual())}
+	for _, b := range s.endpoints {
+		l.Total += s.limit(now, b)
+		l.Free += s.free(now, b)
+	}
+	return l
+}
+
+func (s *State) succeeded(now cicadapitch.Instant, j *job, tokens cicadapitch.Tokens) {
+	b := j.on
+	done := sample{
+		service: float64(max(now.Sub(j.started), 1)),
+		first:   float64(j.first),
+		hit:     j.hit,
+		size:    j.Size,
+		tokens:  tokens,
+	}
+	if j.first == 0 {
+		done.first = done.service
+	}
+	b.failures = 0
+	b.prefixes.note(now, j.Prefix)
+	s.readmit(now, b)
+	ratio := s.model.ratio(done)
+	if ratio > s.policy.ColdFactor*max(b.pace(), 1) && done.service > float64(s.policy.LatencyFloor) {
+		s.fall(now, b)
+	} else {
+		s.grow(b, j)
+	}
+	b.speed.add(ratio)
+	s.model.learn(done)
+	s.judge(now, b)
+}
+
+// broken takes a call as a failure whose work may still run.
+func (s *State) broken(now cicadapitch.Instant, j *job) {
+	b := j.on
+	b.failures++
+	b.stray(min(now.Add(s.policy.ForeignWork), max(j.Deadline, now.Add(s.policy.CancelLag))))
+	s.fall(now, b)
+	s.judge(now, b)
+}
+
+// declined offers the job to another endpoint.
+func (s *State) declined(now cicadapitch.Instant, j *job) {
+	b := j.on
+	b.failures++
+	s.fall(now, b)
+	s.judge(now, b)
+	j.declines++
+	if j.declines > s.policy.MaxDeclines {
+		s.refuse(now, j, Overloaded, s.retryAfter(s.look(now, j), 0))
+		return
+	}
+	j.Avoid = append(slices.Clip(j.Avoid), b.ID)
+	j.first = 0
+	s.enqueue(j)
+}
