--- a/entry/fakerunner_test.go
+++ b/entry/fakerunner_test.go
@@ -9,7 +9,7 @@
 
 // behaviour replaces what the fake does with an attempt. It returns false to
 // have it run as usual.
-type behaviour func(ctx context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool)
+type behaviour func(ctx context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error)
 
 // fakeRunner runs attempts itself and records what has started, as the
 // endpoints would.
@@ -34,7 +34,7 @@
 // Run implements cicadapitch.Runner.
 func (r *fakeRunner) Run(ctx context.Context, _ cicadapitch.Member, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, error) {
 	if r.behave != nil {
-		if res, err, done := r.behave(ctx, a, sink); done {
+		if res, done, err := r.behave(ctx, a, sink); done {
 			return res, err
 		}
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -104,46 +104,6 @@
 	return right{key: key, host: rights.Host, incarnation: rights.Incarnation, since: rights.MintedAt}, nil
 }
 
-// forward hands the request to the incarnation that its right belongs to. Where
-// that is gone, the request may have run there, and nobody may run it again. A
-// leaving host still forwards, because it cannot tell that nothing has run.
-func (s *Server) forward(ctx context.Context, r right, w work, out *output) (cicadapitch.Answer, error) {
-	to, ok := s.holder(r)
-	if !ok {
-		return cicadapitch.Answer{}, gone()
-	}
-	s.gate.enterAlways()
-	defer s.gate.leave()
-	req := w.req
-	req.Deadline = max(w.deadline.Sub(s.clock.Now()), 1)
-	return await(ctx, func() (cicadapitch.Answer, error) {
-		return s.forwarder.Forward(ctx, to, req, out.send)
-	})
-}
-
-// await returns what call returns, or OutcomeUnknown once ctx ends.
-func await[T any](ctx context.Context, call func() (T, error)) (T, error) {
-	type reply struct {
-		value T
-		err   error
-	}
-	replies := make(chan reply, 1)
-	go func() {
-		v, err := call()
-		replies <- reply{v, err}
-	}()
-	var none T
-	select {
-	case a := <-replies:
-		if a.err != nil && cicadapitch.AsError(a.err) == nil {
-			return none, unreachable()
-		}
-		return a.value, a.err
-	case <-ctx.Done():
-		return none, unreachable()
-	}
-}
-
 // holder returns the live incarnation that holds a right.
 func (s *Server) holder(r right) (cicadapitch.Member, bool) {
 	if r.host == s.members.Self().Host {
@@ -168,9 +128,7 @@
 		if !ok {
 			return booking.Outcome{}, gone()
 		}
-		return await(ctx, func() (booking.Outcome, error) {
-			return s.forwarder.Outcome(ctx, to, customer, token)
-		})
+		return s.askHolder(ctx, to, customer, token)
 	}
 	e, err := s.ledger.Settle(r.key, r.since)
 	if err != nil {
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -36,41 +36,41 @@
 func faultyRunner(draw func() fault) *fakeRunner {
 	var r *fakeRunner
 	lost := cicadapitch.NewOutcomeUnknown("the connection went silent")
-	r = newFakeRunner(func(ctx context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+	r = newFakeRunner(func(ctx context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 		var zero cicadapitch.StageResult
 		switch draw() {
 		case refused:
-			return zero, cicadapitch.NewNotRun("no slot", 5), true
+			return zero, true, cicadapitch.NewNotRun("no slot", 5)
 		case redirected:
-			return zero, cicadapitch.NewError(cicadapitch.Redirected, "moved", ""), true
+			return zero, true, cicadapitch.NewError(cicadapitch.Redirected, "moved", "")
 		case lostBefore:
-			return zero, lost, true
+			return zero, true, lost
 		case lostAfter:
 			r.start(a)
-			return zero, lost, true
+			return zero, true, lost
 		case lostWithoutTrace:
 			r.start(a)
 			r.setState(a.ID, cicadapitch.AttemptState{})
-			return zero, lost, true
+			return zero, true, lost
 		case stillRunning:
 			r.start(a)
 			r.setState(a.ID, cicadapitch.AttemptState{Attempt: a.ID, Phase: cicadapitch.Running})
-			return zero, lost, true
+			return zero, true, lost
 		case crossedResult:
 			r.start(a)
 			res := resultOf(a)
 			res.Attempt.Request = "another"
 			res.Output = "another's"
-			return res, nil, true
+			return res, true, nil
 		case declined:
 			r.start(a)
-			return zero, cicadapitch.NewError(cicadapitch.Conflict, "the slot is taken", ""), true
+			return zero, true, cicadapitch.NewError(cicadapitch.Conflict, "the slot is taken", "")
 		case lostForever:
 			r.start(a)
 			<-ctx.Done()
-			return zero, ctx.Err(), true
+			return zero, true, ctx.Err()
 		}
-		return zero, nil, false
+		return zero, false, nil
 	})
 	return r
 }
@@ -141,13 +141,23 @@
 // peers is two entry hosts that forward to each other.
 type peers struct {
 	hosts map[cicadapitch.HostID]*entry.Server
+	// cut has nothing reach the other host.
+	cut bool
 }
 
+func notSent() error { return cicadapitch.NewNotRun("the host could not be dialled", 1) }
+
 func (p *peers) Forward(ctx context.Context, to cicadapitch.Member, req cicadapitch.Request, sink func(cicadapitch.Chunk)) (cicadapitch.Answer, error) {
+	if p.cut {
+		return cicadapitch.Answer{}, notSent()
+	}
 	return p.hosts[to.Host].Serve(ctx, req, sink)
 }
 
 func (p *peers) Outcome(ctx context.Context, to cicadapitch.Member, customer cicadapitch.CustomerID, token cicadapitch.Token) (booking.Outcome, error) {
+	if p.cut {
+		return booking.Outcome{}, notSent()
+	}
 	return p.hosts[to.Host].Outcome(ctx, customer, token)
 }
 
@@ -182,6 +192,22 @@
 	require.Equal(t, "book(encode(x))", o.Answer.Output)
 }
 
+func TestForwardedRefusalIsTrue(t *testing.T) {
+	p, a, _ := newPeers()
+	req := cicadapitch.Request{Customer: "club", Pipeline: "reserve", Input: "x", Token: a.minter.Mint("club")}
+	_, err := p.hosts["h1"].Serve(context.Background(), req, nil)
+	require.NoError(t, err)
+	p.cut = true
+	_, err = p.hosts["h2"].Serve(context.Background(), req, nil)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err), "it has run: %v", err)
+	p.cut = false
+	req.Token = a.minter.Mint("club")
+	require.NoError(t, p.hosts["h1"].Drain(context.Background()))
+	_, err = p.hosts["h2"].Serve(context.Background(), req, nil)
+	require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+	require.Equal(t, 1, a.runner.(*fakeRunner).starts("book"))
+}
+
 func TestTokenOfAGoneIncarnationIsUnknownAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, a, b := newPeers()
@@ -207,9 +233,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
 		proceed := make(chan struct{})
-		f.runner = newFakeRunner(func(context.Context, cicadapitch.Attempt, func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+		f.runner = newFakeRunner(func(context.Context, cicadapitch.Attempt, func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 			<-proceed
-			return cicadapitch.StageResult{}, nil, false
+			return cicadapitch.StageResult{}, false, nil
 		})
 		s := f.server()
 		req := cicadapitch.Request{Customer: "club", Pipeline: "reserve", Input: "x", Token: f.minter.Mint("club")}
--- a/entry/policy_test.go
+++ b/entry/policy_test.go
@@ -18,11 +18,11 @@
 
 // hang runs an attempt that ignores its context until release is closed.
 func hang(stage cicadapitch.StageID, release <-chan struct{}) behaviour {
-	return func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+	return func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 		if a.ID.Stage == stage {
 			<-release
 		}
-		return cicadapitch.StageResult{}, nil, false
+		return cicadapitch.StageResult{}, false, nil
 	}
 }
 
@@ -53,9 +53,9 @@
 		var first atomic.Bool
 		var mu sync.Mutex
 		var shards []cicadapitch.ShardID
-		f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+		f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 			if a.ID.Stage != "encode" {
-				return cicadapitch.StageResult{}, nil, false
+				return cicadapitch.StageResult{}, false, nil
 			}
 			mu.Lock()
 			shards = append(shards, a.Shard)
@@ -63,7 +63,7 @@
 			if first.CompareAndSwap(false, true) {
 				<-release
 			}
-			return cicadapitch.StageResult{}, nil, false
+			return cicadapitch.StageResult{}, false, nil
 		})
 		d := &drops{counts: make(map[entry.Dropped]int)}
 		start := f.clock.Now()
@@ -82,9 +82,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
 		var attempts atomic.Int64
-		f.runner = newFakeRunner(func(context.Context, cicadapitch.Attempt, func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+		f.runner = newFakeRunner(func(context.Context, cicadapitch.Attempt, func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 			attempts.Add(1)
-			return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the endpoint fails"), true
+			return cicadapitch.StageResult{}, true, cicadapitch.NewOutcomeUnknown("the endpoint fails")
 		})
 		const requests, saved = 1000, 20
 		s := f.server(entry.WithRetryBudget(0.1, saved))
@@ -129,7 +129,7 @@
 	f := newFixture()
 	var mu sync.Mutex
 	zones := make(map[cicadapitch.ShardID]int)
-	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		zones[a.Shard]++
@@ -137,7 +137,7 @@
 		next.Revision = 2
 		next.Zones[0].Out = true
 		f.cfg = next
-		return cicadapitch.StageResult{}, nil, false
+		return cicadapitch.StageResult{}, false, nil
 	})
 	s := f.server()
 	for range 50 {
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -45,9 +45,9 @@
 
 // run generates what follows the resumed text. It hands each chunk to any of
 // the open attempts, some of them twice, in any order.
-func (x *exchange) run(_ context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+func (x *exchange) run(_ context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 	if a.ID.Stage != "generate" {
-		return cicadapitch.StageResult{}, nil, false
+		return cicadapitch.StageResult{}, false, nil
 	}
 	whole := strings.Join(words(a.Input), "")
 	rest := strings.TrimPrefix(whole, a.Resume)
@@ -70,11 +70,11 @@
 	}
 	x.deliver(sink)
 	if stop < len(pieces) {
-		return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the stream broke"), true
+		return cicadapitch.StageResult{}, true, cicadapitch.NewOutcomeUnknown("the stream broke")
 	}
 	res := resultOf(a)
 	res.Output = rest
-	return res, nil, true
+	return res, true, nil
 }
 
 func (x *exchange) deliver(own func(cicadapitch.Chunk)) {
@@ -176,12 +176,12 @@
 	var late func(cicadapitch.Chunk)
 	var own cicadapitch.AttemptID
 	f := newFixture()
-	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, error, bool) {
+	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
 		late, own = sink, a.ID
 		sink(cicadapitch.Chunk{Attempt: a.ID, Index: 1 << 20, Text: "ahead"})
 		sink(cicadapitch.Chunk{Attempt: a.ID, Index: 1 << 20, Text: "ahead"})
 		sink(cicadapitch.Chunk{Attempt: cicadapitch.AttemptID{Request: "another"}, Text: "crossed"})
-		return cicadapitch.StageResult{}, nil, false
+		return cicadapitch.StageResult{}, false, nil
 	})
 	d := &drops{counts: make(map[entry.Dropped]int)}
 	called := 0
