entry: a resumed attempt keeps the stage's whole token bound

The entry role sent the remaining tokens as MaxTokens, counting a token for each chunk, while driver and engine took MaxTokens as the bound of the whole output, so a resumed stream ended early or did not match its beginning. Ruled out: the client's joining of two streams; its text agreed with what the hosts sent. Change: the root now says that MaxTokens includes Resume; the entry sends the stage's bound.

--- a/driver.go
+++ b/driver.go
@@ -4,13 +4,14 @@
 
 // Call is one call to an endpoint.
 type Call struct {
-	Attempt   AttemptID
-	Customer  CustomerID
-	Endpoint  Endpoint
-	Model     ModelID
-	Input     string
-	Prefix    string
-	Resume    string
+	Attempt  AttemptID
+	Customer CustomerID
+	Endpoint Endpoint
+	Model    ModelID
+	Input    string
+	Prefix   string
+	Resume   string
+	// MaxTokens bounds the whole output, Resume included.
 	MaxTokens Tokens
 	Priority  int
 	Timeout   Millis
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -88,7 +88,7 @@
 		Shard:      r.shard.Shard,
 		Input:      r.input,
 		Prefix:     r.rec.req.Prefix,
-		MaxTokens:  r.tokensLeft(),
+		MaxTokens:  r.stage.MaxTokens,
 		Idempotent: r.stage.Idempotent,
 		Streams:    r.stage.Streams,
 		Remaining:  limit,
@@ -97,14 +97,6 @@
 	}
 }
 
-// tokensLeft subtracts a token for each chunk that earlier attempts brought.
-func (r *stageRun) tokensLeft() cicadapitch.Tokens {
-	if r.stage.MaxTokens == 0 {
-		return 0
-	}
-	return max(r.stage.MaxTokens-cicadapitch.Tokens(r.chunks), 1)
-}
-
 func (r *stageRun) deliver(c cicadapitch.Chunk) {
 	if r.stage.Streams {
 		r.rec.out.send(c)
--- a/request.go
+++ b/request.go
@@ -56,14 +56,15 @@
 
 // Attempt asks the owner of a shard to run one stage once.
 type Attempt struct {
-	ID         AttemptID
-	Entry      HostID
-	Customer   CustomerID
-	Pipeline   PipelineID
-	Pool       PoolID
-	Shard      ShardID
-	Input      string
-	Prefix     string
+	ID       AttemptID
+	Entry    HostID
+	Customer CustomerID
+	Pipeline PipelineID
+	Pool     PoolID
+	Shard    ShardID
+	Input    string
+	Prefix   string
+	// MaxTokens bounds the whole output, Resume included.
 	MaxTokens  Tokens
 	Idempotent bool
 	Streams    bool
