--- /dev/null
+++ b/proof/silence_test.go
@@ -0,0 +1,50 @@
+package proof_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/settings"
+)
+
+// TestSilentConnectionsLoseNoRequest makes all connections between the hosts
+// silent, several times, while new ones work.
+func TestSilentConnectionsLoseNoRequest(t *testing.T) {
+	var relays []*relay
+	f := newFleet(t, func(hosts []*settings.Settings) { relays = relayPeers(t, hosts) })
+	l := startLoad(f, loadWorkers)
+	silenced := 0
+	for range 3 {
+		time.Sleep(2 * time.Second)
+		for _, r := range relays {
+			silenced += r.silence()
+		}
+	}
+	time.Sleep(2 * time.Second)
+	all := l.stop()
+	require.NotZero(t, silenced)
+	requireWhole(t, all)
+	requireAtMostOnce(t, f, all)
+	requireOnlyBookingsFailed(t, all)
+	t.Logf("%d requests, %d failed, %d connections silenced", len(all), len(failures(all)), silenced)
+}
+
+// relayPeers puts a relay before the peer listener of each host.
+func relayPeers(t *testing.T, hosts []*settings.Settings) []*relay {
+	var relays []*relay
+	for _, s := range hosts {
+		r := newRelay(t, s.PeerListen)
+		s.PeerAddress = r.address()
+		relays = append(relays, r)
+	}
+	var seeds []string
+	for _, r := range relays {
+		seeds = append(seeds, r.address())
+	}
+	for _, s := range hosts {
+		s.SeedPeers = seeds
+	}
+	return relays
+}
