pipeline: near zones sampled apart, tests and benchmarks

Cause: with the region's samples drawn from all of its zones, about 1 in 160 choices saw only the caller's own zone when that was full. The other zones of the region now have their own samples.

Seen failing without its mechanism: zones out, rendezvous by name, own attempts counted, age of loads, bound of failures. go test -race ./pipeline passes.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -100,10 +100,14 @@
 	}
 	r := q.Random
 	seen, r = draw(seen, g.zones[q.Zone], sampledInZone, r)
-	seen, r = draw(seen, g.regions[q.Region], sampledInRegion, r)
+	near, ok := g.near[q.Zone]
+	if !ok {
+		near = g.regions[q.Region]
+	}
+	seen, r = draw(seen, near, sampledInRegion, r)
 	n := sampledAnywhere
-	if len(seen) == 0 {
-		n += sampledInZone + sampledInRegion
+	if len(near) == 0 {
+		n += sampledInRegion
 	}
 	for range n {
 		r = mix(r + 1)
@@ -165,6 +169,15 @@
 	return c
 }
 
+// Home returns the shard to which a prefix belongs, or an empty id.
+func (g *Group) Home(prefix string) cicadapitch.ShardID {
+	i := g.affinity[xxh3.HashString(prefix)%affinityBuckets][0]
+	if len(g.Members) == 0 || i < 0 {
+		return ""
+	}
+	return g.Members[i].Shard
+}
+
 func (g *Group) affine(i int32, prefix string) bool {
 	return prefix != "" && g.affinity[xxh3.HashString(prefix)%affinityBuckets][0] == i
 }
--- /dev/null
+++ b/pipeline/choose_test.go
@@ -0,0 +1,231 @@
+package pipeline_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// fleet returns a configuration with one pool of n endpoints in shards of up to
+// 16, over ten zones in three regions.
+func fleet(n int) *cicadapitch.Configuration {
+	cfg := &cicadapitch.Configuration{Revision: 1, Pools: []cicadapitch.Pool{{ID: "engines"}}}
+	const zones, regions, perShard = 10, 3, 16
+	for z := range zones {
+		cfg.Zones = append(cfg.Zones, cicadapitch.Zone{
+			ID:     cicadapitch.ZoneID(fmt.Sprint("z", z)),
+			Region: cicadapitch.RegionID(fmt.Sprint("r", z%regions)),
+		})
+	}
+	for e := range n {
+		zone := e % min(zones, max(n/perShard, 1))
+		cfg.Endpoints = append(cfg.Endpoints, cicadapitch.Endpoint{
+			ID:    cicadapitch.EndpointID(fmt.Sprint("e", e)),
+			Pool:  "engines",
+			Zone:  cicadapitch.ZoneID(fmt.Sprint("z", zone)),
+			Shard: cicadapitch.ShardID(fmt.Sprintf("engines-%d-%d", zone, e/perShard/zones)),
+		})
+	}
+	return cfg
+}
+
+func query(r *rand.Rand) pipeline.Query {
+	return pipeline.Query{
+		Zone: "z0", Region: "r0", Expected: 100, Budget: 2000, Weight: 0.5, Random: r.Uint64(),
+	}
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+func freeState(int) pipeline.ShardState {
+	return pipeline.ShardState{Known: true, Load: cicadapitch.ShardLoad{Free: 8, Total: 16, ServiceMillis: 100}}
+}
+
+func TestChooseLeavesOutWhatIsOut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := fleet(rapid.IntRange(1, 400).Draw(rt, "endpoints"))
+		out := make(map[cicadapitch.ZoneID]bool)
+		for i := range cfg.Zones {
+			cfg.Zones[i].Out = rapid.Bool().Draw(rt, "out")
+			out[cfg.Zones[i].ID] = cfg.Zones[i].Out
+		}
+		in := make(map[cicadapitch.ShardID]bool)
+		for i := range cfg.Endpoints {
+			e := &cfg.Endpoints[i]
+			e.Out = rapid.Bool().Draw(rt, "endpoint out")
+			in[e.Shard] = in[e.Shard] || (!e.Out && !out[e.Zone])
+		}
+		g := pipeline.NewGroups(cfg)["engines"]
+		r := newRand(rapid.Uint64().Draw(rt, "seed"))
+		for range 20 {
+			q := query(r)
+			q.Prefix = fmt.Sprint(r.Uint64())
+			c, ok := pipeline.Choose(g, freeState, q)
+			require.Equal(rt, len(g.Members) > 0, ok)
+			if ok {
+				require.True(rt, in[c.Shard], "chose %s", c.Shard)
+				require.False(rt, out[c.Zone], "chose %s", c.Zone)
+			}
+		}
+	})
+}
+
+func TestChoosePrefersNearAndFree(t *testing.T) {
+	g := pipeline.NewGroups(fleet(320))["engines"]
+	r := newRand(1)
+	local := 0
+	for range 1000 {
+		c, _ := pipeline.Choose(g, freeState, query(r))
+		if c.Zone == "z0" {
+			local++
+		}
+	}
+	require.Equal(t, 1000, local)
+	busyAtHome := func(i int) pipeline.ShardState {
+		s := freeState(i)
+		if g.Members[i].Zone == "z0" {
+			s.Load.Free, s.Load.Queued = 0, 100
+		}
+		return s
+	}
+	for range 1000 {
+		c, _ := pipeline.Choose(g, busyAtHome, query(r))
+		require.NotEqual(t, cicadapitch.ZoneID("z0"), c.Zone)
+	}
+}
+
+func TestPrefixStaysUntilItsShardIsLoaded(t *testing.T) {
+	g := pipeline.NewGroups(fleet(320))["engines"]
+	r := newRand(2)
+	for i := range 200 {
+		q := query(r)
+		q.Prefix = fmt.Sprint("prefix", i)
+		home := g.Home(q.Prefix)
+		state := func(load cicadapitch.ShardLoad) func(int) pipeline.ShardState {
+			return func(i int) pipeline.ShardState {
+				s := freeState(i)
+				if g.Members[i].Shard == home {
+					s.Load = load
+				}
+				return s
+			}
+		}
+		for i, m := range g.Members {
+			if m.Shard == home {
+				q.Region, q.Zone = g.Members[i].Region, g.Members[i].Zone
+			}
+		}
+		c, _ := pipeline.Choose(g, state(cicadapitch.ShardLoad{Free: 1, Total: 16, ServiceMillis: 100}), q)
+		require.Equal(t, home, c.Shard)
+		require.True(t, c.Affine)
+		c, _ = pipeline.Choose(g, state(cicadapitch.ShardLoad{Total: 16, Queued: 64, ServiceMillis: 100}), q)
+		require.NotEqual(t, home, c.Shard)
+	}
+}
+
+// TestAffinityMovesLittle takes one shard out and counts the prefixes that
+// change their shard.
+func TestAffinityMovesLittle(t *testing.T) {
+	cfg := fleet(320)
+	before := pipeline.NewGroups(cfg)["engines"]
+	gone := before.Members[3].Shard
+	for i := range cfg.Endpoints {
+		cfg.Endpoints[i].Out = cfg.Endpoints[i].Shard == gone
+	}
+	after := pipeline.NewGroups(cfg)["engines"]
+	moved := 0
+	const prefixes = 2000
+	for i := range prefixes {
+		p := fmt.Sprint("prefix", i)
+		if a, b := before.Home(p), after.Home(p); a != b {
+			require.Equal(t, gone, a)
+			moved++
+		}
+	}
+	require.Less(t, moved, 2*prefixes/len(before.Members))
+}
+
+// TestManyChoosersSpread has entry hosts choose for one load report that does
+// not change. Random choice would put 1.8 times the mean on the fullest shard.
+func TestManyChoosersSpread(t *testing.T) {
+	g := pipeline.NewGroups(fleet(320))["engines"]
+	r := newRand(3)
+	const hosts, each = 8, 20
+	counts := make([]int, len(g.Members))
+	for range hosts {
+		own := make([]int, len(g.Members))
+		for range each {
+			q := query(r)
+			q.Zone, q.Region = "", ""
+			c, _ := pipeline.Choose(g, func(i int) pipeline.ShardState {
+				s := freeState(i)
+				s.Load.Free = 0
+				s.Inflight, s.Since = own[i], own[i]
+				return s
+			}, q)
+			for i, m := range g.Members {
+				if m.Shard == c.Shard {
+					own[i]++
+					counts[i]++
+				}
+			}
+		}
+	}
+	mean := float64(hosts*each) / float64(len(g.Members))
+	for i, n := range counts {
+		require.Less(t, float64(n), 1.5*mean, "shard %d", i)
+	}
+}
+
+func TestOldQueueIsDiscounted(t *testing.T) {
+	g := pipeline.NewGroups(fleet(1))["engines"]
+	var last cicadapitch.Millis = 1 << 40
+	for _, age := range []cicadapitch.Millis{0, 1000, 4000} {
+		c, _ := pipeline.Choose(g, func(int) pipeline.ShardState {
+			return pipeline.ShardState{Known: true, Age: age, Load: cicadapitch.ShardLoad{Total: 1, Queued: 50, ServiceMillis: 100}}
+		}, query(newRand(1)))
+		require.Less(t, c.Wait, last)
+		last = c.Wait
+	}
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	for _, n := range []int{10, 2900} {
+		g := pipeline.NewGroups(fleet(n))["engines"]
+		q := query(newRand(1))
+		q.Prefix = "rules"
+		require.Zero(t, testing.AllocsPerRun(100, func() { pipeline.Choose(g, freeState, q) }))
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2900} {
+		g := pipeline.NewGroups(fleet(n))["engines"]
+		b.Run(fmt.Sprintf("endpoints=%d/shards=%d", n, len(g.Members)), func(b *testing.B) {
+			b.ReportAllocs()
+			q := query(newRand(1))
+			q.Prefix = "rules"
+			for i := range b.N {
+				q.Random = uint64(i)
+				pipeline.Choose(g, freeState, q)
+			}
+		})
+	}
+}
+
+func BenchmarkNewGroups(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2900} {
+		cfg := fleet(n)
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				pipeline.NewGroups(cfg)
+			}
+		})
+	}
+}
--- a/pipeline/group.go
+++ b/pipeline/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cicadapitch.example/cicadapitch"
+	"github.com/samber/lo"
 	"github.com/zeebo/xxh3"
 )
 
@@ -28,6 +29,8 @@
 	affinity [affinityBuckets][affinityRanks]int32
 	zones    map[cicadapitch.ZoneID][]int32
 	regions  map[cicadapitch.RegionID][]int32
+	// near holds, for each zone, the members in the other zones of its region.
+	near map[cicadapitch.ZoneID][]int32
 }
 
 // NewGroups returns the groups of all pools of a configuration. Zones and
@@ -75,6 +78,11 @@
 		g.regions[m.Region] = append(g.regions[m.Region], int32(i))
 		seeds[i] = xxh3.HashString(string(m.Shard))
 	}
+	g.near = make(map[cicadapitch.ZoneID][]int32)
+	for zone, own := range g.zones {
+		region := g.regions[g.Members[own[0]].Region]
+		g.near[zone] = lo.Filter(region, func(i int32, _ int) bool { return g.Members[i].Zone != zone })
+	}
 	for b := range g.affinity {
 		g.affinity[b] = rank(seeds, uint64(b))
 	}
--- /dev/null
+++ b/pipeline/plan_test.go
@@ -0,0 +1,88 @@
+package pipeline_test
+
+import (
+	"testing"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestAdmitRefusesWithTheTimeToComeBack(t *testing.T) {
+	plan := pipeline.Plan{{Wait: 500, Service: 100}, {Wait: 300, Service: 200}}
+	require.NoError(t, plan.Admit(1100))
+	err := plan.Admit(1000)
+	require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+	require.Equal(t, cicadapitch.Millis(100), cicadapitch.AsError(err).RetryAfter)
+	require.Contains(t, plan.Admit(200).Error(), "longer deadline")
+}
+
+func TestSplitLeavesLaterStagesTheirTime(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var plan pipeline.Plan
+		for range rapid.IntRange(1, 6).Draw(rt, "stages") {
+			plan = append(plan, pipeline.Part{Service: cicadapitch.Millis(rapid.IntRange(0, 3000).Draw(rt, "service"))})
+		}
+		left := cicadapitch.Millis(rapid.IntRange(-10, 9000).Draw(rt, "left"))
+		budget, limit := plan.Split(left)
+		require.LessOrEqual(rt, budget, limit)
+		if left <= 0 {
+			require.Zero(rt, limit)
+			return
+		}
+		require.LessOrEqual(rt, limit, left)
+		require.Positive(rt, budget)
+		if plan.Service() <= left {
+			require.Equal(rt, left-plan[1:].Service(), limit)
+		}
+	})
+}
+
+func TestNextBoundsTheAttemptsOfAStage(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := pipeline.Progress{Idempotent: rapid.Bool().Draw(rt, "idempotent")}
+		left := cicadapitch.Millis(rapid.IntRange(1, 9000).Draw(rt, "left"))
+		for n := 0; ; n++ {
+			require.Less(rt, n, 20)
+			kind := rapid.SampledFrom([]cicadapitch.Kind{
+				cicadapitch.NotRun, cicadapitch.Redirected, cicadapitch.OutcomeUnknown, cicadapitch.Internal,
+			}).Draw(rt, "kind")
+			var step pipeline.Step
+			p, step = pipeline.Next(p, kind, left, rapid.Uint64().Draw(rt, "random"))
+			if step.Move == pipeline.Fail || step.Move == pipeline.Ask {
+				return
+			}
+			require.Less(rt, step.Wait, left)
+			started := !pipeline.NotStarted(kind)
+			require.False(rt, started && !p.Idempotent, "would run %v again", kind)
+			require.Equal(rt, started, step.Spends)
+		}
+	})
+}
+
+func TestBudgetBoundsAStorm(t *testing.T) {
+	b := pipeline.NewBudget(0.1, 10)
+	spent := 0
+	for range 10_000 {
+		b = b.Earn()
+		for {
+			next, ok := b.Spend()
+			if !ok {
+				break
+			}
+			b = next
+			spent++
+		}
+	}
+	require.LessOrEqual(t, spent, 10_000/10+10)
+}
+
+func TestEstimateFollowsMeasurements(t *testing.T) {
+	e := pipeline.NewEstimate(1000)
+	for range 50 {
+		e = e.Add(100)
+	}
+	require.InDelta(t, 100, float64(e.Typical()), 20)
+	require.GreaterOrEqual(t, e.Tail(), e.Typical())
+}
