--- a/client/delivery.go
+++ b/client/delivery.go
@@ -105,12 +105,7 @@
 func (d *delivery) note(host string, r reply) *cicadapitch.Error {
 	d.failed = append(d.failed, host)
 	if r.heard {
-		d.unsettled = false
-		e := cicadapitch.AsError(r.err)
-		if d.own && d.repeatable(e) {
-			d.renew()
-		}
-		return e
+		return d.heed(cicadapitch.AsError(r.err))
 	}
 	d.sent = d.sent || r.sent
 	d.unsettled = d.unsettled || r.sent
@@ -121,6 +116,19 @@
 	return cicadapitch.NewNotRun("a host gave no answer: "+r.err.Error(), lostRetryMillis)
 }
 
+// heed takes in what a host has said. Unavailable says nothing about earlier
+// sendings; every other error is about the token or key itself.
+func (d *delivery) heed(e *cicadapitch.Error) *cicadapitch.Error {
+	if e.Kind == cicadapitch.Unavailable {
+		return e
+	}
+	d.unsettled = false
+	if d.own && d.repeatable(e) {
+		d.renew()
+	}
+	return e
+}
+
 // renew gives up a token under which nothing has run.
 func (d *delivery) renew() {
 	d.token = ""
--- a/client/send.go
+++ b/client/send.go
@@ -68,8 +68,6 @@
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Accept", "text/event-stream")
 	c.authorize(r)
-	// A body that cannot be rewound keeps the transport from sending twice.
-	r.GetBody = nil
 	return r, nil
 }
 
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -75,6 +75,13 @@
 	return t
 }
 
+// unavailable is not NotRun, because an earlier sending to another host may have
+// run.
+func unavailable() error {
+	return cicadapitch.NewError(cicadapitch.Unavailable,
+		"the host has no configuration yet", "send the request to another host").After(cicadapitch.Second)
+}
+
 func denied() error {
 	return cicadapitch.NewError(cicadapitch.Denied,
 		"the key is missing or wrong", "send the customer's key as Authorization: Bearer <key>")
