--- /dev/null
+++ b/report/api.go
@@ -0,0 +1,159 @@
+package report
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/entry"
+)
+
+// Path is the path below which queries are made.
+const Path = "/v1/admin/"
+
+// Authenticate returns an error unless the Authorization header brings an
+// operator's key.
+type Authenticate func(authorization string) error
+
+// Audit returns up to n records of changes, the newest first, beginning with
+// revision from.
+type Audit func(ctx context.Context, from cicadapitch.Revision, n int) ([]configuration.AuditRecord, error)
+
+// Sources are what the queries read.
+type Sources struct {
+	Configurations cicadapitch.Configurations
+	Members        cicadapitch.Members
+	Figures        Figures
+	Audit          Audit
+}
+
+// maxPage bounds the audit records of one answer.
+const maxPage = 200
+
+// Register adds the queries to an API.
+func Register(api huma.API, s Sources, authenticate Authenticate) {
+	register(api, authenticate, "configuration", "The configuration in force on this host", s.configuration)
+	register(api, authenticate, "status", "All hosts with their state, revision, claims and load", s.status)
+	register(api, authenticate, "costs", "Cost by stage, of the requests that entered at this host", s.costs)
+	register(api, authenticate, "attainment", "How requests ended that entered at this host", s.attainment)
+	registerAudit(api, s, authenticate)
+}
+
+type queryInput struct {
+	Authorization string `header:"Authorization"`
+}
+
+type queryOutput[B any] struct{ Body B }
+
+// register adds one query without parameters.
+func register[B any](api huma.API, authenticate Authenticate, name, summary string, query func() (B, error)) {
+	huma.Register(api, operation(name, summary),
+		func(_ context.Context, in *queryInput) (*queryOutput[B], error) {
+			if err := authenticate(in.Authorization); err != nil {
+				return nil, entry.NewAPIError(err)
+			}
+			body, err := query()
+			if err != nil {
+				return nil, entry.NewAPIError(err)
+			}
+			return &queryOutput[B]{Body: body}, nil
+		})
+}
+
+func operation(name, summary string) huma.Operation {
+	return huma.Operation{
+		OperationID: "report-" + name,
+		Method:      http.MethodGet,
+		Path:        Path + name,
+		Summary:     summary,
+		Tags:        []string{"Reports"},
+	}
+}
+
+// Status is what one host knows of all.
+type Status struct {
+	Self    cicadapitch.HostID
+	Members []cicadapitch.Member
+}
+
+// AttainmentPage holds the attainment of one host.
+type AttainmentPage struct {
+	Host    cicadapitch.HostID
+	Entries []Attainment
+}
+
+// CostPage holds the costs of one host.
+type CostPage struct {
+	Host    cicadapitch.HostID
+	Entries []StageCost
+}
+
+// AuditPage holds audit records, the newest first. Next is the revision to
+// ask from for older ones, 0 at the end.
+type AuditPage struct {
+	Records []configuration.AuditRecord
+	Next    cicadapitch.Revision
+}
+
+func (s Sources) configuration() (*cicadapitch.Configuration, error) {
+	cfg := s.Configurations.Current()
+	if cfg == nil {
+		return nil, cicadapitch.NewError(cicadapitch.NotFound, "there is no configuration yet",
+			"apply the first one with: cicadapitch configuration apply")
+	}
+	return cfg, nil
+}
+
+func (s Sources) status() (Status, error) {
+	return Status{Self: s.Members.Self().Host, Members: s.Members.Members()}, nil
+}
+
+func (s Sources) costs() (CostPage, error) {
+	return CostPage{Host: s.Members.Self().Host, Entries: s.Figures.Costs()}, nil
+}
+
+func (s Sources) attainment() (AttainmentPage, error) {
+	return AttainmentPage{Host: s.Members.Self().Host, Entries: s.Figures.Attainment()}, nil
+}
+
+type auditInput struct {
+	Authorization string `header:"Authorization"`
+	From          int64  `query:"From" minimum:"0" doc:"Revision to begin with, 0 for the newest"`
+	Limit         int    `query:"Limit" minimum:"1" maximum:"200" default:"50"`
+}
+
+func registerAudit(api huma.API, s Sources, authenticate Authenticate) {
+	huma.Register(api, operation("audit", "The audit trail, the newest change first"),
+		func(ctx context.Context, in *auditInput) (*queryOutput[AuditPage], error) {
+			if err := authenticate(in.Authorization); err != nil {
+				return nil, entry.NewAPIError(err)
+			}
+			page, err := s.audit(ctx, cicadapitch.Revision(in.From), min(in.Limit, maxPage))
+			if err != nil {
+				return nil, entry.NewAPIError(err)
+			}
+			return &queryOutput[AuditPage]{Body: page}, nil
+		})
+}
+
+func (s Sources) audit(ctx context.Context, from cicadapitch.Revision, limit int) (AuditPage, error) {
+	cfg, err := s.configuration()
+	if err != nil {
+		return AuditPage{}, err
+	}
+	if from == 0 || from > cfg.Revision {
+		from = cfg.Revision
+	}
+	records, err := s.Audit(ctx, from, limit)
+	if err != nil {
+		return AuditPage{}, cicadapitch.Wrap(err)
+	}
+	page := AuditPage{Records: records}
+	if len(records) == limit {
+		page.Next = records[len(records)-1].Revision - 1
+	}
+	return page, nil
+}
--- /dev/null
+++ b/report/merge.go
@@ -0,0 +1,119 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// MergeAttainment adds up the entries of several hosts by key, such as the
+// customer, the pipeline or the zone. Fields that differ within an entry are
+// left empty.
+func MergeAttainment(list []Attainment, key func(Attainment) string) []Attainment {
+	sums := make(map[string]*Attainment)
+	took := make(map[string]*hdrhistogram.Histogram)
+	for _, a := range list {
+		k := key(a)
+		sum, ok := sums[k]
+		if !ok {
+			sum = &Attainment{Customer: a.Customer, Pipeline: a.Pipeline, Zone: a.Zone}
+			sums[k] = sum
+			took[k] = newHistogram()
+		}
+		sum.add(a)
+		if h, err := hdrhistogram.Decode([]byte(a.TookMillis)); err == nil {
+			took[k].Merge(h)
+		}
+	}
+	merged := make([]Attainment, 0, len(sums))
+	for _, k := range slices.Sorted(maps.Keys(sums)) {
+		sums[k].TookMillis = encode(took[k])
+		merged = append(merged, *sums[k])
+	}
+	return merged
+}
+
+func (a *Attainment) add(b Attainment) {
+	a.Customer = same(a.Customer, b.Customer)
+	a.Pipeline = same(a.Pipeline, b.Pipeline)
+	a.Zone = same(a.Zone, b.Zone)
+	a.Answered += b.Answered
+	a.Met += b.Met
+	for _, r := range b.Refusals {
+		i := slices.IndexFunc(a.Refusals, func(o Refusal) bool { return o.Kind == r.Kind })
+		if i < 0 {
+			a.Refusals = append(a.Refusals, r)
+			continue
+		}
+		a.Refusals[i].Count += r.Count
+	}
+	slices.SortFunc(a.Refusals, func(x, y Refusal) int { return cmp.Compare(x.Kind, y.Kind) })
+}
+
+func same[T comparable](a, b T) T {
+	var none T
+	if a != b {
+		return none
+	}
+	return a
+}
+
+// Quantile returns the time within which the share q of the whole answers came.
+func (a Attainment) Quantile(q float64) cicadapitch.Millis {
+	h, err := hdrhistogram.Decode([]byte(a.TookMillis))
+	if err != nil {
+		return 0
+	}
+	return cicadapitch.Millis(h.ValueAtQuantile(q * 100))
+}
+
+// MergeCosts adds up the entries of several hosts by key.
+func MergeCosts(list []StageCost, key func(StageCost) string) []StageCost {
+	sums := make(map[string]*StageCost)
+	for _, c := range list {
+		k := key(c)
+		if _, ok := sums[k]; !ok {
+			sums[k] = &StageCost{Pipeline: c.Pipeline, Stage: c.Stage, Zone: c.Zone}
+		}
+		sums[k].add(c)
+	}
+	merged := make([]StageCost, 0, len(sums))
+	for _, k := range slices.Sorted(maps.Keys(sums)) {
+		merged = append(merged, *sums[k])
+	}
+	return merged
+}
+
+func (c *StageCost) add(b StageCost) {
+	c.Pipeline = same(c.Pipeline, b.Pipeline)
+	c.Stage = same(c.Stage, b.Stage)
+	c.Zone = same(c.Zone, b.Zone)
+	c.Count += b.Count
+	c.Attempts += b.Attempts
+	c.Queued += b.Queued
+	c.Served += b.Served
+	c.Tokens += b.Tokens
+	c.Cost += b.Cost
+}
+
+// Bounds of the latency histograms in milliseconds. One significant digit
+// keeps a histogram near 2 KB; there is one for each customer and pipeline.
+const (
+	minTook = 1
+	maxTook = 600_000
+	digits  = 1
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(minTook, maxTook, digits) }
+
+func encode(h *hdrhistogram.Histogram) string {
+	b, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
