cmd/cicadapitch: questionnaire, configuration, order and report commands

Exit codes tell wrong input (2), denied (3), conflict (4), not accepted (5) and outcome unknown (6) apart; an unknown outcome prints the change id to repeat. A refused connection is not accepted, a broken one is unknown.

Costs and attainment are added up by the CLI over all hosts that one host knows, which says how many answered.

--- a/administration/client.go
+++ b/administration/client.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -122,10 +124,12 @@
 	return nil
 }
 
-// unanswered says what a missing answer means: a query had no effect, an order
-// may have been accepted.
+// unanswered says what a missing answer means: a query or a refused connection
+// had no effect, an order that was sent may have been accepted.
 func unanswered(method string, err error) error {
-	if method == http.MethodGet {
+	var op *net.OpError
+	dialled := errors.As(err, &op) && op.Op == "dial"
+	if method == http.MethodGet || dialled {
 		return cicadapitch.NewError(cicadapitch.Unavailable, err.Error(), "ask another host")
 	}
 	return cicadapitch.NewError(cicadapitch.OutcomeUnknown, "the order got no answer: "+err.Error(),
--- /dev/null
+++ b/administration/client_test.go
@@ -0,0 +1,71 @@
+package administration_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/administration"
+	"cicadapitch.example/cicadapitch/order"
+)
+
+// newHost answers every call in the same way, or breaks it off with status 0.
+func newHost(t *testing.T, status int, body string) *httptest.Server {
+	t.Helper()
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(h.Close)
+	return h
+}
+
+const (
+	accepted = `{"Revision":2,"InForce":1,"Hosts":1}`
+	down     = `{"Kind":"Unavailable","Reason":"not accepted","Remedy":"later"}`
+	conflict = `{"Kind":"Conflict","Reason":"moved on","Remedy":"compare"}`
+)
+
+func TestOrderGoesOnToTheNextHost(t *testing.T) {
+	gone := newHost(t, 0, "")
+	closed := newHost(t, 0, "")
+	closed.Close()
+	for _, c := range []struct {
+		hosts []*httptest.Server
+		kind  cicadapitch.Kind
+		ok    bool
+	}{
+		{[]*httptest.Server{closed, gone, newHost(t, 200, accepted)}, 0, true},
+		{[]*httptest.Server{newHost(t, 503, down), newHost(t, 200, accepted)}, 0, true},
+		{[]*httptest.Server{newHost(t, 503, down)}, cicadapitch.Unavailable, false},
+		{[]*httptest.Server{closed}, cicadapitch.Unavailable, false},
+		{[]*httptest.Server{gone}, cicadapitch.OutcomeUnknown, false},
+		{[]*httptest.Server{gone, newHost(t, 503, down)}, cicadapitch.OutcomeUnknown, false},
+		{[]*httptest.Server{gone, newHost(t, 409, conflict)}, cicadapitch.OutcomeUnknown, false},
+		{[]*httptest.Server{newHost(t, 409, conflict), newHost(t, 200, accepted)}, cicadapitch.Conflict, false},
+		{[]*httptest.Server{newHost(t, 422, "no")}, cicadapitch.Invalid, false},
+		{nil, cicadapitch.Invalid, false},
+	} {
+		var urls []string
+		for _, h := range c.hosts {
+			urls = append(urls, h.URL)
+		}
+		_, err := administration.New(urls, "key").Order(context.Background(), "zone", order.ZoneOrder{})
+		if c.ok {
+			require.NoError(t, err)
+			continue
+		}
+		require.Equal(t, c.kind, cicadapitch.KindOf(err), "%v", err)
+	}
+}
+
+func TestChangeIDsDiffer(t *testing.T) {
+	require.NotEqual(t, administration.NewChangeID(), administration.NewChangeID())
+}
--- /dev/null
+++ b/cmd/cicadapitch/command_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/order"
+	"cicadapitch.example/cicadapitch/report"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+const (
+	bootstrapKey = "deployment-key-of-the-test"
+	operatorKey  = "sample-key-of-fleet-desk"
+	verbund      = "../../examples/questionnaires/windkanal-verbund.yaml"
+)
+
+// host is the administration of one host over a store in memory.
+type host struct {
+	*httptest.Server
+	store    *standin.MemoryStore
+	follower *configuration.Follower
+	recorder *report.Recorder
+}
+
+func (h *host) Self() cicadapitch.Member {
+	m := cicadapitch.Member{Host: "entry-a1", Zone: "a", State: cicadapitch.Ready, CallerURL: h.URL}
+	if cfg := h.follower.Current(); cfg != nil {
+		m.Revision = cfg.Revision
+	}
+	return m
+}
+
+func (h *host) Members() []cicadapitch.Member { return []cicadapitch.Member{h.Self()} }
+
+func newHost(t *testing.T) *host {
+	t.Helper()
+	clock := cicadapitch.NewSystemClock()
+	h := &host{store: standin.NewMemoryStore(clock), follower: configuration.NewFollower(clock)}
+	h.recorder = report.NewRecorder("a", h.follower, tally.NoopScope)
+	applier := configuration.NewApplier(h.store, clock, configuration.WithFollower(h.follower))
+	orders := order.NewService(h.follower, applier, order.NewMemberSpread(h), clock,
+		order.WithBootstrapKey(bootstrapKey))
+	mux := http.NewServeMux()
+	api := humago.New(mux, huma.DefaultConfig("test", "1"))
+	order.Register(api, orders)
+	report.Register(api, report.Sources{
+		Configurations: h.follower, Members: h, Figures: h.recorder,
+		Audit: func(ctx context.Context, from cicadapitch.Revision, n int) ([]configuration.AuditRecord, error) {
+			return configuration.Audit(ctx, h.store, from, n)
+		},
+	}, func(authorization string) error {
+		_, err := orders.Authenticate(authorization)
+		return err
+	})
+	h.Server = httptest.NewServer(mux)
+	t.Cleanup(h.Close)
+	return h
+}
+
+// do runs a command line and returns what it printed.
+func (h *host) do(t *testing.T, key string, args ...string) (string, error) {
+	t.Helper()
+	t.Setenv(keyVariable, key)
+	var w bytes.Buffer
+	err := run(context.Background(), &w, append(args, "--host", h.URL))
+	return w.String(), err
+}
+
+func (h *host) must(t *testing.T, args ...string) string {
+	t.Helper()
+	out, err := h.do(t, operatorKey, args...)
+	require.NoError(t, err, args)
+	return out
+}
+
+func TestOperatorsDay(t *testing.T) {
+	h := newHost(t)
+	_, err := h.do(t, operatorKey, "order", "zone-out", "a")
+	require.Equal(t, exitDenied, exitCode(err))
+	out, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
+	require.NoError(t, err)
+	require.Contains(t, out, "accepted as revision 1, in force on 1 of 1 hosts")
+
+	require.Contains(t, h.must(t, "order", "zone-out", "a"), "zone a out of service: accepted as revision 2")
+	require.Contains(t, h.must(t, "order", "deadline", "technicians", "book-slot", "7000"), "revision 3")
+	require.Contains(t, h.must(t, "order", "model", "drafts", "campaign-writer", "--model-version", "2"), "revision 4")
+	require.Contains(t, h.must(t, "order", "customer", "new-club", "--share", "2", "--customer-key", "a-key-drawn-at-random"), "revision 5")
+	out = h.must(t, "configuration", "diff", verbund)
+	require.Contains(t, out, "3 changes to revision 5")
+	require.Contains(t, out, `~ Pools[drafts].Version: "2" -> "1"`)
+	require.NotContains(t, out, "Zones[a].Out")
+
+	out = h.must(t, "report", "audit", "--limit", "2")
+	require.Contains(t, out, "by fleet-desk")
+	require.Contains(t, out, "older ones: --from 3")
+	require.Contains(t, h.must(t, "report", "status"), "entry-a1")
+	require.Contains(t, h.must(t, "configuration", "show"), `"ID": "new-club"`)
+}
+
+func TestRepeatedAndRefusedOrders(t *testing.T) {
+	h := newHost(t)
+	_, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
+	require.NoError(t, err)
+	h.must(t, "order", "zone-out", "a", "--change", "change-0001")
+	require.Contains(t, h.must(t, "order", "zone-out", "a", "--change", "change-0001"), "had been accepted before")
+	for want, args := range map[int][]string{
+		exitInvalid:  {"order", "zone-out", "nowhere"},
+		exitConflict: {"configuration", "apply", verbund, "--base", "1"},
+	} {
+		_, err := h.do(t, operatorKey, args...)
+		require.Equal(t, want, exitCode(err), err)
+	}
+	h.store.SetDown(true)
+	_, err = h.do(t, operatorKey, "order", "zone-in", "a")
+	require.Equal(t, exitNotAccepted, exitCode(err))
+	require.ErrorContains(t, err, "not accepted, the store is down")
+	require.Contains(t, h.must(t, "report", "status"), "entry-a1")
+}
+
+func TestFiguresOfAllHosts(t *testing.T) {
+	h := newHost(t)
+	_, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
+	require.NoError(t, err)
+	h.recorder.Answered("universities", "book-slot", 3000, true)
+	h.recorder.Refused("technicians", "book-slot", cicadapitch.NotRun)
+	h.recorder.Stage("universities", "book-slot", cicadapitch.StageReport{Stage: "book", Zone: "a", Attempts: 1, Cost: 2})
+	out := h.must(t, "report", "attainment")
+	require.Contains(t, out, "50.00%")
+	require.Contains(t, out, "NotRun:1")
+	require.Contains(t, out, "1 of 1 hosts answered")
+	require.Contains(t, h.must(t, "report", "costs", "--by", "zone"), "2.0000")
+	_, err = h.do(t, operatorKey, "report", "costs", "--by", "colour")
+	require.Equal(t, exitInvalid, exitCode(err))
+}
+
+func TestWrongAnswersApplyNothing(t *testing.T) {
+	h := newHost(t)
+	file := filepath.Join(t.TempDir(), "answers.yaml")
+	require.NoError(t, os.WriteFile(file, []byte("Weight: 3\n"), 0o600))
+	_, err := h.do(t, bootstrapKey, "configuration", "apply", file)
+	require.Equal(t, exitInvalid, exitCode(err))
+	require.ErrorContains(t, err, "answers.yaml:1: Weight: ")
+	require.Nil(t, h.follower.Current())
+	_, err = h.do(t, bootstrapKey, "configuration", "show")
+	require.Equal(t, exitInvalid, exitCode(err))
+}
--- /dev/null
+++ b/cmd/cicadapitch/report.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/administration"
+	"cicadapitch.example/cicadapitch/report"
+)
+
+func newReport() command {
+	return newGroup("report", "shows hosts, changes, cost by stage and attainment",
+		newStatus(), newAudit(), newCosts(), newAttainment())
+}
+
+// newQuery returns a command that asks a deployment.
+func newQuery(
+	name, description string, ask func(ctx context.Context, client *administration.Client, conn *connection, w io.Writer) error,
+) command {
+	var conn connection
+	c := newLeaf(name, description, func(ctx context.Context, w io.Writer) error {
+		client, err := conn.client()
+		if err != nil {
+			return err
+		}
+		return ask(ctx, client, &conn, w)
+	})
+	conn.addTo(c.sub)
+	return c
+}
+
+func newStatus() command {
+	return newQuery("status", "shows all hosts",
+		func(ctx context.Context, client *administration.Client, conn *connection, w io.Writer) error {
+			s, err := status(ctx, client)
+			if err != nil {
+				return err
+			}
+			return conn.print(w, s, func(w io.Writer) { printStatus(w, s) })
+		})
+}
+
+func status(ctx context.Context, client *administration.Client) (report.Status, error) {
+	var s report.Status
+	err := client.Get(ctx, report.Path+"status", &s)
+	return s, err
+}
+
+func printStatus(w io.Writer, s report.Status) {
+	t := newTable(w, "HOST\tZONE\tSTATE\tREVISION\tRUNNING\tSHARDS\tFREE\tSLOTS\tQUEUED\tURL")
+	defer t.Flush()
+	for _, m := range s.Members {
+		var load cicadapitch.ShardLoad
+		for _, c := range m.Claims {
+			load.Free += c.Load.Free
+			load.Total += c.Load.Total
+			load.Queued += c.Load.Queued
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", m.Host, m.Zone, m.State, m.Revision,
+			m.Running, len(m.Claims), load.Free, load.Total, load.Queued, m.CallerURL)
+	}
+}
+
+func newAudit() command {
+	from, limit := int64(0), 20
+	c := newQuery("audit", "shows the latest changes",
+		func(ctx context.Context, client *administration.Client, conn *connection, w io.Writer) error {
+			var page report.AuditPage
+			path := fmt.Sprintf("%saudit?From=%d&Limit=%d", report.Path, from, limit)
+			if err := client.Get(ctx, path, &page); err != nil {
+				return err
+			}
+			return conn.print(w, page, func(w io.Writer) { printAudit(w, page) })
+		})
+	c.sub.Int64(&from, "", "from", "revision to begin with, the newest where left out")
+	c.sub.Int(&limit, "", "limit", "number of changes")
+	return c
+}
+
+func printAudit(w io.Writer, page report.AuditPage) {
+	for _, r := range page.Records {
+		at := time.UnixMilli(int64(r.At)).UTC().Format(time.RFC3339)
+		fmt.Fprintf(w, "revision %d at %s by %s, change %s, %s: %s\n", r.Revision, at, r.Operator, r.Change, r.Result, r.Summary)
+		for _, c := range r.Fields {
+			printFieldChange(w, c)
+		}
+		if r.Omitted > 0 {
+			fmt.Fprintf(w, "  and %d more fields\n", r.Omitted)
+		}
+	}
+	if page.Next > 0 {
+		fmt.Fprintf(w, "older ones: --from %d\n", page.Next)
+	}
+}
+
+func newTable(w io.Writer, header string) *tabwriter.Writer {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, header)
+	return t
+}
--- a/questionnaire/check.go
+++ b/questionnaire/check.go
@@ -120,8 +120,10 @@
 		"use at most 63 small letters, digits, dots and hyphens")
 }
 
+// known checks a reference to one of the names, which are nil where they are
+// not known.
 func (c *checker) known(names map[string]bool, field, value, list string) {
-	c.check(names[value], field, fmt.Sprintf("%q is not one of %s", value, list),
+	c.check(names == nil || names[value], field, fmt.Sprintf("%q is not one of %s", value, list),
 		"name one from "+list+" or add it there")
 }
 
@@ -143,6 +145,7 @@
 
 // check records a problem unless the field already has one.
 func (c *checker) check(ok bool, field, reason, remedy string) {
+	field = strings.TrimPrefix(field, ".")
 	if !ok && !c.form.Wrong(field) {
 		c.form.Add(field, reason, remedy)
 	}
--- a/questionnaire/questionnaire_test.go
+++ b/questionnaire/questionnaire_test.go
@@ -132,3 +132,17 @@
 		require.NoError(t, err)
 	})
 }
+
+func TestTemplateIsRight(t *testing.T) {
+	generate(t, questionnaire.Template)
+}
+
+func TestReadPipeline(t *testing.T) {
+	body := "Name: ask\nDeadlineMillis: 500\nStages:\n  - {Name: lookup, Pool: any, NeverRepeat: false, ExpectedMillis: 20}\n"
+	p, err := questionnaire.ReadPipeline(strings.NewReader(body), "ask.yaml")
+	require.NoError(t, err)
+	require.True(t, p.Stages[0].Idempotent)
+	_, err = questionnaire.ReadPipeline(strings.NewReader("Name: ask\n"), "ask.yaml")
+	require.ErrorContains(t, err, "ask.yaml:1: DeadlineMillis: ")
+	require.ErrorContains(t, err, "ask.yaml:1: Stages: is missing")
+}
--- a/report/merge.go
+++ b/report/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -62,6 +63,19 @@
 	return a
 }
 
+// Share returns the share of all ended requests that got a whole answer within
+// their deadline, as a percentage, or - where none ended.
+func (a Attainment) Share() string {
+	ended := a.Answered
+	for _, r := range a.Refusals {
+		ended += r.Count
+	}
+	if ended == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(a.Met)/float64(ended))
+}
+
 // Quantile returns the time within which the share q of the whole answers came.
 func (a Attainment) Quantile(q float64) cicadapitch.Millis {
 	h, err := hdrhistogram.Decode([]byte(a.TookMillis))
