--- /dev/null
+++ b/examples/caller/main.go
@@ -0,0 +1,49 @@
+// Command caller sends one request through the client library and prints the
+// answer as it streams.
+//
+//	go run ./examples/caller http://127.0.0.1:18201 sample-key-of-club draft "which slots are free?"
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/client"
+)
+
+// deadline is the time left for the whole answer.
+const deadline = 9 * cicadapitch.Second
+
+func main() {
+	const wanted = 5
+	if len(os.Args) != wanted {
+		fmt.Fprintln(os.Stderr, "usage: caller HOST-URL KEY PIPELINE INPUT")
+		os.Exit(2)
+	}
+	if err := ask(os.Args[1], os.Args[2], os.Args[3], os.Args[4]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func ask(host, key, pipeline, input string) error {
+	c := client.New([]string{host}, key)
+	req := cicadapitch.Request{Pipeline: cicadapitch.PipelineID(pipeline), Input: input, Deadline: deadline}
+	a, err := c.Do(context.Background(), req, func(c cicadapitch.Chunk) { fmt.Print(c.Text) })
+	switch cicadapitch.KindOf(err) {
+	case cicadapitch.OutcomeUnknown:
+		return fmt.Errorf("look up whether the booking exists before trying again: %w", err)
+	case cicadapitch.NotRun:
+		return fmt.Errorf("nothing happened, try again: %w", err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n%s\n", a.Output)
+	for _, s := range a.Stages {
+		fmt.Printf("%s on %s: %d ms, cost %.4f\n", s.Stage, s.Endpoint, s.Served, float64(s.Cost))
+	}
+	return nil
+}
--- a/report/bench_test.go
+++ b/report/bench_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/report"
@@ -13,7 +11,7 @@
 
 func scraped(t testing.TB) *report.Recorder {
 	t.Helper()
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{CachedReporter: report.NewScrape()}, time.Hour)
+	scope, closer := report.NewScope(report.NewScrape())
 	t.Cleanup(func() { _ = closer.Close() })
 	return report.NewRecorder("a", deployment, scope)
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -8,7 +8,6 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -36,9 +35,7 @@
 // queries and the scrape with what was recorded.
 func TestCountsAddUpOverShards(t *testing.T) {
 	scrape := report.NewScrape()
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "cicadapitch", Separator: "_", CachedReporter: scrape, OmitCardinalityMetrics: true,
-	}, time.Hour)
+	scope, closer := report.NewScope(scrape)
 	r := report.NewRecorder("a", deployment, scope)
 	var wg sync.WaitGroup
 	for i := range 8 {
--- a/report/scrape.go
+++ b/report/scrape.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"maps"
 	"math"
 	"net/http"
@@ -42,6 +43,20 @@
 	buckets map[float64]int64
 }
 
+// scopeInterval is the time between two reports of a scope to its scrape.
+const scopeInterval = time.Second
+
+// NewScope returns a scope whose metrics go to the scrape. Their names begin
+// with cicadapitch_. Closing the closer reports what is left.
+func NewScope(s *Scrape) (tally.Scope, io.Closer) {
+	return tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "cicadapitch",
+		Separator:              "_",
+		CachedReporter:         s,
+		OmitCardinalityMetrics: true,
+	}, scopeInterval)
+}
+
 // NewScrape returns a scrape without series.
 func NewScrape() *Scrape { return &Scrape{families: make(map[string]*family)} }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -85,3 +85,11 @@
 		}
 	})
 }
+
+func TestShippedSettingsAreRight(t *testing.T) {
+	f, err := os.Open("../examples/settings/entry-a1.yaml")
+	require.NoError(t, err)
+	defer f.Close()
+	_, err = settings.Read(f, "entry-a1.yaml")
+	require.NoError(t, err)
+}
