--- a/cmd/cicadapitch/command_test.go
+++ b/cmd/cicadapitch/command_test.go
@@ -33,6 +33,8 @@
 	store    *standin.MemoryStore
 	follower *configuration.Follower
 	recorder *report.Recorder
+	// others are further members, without a daemon behind them.
+	others []cicadapitch.Member
 }
 
 func (h *host) Self() cicadapitch.Member {
@@ -43,7 +45,9 @@
 	return m
 }
 
-func (h *host) Members() []cicadapitch.Member { return []cicadapitch.Member{h.Self()} }
+func (h *host) Members() []cicadapitch.Member {
+	return append([]cicadapitch.Member{h.Self()}, h.others...)
+}
 
 func newHost(t *testing.T) *host {
 	t.Helper()
@@ -52,7 +56,7 @@
 	h.recorder = report.NewRecorder("a", h.follower, tally.NoopScope)
 	applier := configuration.NewApplier(h.store, clock, configuration.WithFollower(h.follower))
 	orders := order.NewService(h.follower, applier, order.NewMemberSpread(h), clock,
-		order.WithBootstrapKey(bootstrapKey))
+		order.WithBootstrapKey(bootstrapKey), order.WithWait(100))
 	mux := http.NewServeMux()
 	api := humago.New(mux, huma.DefaultConfig("test", "1"))
 	order.Register(api, orders)
@@ -130,6 +134,17 @@
 	require.Contains(t, h.must(t, "report", "status"), "entry-a1")
 }
 
+func TestOrderNamesTheHostsThatAreBehind(t *testing.T) {
+	h := newHost(t)
+	h.others = []cicadapitch.Member{{Host: "entry-b1", Zone: "b", State: cicadapitch.Suspect}}
+	out, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
+	require.NoError(t, err)
+	require.Contains(t, out, "in force on 1 of 2 hosts\n")
+	out = h.must(t, "order", "zone-out", "a")
+	require.Contains(t, out, "not yet on entry-b1 in zone b, which is Suspect at revision 0")
+	require.Contains(t, h.must(t, "report", "costs"), "1 of 2 hosts answered; the figures lack [entry-b1]")
+}
+
 func TestFiguresOfAllHosts(t *testing.T) {
 	h := newHost(t)
 	_, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
--- a/cmd/cicadapitch/order.go
+++ b/cmd/cicadapitch/order.go
@@ -68,7 +68,25 @@
 	if err != nil {
 		return withChange(err, change)
 	}
-	return conn.print(w, result, func(w io.Writer) { fmt.Fprintln(w, result) })
+	return conn.print(w, result, func(w io.Writer) {
+		fmt.Fprintln(w, result)
+		if result.InForce < result.Hosts {
+			printBehind(ctx, w, client, result.Revision)
+		}
+	})
+}
+
+// printBehind names the hosts that do not have a revision yet.
+func printBehind(ctx context.Context, w io.Writer, client *administration.Client, r cicadapitch.Revision) {
+	s, err := status(ctx, client)
+	if err != nil {
+		return
+	}
+	for _, m := range s.Members {
+		if m.Revision < r {
+			fmt.Fprintf(w, "  not yet on %s in zone %s, which is %s at revision %d\n", m.Host, m.Zone, m.State, m.Revision)
+		}
+	}
 }
 
 // withChange names the change id in the remedy, so that it can be repeated.
