--- a/cmd/cicadapitch/bootstrap.go
+++ b/cmd/cicadapitch/bootstrap.go
@@ -4,28 +4,17 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/platform"
-	"cicadapitch.example/cicadapitch/questionnaire"
 )
 
 // runBootstrap writes the first configuration of a deployment straight into
 // the store. Until there is one, no host knows an operator's key. It is refused
 // where a configuration is there already.
 func runBootstrap(ctx context.Context, w io.Writer, file string, store []string) error {
-	f, err := os.Open(file)
-	if err != nil {
-		return cicadapitch.Wrap(err)
-	}
-	defer f.Close()
-	answers, err := questionnaire.Read(f, file)
-	if err != nil {
-		return err
-	}
-	cfg, err := answers.Configuration()
+	cfg, err := readAnswers(file)
 	if err != nil {
 		return err
 	}
--- a/cmd/cicadapitch/catalogorder.go
+++ b/cmd/cicadapitch/catalogorder.go
@@ -40,13 +40,10 @@
 }
 
 func newPipelineRemoval() command {
-	var pipeline string
-	c := newOrderCommand("pipeline-remove", "removes a pipeline", "pipeline-remove",
-		func(f order.ChangeField) (order.PipelineRemoval, error) {
-			return order.PipelineRemoval{ChangeField: f, Pipeline: cicadapitch.PipelineID(pipeline)}, nil
+	return newNamedOrder("pipeline-remove", "removes a pipeline", "pipeline-remove", "pipeline",
+		func(f order.ChangeField, id string) order.PipelineRemoval {
+			return order.PipelineRemoval{ChangeField: f, Pipeline: cicadapitch.PipelineID(id)}
 		})
-	c.positional(&pipeline, "pipeline", 1, "name of the pipeline")
-	return c
 }
 
 func newCustomerOrder() command {
@@ -77,13 +74,10 @@
 }
 
 func newCustomerRemoval() command {
-	var customer string
-	c := newOrderCommand("customer-remove", "removes a customer", "customer-remove",
-		func(f order.ChangeField) (order.CustomerRemoval, error) {
-			return order.CustomerRemoval{ChangeField: f, Customer: cicadapitch.CustomerID(customer)}, nil
+	return newNamedOrder("customer-remove", "removes a customer", "customer-remove", "customer",
+		func(f order.ChangeField, id string) order.CustomerRemoval {
+			return order.CustomerRemoval{ChangeField: f, Customer: cicadapitch.CustomerID(id)}
 		})
-	c.positional(&customer, "customer", 1, "name of the customer")
-	return c
 }
 
 func newDeadlineOrder() command {
--- a/cmd/cicadapitch/configuration.go
+++ b/cmd/cicadapitch/configuration.go
@@ -51,11 +51,7 @@
 	var conn connection
 	var file string
 	c := newLeaf("diff", "compares the configuration in force with answers", func(ctx context.Context, w io.Writer) error {
-		client, err := conn.client()
-		if err != nil {
-			return err
-		}
-		p, err := newProposal(ctx, client, file)
+		p, err := newProposal(ctx, &conn, file)
 		if err != nil {
 			return err
 		}
@@ -71,11 +67,7 @@
 	var file, change string
 	base := int64(-1)
 	c := newLeaf("apply", "applies the configuration that answers give", func(ctx context.Context, w io.Writer) error {
-		client, err := conn.client()
-		if err != nil {
-			return err
-		}
-		p, err := newProposal(ctx, client, file)
+		p, err := newProposal(ctx, &conn, file)
 		if err != nil {
 			return err
 		}
@@ -102,11 +94,15 @@
 	changes []configuration.FieldChange
 }
 
-func newProposal(ctx context.Context, client *administration.Client, file string) (*proposal, error) {
+func newProposal(ctx context.Context, conn *connection, file string) (*proposal, error) {
 	next, err := readAnswers(file)
 	if err != nil {
 		return nil, err
 	}
+	client, err := conn.client()
+	if err != nil {
+		return nil, err
+	}
 	present, err := inForce(ctx, client)
 	if cicadapitch.KindOf(err) == cicadapitch.NotFound {
 		present, err = &cicadapitch.Configuration{}, nil
--- a/cmd/cicadapitch/figures.go
+++ b/cmd/cicadapitch/figures.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -67,25 +69,49 @@
 	fmt.Fprintln(w)
 }
 
-func newCosts() command {
-	by := "stage"
-	c := newQuery("costs", "shows cost by stage over all hosts since their start",
+// view says how one kind of figures is asked for, added up and printed.
+type view[P, E any] struct {
+	name        string
+	description string
+	entries     func(P) []E
+	merge       func([]E, func(E) string) []E
+	keys        map[string]func(E) string
+	by          string
+	print       func(io.Writer, fleet[E])
+}
+
+func newFigures[P, E any](v view[P, E]) command {
+	choices := strings.Join(slices.Sorted(maps.Keys(v.keys)), ", ")
+	by := v.by
+	c := newQuery(v.name, v.description+" over all hosts since their start",
 		func(ctx context.Context, client *administration.Client, conn *connection, w io.Writer) error {
-			key, ok := costKeys[by]
+			key, ok := v.keys[by]
 			if !ok {
-				return usage("--by is none of stage, pipeline, zone")
+				return usage("--by is none of " + choices)
 			}
-			f, err := askFleet(ctx, client, "costs", func(p report.CostPage) []report.StageCost { return p.Entries })
+			f, err := askFleet(ctx, client, v.name, v.entries)
 			if err != nil {
 				return err
 			}
-			f.Entries = report.MergeCosts(f.Entries, key)
-			return conn.print(w, f, func(w io.Writer) { printCosts(w, f) })
+			f.Entries = v.merge(f.Entries, key)
+			return conn.print(w, f, func(w io.Writer) { v.print(w, f) })
 		})
-	c.sub.String(&by, "", "by", "stage, pipeline or zone")
+	c.sub.String(&by, "", "by", "one of "+choices)
 	return c
 }
 
+func newCosts() command {
+	return newFigures(view[report.CostPage, report.StageCost]{
+		name:        "costs",
+		description: "shows cost by stage",
+		entries:     func(p report.CostPage) []report.StageCost { return p.Entries },
+		merge:       report.MergeCosts,
+		keys:        costKeys,
+		by:          "stage",
+		print:       printCosts,
+	})
+}
+
 var costKeys = map[string]func(report.StageCost) string{
 	"stage":    func(c report.StageCost) string { return string(c.Pipeline) + "/" + string(c.Stage) },
 	"pipeline": func(c report.StageCost) string { return string(c.Pipeline) },
@@ -104,23 +130,15 @@
 }
 
 func newAttainment() command {
-	by := "pipeline"
-	c := newQuery("attainment", "shows how requests ended over all hosts since their start",
-		func(ctx context.Context, client *administration.Client, conn *connection, w io.Writer) error {
-			key, ok := attainmentKeys[by]
-			if !ok {
-				return usage("--by is none of pipeline, customer, zone, all")
-			}
-			f, err := askFleet(ctx, client, "attainment",
-				func(p report.AttainmentPage) []report.Attainment { return p.Entries })
-			if err != nil {
-				return err
-			}
-			f.Entries = report.MergeAttainment(f.Entries, key)
-			return conn.print(w, f, func(w io.Writer) { printAttainment(w, f) })
-		})
-	c.sub.String(&by, "", "by", "pipeline, customer, zone or all")
-	return c
+	return newFigures(view[report.AttainmentPage, report.Attainment]{
+		name:        "attainment",
+		description: "shows how requests ended",
+		entries:     func(p report.AttainmentPage) []report.Attainment { return p.Entries },
+		merge:       report.MergeAttainment,
+		keys:        attainmentKeys,
+		by:          "pipeline",
+		print:       printAttainment,
+	})
 }
 
 var attainmentKeys = map[string]func(report.Attainment) string{
--- a/cmd/cicadapitch/serviceorder.go
+++ b/cmd/cicadapitch/serviceorder.go
@@ -5,54 +5,49 @@
 	"cicadapitch.example/cicadapitch/order"
 )
 
+// newNamedOrder returns a command for an order about the element that its one
+// argument names.
+func newNamedOrder[B any](
+	name, description, api, argument string, body func(f order.ChangeField, id string) B,
+) command {
+	var id string
+	c := newOrderCommand(name, description, api, func(f order.ChangeField) (B, error) { return body(f, id), nil })
+	c.positional(&id, argument, 1, "name of the "+argument)
+	return c
+}
+
 func newZoneOrder(name string, out bool) command {
-	var zone string
 	var force bool
-	c := newOrderCommand(name, inOrOut("an availability zone", out), "zone",
-		func(f order.ChangeField) (order.ZoneOrder, error) {
-			return order.ZoneOrder{ChangeField: f, Zone: cicadapitch.ZoneID(zone), Out: out, Force: force}, nil
+	c := newNamedOrder(name, inOrOut("an availability zone", out), "zone", "zone",
+		func(f order.ChangeField, id string) order.ZoneOrder {
+			return order.ZoneOrder{ChangeField: f, Zone: cicadapitch.ZoneID(id), Out: out, Force: force}
 		})
-	c.positional(&zone, "zone", 1, "name of the zone")
-	addForce(c, out, &force)
-	return c
+	return c.withForce(out, &force)
 }
 
 func newHostOrder(name string, out bool) command {
-	var host string
 	var force bool
-	c := newOrderCommand(name, inOrOut("an entry host", out), "host",
-		func(f order.ChangeField) (order.HostOrder, error) {
-			return order.HostOrder{ChangeField: f, Host: cicadapitch.HostID(host), Out: out, Force: force}, nil
+	c := newNamedOrder(name, inOrOut("an entry host", out), "host", "host",
+		func(f order.ChangeField, id string) order.HostOrder {
+			return order.HostOrder{ChangeField: f, Host: cicadapitch.HostID(id), Out: out, Force: force}
 		})
-	c.positional(&host, "name", 1, "name of the host")
-	addForce(c, out, &force)
-	return c
+	return c.withForce(out, &force)
 }
 
 func newEndpointOrder(name string, out bool) command {
-	var endpoint string
 	var force bool
-	c := newOrderCommand(name, inOrOut("an endpoint", out), "endpoint",
-		func(f order.ChangeField) (order.EndpointOrder, error) {
-			return order.EndpointOrder{
-				ChangeField: f, Endpoint: cicadapitch.EndpointID(endpoint), Out: out, Force: force,
-			}, nil
+	c := newNamedOrder(name, inOrOut("an endpoint", out), "endpoint", "endpoint",
+		func(f order.ChangeField, id string) order.EndpointOrder {
+			return order.EndpointOrder{ChangeField: f, Endpoint: cicadapitch.EndpointID(id), Out: out, Force: force}
 		})
-	c.positional(&endpoint, "endpoint", 1, "id of the endpoint")
-	addForce(c, out, &force)
-	return c
+	return c.withForce(out, &force)
 }
 
 func newCustomerServiceOrder(name string, out bool) command {
-	var customer string
-	c := newOrderCommand(name, inOrOut("a customer", out), "customer-service",
-		func(f order.ChangeField) (order.CustomerServiceOrder, error) {
-			return order.CustomerServiceOrder{
-				ChangeField: f, Customer: cicadapitch.CustomerID(customer), Out: out,
-			}, nil
+	return newNamedOrder(name, inOrOut("a customer", out), "customer-service", "customer",
+		func(f order.ChangeField, id string) order.CustomerServiceOrder {
+			return order.CustomerServiceOrder{ChangeField: f, Customer: cicadapitch.CustomerID(id), Out: out}
 		})
-	c.positional(&customer, "customer", 1, "name of the customer")
-	return c
 }
 
 func inOrOut(what string, out bool) string {
@@ -62,8 +57,10 @@
 	return "brings " + what + " back in service"
 }
 
-func addForce(c command, out bool, force *bool) {
+// withForce adds the flag force to orders that take something out.
+func (c command) withForce(out bool, force *bool) command {
 	if out {
 		c.sub.Bool(force, "", "force", "take it out even if nothing is left in service")
 	}
+	return c
 }
--- a/report/merge.go
+++ b/report/merge.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/lo"
 
 	"cicadapitch.example/cicadapitch"
 )
@@ -15,25 +16,38 @@
 // customer, the pipeline or the zone. Fields that differ within an entry are
 // left empty.
 func MergeAttainment(list []Attainment, key func(Attainment) string) []Attainment {
-	sums := make(map[string]*Attainment)
-	took := make(map[string]*hdrhistogram.Histogram)
-	for _, a := range list {
-		k := key(a)
-		sum, ok := sums[k]
-		if !ok {
-			sum = &Attainment{Customer: a.Customer, Pipeline: a.Pipeline, Zone: a.Zone}
-			sums[k] = sum
-			took[k] = newHistogram()
+	return merge(list, key, func(group []Attainment) Attainment {
+		sum := Attainment{Customer: group[0].Customer, Pipeline: group[0].Pipeline, Zone: group[0].Zone}
+		took := newHistogram()
+		for _, a := range group {
+			sum.add(a)
+			if h, err := hdrhistogram.Decode([]byte(a.TookMillis)); err == nil {
+				took.Merge(h)
+			}
 		}
-		sum.add(a)
-		if h, err := hdrhistogram.Decode([]byte(a.TookMillis)); err == nil {
-			took[k].Merge(h)
+		sum.TookMillis = encode(took)
+		return sum
+	})
+}
+
+// MergeCosts adds up the entries of several hosts by key. Fields that differ
+// within an entry are left empty.
+func MergeCosts(list []StageCost, key func(StageCost) string) []StageCost {
+	return merge(list, key, func(group []StageCost) StageCost {
+		sum := StageCost{Pipeline: group[0].Pipeline, Stage: group[0].Stage, Zone: group[0].Zone}
+		for _, c := range group {
+			sum.add(c)
 		}
-	}
-	merged := make([]Attainment, 0, len(sums))
-	for _, k := range slices.Sorted(maps.Keys(sums)) {
-		sums[k].TookMillis = encode(took[k])
-		merged = append(merged, *sums[k])
+		return sum
+	})
+}
+
+// merge replaces the entries of each key by their sum, in the order of the keys.
+func merge[E any](list []E, key func(E) string, sum func(group []E) E) []E {
+	groups := lo.GroupBy(list, key)
+	merged := make([]E, 0, len(groups))
+	for _, k := range slices.Sorted(maps.Keys(groups)) {
+		merged = append(merged, sum(groups[k]))
 	}
 	return merged
 }
@@ -85,23 +99,6 @@
 	return cicadapitch.Millis(h.ValueAtQuantile(q * 100))
 }
 
-// MergeCosts adds up the entries of several hosts by key.
-func MergeCosts(list []StageCost, key func(StageCost) string) []StageCost {
-	sums := make(map[string]*StageCost)
-	for _, c := range list {
-		k := key(c)
-		if _, ok := sums[k]; !ok {
-			sums[k] = &StageCost{Pipeline: c.Pipeline, Stage: c.Stage, Zone: c.Zone}
-		}
-		sums[k].add(c)
-	}
-	merged := make([]StageCost, 0, len(sums))
-	for _, k := range slices.Sorted(maps.Keys(sums)) {
-		merged = append(merged, *sums[k])
-	}
-	return merged
-}
-
 func (c *StageCost) add(b StageCost) {
 	c.Pipeline = same(c.Pipeline, b.Pipeline)
 	c.Stage = same(c.Stage, b.Stage)
