--- a/daemon/handler.go
+++ b/daemon/handler.go
@@ -1,15 +1,19 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/samber/do/v2"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
 	"cicadapitch.example/cicadapitch/order"
+	"cicadapitch.example/cicadapitch/report"
 )
 
 // apiVersion is the version of the HTTP API, not of the program.
@@ -21,6 +25,8 @@
 	api := humago.New(mux, huma.DefaultConfig("cicadapitch", apiVersion))
 	entry.Register(api, d.entry, d.directory)
 	order.Register(api, d.orders)
+	report.Register(api, d.sources(), d.authenticate)
+	mux.Handle("GET /metrics", do.MustInvoke[*report.Scrape](d.roles))
 	mux.HandleFunc("GET /healthz", d.health)
 	mux.HandleFunc("GET /readyz", d.ready)
 	return mux
@@ -47,6 +53,24 @@
 	return z.Region
 }
 
+// sources are what the queries of operators read.
+func (d *Daemon) sources() report.Sources {
+	store := do.MustInvoke[cicadapitch.Store](d.roles)
+	return report.Sources{
+		Configurations: d.follower,
+		Members:        d.group,
+		Figures:        do.MustInvoke[*report.Recorder](d.roles),
+		Audit: func(ctx context.Context, from cicadapitch.Revision, n int) ([]configuration.AuditRecord, error) {
+			return configuration.Audit(ctx, store, from, n)
+		},
+	}
+}
+
+func (d *Daemon) authenticate(authorization string) error {
+	_, err := d.orders.Authenticate(authorization)
+	return err
+}
+
 // health tells that the process answers.
 func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusNoContent)
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,6 +18,7 @@
 	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/report"
 	"cicadapitch.example/cicadapitch/settings"
 )
 
@@ -36,6 +37,8 @@
 	do.Provide(i, newClaims)
 	do.Provide(i, newOwner)
 	do.Provide(i, newMinter)
+	do.Provide(i, newScrape)
+	do.Provide(i, newRecorder)
 	do.Provide(i, newEntry)
 	do.Provide(i, newOrders)
 }
@@ -149,6 +152,7 @@
 		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
 		entry.WithForwarder(forwarder{dialer}),
 		entry.WithClaims(newKeyClaims(i, self)),
+		entry.WithMetrics(do.MustInvoke[*report.Recorder](i)),
 	), nil
 }
 
@@ -158,6 +162,14 @@
 	return booking.NewClaims(do.MustInvoke[cicadapitch.Store](i), clockOf(i), holder)
 }
 
+func newScrape(do.Injector) (*report.Scrape, error) { return report.NewScrape(), nil }
+
+func newRecorder(i do.Injector) (*report.Recorder, error) {
+	scope, _ := report.NewScope(do.MustInvoke[*report.Scrape](i))
+	zone := do.MustInvoke[cicadapitch.Member](i).Zone
+	return report.NewRecorder(zone, do.MustInvoke[*configuration.Follower](i), scope), nil
+}
+
 func newOrders(i do.Injector) (*order.Service, error) {
 	follower := do.MustInvoke[*configuration.Follower](i)
 	applier := configuration.NewApplier(do.MustInvoke[cicadapitch.Store](i), clockOf(i),
