--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -51,7 +50,6 @@
 type fleet struct {
 	*deployment.Local
 	t     *testing.T
-	mu    sync.Mutex
 	hosts []*process
 }
 
