driver: a call ends with the endpoint's response

The driver returned at the last event, the owner freed the slot and sent the next call, while the engine still counted the first until its response had ended. Ruled out: growth of the slot count while the engine reports a cold start (it is held back there) and two owners of the shard (one fencing number in the log). Change: the driver reads on to the end of the response.

--- a/driver/events.go
+++ b/driver/events.go
@@ -39,6 +39,9 @@
 		}
 		data = strings.TrimSpace(data)
 		if data == doneEvent {
+			// The endpoint counts the call as running until its response
+			// has ended, which may be a little after the last event.
+			_, _ = io.Copy(io.Discard, r)
 			return nil
 		}
 		if err := passChunk(data, sink); err != nil {
