--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"cicadapitch.example/cicadapitch/endpoint"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/settings"
 )
@@ -28,9 +29,11 @@
 	self     cicadapitch.Member
 	group    *host.Group
 	follower *configuration.Follower
+	spreader *configuration.Spreader
 	claims   *claim.Claims
 	owner    *endpoint.Owner
 	entry    *entry.Server
+	orders   *order.Service
 	peers    *peer.Server
 	dialer   *peer.Dialer
 }
@@ -69,9 +72,13 @@
 	if d.entry, err = do.Invoke[*entry.Server](d.roles); err != nil {
 		return cicadapitch.Wrap(err)
 	}
+	if d.orders, err = do.Invoke[*order.Service](d.roles); err != nil {
+		return cicadapitch.Wrap(err)
+	}
 	d.self = do.MustInvoke[cicadapitch.Member](d.roles)
 	d.group = do.MustInvoke[*host.Group](d.roles)
 	d.follower = do.MustInvoke[*configuration.Follower](d.roles)
+	d.spreader = do.MustInvoke[*configuration.Spreader](d.roles)
 	d.claims = do.MustInvoke[*claim.Claims](d.roles)
 	d.owner = do.MustInvoke[*endpoint.Owner](d.roles)
 	d.peers = do.MustInvoke[*peer.Server](d.roles)
@@ -105,9 +112,9 @@
 	go func() { failed <- callers.Serve(callerListener) }()
 	go func() { failed <- peers.Serve(peerListener) }()
 	d.startRoles(work)
-	d.log.Info().Str("host", string(d.self.Host)).Str("zone", string(d.self.Zone)).
-		Str("caller_url", d.self.CallerURL).Str("peer_address", d.self.PeerAddress).
-		Uint64("incarnation", uint64(d.self.Incarnation)).Msg("started")
+	d.log.Info().Str("Host", string(d.self.Host)).Str("Zone", string(d.self.Zone)).
+		Str("CallerURL", d.self.CallerURL).Str("PeerAddress", d.self.PeerAddress).
+		Uint64("Incarnation", uint64(d.self.Incarnation)).Msg("started")
 	select {
 	case err := <-failed:
 		return cicadapitch.Wrap(err)
@@ -118,6 +125,7 @@
 
 func (d *Daemon) registerPeerMessages() {
 	serveMembership(d.peers, d.group)
+	serveConfiguration(d.peers, d.follower)
 	serveAttempts(d.peers, d.owner)
 	serveForwarded(d.peers, d.self, d.entry)
 }
@@ -126,7 +134,7 @@
 	go func() { _ = d.group.Run(ctx) }()
 	go func() { _ = d.claims.Run(ctx) }()
 	d.owner.Start(ctx)
-	go d.followStore(ctx)
+	go func() { _ = d.spreader.Run(ctx) }()
 	go d.keepRecord(ctx)
 }
 
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/daemon"
 	"cicadapitch.example/cicadapitch/questionnaire"
 	"cicadapitch.example/cicadapitch/settings"
@@ -22,6 +23,7 @@
 	serviceTimeout cicadapitch.Millis = 5 * cicadapitch.Second
 	leaseMillis    cicadapitch.Millis = 3 * cicadapitch.Second
 	graceMillis    cicadapitch.Millis = 20 * cicadapitch.Second
+	readyInterval  cicadapitch.Millis = 50
 	keyBytes                          = 32
 )
 
@@ -82,6 +84,14 @@
 		return err
 	}
 	l.storeURL = url
+	change := configuration.Change{
+		ID: "first", Operator: "quickstart", At: l.clock.Now(),
+		Summary: "first configuration", Whole: l.Configuration,
+	}
+	applier := configuration.NewApplier(l.Store, l.clock)
+	if _, err := applier.Apply(context.Background(), change); err != nil {
+		return err
+	}
 	return l.planHosts(a)
 }
 
@@ -124,21 +134,55 @@
 	return nil
 }
 
+// WaitReady waits until every host takes callers.
+func (l *Local) WaitReady(ctx context.Context) error {
+	for _, s := range l.hosts {
+		for !isReady(ctx, s.CallerURL) {
+			if err := l.clock.Sleep(ctx, readyInterval); err != nil {
+				return cicadapitch.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
 func (l *Local) run(ctx context.Context, d *daemon.Daemon) {
 	if err := d.Run(ctx); err != nil {
-		l.log.Error().Err(err).Msg("daemon_ended")
+		l.log.Error().Err(err).Msg("daemon ended")
 	}
 }
 
 // Stop shuts the daemons down gracefully and then ends the stand-ins.
 func (l *Local) Stop() {
-	l.cancel()
+	if l.cancel != nil {
+		l.cancel()
+	}
 	l.running.Wait()
 	for _, s := range l.servers {
 		_ = s.Close()
 	}
 }
 
+// Settings returns the settings of each host, for a caller that runs the
+// daemons itself.
+func (l *Local) Settings() []*settings.Settings { return l.hosts }
+
+// StoreURL returns the base URL of the key-value service.
+func (l *Local) StoreURL() string { return l.storeURL }
+
 // Seeds returns the base URLs of the hosts for callers.
 func (l *Local) Seeds() []string {
 	var urls []string
