root: SystemClock.Sleep returns at once for no span

Cause: go test -race ./entry crashed in about 1 of 25 runs with SIGSEGV in runtime.(*timer).maybeRunChan, reached from Sleep(0) in a synctest bubble: a timer that has already expired when it is selected on, under the race detector.

Ruled out: a data race of our own (none reported) and the limit of goroutines (another message). ManualClock.Sleep already returned at once.

Conclusion: no timer is made for spans of 0 or less.

--- a/clock.go
+++ b/clock.go
@@ -54,6 +54,9 @@
 
 // Sleep implements Clock.
 func (c *SystemClock) Sleep(ctx context.Context, m Millis) error {
+	if m <= 0 {
+		return ctx.Err()
+	}
 	t := time.NewTimer(m.Duration())
 	defer t.Stop()
 	select {
