entry: Unavailable without configuration, replaced owners not believed

A new incarnation of a shard's owner answers Refused for attempts of the one before; Refused now counts only while the incarnation that was sent the attempt is known to live.

Not proved: between a restart and its membership record the entry host cannot tell. The message that asks for an outcome must carry the incarnation.

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -32,7 +32,7 @@
 	key, ok := strings.CutPrefix(authorization, "Bearer ")
 	t := a.current()
 	if t == nil {
-		return "", cicadapitch.NewNotRun("the host has no configuration yet", startingRetryAfter)
+		return "", unavailable()
 	}
 	if !ok || key == "" {
 		return "", denied()
@@ -79,7 +79,7 @@
 // run.
 func unavailable() error {
 	return cicadapitch.NewError(cicadapitch.Unavailable,
-		"the host has no configuration yet", "send the request to another host").After(cicadapitch.Second)
+		"the host has no configuration yet", "send the request to another host").After(startingRetryAfter)
 }
 
 func denied() error {
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -229,6 +229,34 @@
 	})
 }
 
+// replacedOwner owns each shard under an incarnation that has been replaced.
+type replacedOwner struct{ *fixture }
+
+func (o replacedOwner) Owner(cicadapitch.ShardID) (cicadapitch.Member, bool) {
+	m := o.self
+	m.Host, m.Incarnation = "h2", 1
+	return m, true
+}
+
+func TestReplacedOwnerCannotSayThatNothingRan(t *testing.T) {
+	f := newFixture()
+	f.others = []cicadapitch.Member{{Host: "h2", Incarnation: 2}}
+	booked := 0
+	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
+		if a.ID.Stage != "book" {
+			return cicadapitch.StageResult{}, false, nil
+		}
+		// It starts, but the process that answers next knows nothing of it.
+		booked++
+		return cicadapitch.StageResult{}, true, cicadapitch.NewOutcomeUnknown("the owner died")
+	})
+	s := entry.NewServer(f, f, replacedOwner{f}, f.runner, f.clock, entry.WithMinter(f.minter))
+	req := cicadapitch.Request{Customer: "club", Pipeline: "reserve", Input: "x", Token: f.minter.Mint("club")}
+	_, err := s.Serve(context.Background(), req, nil)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, 1, booked)
+}
+
 func TestRunGoesOnWhenItsCallerGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -5,6 +5,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/pipeline"
+	"github.com/samber/lo"
 )
 
 const (
@@ -28,6 +29,11 @@
 			return cicadapitch.StageResult{}, unknown(err)
 		}
 		switch state.Phase {
+		case cicadapitch.Refused:
+			if !r.s.lives(f.owner) {
+				return cicadapitch.StageResult{}, unknown(err)
+			}
+			return read(state, err)
 		case cicadapitch.Queued, cicadapitch.Running:
 			if r.s.clock.Sleep(ctx, pollMillis) != nil {
 				return cicadapitch.StageResult{}, unknown(err)
@@ -38,6 +44,14 @@
 	}
 }
 
+// lives reports whether no other incarnation is known to have taken the place of
+// a host. A new one knows nothing of the attempts of the one before.
+func (s *Server) lives(m cicadapitch.Member) bool {
+	return lo.ContainsBy(s.members.Members(), func(o cicadapitch.Member) bool {
+		return o.Host == m.Host && o.Incarnation == m.Incarnation && o.State != cicadapitch.Dead
+	})
+}
+
 // read returns the result or error of an attempt that has ended.
 func read(state cicadapitch.AttemptState, err error) (cicadapitch.StageResult, error) {
 	switch {
