entry, pipeline: silent streams are hedged and resumed

Cause: a generate stage whose attempt went silent, before its first chunk or half way, used up the whole deadline: streams were never hedged.

Now a second attempt starts once the first chunk is later than almost always and than the pipeline's target, and the first attempt that brings a chunk streams alone. A stream without a token for 20 targets between tokens, at least a second, is resumed elsewhere. Both spend the retry budget.

Weighed: a deadline for each attempt; it would cut slow streams that go on.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,7 @@
 	owner   cicadapitch.Member
 	gather  *gatherer
 	cancel  context.CancelFunc
+	sent    cicadapitch.Instant
 	// before counts the chunks of the text that the attempt resumes from.
 	before int
 	// over is set once the result is no longer awaited.
@@ -41,7 +42,8 @@
 		return nil, err
 	}
 	f := &flight{attempt: r.describe(limit), owner: owner, before: r.chunks}
-	f.gather = newGatherer(f.attempt.ID, r.deliver, r.s.metrics.Dropped)
+	f.sent = r.s.clock.Now()
+	f.gather = newGatherer(f.attempt.ID, func(c cicadapitch.Chunk) { r.deliver(f, c) }, r.s.metrics.Dropped)
 	ctx, f.cancel = context.WithCancel(ctx)
 	r.rec.open(r.stage.Idempotent)
 	r.s.router.begin(f.attempt.Shard)
@@ -97,8 +99,23 @@
 	}
 }
 
-func (r *stageRun) deliver(c cicadapitch.Chunk) {
-	if r.stage.Streams {
+// begin prepares the stage for a further race.
+func (r *stageRun) begin() {
+	r.lead.Store(nil)
+	r.led = make(chan struct{})
+}
+
+// deliver passes a chunk to the caller. Only the first attempt of a race that
+// brings a chunk streams.
+func (r *stageRun) deliver(f *flight, c cicadapitch.Chunk) {
+	if !r.stage.Streams {
+		return
+	}
+	if r.lead.CompareAndSwap(nil, f) {
+		r.s.firsts.add(r.stage, r.s.clock.Now().Sub(f.sent))
+		close(r.led)
+	}
+	if r.lead.Load() == f {
 		r.rec.out.send(c)
 	}
 }
@@ -141,6 +158,9 @@
 		return cicadapitch.StageResult{}, cicadapitch.NewError(cicadapitch.Internal,
 			"the chunks of the attempt are not the beginning of its result", "report the endpoint "+string(res.Endpoint))
 	}
+	if lead := r.lead.Load(); lead != nil && lead != f {
+		return cicadapitch.StageResult{}, errOutrun
+	}
 	res.Output = f.attempt.Resume + res.Output
 	return res, nil
 }
--- a/entry/gatherer.go
+++ b/entry/gatherer.go
@@ -84,6 +84,13 @@
 	g.next++
 }
 
+// count returns the number of chunks that came without gaps.
+func (g *gatherer) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.next
+}
+
 // close ends the attempt and returns the text that came without gaps and the
 // number of its chunks.
 func (g *gatherer) close() (text string, chunks int) {
--- a/entry/race.go
+++ b/entry/race.go
@@ -2,75 +2,171 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
 )
 
+// errOutrun marks the result of an attempt beside which another one already
+// streams to the caller.
+var errOutrun = errors.New("another attempt streams already")
+
+// race is the attempts of one stage that run beside each other.
+type race struct {
+	*stageRun
+	ctx      context.Context
+	landings chan landing
+	flights  []*flight
+	slow     <-chan struct{}
+	stalled  <-chan struct{}
+}
+
 // race runs one attempt, and a second one beside it where the first is slow.
-// The first result counts. It returns once ctx ends, whatever the runner does.
+// The first result counts, or the first chunk where the stage streams. It
+// returns once ctx ends, whatever the runner does.
 func (r *stageRun) race(ctx context.Context) (cicadapitch.StageResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	landings := make(chan landing, maxFlights)
-	first, err := r.launch(ctx, landings)
+	c := &race{stageRun: r, ctx: ctx, landings: make(chan landing, maxFlights)}
+	r.begin()
+	first, err := r.launch(ctx, c.landings)
 	if err != nil {
 		return cicadapitch.StageResult{}, err
 	}
-	flights := []*flight{first}
-	slow := r.slow(ctx)
+	c.flights = []*flight{first}
+	c.slow = r.slow(ctx)
+	return c.run()
+}
+
+func (c *race) run() (cicadapitch.StageResult, error) {
+	defer c.abandonAll()
+	led := c.led
 	for {
 		select {
-		case l := <-landings:
-			flights = slices.DeleteFunc(flights, func(f *flight) bool { return f == l.flight })
-			res, err := r.land(ctx, l)
-			if err == nil || len(flights) == 0 {
-				r.abandonAll(flights)
+		case l := <-c.landings:
+			if l.flight.over.Load() {
+				continue
+			}
+			res, err := c.take(l)
+			if err == nil || len(c.flights) == 0 {
 				return res, err
 			}
-		case <-slow:
-			slow = nil
-			flights = append(flights, r.hedge(ctx, landings)...)
-		case <-ctx.Done():
-			r.abandonAll(flights)
-			return cicadapitch.StageResult{}, ended(ctx, nil)
+		case <-led:
+			led = nil
+			c.follow()
+		case <-c.slow:
+			c.slow = nil
+			c.hedge()
+		case <-c.stalled:
+			return cicadapitch.StageResult{}, c.giveUp()
+		case <-c.ctx.Done():
+			return cicadapitch.StageResult{}, ended(c.ctx, nil)
 		}
 	}
 }
 
-func (r *stageRun) abandonAll(flights []*flight) {
-	for _, f := range flights {
-		r.abandon(f)
+// take lands a flight.
+func (c *race) take(l landing) (cicadapitch.StageResult, error) {
+	c.flights = slices.DeleteFunc(c.flights, func(f *flight) bool { return f == l.flight })
+	return c.land(c.ctx, l)
+}
+
+// follow ends all attempts but the one that streams, and watches that.
+func (c *race) follow() {
+	lead := c.lead.Load()
+	for _, f := range c.flights {
+		if f != lead {
+			c.abandon(f)
+		}
+	}
+	c.flights = slices.DeleteFunc(c.flights, func(f *flight) bool { return f != lead })
+	c.slow = nil
+	if len(c.flights) > 0 {
+		c.stalled = c.watch(c.ctx, lead)
+	}
+}
+
+// giveUp ends the attempt whose stream has stalled, so that the next one
+// resumes it.
+func (c *race) giveUp() error {
+	err := cicadapitch.NewOutcomeUnknown("the stream of the attempt has stalled")
+	for _, f := range c.flights {
+		c.abandon(f)
+		c.fail(f, err)
+	}
+	c.flights = nil
+	return err
+}
+
+func (c *race) abandonAll() {
+	for _, f := range c.flights {
+		c.abandon(f)
+	}
+}
+
+// hedge starts a second attempt at another shard where the budget allows it.
+func (c *race) hedge() {
+	if !c.s.budget.spend() {
+		return
+	}
+	c.avoid = append(c.avoid, c.shard.Shard)
+	f, err := c.launch(c.ctx, c.landings)
+	if err != nil {
+		return
 	}
+	c.s.metrics.Hedged(c.stage.ID)
+	c.flights = append(c.flights, f)
 }
 
 // slow returns a channel that is closed once the attempt takes longer than
-// almost all do, or nil where it may not be hedged. A stream is not hedged,
-// because two attempts can bring different texts.
+// almost all do to its end, or to its first chunk where it streams. It returns
+// nil where the attempt may not be hedged.
 func (r *stageRun) slow(ctx context.Context) <-chan struct{} {
-	if !r.s.hedging || !r.stage.Idempotent || r.stage.Streams || r.delivered != "" {
+	if !r.s.hedging || !r.stage.Idempotent || r.delivered != "" {
 		return nil
 	}
+	return r.after(ctx, r.tail())
+}
+
+func (r *stageRun) tail() cicadapitch.Millis {
+	if r.stage.Streams {
+		return max(r.s.firsts.of(r.stage).Tail(), r.rec.pipeline.FirstToken)
+	}
+	return r.s.estimates.of(r.stage).Tail()
+}
+
+func (r *stageRun) after(ctx context.Context, m cicadapitch.Millis) <-chan struct{} {
 	ch := make(chan struct{})
-	tail := r.s.estimates.of(r.stage).Tail()
 	go func() {
-		if r.s.clock.Sleep(ctx, tail) == nil {
+		if r.s.clock.Sleep(ctx, m) == nil {
 			close(ch)
 		}
 	}()
 	return ch
 }
 
-// hedge starts a second attempt at another shard where the budget allows it.
-func (r *stageRun) hedge(ctx context.Context, landings chan<- landing) []*flight {
-	if !r.s.budget.spend() {
+// watch returns a channel that is closed once a stream brings no further chunk,
+// or nil where the stage may not be run again.
+func (r *stageRun) watch(ctx context.Context, f *flight) <-chan struct{} {
+	span := pipeline.StallSpan(r.rec.pipeline)
+	if span == 0 || !r.stage.Idempotent {
 		return nil
 	}
-	r.avoid = append(r.avoid, r.shard.Shard)
-	f, err := r.launch(ctx, landings)
-	if err != nil {
-		return nil
-	}
-	r.s.metrics.Hedged(r.stage.ID)
-	return []*flight{f}
+	ch := make(chan struct{})
+	go func() {
+		for last := -1; ; {
+			if r.s.clock.Sleep(ctx, span) != nil {
+				return
+			}
+			n := f.gather.count()
+			if n == last {
+				close(ch)
+				return
+			}
+			last = n
+		}
+	}()
+	return ch
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -37,11 +37,13 @@
 
 	router    *router
 	estimates *estimates
-	budget    *budget
-	random    *random
-	gate      *gate
-	sequence  atomic.Uint64
-	prefix    string
+	// firsts holds the spans until the first chunk.
+	firsts   *estimates
+	budget   *budget
+	random   *random
+	gate     *gate
+	sequence atomic.Uint64
+	prefix   string
 }
 
 // NewServer returns a server that runs its attempts by runner on the owners of
@@ -69,6 +71,7 @@
 		maxInput:       DefaultMaxInput,
 		router:         newRouter(owners, clock),
 		estimates:      newEstimates(),
+		firsts:         newEstimates(),
 		budget:         newBudget(defaultRetryRatio, defaultRetryLimit),
 		random:         &random{source: rand.NewPCG(rand.Uint64(), rand.Uint64())},
 		gate:           newGate(),
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/pipeline"
@@ -28,6 +29,10 @@
 	// owner is set where an error named the owner of shard.
 	owner *cicadapitch.Member
 	shard pipeline.Choice
+	// lead is the attempt of the present race that streams to the caller.
+	lead atomic.Pointer[flight]
+	// led is closed once there is one.
+	led chan struct{}
 }
 
 // runStage runs one stage to its result. It starts further attempts where that
--- a/pipeline/plan.go
+++ b/pipeline/plan.go
@@ -5,8 +5,22 @@
 const (
 	minRetryMillis cicadapitch.Millis = 50
 	maxRetryMillis                    = 5 * cicadapitch.Second
+
+	// stallGaps is the number of targets between two tokens after which a
+	// stream counts as stalled.
+	stallGaps                         = 20
+	minStallMillis cicadapitch.Millis = 1000
 )
 
+// StallSpan returns the span without a token after which a stream of the
+// pipeline counts as stalled, 0 where the pipeline has no target for it.
+func StallSpan(p cicadapitch.Pipeline) cicadapitch.Millis {
+	if p.BetweenTokens == 0 {
+		return 0
+	}
+	return max(stallGaps*p.BetweenTokens, minStallMillis)
+}
+
 // Part is what one stage of a plan is expected to take.
 type Part struct {
 	Wait    cicadapitch.Millis
