entry: estimates under locks of their own, log lines, write deadlines

Cause: 97% of the lock wait in BenchmarkServe/draft at 10 cores was the one write lock over all estimates. Each estimate has its own lock now, and random numbers come from the runtime. Write deadlines are taken back after each write, because the connection serves further requests.

Not tested: the deadline after a long pause on one connection.

--- a/entry/events.go
+++ b/entry/events.go
@@ -9,8 +9,8 @@
 	"github.com/danielgtaylor/huma/v2"
 )
 
-// eventWriteTimeout bounds one write to a caller that does not read.
-const eventWriteTimeout = 5 * time.Second
+// writeTimeout bounds one write to a caller that does not read.
+const writeTimeout = 5 * time.Second
 
 // eventWriter writes server-sent events. The status is that of the first event.
 type eventWriter struct {
@@ -43,23 +43,33 @@
 }
 
 func (w *eventWriter) write(frame []byte) bool {
-	out := w.ctx.BodyWriter()
-	if rw, ok := out.(http.ResponseWriter); ok {
-		c := http.NewResponseController(rw)
-		// Writers without deadlines are those of tests.
-		_ = c.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-		_, err := rw.Write(frame)
-		return err == nil && c.Flush() == nil
+	return writeInTime(w.ctx, frame)
+}
+
+// writeInTime writes and flushes a frame. The deadline is taken back
+// afterwards, because the connection serves further requests.
+func writeInTime(ctx huma.Context, frame []byte) bool {
+	out := ctx.BodyWriter()
+	rw, ok := out.(http.ResponseWriter)
+	if !ok {
+		_, err := out.Write(frame)
+		return err == nil
 	}
-	_, err := out.Write(frame)
-	return err == nil
+	c := http.NewResponseController(rw)
+	// Writers without deadlines are those of tests.
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+	_, err := rw.Write(frame)
+	return err == nil && c.Flush() == nil
 }
 
 func writeJSON(ctx huma.Context, status int, body any) {
 	ctx.SetHeader("Content-Type", "application/json")
 	ctx.SetStatus(status)
-	// An error means that the caller has gone.
-	_ = json.NewEncoder(ctx.BodyWriter()).Encode(body)
+	// Marshal never fails for the bodies of this package, and a failed write
+	// means that the caller has gone.
+	data, _ := json.Marshal(body)
+	_ = writeInTime(ctx, data)
 }
 
 func writeError(ctx huma.Context, e *APIError) {
--- a/entry/options.go
+++ b/entry/options.go
@@ -5,6 +5,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/booking"
+	"github.com/rs/zerolog"
 )
 
 // Option changes a Server.
@@ -26,6 +27,9 @@
 // WithMetrics sets the receiver of measurements.
 func WithMetrics(m Metrics) Option { return func(s *Server) { s.metrics = m } }
 
+// WithLogger sets the log. Answers are logged at debug level, errors at info.
+func WithLogger(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+
 // WithRetryBudget bounds retries and hedges to a ratio of the requests, with
 // limit of them saved up at most.
 func WithRetryBudget(ratio, limit float64) Option {
--- a/entry/record.go
+++ b/entry/record.go
@@ -13,7 +13,6 @@
 // record is the state of one request while it runs.
 type record struct {
 	work
-	id  cicadapitch.RequestID
 	out *output
 
 	mu sync.Mutex
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,7 +12,7 @@
 func (s *Server) run(ctx context.Context, w work, out *output) (cicadapitch.Answer, error) {
 	ctx, cancel := withTimeout(ctx, s.clock, w.deadline.Sub(s.clock.Now()))
 	defer cancel()
-	rec := &record{work: w, id: s.nextID(), out: out}
+	rec := &record{work: w, out: out}
 	if err := s.admit(rec); err != nil {
 		return cicadapitch.Answer{}, rec.verdict(err)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/booking"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -31,6 +31,7 @@
 	forwarder Forwarder
 	claims    Claims
 	metrics   Metrics
+	log       zerolog.Logger
 	hedging   bool
 	admission bool
 	maxInput  cicadapitch.Bytes
@@ -66,6 +67,7 @@
 		forwarder:      NoForwarder{},
 		claims:         NoClaims{},
 		metrics:        NoMetrics{},
+		log:            zerolog.Nop(),
 		hedging:        true,
 		admission:      true,
 		maxInput:       DefaultMaxInput,
@@ -73,7 +75,7 @@
 		estimates:      newEstimates(),
 		firsts:         newEstimates(),
 		budget:         newBudget(defaultRetryRatio, defaultRetryLimit),
-		random:         &random{source: rand.NewPCG(rand.Uint64(), rand.Uint64())},
+		random:         &random{},
 		gate:           newGate(),
 		prefix:         fmt.Sprintf("%s-%x", self.Host, uint64(self.Incarnation)),
 	}
@@ -97,9 +99,10 @@
 	defer out.close()
 	w, err := s.resolve(req)
 	if err != nil {
-		s.refused(req, err)
+		s.refused(work{req: req}, 0, err)
 		return cicadapitch.Answer{}, err
 	}
+	w.id = s.nextID()
 	w.deadline = arrived.Add(w.span)
 	a, err := s.dispatch(ctx, w, out)
 	s.report(w, arrived, a, err)
@@ -125,27 +128,34 @@
 func (s *Server) report(w work, arrived cicadapitch.Instant, a cicadapitch.Answer, err error) {
 	took := s.clock.Now().Sub(arrived)
 	if err != nil {
-		s.refused(w.req, err)
+		s.refused(w, took, err)
 		return
 	}
+	s.log.Debug().Str("Request", string(w.id)).Str("Customer", string(w.req.Customer)).
+		Str("Pipeline", string(w.req.Pipeline)).Int64("Took", int64(took)).Msg("answered")
 	s.metrics.Answered(w.req.Customer, w.req.Pipeline, took, took <= w.span)
 	for _, r := range a.Stages {
 		s.metrics.Stage(w.req.Customer, w.req.Pipeline, r)
 	}
 }
 
-// refused counts an error. Names that a caller made up are not passed on, so
-// that callers cannot add series to the metrics.
-func (s *Server) refused(req cicadapitch.Request, err error) {
+// refused logs and counts an error. Names that a caller made up are not counted,
+// so that callers cannot add series to the metrics.
+func (s *Server) refused(w work, took cicadapitch.Millis, err error) {
+	kind := cicadapitch.KindOf(err)
+	s.log.Info().Str("Request", string(w.id)).Str("Customer", string(w.req.Customer)).
+		Str("Pipeline", string(w.req.Pipeline)).Int64("Took", int64(took)).
+		Stringer("Kind", kind).Str("Reason", err.Error()).Msg("refused")
+	customer, p := w.req.Customer, w.req.Pipeline
 	if cfg := s.configurations.Current(); cfg != nil {
-		if _, ok := cfg.Pipeline(req.Pipeline); !ok {
-			req.Pipeline = ""
+		if _, ok := cfg.Pipeline(p); !ok {
+			p = ""
 		}
-		if _, ok := cfg.Customer(req.Customer); !ok {
-			req.Customer = ""
+		if _, ok := cfg.Customer(customer); !ok {
+			customer = ""
 		}
 	}
-	s.metrics.Refused(req.Customer, req.Pipeline, cicadapitch.KindOf(err))
+	s.metrics.Refused(customer, p, kind)
 }
 
 // nextID returns an id that no other request of any host has. A caller's own
--- a/entry/state.go
+++ b/entry/state.go
@@ -38,13 +38,17 @@
 	return ok
 }
 
-// random gives the random numbers of choices and backoff.
+// random gives the random numbers of choices and backoff. Without a seed it
+// draws from the runtime, which needs no lock.
 type random struct {
 	mu     sync.Mutex
 	source *rand.PCG
 }
 
 func (r *random) next() uint64 {
+	if r.source == nil {
+		return rand.Uint64()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.source.Uint64()
@@ -55,33 +59,36 @@
 	stage cicadapitch.StageID
 }
 
-// estimates holds the measured service times of the stages.
-type estimates struct {
-	mu    sync.RWMutex
-	state map[estimateKey]pipeline.Estimate
+// estimateCell holds one estimate under its own lock.
+type estimateCell struct {
+	mu    sync.Mutex
+	state pipeline.Estimate
 }
 
-func newEstimates() *estimates {
-	return &estimates{state: make(map[estimateKey]pipeline.Estimate)}
-}
+// estimates holds the measured service times of the stages.
+type estimates struct{ cells sync.Map }
+
+func newEstimates() *estimates { return &estimates{} }
 
 func (e *estimates) of(st cicadapitch.Stage) pipeline.Estimate {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	est, ok := e.state[estimateKey{st.Pool, st.ID}]
+	c, ok := e.cells.Load(estimateKey{st.Pool, st.ID})
 	if !ok {
 		return pipeline.NewEstimate(st.ExpectedMillis)
 	}
-	return est
+	cell := c.(*estimateCell)
+	cell.mu.Lock()
+	defer cell.mu.Unlock()
+	return cell.state
 }
 
 func (e *estimates) add(st cicadapitch.Stage, m cicadapitch.Millis) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	k := estimateKey{st.Pool, st.ID}
-	est, ok := e.state[k]
+	c, ok := e.cells.Load(k)
 	if !ok {
-		est = pipeline.NewEstimate(st.ExpectedMillis)
+		c, _ = e.cells.LoadOrStore(k, &estimateCell{state: pipeline.NewEstimate(st.ExpectedMillis)})
 	}
-	e.state[k] = est.Add(m)
+	cell := c.(*estimateCell)
+	cell.mu.Lock()
+	defer cell.mu.Unlock()
+	cell.state = cell.state.Add(m)
 }
--- a/entry/work.go
+++ b/entry/work.go
@@ -13,6 +13,7 @@
 // work is a request with the settings that it runs under. They stay the same
 // while it runs, whatever operators change.
 type work struct {
+	id         cicadapitch.RequestID
 	req        cicadapitch.Request
 	cfg        *cicadapitch.Configuration
 	pipeline   cicadapitch.Pipeline
