order, cmd/cicadapitch: name hosts that are not known to be up

Cause: the first run of TestOrdersOnWholeHosts, which gives orders to the daemons of a local deployment right after they are ready, got "in force on 1 of 1 hosts" from a host that had not learned of its two peers yet. The count was true of what that host knew and wrong about the deployment; a host that is cut off from its peers but reaches the store would say the same.

Chosen: the count stays over the hosts that are up, an order waits 2 s for hosts of the configuration to appear, and names those that did not.

--- a/cmd/cicadapitch/command_test.go
+++ b/cmd/cicadapitch/command_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -77,10 +76,7 @@
 // do runs a command line and returns what it printed.
 func (h *host) do(t *testing.T, key string, args ...string) (string, error) {
 	t.Helper()
-	t.Setenv(keyVariable, key)
-	var w bytes.Buffer
-	err := run(context.Background(), &w, append(args, "--host", h.URL))
-	return w.String(), err
+	return runAs(t, key, append(args, "--host", h.URL)...)
 }
 
 func (h *host) must(t *testing.T, args ...string) string {
@@ -139,7 +135,7 @@
 	h.others = []cicadapitch.Member{{Host: "entry-b1", Zone: "b", State: cicadapitch.Suspect}}
 	out, err := h.do(t, bootstrapKey, "configuration", "apply", verbund)
 	require.NoError(t, err)
-	require.Contains(t, out, "in force on 1 of 2 hosts\n")
+	require.Contains(t, out, "in force on 1 of 2 hosts; not known to be up: [entry-a2 entry-b2 entry-c1 entry-c2]\n")
 	out = h.must(t, "order", "zone-out", "a")
 	require.Contains(t, out, "not yet on entry-b1 in zone b, which is Suspect at revision 0")
 	require.Contains(t, h.must(t, "report", "costs"), "1 of 2 hosts answered; the figures lack [entry-b1]")
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -95,6 +95,15 @@
 	require.Equal(t, cicadapitch.Instant(6000), clock.Now())
 }
 
+// TestHostsThatAreNotSeenAreNamed answers through a host that knows one of six.
+func TestHostsThatAreNotSeenAreNamed(t *testing.T) {
+	f := newFixture(t, fakeSpread{1, 1})
+	r, err := f.give(t, operatorKey, order.Order{Change: "change-1", Summary: "x", Mutate: order.SetZone("a", true, false)})
+	require.NoError(t, err)
+	require.Len(t, r.Missing, 5)
+	require.Contains(t, r.String(), "in force on 1 of 1 hosts; not known to be up: [entry-a2")
+}
+
 func TestSameChangeIDIsAppliedOnce(t *testing.T) {
 	f := newFixture(t, fakeSpread{1, 1})
 	f.fail, f.lost = cicadapitch.NewOutcomeUnknown("the answer was lost"), true
--- a/order/service.go
+++ b/order/service.go
@@ -24,12 +24,18 @@
 	// InForce returns on how many of how many hosts the revision or a later
 	// one is in force.
 	InForce(ctx context.Context, r cicadapitch.Revision) (n, m int)
+	// Up returns the hosts that are counted.
+	Up() map[cicadapitch.HostID]bool
 }
 
 // MaxWait bounds the wait until a change is in force everywhere, and the wait
 // for the store before that.
 const MaxWait = 6 * cicadapitch.Second
 
+// maxAppearing bounds the wait for hosts of the configuration that are not
+// known to be up. A host that has just started learns of the others within it.
+const maxAppearing = 2 * cicadapitch.Second
+
 // pollInterval is the time between two looks at the hosts' revisions.
 const pollInterval cicadapitch.Millis = 50
 
@@ -70,14 +76,20 @@
 	Revision cicadapitch.Revision `json:"Revision"`
 	Summary  string               `json:"Summary"`
 	// InForce counts the hosts on which the change is in force, Hosts all.
-	InForce  int  `json:"InForce"`
-	Hosts    int  `json:"Hosts"`
-	Repeated bool `json:"Repeated" doc:"True where this change id had been accepted before"`
+	InForce int `json:"InForce"`
+	Hosts   int `json:"Hosts"`
+	// Missing are hosts of the configuration in service that are not known
+	// to be up. They are not among Hosts.
+	Missing  []cicadapitch.HostID `json:"Missing"`
+	Repeated bool                 `json:"Repeated" doc:"True where this change id had been accepted before"`
 }
 
 // String returns the result on one line.
 func (r Result) String() string {
 	s := fmt.Sprintf("%s: accepted as revision %d, in force on %d of %d hosts", r.Summary, r.Revision, r.InForce, r.Hosts)
+	if len(r.Missing) > 0 {
+		s += fmt.Sprintf("; not known to be up: %v", r.Missing)
+	}
 	if r.Repeated {
 		s += ", had been accepted before"
 	}
@@ -100,15 +112,12 @@
 	if err != nil {
 		return Result{}, explain(err)
 	}
-	n, m := s.awaitInForce(ctx, out.Revision)
-	return Result{
-		Change:   o.Change,
-		Revision: out.Revision,
-		Summary:  o.Summary,
-		InForce:  n,
-		Hosts:    m,
-		Repeated: out.Result == configuration.Repeated,
-	}, nil
+	r := s.awaitInForce(ctx, out.Revision)
+	r.Change = o.Change
+	r.Revision = out.Revision
+	r.Summary = o.Summary
+	r.Repeated = out.Result == configuration.Repeated
+	return r, nil
 }
 
 func (s *Service) apply(ctx context.Context, c configuration.Change) (configuration.Outcome, error) {
@@ -139,17 +148,36 @@
 	}
 }
 
-func (s *Service) awaitInForce(ctx context.Context, r cicadapitch.Revision) (n, m int) {
-	end := s.clock.Now().Add(s.wait)
+func (s *Service) awaitInForce(ctx context.Context, revision cicadapitch.Revision) Result {
+	start := s.clock.Now()
 	for {
-		n, m = s.spread.InForce(ctx, r)
-		if (m > 0 && n >= m) || s.clock.Now() >= end {
-			return n, m
+		r := s.reach(ctx, revision)
+		waited := s.clock.Now().Sub(start)
+		settled := len(r.Missing) == 0 || waited >= maxAppearing
+		if (r.Hosts > 0 && r.InForce >= r.Hosts && settled) || waited >= s.wait {
+			return r
 		}
 		if s.clock.Sleep(ctx, pollInterval) != nil {
-			return n, m
+			return r
+		}
+	}
+}
+
+// reach returns how far a revision has come.
+func (s *Service) reach(ctx context.Context, revision cicadapitch.Revision) Result {
+	n, m := s.spread.InForce(ctx, revision)
+	r := Result{InForce: n, Hosts: m, Missing: []cicadapitch.HostID{}}
+	cfg := s.configurations.Current()
+	if cfg == nil {
+		return r
+	}
+	up := s.spread.Up()
+	for _, h := range cfg.Hosts {
+		if !h.Out && !up[h.ID] {
+			r.Missing = append(r.Missing, h.ID)
 		}
 	}
+	return r
 }
 
 // explain says what the failure of an order means.
--- a/order/spread.go
+++ b/order/spread.go
@@ -19,3 +19,13 @@
 func (s *MemberSpread) InForce(_ context.Context, r cicadapitch.Revision) (n, m int) {
 	return configuration.InForce(s.members.Members(), r)
 }
+
+// Up implements Spread. Hosts that are still starting take no callers and are
+// left out, as InForce does.
+func (s *MemberSpread) Up() map[cicadapitch.HostID]bool {
+	up := make(map[cicadapitch.HostID]bool)
+	for _, m := range s.members.Members() {
+		up[m.Host] = m.State != cicadapitch.Starting && m.State != cicadapitch.Dead
+	}
+	return up
+}
