root: Pool.Ordered tells whether operators ordered what the engines serve

An owner that takes a shard over cannot tell whether its engines were ever meant to change. Without this it would order every engine of every pool after each change of owner, and an order may turn an engine cold.

--- a/configuration.go
+++ b/configuration.go
@@ -42,6 +42,9 @@
 	// Role says what the engines of the pool do, such as prefill or decode;
 	// empty for everything.
 	Role string
+	// Ordered is true once operators have ordered what the engines serve.
+	// Engines of other pools are left as they were set up.
+	Ordered bool
 	// ColdSlots is what an endpoint bears in a cold start.
 	ColdSlots Slots
 	// WarmSlots is what an endpoint bears once it is warm.
