rollout, order: engines are ordered to the model, version, adapters and role of their pool

Cause: orders changed the configuration, and nothing carried them to the engines. The owner of a shard does now, with its fencing number: one engine at a time, in turns that the shards of a pool take by the clock, so that owners keep the weight store's common pace without messages; only while the shard has no queue and can spare a mean engine; engines out of service first.

Weighed: reading back from engines what they serve, which the driver has no call for; ordering all engines again after each change of owner, which may turn them cold. Chosen: a progress record for each shard in the store, written once for each engine ordered and read once for each claim. Engines that do not check fencing get their order again each minute, in case a former owner overrode it.

Not proved: the daemon does not run it yet, and a load that takes longer than an interval overlaps with the next turn.

--- a/order/model.go
+++ b/order/model.go
@@ -31,6 +31,23 @@
 		p.Version = m.Version
 		p.Adapters = m.Adapters
 		p.Role = m.Role
+		p.Ordered = true
 		return nil
 	}
 }
+
+// keepOrdered marks the pools whose engines are to serve something else than
+// before, and keeps the mark of those that were ordered earlier.
+func keepOrdered(before, after *cicadapitch.Configuration) {
+	after.Pools = slices.Clone(after.Pools)
+	for i := range after.Pools {
+		p := &after.Pools[i]
+		if was, ok := before.Pool(p.ID); ok && p.Kind == cicadapitch.Engine {
+			p.Ordered = was.Ordered || !servesSame(was, *p)
+		}
+	}
+}
+
+func servesSame(a, b cicadapitch.Pool) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.Role == b.Role && slices.Equal(a.Adapters, b.Adapters)
+}
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -199,6 +199,29 @@
 	require.Equal(t, []bool{false, true, false}, zonesOut(f.Current()))
 }
 
+// TestOrderedModelsStayOrdered applies revised answers after an order and then
+// answers that name another version themselves.
+func TestOrderedModelsStayOrdered(t *testing.T) {
+	cfg := shipped(t)
+	cfg.Revision = 1
+	ordered := func() bool {
+		p, _ := cfg.Pool("drafts")
+		return p.Ordered
+	}
+	require.NoError(t, order.SetConfiguration(1, *shipped(t))(cfg))
+	require.False(t, ordered())
+	revised := shipped(t)
+	revised.Pools[3].Version = "2"
+	require.NoError(t, order.SetConfiguration(1, *revised)(cfg))
+	require.True(t, ordered())
+	require.NoError(t, order.SetConfiguration(1, *revised)(cfg))
+	require.True(t, ordered())
+	require.False(t, revised.Pools[3].Ordered)
+	cfg = shipped(t)
+	require.NoError(t, order.SetModel(order.Model{Pool: "drafts", Model: "campaign-writer"})(cfg))
+	require.True(t, ordered())
+}
+
 func TestOnlyOperatorsOrder(t *testing.T) {
 	f := newFixture(t, fakeSpread{1, 1})
 	for _, key := range []string{"", "wrong", customerKey, f.Current().Operators[0].KeyHash} {
--- a/order/whole.go
+++ b/order/whole.go
@@ -23,6 +23,7 @@
 		merged.Revision = cfg.Revision
 		merged.Change = cfg.Change
 		keepOut(cfg, &merged)
+		keepOrdered(cfg, &merged)
 		*cfg = merged
 		return nil
 	}
--- /dev/null
+++ b/rollout/options.go
@@ -0,0 +1,41 @@
+package rollout
+
+import (
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	defaultInterval   = 10 * cicadapitch.Second
+	defaultRepeat     = cicadapitch.Minute
+	defaultBackoff    = cicadapitch.Second
+	defaultMaxBackoff = cicadapitch.Minute
+	// maxDoublings keeps the shift of the backoff in range.
+	maxDoublings = 16
+	tickInterval = cicadapitch.Second
+)
+
+type options struct {
+	interval   cicadapitch.Millis
+	repeat     cicadapitch.Millis
+	backoff    cicadapitch.Millis
+	maxBackoff cicadapitch.Millis
+	log        zerolog.Logger
+}
+
+// Option changes a Rollout.
+type Option func(*options)
+
+// WithInterval sets the time that the weight store needs for one load. All
+// owners together order one engine of each pool in that time.
+func WithInterval(m cicadapitch.Millis) Option {
+	return func(o *options) { o.interval = max(m, 1) }
+}
+
+// WithRepeat sets how often engines that do not check fencing numbers get their
+// order again, in case a former owner has overridden it.
+func WithRepeat(m cicadapitch.Millis) Option { return func(o *options) { o.repeat = m } }
+
+// WithLog sets the logger.
+func WithLog(log zerolog.Logger) Option { return func(o *options) { o.log = log } }
--- /dev/null
+++ b/rollout/target.go
@@ -0,0 +1,28 @@
+package rollout
+
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Target is what an engine is to serve.
+type Target struct {
+	Model    cicadapitch.ModelID
+	Version  cicadapitch.ModelVersion
+	Adapters []cicadapitch.AdapterID
+	Role     string
+}
+
+// targetOf returns the target of a pool. It returns false for plain services
+// and for pools that operators have never ordered to serve anything.
+func targetOf(p cicadapitch.Pool) (Target, bool) {
+	if p.Kind != cicadapitch.Engine || !p.Ordered {
+		return Target{}, false
+	}
+	return Target{Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role}, true
+}
+
+func (t Target) equal(o Target) bool {
+	return t.Model == o.Model && t.Version == o.Version && t.Role == o.Role && slices.Equal(t.Adapters, o.Adapters)
+}
