settings, rollout, docs: the weight store's interval is a setting

LoadIntervalMillis is checked with the others and documented; a second is the least, so that settings made without defaults cannot flood the weight store.

--- a/rollout/options.go
+++ b/rollout/options.go
@@ -28,9 +28,10 @@
 type Option func(*options)
 
 // WithInterval sets the time that the weight store needs for one load. All
-// owners together order one engine of each pool in that time.
+// owners together order one engine of each pool in that time, which is a second
+// at least.
 func WithInterval(m cicadapitch.Millis) Option {
-	return func(o *options) { o.interval = max(m, 1) }
+	return func(o *options) { o.interval = max(m, tickInterval) }
 }
 
 // WithRepeat sets how often engines that do not check fencing numbers get their
--- a/settings/read.go
+++ b/settings/read.go
@@ -19,11 +19,13 @@
 // MinKeyBytes is the least length of the deployment key.
 const MinKeyBytes = 16
 
-// Bounds of LeaseMillis and ShutdownGraceMillis.
+// Bounds of spans.
 const (
-	MinLease = cicadapitch.Second
-	MaxLease = 5 * cicadapitch.Minute
-	MaxGrace = 60 * cicadapitch.Minute
+	MinLease        = cicadapitch.Second
+	MaxLease        = 5 * cicadapitch.Minute
+	MaxGrace        = 60 * cicadapitch.Minute
+	MinLoadInterval = cicadapitch.Second
+	MaxLoadInterval = 60 * cicadapitch.Minute
 )
 
 // maxKeyFileBytes bounds the file of the deployment key.
@@ -116,6 +118,8 @@
 		fmt.Sprintf("give %d to %d ms", MinLease, MaxLease))
 	check(f, s.ShutdownGraceMillis >= 1 && s.ShutdownGraceMillis <= MaxGrace, "ShutdownGraceMillis", "is out of range",
 		fmt.Sprintf("give 1 to %d ms", MaxGrace))
+	check(f, s.LoadIntervalMillis >= MinLoadInterval && s.LoadIntervalMillis <= MaxLoadInterval, "LoadIntervalMillis",
+		"is out of range", fmt.Sprintf("give %d to %d ms", MinLoadInterval, MaxLoadInterval))
 }
 
 // check records a problem unless the field already has one.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,12 +36,16 @@
 	LeaseMillis cicadapitch.Millis
 	// ShutdownGraceMillis bounds a graceful shutdown.
 	ShutdownGraceMillis cicadapitch.Millis
+	// LoadIntervalMillis is the time that the weight store needs for one
+	// load of a model. It must be the same on all hosts.
+	LoadIntervalMillis cicadapitch.Millis
 }
 
 // Defaults of settings that may be left out.
 const (
 	DefaultLeaseMillis         = 10 * cicadapitch.Second
 	DefaultShutdownGraceMillis = 60 * cicadapitch.Second
+	DefaultLoadIntervalMillis  = 10 * cicadapitch.Second
 	DefaultLogLevel            = "info"
 )
 
@@ -64,4 +68,7 @@
 	if s.ShutdownGraceMillis == 0 {
 		s.ShutdownGraceMillis = DefaultShutdownGraceMillis
 	}
+	if s.LoadIntervalMillis == 0 {
+		s.LoadIntervalMillis = DefaultLoadIntervalMillis
+	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -57,6 +57,7 @@
 		{"SeedPeers", "LogLevel: loud\nSeedPeers", "11: LogLevel: "},
 		{"SeedPeers", "LeaseMillis: 1\nSeedPeers", "11: LeaseMillis: "},
 		{"SeedPeers", "HostList: nowhere\nSeedPeers", "11: HostList: "},
+		{"SeedPeers", "LoadIntervalMillis: 999\nSeedPeers", "11: LoadIntervalMillis: "},
 		{"SeedPeers", "ShutdownGraceMillis: -1\nSeedPeers", "11: ShutdownGraceMillis: "},
 	} {
 		s, err := settings.Read(strings.NewReader(strings.Replace(good, c.old, c.replacement, 1)), "host.yaml")
