daemon: carry model orders to the engines

Cause: an order for a model changed the configuration but reached no engine. Change: the rollout role runs in the daemon, with the owner's fencing numbers and the interval of the settings.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"cicadapitch.example/cicadapitch/host"
 	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/rollout"
 	"cicadapitch.example/cicadapitch/settings"
 )
 
@@ -136,6 +137,7 @@
 	d.owner.Start(ctx)
 	go func() { _ = d.spreader.Run(ctx) }()
 	go d.keepRecord(ctx)
+	go func() { _ = do.MustInvoke[*rollout.Rollout](d.roles).Run(ctx) }()
 }
 
 func listenError(field string, err error) error {
--- /dev/null
+++ b/daemon/rollout.go
@@ -0,0 +1,24 @@
+package daemon
+
+import (
+	"github.com/samber/do/v2"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/claim"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/driver"
+	"cicadapitch.example/cicadapitch/endpoint"
+	"cicadapitch.example/cicadapitch/rollout"
+	"cicadapitch.example/cicadapitch/settings"
+)
+
+func newRollout(i do.Injector) (*rollout.Rollout, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return rollout.New(s.Host, do.MustInvoke[*claim.Claims](i), rollout.Platform{
+		Configurations: do.MustInvoke[*configuration.Follower](i),
+		Driver:         driver.NewEngine(driver.WithClock(clockOf(i))),
+		Load:           do.MustInvoke[*endpoint.Owner](i).Load,
+		Store:          do.MustInvoke[cicadapitch.Store](i),
+		Clock:          clockOf(i),
+	}, rollout.WithInterval(s.LoadIntervalMillis), rollout.WithLog(logOf(i))), nil
+}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -41,6 +41,7 @@
 	do.Provide(i, newRecorder)
 	do.Provide(i, newEntry)
 	do.Provide(i, newOrders)
+	do.Provide(i, newRollout)
 }
 
 func newSelf(i do.Injector) (cicadapitch.Member, error) {
