pipeline: what other hosts send and what has ended count in the choice

Now a host takes the others to have sent half of what it sent itself to each shard since the report, drains the queue by what has ended since, and admission counts waits one and a half times.

--- a/entry/run.go
+++ b/entry/run.go
@@ -59,6 +59,7 @@
 	q.Zone = self.Zone
 	q.Region = self.Region
 	q.Weight = cfg.Weight
+	q.Hosts = s.peers.count(now)
 	q.Expected = s.estimates.of(st).Typical()
 	q.Random = s.random.next()
 	return pipeline.Choose(g, func(i int) pipeline.ShardState {
--- a/entry/server.go
+++ b/entry/server.go
@@ -37,6 +37,7 @@
 	maxInput  cicadapitch.Bytes
 
 	router    *router
+	peers     *peerCount
 	estimates *estimates
 	// firsts holds the spans until the first chunk.
 	firsts   *estimates
@@ -72,6 +73,7 @@
 		admission:      true,
 		maxInput:       DefaultMaxInput,
 		router:         newRouter(owners, clock),
+		peers:          &peerCount{members: members},
 		estimates:      newEstimates(),
 		firsts:         newEstimates(),
 		budget:         newBudget(defaultRetryRatio, defaultRetryLimit),
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -16,9 +16,9 @@
 	zoneMillis   = 1
 	regionMillis = 40
 
-	// loadHalfLife is the span after which half of a reported queue is no
-	// longer believed.
-	loadHalfLife = cicadapitch.Second
+	// likeness is the part of its own attempts that a host takes each other
+	// host to have sent to the same shard.
+	likeness = 0.5
 	// prefixSaving is the part of a service time that a cached prefix saves.
 	prefixSaving = 0.3
 	// minWaitWeight keeps a queue from growing without bound where only cost
@@ -51,6 +51,8 @@
 	// Budget is the span in which the stage should end.
 	Budget cicadapitch.Millis
 	Weight cicadapitch.Weight
+	// Hosts counts the entry hosts that choose among the same shards.
+	Hosts int
 	// Avoid names shards that have failed this request.
 	Avoid []cicadapitch.ShardID
 	// Random is a random number for the samples.
@@ -154,7 +156,7 @@
 	if c.Affine {
 		service *= 1 - prefixSaving
 	}
-	wait := waitTime(s, m, serviceTime(s, q)) + distance(m, q)
+	wait := waitTime(s, m, serviceTime(s, q), q) + distance(m, q)
 	c.Wait = cicadapitch.Millis(math.Ceil(wait))
 	c.Service = cicadapitch.Millis(math.Ceil(service))
 	c.score = max(float64(q.Weight), minWaitWeight)*wait + service
@@ -189,23 +191,28 @@
 	return float64(max(q.Expected, 1))
 }
 
-// waitTime returns the expected wait for a slot. A reported queue drains with
-// its age; what this host has sent since the report comes on top.
-func waitTime(s ShardState, m *Member, service float64) float64 {
-	slots := float64(m.Endpoints)
-	free := slots
-	queued := 0.0
-	ahead := float64(s.Inflight)
-	if s.Known {
-		slots = max(float64(s.Load.Total), 0)
-		free = float64(s.Load.Free)
-		queued = float64(s.Load.Queued) * math.Exp2(-float64(s.Age)/float64(loadHalfLife))
-		ahead = float64(s.Since)
-	}
-	if slots == 0 {
+// waitTime returns the expected wait for a slot. What has been sent since the
+// load was read comes on top of it, and what has ended since then drains it.
+func waitTime(s ShardState, m *Member, service float64, q Query) float64 {
+	if !s.Known {
+		return max(float64(s.Inflight+1-m.Endpoints), 0) * service / float64(m.Endpoints)
+	}
+	slots := float64(s.Load.Total)
+	if slots <= 0 {
 		return noSlotsWait(service)
 	}
-	return max(queued+ahead+1-free, 0) * service / slots
+	busy := slots - float64(s.Load.Free)
+	ended := busy * float64(s.Age) / service
+	sent := float64(s.Since) * sentByAll(q.Hosts)
+	ahead := float64(s.Load.Queued) + busy + max(sent-ended, -busy-float64(s.Load.Queued))
+	return max(ahead+1-slots, 0) * service / slots
+}
+
+// sentByAll is what all hosts are taken to have sent for each attempt of this
+// host since the load was read. The hosts see the same loads and tend to choose
+// alike, but the count of one host says little about the others.
+func sentByAll(hosts int) float64 {
+	return 1 + likeness*float64(max(hosts-1, 0))
 }
 
 // noSlotsWait is the wait at a shard that bears nothing now.
--- a/pipeline/plan.go
+++ b/pipeline/plan.go
@@ -6,6 +6,10 @@
 	minRetryMillis cicadapitch.Millis = 50
 	maxRetryMillis                    = 5 * cicadapitch.Second
 
+	// waitMargin over waitMarginUnit is the factor of the waits in a plan.
+	waitMargin     = 3
+	waitMarginUnit = 2
+
 	// stallGaps is the number of targets between two tokens after which a
 	// stream counts as stalled.
 	stallGaps                         = 20
@@ -31,11 +35,12 @@
 // it.
 type Plan []Part
 
-// Total returns the expected span of the whole plan.
+// Total returns the span that the whole plan takes with some certainty. Waits
+// count more than expected, because the loads they come from lag.
 func (p Plan) Total() cicadapitch.Millis {
 	var sum cicadapitch.Millis
 	for _, part := range p {
-		sum += part.Wait + part.Service
+		sum += part.Wait*waitMargin/waitMarginUnit + part.Service
 	}
 	return sum
 }
