--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(method, f.hosts[i].settings.CallerURL+path, bytes.NewReader(b))
+	req, err := http.NewRequest(method, f.Settings()[i].CallerURL+path, bytes.NewReader(b))
 	if err != nil {
 		return err
 	}
