host: membership with probes, suspicion, news and digests

Cause: the thin membership sent every record to every host twice a second. Mechanism: a pure core (instant and message in, pings out) behind Group. Two direct probes a second round a shuffled ring, three probes through others before a suspicion, refutation by a higher version, Gone after 3 s. Changes of state are pushed to three hosts at once; other changes ride on probes under an allowance; digests of 32 buckets find what was missed. Loads ride only on the host's own messages. A 48-bit reference names a host in a status (22 bytes where a record takes 130). Found by the fleet tests: answers repeated to a host what it had just told, so that urgent news ran out before all had it (a killed host was seen as ready for 5.4 s by the last of 40); lo.Uniq made an empty want list non-nil, which let two hosts ping each other without end (now bounded by maxFollows as well).

--- /dev/null
+++ b/host/core.go
@@ -0,0 +1,201 @@
+package host
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Command asks for a ping to be sent. Its outcome is told to Core.Answered or
+// Core.Failed under the same ID.
+type Command struct {
+	ID      uint64
+	Address string
+	Ping    Ping
+	Timeout cicadapitch.Millis
+	// follows counts the exchanges that led to this ping.
+	follows int
+}
+
+// Core decides about the membership. It performs no I/O: each method takes the
+// instant and what has happened, and returns the pings to send. It is not safe
+// for concurrent use.
+type Core struct {
+	self  *entry
+	table *table
+	news  news
+	rand  *rand.Rand
+	seeds []string
+
+	// ring is the order of the direct probes, and next its position.
+	ring   []Ref
+	next   int
+	probes map[uint64]*probe
+	last   uint64
+
+	started     cicadapitch.Instant
+	ticked      cicadapitch.Instant
+	probeAt     cicadapitch.Instant
+	reconnectAt cicadapitch.Instant
+	compareAt   cicadapitch.Instant
+	agreedAt    cicadapitch.Instant
+	forgetAt    cicadapitch.Instant
+	// allowance is what news may be sent now.
+	allowance cicadapitch.Bytes
+	// urgent is true while something waits to be pushed.
+	urgent bool
+	// replaced is true once a later process runs under the same host id.
+	replaced bool
+	// changes counts the changes of the table, loads apart.
+	changes uint64
+}
+
+// NewCore returns the core of a host that knows only itself and addresses to
+// begin with.
+func NewCore(self cicadapitch.Member, seeds []string, seed uint64, now cicadapitch.Instant) *Core {
+	self.Started = max(self.Started, now)
+	self.Version = max(self.Version, 1)
+	e := &entry{ref: refOf(self), member: self, shape: self.Version}
+	c := &Core{
+		self:      e,
+		table:     newTable(),
+		rand:      rand.New(rand.NewPCG(seed, xxh3.HashString(string(self.Host)))),
+		seeds:     slices.Clone(seeds),
+		probes:    make(map[uint64]*probe),
+		started:   now,
+		ticked:    now,
+		agreedAt:  now.Add(-disagreement),
+		allowance: newsBurst,
+	}
+	// Hosts that start together must not probe in step.
+	c.probeAt = now.Add(cicadapitch.Millis(c.rand.Int64N(int64(probeInterval))))
+	c.table.put(e)
+	return c
+}
+
+// Self returns the own record.
+func (c *Core) Self() cicadapitch.Member { return c.self.view() }
+
+// Members returns all known hosts that are not dead, this one included.
+func (c *Core) Members() []cicadapitch.Member { return c.table.views() }
+
+// Changes counts the changes of the members, those of loads apart.
+func (c *Core) Changes() uint64 { return c.changes }
+
+// Replaced reports whether a later process runs under the same host id.
+func (c *Core) Replaced() bool { return c.replaced }
+
+// SetSeeds replaces the addresses to begin with.
+func (c *Core) SetSeeds(addresses []string) { c.seeds = slices.Clone(addresses) }
+
+// Update changes the own record. Host, Incarnation, Started and the versions
+// are not the caller's to change.
+func (c *Core) Update(change func(*cicadapitch.Member)) []Command {
+	before := c.self.member
+	after := before
+	after.Claims = slices.Clone(before.Claims)
+	change(&after)
+	after.Host, after.Incarnation, after.Started = before.Host, before.Incarnation, before.Started
+	after.Version, after.LoadVersion = before.Version, before.LoadVersion+1
+	status, shape := differ(before, after)
+	if !status && !shape {
+		c.self.member = after
+		return nil
+	}
+	c.table.change(c.self, func() {
+		after.Version++
+		c.self.member = after
+		if shape {
+			c.self.shape = after.Version
+		}
+	})
+	c.changes++
+	c.news.add(item{ref: c.self.ref, full: shape, urgent: after.State != before.State})
+	if after.State == before.State && after.Revision <= before.Revision {
+		return nil
+	}
+	return c.push()
+}
+
+// differ tells whether the status or anything else but loads has changed.
+func differ(a, b cicadapitch.Member) (status, shape bool) {
+	status = a.State != b.State || a.Revision != b.Revision || a.StoreUp != b.StoreUp
+	shape = a.Zone != b.Zone || a.Region != b.Region || a.PeerAddress != b.PeerAddress ||
+		a.CallerURL != b.CallerURL || !slices.EqualFunc(a.Claims, b.Claims, sameClaim)
+	return status, shape
+}
+
+func sameClaim(a, b cicadapitch.Claim) bool {
+	return a.Shard == b.Shard && a.Fencing == b.Fencing
+}
+
+// Tick advances the core's timers. It is to be called every 100 ms.
+func (c *Core) Tick(now cicadapitch.Instant) []Command {
+	c.thaw(now)
+	c.refill(now)
+	c.ticked = now
+	cmds := c.expireProbes(now)
+	c.expireSuspicions(now)
+	if now >= c.forgetAt {
+		c.forgetAt = now.Add(forgetInterval)
+		c.table.forget(now)
+	}
+	if now >= c.probeAt {
+		c.probeAt = c.probeAt.Add(probeInterval)
+		cmds = append(cmds, c.probeNext(now)...)
+	}
+	if now >= c.reconnectAt {
+		cmds = append(cmds, c.reconnect(now)...)
+	}
+	if c.urgent {
+		cmds = append(cmds, c.push()...)
+	}
+	return cmds
+}
+
+// thaw drops what a paused process cannot judge.
+func (c *Core) thaw(now cicadapitch.Instant) {
+	gap := now.Sub(c.ticked)
+	if gap < thawGap {
+		return
+	}
+	clear(c.probes)
+	c.probeAt = now
+	for _, e := range c.table.list {
+		if e.health == Suspected {
+			e.until = e.until.Add(gap)
+		}
+	}
+}
+
+func (c *Core) refill(now cicadapitch.Instant) {
+	gained := cicadapitch.Bytes(now.Sub(c.ticked)) * newsRate / cicadapitch.Bytes(cicadapitch.Second)
+	c.allowance = min(c.allowance+gained, newsBurst)
+}
+
+// command makes a command that carries news.
+func (c *Core) command(address string, timeout cicadapitch.Millis) Command {
+	c.last++
+	p := Ping{Self: c.self.status(), Loads: c.self.loads(), Digest: c.table.digest(), Count: c.table.alive}
+	p.News, p.Records = c.takeNews(nil)
+	return Command{ID: c.last, Address: address, Ping: p, Timeout: timeout}
+}
+
+func (c *Core) takeNews(told []Status) ([]Status, []Record) {
+	budget := max(min(c.allowance, newsMessage), newsLeast)
+	statuses, records, used := c.news.take(c.table, budget, told)
+	c.spend(used)
+	return statuses, records
+}
+
+func (c *Core) spend(n cicadapitch.Bytes) { c.allowance = max(c.allowance-n, 0) }
+
+// changed passes on a change of another host's entry.
+func (c *Core) changed(e *entry, full, urgent bool) {
+	c.changes++
+	c.news.add(item{ref: e.ref, full: full, urgent: urgent})
+	c.urgent = c.urgent || urgent
+}
--- /dev/null
+++ b/host/export_test.go
@@ -0,0 +1,17 @@
+package host
+
+// Introduce makes cores know each other as if they had done so long ago.
+func Introduce(cores []*Core) {
+	for _, c := range cores {
+		for _, other := range cores {
+			if other != c {
+				c.learnRecord(c.ticked, other.self.record())
+			}
+		}
+		c.news.items = nil
+		c.urgent = false
+	}
+}
+
+// RecordOf returns the own record of a core as it crosses the wire.
+func RecordOf(c *Core) Record { return c.self.record() }
--- a/host/group.go
+++ b/host/group.go
@@ -4,170 +4,183 @@
 	"context"
 	"sync"
 
-	"github.com/rs/zerolog"
-	"github.com/samber/lo"
-
 	"cicadapitch.example/cicadapitch"
 )
 
-const (
-	period  cicadapitch.Millis = 500
-	expires cicadapitch.Millis = 3000
-)
-
-type known struct {
-	member cicadapitch.Member
-	heard  cicadapitch.Instant
-}
-
-// Group knows the entry hosts. It implements cicadapitch.Members.
+// Group knows the entry hosts and tells them of this one. It runs a Core: the
+// Core decides and the Group carries the pings.
 type Group struct {
 	opts options
-
-	mu     sync.RWMutex
-	self   cicadapitch.Member
-	others map[cicadapitch.HostID]known
-	subs   []func([]cicadapitch.Member)
+	// changed wakes the notifications.
+	changed chan struct{}
+	pings   sync.WaitGroup
+
+	mu   sync.RWMutex
+	core *Core
+	seen uint64
+	subs []func([]cicadapitch.Member)
+	// outgoing takes commands of Update while Run runs.
+	outgoing func([]Command)
+	hints    map[cicadapitch.HostID]cicadapitch.Instant
 }
 
 // New returns a group that knows only self.
 func New(self cicadapitch.Member, opts ...Option) *Group {
-	o := options{clock: cicadapitch.NewSystemClock(), log: zerolog.Nop()}
-	for _, opt := range opts {
-		opt(&o)
+	o := newOptions(opts)
+	return &Group{
+		opts:    o,
+		changed: make(chan struct{}, 1),
+		core:    NewCore(self, o.peers, o.seed, o.clock.Now()),
+		hints:   make(map[cicadapitch.HostID]cicadapitch.Instant),
 	}
-	self.Started = o.clock.Now()
-	return &Group{opts: o, self: self, others: make(map[cicadapitch.HostID]known)}
 }
 
-// Self implements cicadapitch.Members.
-func (g *Group) Self() cicadapitch.Member {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	return g.self
-}
-
-// Members implements cicadapitch.Members.
-func (g *Group) Members() []cicadapitch.Member {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	list := []cicadapitch.Member{g.self}
-	for _, k := range g.others {
-		if k.member.State != cicadapitch.Dead {
-			list = append(list, k.member)
+// Run keeps the membership until ctx ends, which returns nil. A host that is
+// leaving says goodbye before. Run returns a Conflict error if a later process
+// runs under the same host id.
+func (g *Group) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer g.pings.Wait()
+	defer cancel()
+	g.setOutgoing(func(cmds []Command) { g.send(ctx, cmds) })
+	defer g.setOutgoing(nil)
+	g.pings.Go(func() { g.notify(ctx) })
+	g.pings.Go(func() { g.followList(ctx) })
+	g.wake()
+	for {
+		if err := g.opts.clock.Sleep(ctx, tick); err != nil {
+			g.sayGoodbye()
+			return nil
+		}
+		g.decide(func(c *Core, now cicadapitch.Instant) []Command { return c.Tick(now) })
+		if g.replaced() {
+			return cicadapitch.NewError(cicadapitch.Conflict,
+				"another process runs under host id "+string(g.Self().Host),
+				"stop this process or give it a host id of its own")
 		}
 	}
-	return list
 }
 
-// StoreSeen counts the hosts that reach the platform's key-value service and
-// those that do not.
-func (g *Group) StoreSeen() (up, down int) {
-	members := g.Members()
-	up = lo.CountBy(members, func(m cicadapitch.Member) bool { return m.StoreUp })
-	return up, len(members) - up
+// Update changes the own record and tells other hosts where that is due.
+func (g *Group) Update(change func(*cicadapitch.Member)) {
+	g.decide(func(c *Core, _ cicadapitch.Instant) []Command { return c.Update(change) })
 }
 
-// Subscribe calls fn with all members after every change.
-func (g *Group) Subscribe(fn func([]cicadapitch.Member)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.subs = append(g.subs, fn)
+// Handle answers a ping of another host.
+func (g *Group) Handle(ctx context.Context, p Ping) (Ack, error) {
+	var ack Ack
+	g.decide(func(c *Core, now cicadapitch.Instant) []Command {
+		var cmds []Command
+		ack, cmds = c.Receive(now, p)
+		return cmds
+	})
+	if p.Target != "" {
+		ack.Reached = g.relay(ctx, p.Target)
+	}
+	return ack, nil
 }
 
-// Update changes the own record.
-func (g *Group) Update(change func(*cicadapitch.Member)) {
+// relay pings a host for another one.
+func (g *Group) relay(ctx context.Context, address string) bool {
 	g.mu.Lock()
-	change(&g.self)
-	g.self.Version++
+	cmd := g.core.Relay(address)
 	g.mu.Unlock()
-	g.notify()
+	return g.carry(ctx, cmd)
 }
 
-// Handle answers a ping.
-func (g *Group) Handle(_ context.Context, p Ping) (Ack, error) {
-	g.learn(p.Self, p.Records)
-	return Ack{Self: g.Self(), Records: g.Members()}, nil
+// decide runs a step of the core under the lock and its commands after it.
+func (g *Group) decide(step func(*Core, cicadapitch.Instant) []Command) {
+	g.mu.Lock()
+	cmds := step(g.core, g.opts.clock.Now())
+	changed := g.core.Changes() != g.seen
+	g.seen = g.core.Changes()
+	if g.outgoing != nil {
+		// Under the lock, so that none is sent after Run has ended.
+		g.outgoing(cmds)
+	}
+	g.mu.Unlock()
+	if changed {
+		g.wake()
+	}
 }
 
-// Run pings the other hosts until ctx ends.
-func (g *Group) Run(ctx context.Context) error {
-	for {
-		for _, address := range g.targets(ctx) {
-			go g.ping(ctx, address)
-		}
-		if err := g.opts.clock.Sleep(ctx, period); err != nil {
-			return nil
-		}
-		g.expire()
-	}
+func (g *Group) setOutgoing(fn func([]Command)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.outgoing = fn
 }
 
-func (g *Group) targets(ctx context.Context) []string {
-	list := append([]string{}, g.opts.peers...)
-	if g.opts.list != nil {
-		hosts, _ := g.opts.list.Hosts(ctx)
-		for _, h := range hosts {
-			list = append(list, h.PeerAddress)
-		}
+func (g *Group) send(ctx context.Context, cmds []Command) {
+	for _, cmd := range cmds {
+		g.pings.Go(func() { g.carry(ctx, cmd) })
 	}
-	for _, m := range g.Members() {
-		list = append(list, m.PeerAddress)
-	}
-	return lo.Without(lo.Uniq(list), g.Self().PeerAddress)
 }
 
-func (g *Group) ping(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, period.Duration())
-	defer cancel()
-	ack, err := g.opts.transport.Ping(ctx, address, Ping{Self: g.Self(), Records: g.Members()})
-	if err == nil {
-		g.learn(ack.Self, ack.Records)
+// carry sends one ping and tells the core of its outcome.
+func (g *Group) carry(ctx context.Context, cmd Command) bool {
+	if g.opts.transport == nil {
+		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout.Duration())
+	defer cancel()
+	ack, err := g.opts.transport.Ping(ctx, cmd.Address, cmd.Ping)
+	g.decide(func(c *Core, now cicadapitch.Instant) []Command {
+		if err != nil {
+			return c.Failed(now, cmd.ID)
+		}
+		return c.Answered(now, cmd, ack)
+	})
+	return err == nil
 }
 
-func (g *Group) learn(from cicadapitch.Member, records []cicadapitch.Member) {
-	g.mu.Lock()
-	now := g.opts.clock.Now()
-	changed := false
-	for i, m := range append([]cicadapitch.Member{from}, records...) {
-		old, ok := g.others[m.Host]
-		newer := !ok || m.Started > old.member.Started ||
-			(m.Started == old.member.Started && m.Version >= old.member.Version)
-		if m.Host == g.self.Host || !newer || (ok && i > 0 && m.Version == old.member.Version) {
-			continue
-		}
-		g.others[m.Host] = known{member: m, heard: now}
-		changed = changed || !ok || m.Version != old.member.Version
+// goodbyeTimeout bounds the farewell of a leaving host.
+const goodbyeTimeout cicadapitch.Millis = 300
+
+// sayGoodbye tells some hosts that this one is gone for good, so that nobody
+// has to find out.
+func (g *Group) sayGoodbye() {
+	if g.Self().State != cicadapitch.Leaving {
+		return
 	}
+	g.mu.Lock()
+	cmds := g.core.Update(func(m *cicadapitch.Member) { m.State = cicadapitch.Dead })
 	g.mu.Unlock()
-	if changed {
-		g.notify()
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout.Duration())
+	defer cancel()
+	var farewells sync.WaitGroup
+	for _, cmd := range cmds {
+		farewells.Go(func() { g.carry(ctx, cmd) })
 	}
+	farewells.Wait()
 }
 
-func (g *Group) expire() {
-	g.mu.Lock()
-	now := g.opts.clock.Now()
-	n := len(g.others)
-	for id, k := range g.others {
-		if now.Sub(k.heard) > expires {
-			delete(g.others, id)
-		}
-	}
-	changed := n != len(g.others)
-	g.mu.Unlock()
-	if changed {
-		g.notify()
+func (g *Group) replaced() bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.core.Replaced()
+}
+
+func (g *Group) wake() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
 	}
 }
 
-func (g *Group) notify() {
-	g.mu.RLock()
-	subs := g.subs
-	g.mu.RUnlock()
-	members := g.Members()
-	for _, fn := range subs {
-		fn(members)
+// notify calls the subscribers, one change after the other.
+func (g *Group) notify(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.changed:
+		}
+		g.mu.RLock()
+		subs := g.subs
+		g.mu.RUnlock()
+		members := g.Members()
+		for _, fn := range subs {
+			fn(members)
+		}
 	}
 }
--- a/host/options.go
+++ b/host/options.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"math/rand/v2"
+
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
@@ -31,8 +33,17 @@
 // begin with and hosts that leave.
 func WithHostList(l cicadapitch.HostList) Option { return func(o *options) { o.list = l } }
 
-// WithSeed sets the seed of all random choices.
+// WithSeed sets the seed of all random choices. Without it they differ with
+// every process.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
 // WithTransport sets what carries the pings.
 func WithTransport(t Transport) Option { return func(o *options) { o.transport = t } }
+
+func newOptions(opts []Option) options {
+	o := options{clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(), seed: rand.Uint64()}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/host/probe.go
@@ -0,0 +1,156 @@
+package host
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// probe is a direct probe of a host, or the probes through others after it.
+type probe struct {
+	target Ref
+	due    cicadapitch.Instant
+	// relay is true for a probe through another host. Those of one target
+	// share left, the count of those without a result.
+	relay bool
+	left  *int
+}
+
+// probeNext pings the next host of the ring.
+func (c *Core) probeNext(now cicadapitch.Instant) []Command {
+	e := c.nextTarget()
+	if e == nil {
+		return nil
+	}
+	cmd := c.command(e.member.PeerAddress, probeTimeout)
+	if e.health != Alive {
+		// The host may refute it at once.
+		cmd.Ping.News = append(cmd.Ping.News, e.status())
+	}
+	c.probes[cmd.ID] = &probe{target: e.ref, due: now.Add(probeTimeout)}
+	return []Command{cmd}
+}
+
+// nextTarget goes round the ring, which is shuffled again after each round.
+func (c *Core) nextTarget() *entry {
+	for range len(c.ring) + 1 {
+		if c.next >= len(c.ring) {
+			c.shuffle()
+		}
+		if len(c.ring) == 0 {
+			return nil
+		}
+		e := c.table.byRef[c.ring[c.next]]
+		c.next++
+		if e != nil && e.health != Gone {
+			return e
+		}
+	}
+	return nil
+}
+
+func (c *Core) shuffle() {
+	c.next = 0
+	c.ring = c.ring[:0]
+	for _, e := range c.table.list {
+		if e != c.self && e.health != Gone {
+			c.ring = append(c.ring, e.ref)
+		}
+	}
+	c.rand.Shuffle(len(c.ring), func(i, j int) { c.ring[i], c.ring[j] = c.ring[j], c.ring[i] })
+}
+
+// enrol adds a new host at a random place of the ring.
+func (c *Core) enrol(ref Ref) {
+	at := c.next + c.rand.IntN(len(c.ring)-c.next+1)
+	c.ring = slices.Insert(c.ring, at, ref)
+}
+
+// expireProbes treats probes without a result as failed.
+func (c *Core) expireProbes(now cicadapitch.Instant) []Command {
+	var cmds []Command
+	for _, id := range lo.Filter(sortedKeys(c.probes), func(id uint64, _ int) bool { return c.probes[id].due <= now }) {
+		cmds = append(cmds, c.Failed(now, id)...)
+	}
+	return cmds
+}
+
+func sortedKeys[V any](m map[uint64]V) []uint64 {
+	keys := lo.Keys(m)
+	slices.Sort(keys)
+	return keys
+}
+
+// Failed tells that a ping got no answer.
+func (c *Core) Failed(now cicadapitch.Instant, id uint64) []Command {
+	p, ok := c.probes[id]
+	if !ok {
+		return nil
+	}
+	delete(c.probes, id)
+	e := c.table.byRef[p.target]
+	if e == nil || e.health != Alive {
+		return nil
+	}
+	if !p.relay {
+		return c.probeThroughOthers(now, e)
+	}
+	*p.left--
+	if *p.left == 0 {
+		c.suspect(now, e)
+	}
+	return nil
+}
+
+// probeThroughOthers asks other hosts to ping the target, which tells a dead
+// host from a broken path.
+func (c *Core) probeThroughOthers(now cicadapitch.Instant, e *entry) []Command {
+	helpers := c.pick(relays, func(h *entry) bool { return h != e && h.health == Alive })
+	if len(helpers) == 0 {
+		c.suspect(now, e)
+		return nil
+	}
+	left := len(helpers)
+	cmds := make([]Command, 0, left)
+	for _, h := range helpers {
+		cmd := c.command(h.member.PeerAddress, relayTimeout)
+		cmd.Ping.Target = e.member.PeerAddress
+		c.probes[cmd.ID] = &probe{target: e.ref, due: now.Add(relayTimeout), relay: true, left: &left}
+		cmds = append(cmds, cmd)
+	}
+	return cmds
+}
+
+// settle ends a probe whose ping was answered.
+func (c *Core) settle(now cicadapitch.Instant, id uint64, reached bool) []Command {
+	p, ok := c.probes[id]
+	if !ok {
+		return nil
+	}
+	if p.relay && !reached {
+		return c.Failed(now, id)
+	}
+	for other, q := range c.probes {
+		if q.target == p.target {
+			delete(c.probes, other)
+		}
+	}
+	return nil
+}
+
+// pick returns up to n random hosts that match, this one excluded.
+func (c *Core) pick(n int, match func(*entry) bool) []*entry {
+	list := lo.Filter(c.table.list, func(e *entry, _ int) bool { return e != c.self && match(e) })
+	for i := range min(n, len(list)) {
+		j := i + c.rand.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:min(n, len(list))]
+}
+
+// Relay returns the ping that a host sends for another.
+func (c *Core) Relay(address string) Command {
+	return c.command(address, probeTimeout)
+}
