--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -115,6 +115,7 @@
 		if !nd.down {
 			f.send(nd, nd.core.Tick(f.now))
 			f.look(nd)
+			f.follow(nd)
 		}
 		f.after(tick, again)
 	}
@@ -165,7 +166,7 @@
 			} else {
 				f.send(from, from.core.Failed(f.now, cmd.ID))
 			}
-			f.look(from)
+			f.follow(from)
 		})
 	}
 }
@@ -194,7 +195,7 @@
 		to.bytes += size + exchangeBytes
 		ack, cmds := to.core.Receive(f.now, cmd.Ping)
 		f.send(to, cmds)
-		f.look(to)
+		f.follow(to)
 		answer := func() {
 			size := sizeOf(ack)
 			to.bytes += size
@@ -221,22 +222,31 @@
 	})
 }
 
-// look notes what has changed for a host, and follows new revisions.
+// look notes what has changed for a host.
 func (f *fleet) look(nd *node) {
 	if nd.core.Changes() == nd.seen {
 		return
 	}
 	nd.seen = nd.core.Changes()
-	highest := nd.core.Self().Revision
 	for _, m := range nd.core.Members() {
-		highest = max(highest, m.Revision)
 		old := nd.states[m.Host]
 		if m.State == cicadapitch.Suspect && old != m.State && !f.named(m.Host).down {
 			f.falsely[m.State]++
 		}
 		nd.states[m.Host] = m.State
 	}
-	if f.fetch == 0 || highest == nd.core.Self().Revision || nd.forced != 0 {
+}
+
+// follow fetches a revision that others have in force.
+func (f *fleet) follow(nd *node) {
+	if f.fetch == 0 || nd.forced != 0 {
+		return
+	}
+	highest := nd.core.Self().Revision
+	for _, m := range nd.core.Members() {
+		highest = max(highest, m.Revision)
+	}
+	if highest == nd.core.Self().Revision {
 		return
 	}
 	nd.forced = -1
--- a/host/group_fleet_test.go
+++ b/host/group_fleet_test.go
@@ -33,7 +33,6 @@
 	f.startAll()
 	host.Introduce(lo.Map(f.nodes, func(nd *node, _ int) *host.Core { return nd.core }))
 	f.run(1000)
-	f.fetch = fetch
 	return f
 }
 
@@ -52,11 +51,13 @@
 	for _, nd := range f.nodes {
 		nd.forced = 0
 	}
+	f.fetch = fetch
 	start := f.now
 	f.force(f.nodes[len(f.nodes)/2], r)
 	f.until(t, forced, func() bool {
 		return lo.EveryBy(f.running(), func(nd *node) bool { return nd.core.Self().Revision == r })
 	})
+	f.fetch = 0
 	times := lo.Map(f.running(), func(nd *node, _ int) cicadapitch.Millis { return nd.forced.Sub(start) })
 	slices.Sort(times)
 	return times[len(times)/2], times[len(times)-1]
--- a/host/suspicion.go
+++ b/host/suspicion.go
@@ -10,6 +10,9 @@
 }
 
 func (c *Core) expireSuspicions(now cicadapitch.Instant) {
+	if c.table.suspected == 0 {
+		return
+	}
 	for _, e := range c.table.list {
 		if e.health == Suspected && e.until <= now {
 			c.table.change(e, func() { e.health = Gone })
--- a/host/table.go
+++ b/host/table.go
@@ -21,7 +21,10 @@
 	// retired holds replaced incarnations and when to forget them.
 	retired map[Ref]cicadapitch.Instant
 	buckets [bucketCount]uint32
-	alive   int
+	// alive counts the hosts that are not Gone, suspected those of them that
+	// are Suspected.
+	alive     int
+	suspected int
 }
 
 func newTable() *table {
@@ -76,17 +79,17 @@
 	t.list = slices.Delete(t.list, i, i+1)
 }
 
-func (t *table) count(e *entry) {
-	t.buckets[bucketOf(e.ref)] ^= e.hash()
-	if e.health != Gone {
-		t.alive++
-	}
-}
+func (t *table) count(e *entry) { t.add(e, 1) }
+
+func (t *table) uncount(e *entry) { t.add(e, -1) }
 
-func (t *table) uncount(e *entry) {
+func (t *table) add(e *entry, n int) {
 	t.buckets[bucketOf(e.ref)] ^= e.hash()
 	if e.health != Gone {
-		t.alive--
+		t.alive += n
+	}
+	if e.health == Suspected {
+		t.suspected += n
 	}
 }
 
