peer: failures brought about, and what they found

Cause: the guarantees of the calls (NotRun is true, a silent connection fails its calls and is replaced, a bad peer hurts only itself) had no proof. Found: a handler whose caller's connection went silent got the connection's own error as its cause and not ErrConnectionLost; handlers now have a context of their own that lost() ends. Each test was seen failing with its mechanism taken out (scratch copy): heartbeats, probe of idle connections, duplicate check, credit, withdrawal of queued requests, both proofs of the key, cancel frames, recover, drain. Three of the tests had passed without their mechanism at first (duplicates, NotRun, server proof) and were made stricter.

--- /dev/null
+++ b/peer/export_test.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/coder/websocket"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// DecodeFrames decodes a message and returns how many frames it holds.
+func DecodeFrames(message []byte) (int, error) {
+	frames, err := decodeFrames(message)
+	return len(frames), err
+}
+
+// Prove carries out the client's half of the handshake.
+func Prove(ctx context.Context, ws *websocket.Conn, key []byte) error {
+	return introduce(ctx, ws, "raw", key)
+}
+
+// RequestFrame encodes a request with an integer as its body.
+func RequestFrame(stream uint64, name string, body int) []byte {
+	raw := must(encoding.Marshal(body))
+	return must(encodeFrame(frame{Kind: requestFrame, Stream: stream, Name: name, Body: raw}))
+}
+
+// UnknownVersionProof encodes a proof of a version that nobody speaks.
+func UnknownVersionProof() []byte {
+	return must(encoding.Marshal(proof{Version: 99, Nonce: newNonce()}))
+}
+
+// RefusalIn returns the error of a server's second message.
+func RefusalIn(message []byte) *cicadapitch.Error {
+	var w welcome
+	if err := decoding.Unmarshal(message, &w); err != nil {
+		return nil
+	}
+	return w.Error
+}
+
+// Challenge encodes a server's first message.
+func Challenge() []byte {
+	return must(encoding.Marshal(challenge{Version: ProtocolVersion, Nonce: newNonce()}))
+}
+
+// FalseWelcome encodes the second message of a server without the key.
+func FalseWelcome() []byte {
+	return must(encoding.Marshal(welcome{MAC: newNonce()}))
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -25,7 +25,7 @@
 type reply struct{ Text string }
 
 // serve starts a server on a loopback port and returns its address.
-func serve(t *testing.T, s *peer.Server) string {
+func serve(t testing.TB, s *peer.Server) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s)
@@ -37,7 +37,7 @@
 	return strings.TrimPrefix(h.URL, "http://")
 }
 
-func dialer(t *testing.T, opts ...peer.Option) *peer.Dialer {
+func dialer(t testing.TB, opts ...peer.Option) *peer.Dialer {
 	t.Helper()
 	d := peer.NewDialer("caller", key, opts...)
 	t.Cleanup(func() {
--- a/peer/serving.go
+++ b/peer/serving.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return s.refuse(f.Stream, err)
 	}
-	ctx, cancel := context.WithCancelCause(s.link.ctx)
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(s.link.ctx))
 	r := &run{cancel: cancel, credit: newCredit(f.Credit)}
 	if !s.add(f.Stream, r) {
 		cancel(nil)
@@ -171,6 +171,12 @@
 	return nil
 }
 
+// lost ends the handlers' contexts and waits for the handlers.
 func (s *serving) lost(error) {
+	s.mu.Lock()
+	for _, r := range s.runs {
+		r.cancel(ErrConnectionLost)
+	}
+	s.mu.Unlock()
 	s.wg.Wait()
 }
