host: the directory spreads callers by weighted rendezvous

Cause: counts of running requests ride on a host's own pings and are up to 85 s old at 340 hosts (four exchanges a second). 'Least running first' sends every caller of a zone to the host whose count is oldest or smallest. Weighed: least running first in steps of 8 with a stable order for each caller (what stood here), plain rendezvous (blind to load), weighted rendezvous with weight 1/(running + mean), which draws at most twice its part to an idle host.

--- a/host/directory.go
+++ b/host/directory.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
+	"github.com/samber/lo"
 	"github.com/zeebo/xxh3"
 
 	"cicadapitch.example/cicadapitch"
@@ -29,53 +31,64 @@
 }
 
 // Directory returns the hosts that a caller should use: ready ones with a
-// configuration that are not out of service, the nearest zone first, then the
-// least running, with a stable order for each caller among equals.
+// configuration that are not out of service, the nearest zone first. Within the
+// same distance each caller has its own order, in which hosts that run less
+// come first more often. The counts of running requests lag, so no host, however
+// idle it seems, draws more than about twice its part of the callers.
 func Directory(members []cicadapitch.Member, cfg *cicadapitch.Configuration, q Query) Listing {
-	hosts := make([]candidate, 0, len(members))
-	for _, m := range members {
-		if usable(m, cfg) {
-			hosts = append(hosts, newCandidate(m, q))
-		}
-	}
+	usable := lo.Filter(members, func(m cicadapitch.Member, _ int) bool { return usable(m, cfg) })
+	means := meanRunning(usable, q)
+	hosts := lo.Map(usable, func(m cicadapitch.Member, _ int) candidate { return newCandidate(m, q, means) })
 	slices.SortFunc(hosts, candidate.compare)
 	if q.Limit > 0 && len(hosts) > q.Limit {
 		hosts = hosts[:q.Limit]
 	}
-	l := Listing{Hosts: make([]cicadapitch.Member, len(hosts)), TTL: DirectoryTTL}
-	for i, c := range hosts {
-		l.Hosts[i] = c.member
+	return Listing{
+		Hosts: lo.Map(hosts, func(c candidate, _ int) cicadapitch.Member { return c.member }),
+		TTL:   DirectoryTTL,
 	}
-	return l
+}
+
+// distances counts the values of distance.
+const distances = 3
+
+// meanRunning returns the mean count of running requests at each distance.
+func meanRunning(members []cicadapitch.Member, q Query) [distances]float64 {
+	var sums, counts [distances]float64
+	for _, m := range members {
+		sums[distance(m, q)] += float64(m.Running)
+		counts[distance(m, q)]++
+	}
+	for d := range sums {
+		sums[d] /= max(counts[d], 1)
+	}
+	return sums
 }
 
 // candidate is a host with what it is ordered by.
 type candidate struct {
 	member   cicadapitch.Member
 	distance int
-	load     int
-	order    uint64
+	// score is the weighted rendezvous hash of the caller and the host.
+	score float64
 }
 
-// loadStep is the difference in running requests that counts as one step.
-// Within a step callers spread by their own order, so that not all of them
-// follow the same lagging count.
-const loadStep = 8
+// idleRunning is the count of running requests below which hosts are alike.
+const idleRunning = 8
 
-func newCandidate(m cicadapitch.Member, q Query) candidate {
-	return candidate{
-		member:   m,
-		distance: distance(m, q),
-		load:     m.Running / loadStep,
-		order:    xxh3.HashString(q.Caller + "\x00" + string(m.Host)),
-	}
+func newCandidate(m cicadapitch.Member, q Query, means [distances]float64) candidate {
+	d := distance(m, q)
+	weight := 1 / (float64(max(m.Running, 0)) + max(means[d], idleRunning))
+	hash := xxh3.HashString(q.Caller + "\x00" + string(m.Host))
+	// The hash as a number between 0 and 1, both excluded.
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return candidate{member: m, distance: d, score: weight / -math.Log(uniform)}
 }
 
 func (c candidate) compare(o candidate) int {
 	return cmp.Or(
 		cmp.Compare(c.distance, o.distance),
-		cmp.Compare(c.load, o.load),
-		cmp.Compare(c.order, o.order),
+		cmp.Compare(o.score, c.score),
 		cmp.Compare(c.member.Host, o.member.Host),
 	)
 }
