--- /dev/null
+++ b/bench/bounds_test.go
@@ -0,0 +1,115 @@
+package bench_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/bench"
+)
+
+const seeds = 2
+
+func fleets() []bench.Fleet { return []bench.Fleet{bench.Verbund(), bench.Cwrt()} }
+
+func caseNamed(t *testing.T, f bench.Fleet, name string) bench.Case {
+	t.Helper()
+	for _, c := range bench.Cases(f) {
+		if c.Name == name {
+			return c
+		}
+	}
+	t.Fatalf("no case %q", name)
+	return bench.Case{}
+}
+
+func variantNamed(t *testing.T, name string) bench.Variant {
+	t.Helper()
+	for _, v := range bench.Variants() {
+		if v.Name == name {
+			return v
+		}
+	}
+	t.Fatalf("no variant %q", name)
+	return bench.Variant{}
+}
+
+// each runs a case with the standard policy for both fleets and all seeds.
+func each(t *testing.T, name string, check func(t *testing.T, r bench.Result)) {
+	t.Helper()
+	for _, f := range fleets() {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%s/seed=%d", f.Name, seed+1), func(t *testing.T) {
+				r := bench.Run(caseNamed(t, f, name), variantNamed(t, bench.Standard), seed+1)
+				require.Zero(t, r.OverCold, "calls above what a cold endpoint bears")
+				require.LessOrEqual(t, r.Amplification, 1.1)
+				check(t, r)
+			})
+		}
+	}
+}
+
+func TestSteadyLoad(t *testing.T) {
+	each(t, "steady", func(t *testing.T, r bench.Result) {
+		require.GreaterOrEqual(t, r.Attainment, 0.99)
+		require.GreaterOrEqual(t, r.Goodput, 0.9)
+	})
+}
+
+func TestBurst(t *testing.T) {
+	each(t, "burst", func(t *testing.T, r bench.Result) { require.GreaterOrEqual(t, r.Goodput, 0.9) })
+}
+
+func TestSlowEndpoint(t *testing.T) {
+	each(t, "slow endpoint", func(t *testing.T, r bench.Result) { require.GreaterOrEqual(t, r.Goodput, 0.9) })
+}
+
+func TestEndpointsColdAgainWithoutWarning(t *testing.T) {
+	each(t, "cold again", func(t *testing.T, r bench.Result) { require.GreaterOrEqual(t, r.Goodput, 0.9) })
+}
+
+func TestEngineDiesInMidStream(t *testing.T) {
+	each(t, "engine dies", func(t *testing.T, r bench.Result) {
+		require.GreaterOrEqual(t, r.Goodput, 0.9)
+		require.Greater(t, r.Amplification, 1.0, "no stream was resumed")
+	})
+}
+
+func TestZoneOutAndBack(t *testing.T) {
+	each(t, "zone out", func(t *testing.T, r bench.Result) {
+		require.GreaterOrEqual(t, r.Attainment, 0.95)
+		require.GreaterOrEqual(t, r.Goodput, 0.9)
+		for second, a := range r.Attained {
+			if second >= bench.ZoneBackSeconds+10 && a >= 0 {
+				require.GreaterOrEqual(t, a, 0.95, "second %d", second)
+			}
+		}
+	})
+}
+
+func TestFloodOfOneCustomer(t *testing.T) {
+	each(t, "flood", func(t *testing.T, r bench.Result) {
+		require.GreaterOrEqual(t, r.WorstCustomer, 0.95)
+		require.GreaterOrEqual(t, r.Goodput, 0.9)
+	})
+}
+
+func TestNoSlowStartOverloadsColdEndpoints(t *testing.T) {
+	f := bench.Verbund()
+	r := bench.Run(caseNamed(t, f, "cold again"), variantNamed(t, "no slow start"), 1)
+	require.Positive(t, r.OverCold)
+}
+
+func TestNoFairSharesStarvesSmallCustomers(t *testing.T) {
+	f := bench.Verbund()
+	fair := bench.Run(caseNamed(t, f, "flood"), variantNamed(t, bench.Standard), 1)
+	unfair := bench.Run(caseNamed(t, f, "flood"), variantNamed(t, "no fair shares"), 1)
+	require.Less(t, unfair.WorstCustomer, fair.WorstCustomer-0.1)
+}
+
+func TestFiguresRepeatForASeed(t *testing.T) {
+	c := caseNamed(t, bench.Cwrt(), "engine dies")
+	v := variantNamed(t, bench.Standard)
+	require.Equal(t, bench.Run(c, v, 7), bench.Run(c, v, 7))
+}
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -16,6 +16,8 @@
 	on       *backend
 	hit      float64
 	first    cicadapitch.Millis
+	proven   bool
+	load     float64
 	declines int
 }
 
@@ -30,6 +32,10 @@
 	removed bool
 
 	running []*job
+	// unproven counts running calls that have shown no output yet.
+	unproven cicadapitch.Slots
+	// braked is true while a call is so late that no new work is sent.
+	braked bool
 	// line holds jobs that wait for this endpoint's prefix cache.
 	line []*job
 	// strays are the instants by which calls have ended that this owner no
@@ -100,6 +106,15 @@
 
 func (b *backend) drop(j *job) {
 	b.running = slices.DeleteFunc(b.running, func(k *job) bool { return k == j })
+	b.prove(j)
+}
+
+// prove counts the first output, or the end, of a call.
+func (b *backend) prove(j *job) {
+	if !j.proven {
+		j.proven = true
+		b.unproven--
+	}
 }
 
 func (b *backend) stray(until cicadapitch.Instant) {
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -18,6 +18,8 @@
 	service float64
 	score   float64
 	avoided bool
+	// busy is true where the job has to wait for a slot.
+	busy bool
 }
 
 // better orders offers: endpoints to be avoided last, then by score, then by
@@ -39,10 +41,17 @@
 
 // expected returns the expected service time of a job on an endpoint.
 func (s *State) expected(b *backend, j *job, hit float64) float64 {
-	load := float64(b.busy()) / float64(max(s.pool.WarmSlots, 1))
-	return s.model.service(j.Size, hit) * b.pace() * (1 + batchSlope*load)
+	return s.model.service(j.Size, hit) * b.pace() * slowdown(s.filled(b))
 }
 
+// filled returns the busy part of an endpoint's warm slots.
+func (s *State) filled(b *backend) float64 {
+	return float64(b.busy()) / float64(max(s.pool.WarmSlots, 1))
+}
+
+// slowdown returns how many times longer a call takes in a batch than alone.
+func slowdown(filled float64) float64 { return 1 + batchSlope*filled }
+
 // choose returns the best offer for a job. It is one of an endpoint with a
 // free slot, or of a busy one whose prefix cache is worth the wait.
 func (s *State) choose(now cicadapitch.Instant, j *job) offer {
@@ -70,13 +79,13 @@
 // offer rates an endpoint by completion and by cost, which is the slot time it
 // takes, with the weight of the configuration.
 func (s *State) offer(now cicadapitch.Instant, b *backend, j *job) (offer, bool) {
-	limit := s.limit(now, b)
-	if limit == 0 || (b.ejected > 0 && !j.Idempotent && s.lender(now, b)) {
+	if s.limit(now, b) == 0 || (b.ejected > 0 && !j.Idempotent && s.lender(now, b)) {
 		return offer{}, false
 	}
 	o := offer{on: b, hit: b.prefixes.hit(j.Prefix), avoided: slices.Contains(j.Avoid, b.ID)}
 	o.service = s.expected(b, j, o.hit)
-	if b.busy() >= limit {
+	o.busy = s.free(now, b) == 0
+	if o.busy {
 		if o.avoided || !s.worthWaiting(now, b, j, &o) {
 			return offer{}, false
 		}
@@ -86,10 +95,11 @@
 	return o, true
 }
 
-// lender is true if an endpoint other than b can take work.
+// lender is true if an endpoint other than b, and not on probation, can take
+// work now.
 func (s *State) lender(now cicadapitch.Instant, b *backend) bool {
 	return slices.ContainsFunc(s.endpoints, func(c *backend) bool {
-		return c != b && c.ejected == 0 && s.limit(now, c) > 0
+		return c != b && c.ejected == 0 && s.free(now, c) > 0
 	})
 }
 
--- a/endpoint/dispatch.go
+++ b/endpoint/dispatch.go
@@ -63,7 +63,7 @@
 		s.refuse(now, j, NoEndpoint, s.retryAfter(outlook{}, 0))
 	case s.policy.Admission && now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline:
 		s.refuse(now, j, Expired, s.retryAfter(s.look(now, j), 0))
-	case o.wait > 0:
+	case o.busy:
 		j.on = o.on
 		o.on.line = append(o.on.line, j)
 	default:
@@ -75,7 +75,11 @@
 	delete(s.waiting, j.Attempt)
 	j.started = now
 	j.on = b
+	j.load = s.filled(b)
 	j.hit = b.prefixes.hit(j.Prefix)
+	b.prefixes.note(now, j.Prefix)
+	j.proven = false
+	b.unproven++
 	b.running = append(b.running, j)
 	s.running[j.Attempt] = j
 	s.commands = append(s.commands, Command{
--- a/endpoint/policy.go
+++ b/endpoint/policy.go
@@ -36,6 +36,15 @@
 	// ColdFactor is how many times its usual latency an endpoint takes when
 	// it counts as cold again.
 	ColdFactor float64
+	// ProveFactor is how many times its usual latency the first output of a
+	// call may take to prove that the endpoint is warm.
+	ProveFactor float64
+	// GrowFactor is how many times its expected latency a call may take to
+	// count fully towards another slot.
+	GrowFactor float64
+	// BrakeFactor is how many times its usual latency an endpoint takes for
+	// the first output of a call when it gets no new work until it answers.
+	BrakeFactor float64
 	// LatencyFloor is the latency below which no endpoint counts as slow.
 	LatencyFloor cicadapitch.Millis
 	// EjectAfter is the number of failures in a row that eject an endpoint.
@@ -68,6 +77,9 @@
 		Quantum:      2000,
 		Margin:       1,
 		ColdFactor:   3,
+		ProveFactor:  1.2,
+		GrowFactor:   1.6,
+		BrakeFactor:  2,
 		LatencyFloor: 20,
 		EjectAfter:   3,
 		EjectFactor:  3,
--- a/endpoint/prefix.go
+++ b/endpoint/prefix.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// note records that a call with the prefix has read or filled the cache.
+// note records that a call with the prefix reads or fills the cache.
 func (v *prefixView) note(now cicadapitch.Instant, prefix string) {
 	if prefix == "" {
 		return
--- a/endpoint/report.go
+++ b/endpoint/report.go
@@ -12,7 +12,7 @@
 	var due []cicadapitch.Endpoint
 	for _, b := range s.endpoints {
 		every := s.policy.PollEvery
-		if !b.seen {
+		if !b.seen || b.braked {
 			every /= 10
 		}
 		if b.removed || b.polling || now.Sub(b.polled) < every {
--- a/endpoint/shard.go
+++ b/endpoint/shard.go
@@ -59,7 +59,7 @@
 func (s *shard) progress(now cicadapitch.Instant, id cicadapitch.AttemptID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state.Progress(now, id)
+	s.pass(s.state.Progress(now, id))
 }
 
 // finish hands over the end of a call. After a declined call, the next command
--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -17,8 +17,21 @@
 }
 
 // free returns the number of calls the endpoint can take now.
+//
+// An engine that turns cold without warning shows it at the next first token
+// at the earliest. Until calls have shown one, it gets no more of them than it
+// bears in a cold start.
 func (s *State) free(now cicadapitch.Instant, b *backend) cicadapitch.Slots {
-	return max(s.limit(now, b)-b.busy(), 0)
+	n := s.limit(now, b) - b.busy()
+	if s.policy.SlowStart {
+		if s.pool.Kind == cicadapitch.Engine {
+			n = min(n, s.pool.ColdSlots-b.unproven)
+		}
+		if b.braked {
+			n = 0
+		}
+	}
+	return max(n, 0)
 }
 
 // fall takes the endpoint as cold from now on.
@@ -32,17 +45,25 @@
 	s.scatter(b)
 }
 
-// maxNeed bounds the good calls that one more slot can cost.
-const maxNeed = 16
+const (
+	// maxNeed bounds the good calls that one more slot can cost.
+	maxNeed = 16
+	// slowCredit is how many slow calls count as much as a good one. They
+	// count for something, so that an endpoint slower than its peers grows.
+	slowCredit = 8
+)
 
 // grow gives the endpoint another slot for good calls that started after it
 // was last cold, once a load report of that time says that it is warm.
-func (s *State) grow(b *backend, j *job) {
+func (s *State) grow(b *backend, j *job, ratio float64) {
 	if j.started < b.since || b.reportCold || b.read < b.since {
 		return
 	}
 	b.credit++
-	if b.credit < b.need {
+	if ratio <= s.policy.GrowFactor {
+		b.credit += slowCredit - 1
+	}
+	if b.credit < b.need*slowCredit {
 		return
 	}
 	b.credit = 0
@@ -52,31 +73,32 @@
 	}
 }
 
-// overdue is true while a running call takes so long that the endpoint must
-// have turned cold.
-func (s *State) overdue(now cicadapitch.Instant, j *job) bool {
+// overdue is true while a running call takes factor times as long as usual.
+func (s *State) overdue(now cicadapitch.Instant, j *job, factor float64) bool {
 	usual := s.model.longest(j.Size)
 	if j.first == 0 {
 		usual = s.model.first(0)
 	}
 	usual = max(usual*max(j.on.pace(), 1), float64(s.policy.LatencyFloor))
-	return float64(now.Sub(j.started)) > usual*s.policy.ColdFactor
+	return float64(now.Sub(j.started)) > usual*factor
 }
 
-// watch takes endpoints with overdue calls as cold.
+// watch holds back new work from endpoints with overdue calls, and takes them
+// as cold if that lasts.
 func (s *State) watch(now cicadapitch.Instant) {
 	for _, b := range s.endpoints {
 		b.expireStrays(now)
 		if !b.seen && now.Sub(b.added) >= s.policy.ForeignWork {
 			b.seen = true
 		}
-		if b.bears == s.pool.ColdSlots {
-			continue
-		}
+		b.braked = false
 		for _, j := range b.running {
-			if s.overdue(now, j) {
+			if !s.overdue(now, j, s.policy.BrakeFactor) {
+				continue
+			}
+			b.braked = true
+			if b.bears > s.pool.ColdSlots && s.overdue(now, j, s.policy.ColdFactor) {
 				s.fall(now, b)
-				break
 			}
 		}
 	}
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -20,8 +20,12 @@
 	waiting   map[cicadapitch.AttemptID]*job
 	running   map[cicadapitch.AttemptID]*job
 	turn      int
-	paces     []float64
-	commands  []Command
+	slow      int
+	// load is the mean part of the warm slots that were busy when a call
+	// began.
+	load     mean
+	paces    []float64
+	commands []Command
 }
 
 // NewState returns the state of a shard without endpoints.
@@ -46,10 +50,31 @@
 }
 
 // Progress takes the first output of a running call.
-func (s *State) Progress(now cicadapitch.Instant, id cicadapitch.AttemptID) {
+func (s *State) Progress(now cicadapitch.Instant, id cicadapitch.AttemptID) []Command {
+	s.commands = s.commands[:0]
 	if j, ok := s.running[id]; ok && j.first == 0 {
 		j.first = max(now.Sub(j.started), 1)
+		s.proven(j)
+		return s.dispatch(now)
+	}
+	return nil
+}
+
+// proven takes a first output as a proof that the endpoint is warm, unless it
+// came late.
+func (s *State) proven(j *job) {
+	b := j.on
+	usual := s.model.miss.value
+	if j.hit > 0 {
+		usual = s.model.hit.value
+	}
+	usual *= slowdown(j.load) / slowdown(s.load.value)
+	s.load.add(j.load)
+	first := float64(j.first)
+	if first <= max(usual*s.policy.ProveFactor*max(b.pace(), 1), float64(s.policy.LatencyFloor)) {
+		b.prove(j)
 	}
+	b.speed.add(first / max(s.model.first(j.hit), 1))
 }
 
 // Finish takes the end of a call.
@@ -70,7 +95,7 @@
 	case Declined:
 		s.declined(now, j)
 	case Canceled:
-		j.on.stray(now.Add(s.policy.CancelLag))
+		s.canceled(now, j)
 	}
 	return s.dispatch(now)
 }
@@ -129,19 +154,30 @@
 		done.first = done.service
 	}
 	b.failures = 0
-	b.prefixes.note(now, j.Prefix)
 	s.readmit(now, b)
 	ratio := s.model.ratio(done)
 	if ratio > s.policy.ColdFactor*max(b.pace(), 1) && done.service > float64(s.policy.LatencyFloor) {
 		s.fall(now, b)
 	} else {
-		s.grow(b, j)
+		s.grow(b, j, ratio)
 	}
 	b.speed.add(ratio)
-	s.model.learn(done)
+	s.learn(done, ratio)
 	s.judge(now, b)
 }
 
+// learn adds a call to the shard's model. Few of the slow ones are taken, so
+// that an endpoint that turns cold does not pass for the usual.
+func (s *State) learn(done sample, ratio float64) {
+	if ratio > s.policy.GrowFactor && s.model.spread.samples > fewSamples {
+		s.slow++
+		if s.slow%slowCredit != 0 {
+			return
+		}
+	}
+	s.model.learn(done)
+}
+
 // broken takes a call as a failure whose work may still run.
 func (s *State) broken(now cicadapitch.Instant, j *job) {
 	b := j.on
@@ -151,6 +187,17 @@
 	s.judge(now, b)
 }
 
+// canceled takes a call that was given up. One that had taken longer than a
+// whole call takes tells as much about the endpoint as one that ended.
+func (s *State) canceled(now cicadapitch.Instant, j *job) {
+	b := j.on
+	b.stray(now.Add(s.policy.CancelLag))
+	if late := float64(now.Sub(j.started)) / max(s.model.longest(j.Size), 1); late > b.pace() {
+		b.speed.add(late)
+		s.judge(now, b)
+	}
+}
+
 // declined offers the job to another endpoint.
 func (s *State) declined(now cicadapitch.Instant, j *job) {
 	b := j.on
