--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -15,8 +15,10 @@
 	"cicadapitch.example/cicadapitch/endpoint"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
+	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/report"
 	"cicadapitch.example/cicadapitch/settings"
 )
 
@@ -31,10 +33,14 @@
 	do.Provide(i, newDialer)
 	do.Provide(i, newPeerServer)
 	do.Provide(i, newGroup)
+	do.Provide(i, newSpreader)
 	do.Provide(i, newClaims)
 	do.Provide(i, newOwner)
 	do.Provide(i, newMinter)
+	do.Provide(i, newScrape)
+	do.Provide(i, newRecorder)
 	do.Provide(i, newEntry)
+	do.Provide(i, newOrders)
 }
 
 func newSelf(i do.Injector) (cicadapitch.Member, error) {
@@ -92,6 +98,17 @@
 	return host.New(do.MustInvoke[cicadapitch.Member](i), opts...), nil
 }
 
+func newSpreader(i do.Injector) (*configuration.Spreader, error) {
+	return configuration.NewSpreader(
+		do.MustInvoke[*configuration.Follower](i),
+		do.MustInvoke[cicadapitch.Store](i),
+		do.MustInvoke[*host.Group](i),
+		fetcher{do.MustInvoke[*peer.Dialer](i)},
+		clockOf(i),
+		configuration.WithLog(logOf(i)),
+	), nil
+}
+
 func newClaims(i do.Injector) (*claim.Claims, error) {
 	return claim.New(
 		do.MustInvoke[cicadapitch.Store](i),
@@ -134,9 +151,35 @@
 		entry.WithMinter(do.MustInvoke[*booking.Minter](i)),
 		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
 		entry.WithForwarder(forwarder{dialer}),
+		entry.WithClaims(newKeyClaims(i, self)),
+		entry.WithMetrics(do.MustInvoke[*report.Recorder](i)),
 	), nil
 }
 
+// newKeyClaims gives the right to run callers' own idempotency keys.
+func newKeyClaims(i do.Injector, self cicadapitch.Member) *booking.Claims {
+	holder := booking.Holder{Host: self.Host, Incarnation: self.Incarnation, Address: self.CallerURL}
+	return booking.NewClaims(do.MustInvoke[cicadapitch.Store](i), clockOf(i), holder)
+}
+
+func newScrape(do.Injector) (*report.Scrape, error) { return report.NewScrape(), nil }
+
+func newRecorder(i do.Injector) (*report.Recorder, error) {
+	scope, _ := report.NewScope(do.MustInvoke[*report.Scrape](i))
+	zone := do.MustInvoke[cicadapitch.Member](i).Zone
+	return report.NewRecorder(zone, do.MustInvoke[*configuration.Follower](i), scope), nil
+}
+
+func newOrders(i do.Injector) (*order.Service, error) {
+	follower := do.MustInvoke[*configuration.Follower](i)
+	applier := configuration.NewApplier(do.MustInvoke[cicadapitch.Store](i), clockOf(i),
+		configuration.WithFollower(follower))
+	spread := order.NewMemberSpread(do.MustInvoke[*host.Group](i))
+	s := do.MustInvoke[*settings.Settings](i)
+	return order.NewService(follower, applier, spread, clockOf(i),
+		order.WithBootstrapKey(s.DeploymentKey)), nil
+}
+
 func clockOf(i do.Injector) cicadapitch.Clock { return do.MustInvoke[cicadapitch.Clock](i) }
 
 func logOf(i do.Injector) zerolog.Logger { return do.MustInvoke[zerolog.Logger](i) }
