--- /dev/null
+++ b/endpoint/once_test.go
@@ -0,0 +1,228 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/endpoint"
+)
+
+func discard(cicadapitch.Chunk) {}
+
+func TestFailedCallThatMayNotBeRepeatedIsUnknown(t *testing.T) {
+	d := newFakeDriver()
+	d.answer = func(context.Context, cicadapitch.Call, func(string)) (cicadapitch.CallResult, error) {
+		return cicadapitch.CallResult{}, errors.New("connection reset")
+	}
+	o := newOwner(t, d, testConfiguration(2, 2, 4), held)
+	a := testAttempt("r1")
+	_, err := o.Run(t.Context(), a, discard)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	_, err = o.Run(t.Context(), a, discard)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, 1, d.count(a.ID))
+	require.Equal(t, cicadapitch.Failed, o.Outcome(a.ID).Phase)
+}
+
+func TestRecognisedRepeatAsksTheSameEndpointUnderTheSameID(t *testing.T) {
+	d := newFakeDriver()
+	var mu sync.Mutex
+	var asked []cicadapitch.Call
+	d.answer = func(_ context.Context, c cicadapitch.Call, _ func(string)) (cicadapitch.CallResult, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		asked = append(asked, c)
+		if len(asked) == 1 {
+			return cicadapitch.CallResult{}, cicadapitch.NewOutcomeUnknown("connection reset")
+		}
+		return cicadapitch.CallResult{Output: "booked"}, nil
+	}
+	cfg := testConfiguration(3, 2, 4)
+	cfg.Pools[0].RecognisesRepeats = true
+	res, err := newOwner(t, d, cfg, held).Run(t.Context(), testAttempt("r1"), discard)
+	require.NoError(t, err)
+	require.Equal(t, "booked", res.Output)
+	require.Len(t, asked, 2)
+	require.Equal(t, asked[0].Endpoint, asked[1].Endpoint)
+	require.Equal(t, asked[0].Attempt, asked[1].Attempt)
+}
+
+func TestRepeatThatIsRefusedDoesNotMakeTheOutcomeKnown(t *testing.T) {
+	d := newFakeDriver()
+	var calls atomic.Int64
+	d.answer = func(context.Context, cicadapitch.Call, func(string)) (cicadapitch.CallResult, error) {
+		if calls.Add(1) == 1 {
+			return cicadapitch.CallResult{}, cicadapitch.NewOutcomeUnknown("connection reset")
+		}
+		return cicadapitch.CallResult{}, cicadapitch.NewNotRun("connection refused", 1)
+	}
+	cfg := testConfiguration(1, 2, 4)
+	cfg.Pools[0].RecognisesRepeats = true
+	_, err := newOwner(t, d, cfg, held).Run(t.Context(), testAttempt("r1"), discard)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+}
+
+func TestGivenUpCallThatMayNotBeRepeatedRunsToItsEnd(t *testing.T) {
+	d := newFakeDriver()
+	begun, release := make(chan struct{}), make(chan struct{})
+	d.answer = func(ctx context.Context, _ cicadapitch.Call, _ func(string)) (cicadapitch.CallResult, error) {
+		close(begun)
+		<-release
+		return cicadapitch.CallResult{Output: "booked"}, ctx.Err()
+	}
+	o := newOwner(t, d, testConfiguration(1, 2, 4), held)
+	ctx, cancel := context.WithCancel(t.Context())
+	a := testAttempt("r1")
+	go func() {
+		<-begun
+		cancel()
+	}()
+	_, err := o.Run(ctx, a, discard)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, cicadapitch.Running, o.Outcome(a.ID).Phase)
+	close(release)
+	require.NoError(t, o.Drain(t.Context()))
+	require.Equal(t, cicadapitch.Done, o.Outcome(a.ID).Phase)
+}
+
+func TestOwnershipIsCheckedRightBeforeTheCall(t *testing.T) {
+	d := newFakeDriver()
+	var asked atomic.Int64
+	// The first question comes when the attempt arrives.
+	holds := func(cicadapitch.ShardID) (cicadapitch.FencingNumber, bool) { return 1, asked.Add(1) == 1 }
+	o := newOwner(t, d, testConfiguration(1, 2, 4), holds)
+	a := testAttempt("r1")
+	_, err := o.Run(t.Context(), a, discard)
+	require.Equal(t, cicadapitch.Redirected, cicadapitch.KindOf(err))
+	require.Zero(t, d.count(a.ID))
+	require.Equal(t, cicadapitch.Refused, o.Outcome(a.ID).Phase)
+}
+
+func TestLostShardSendsWaitingAttemptsAway(t *testing.T) {
+	d := newFakeDriver()
+	begun, release := make(chan struct{}), make(chan struct{})
+	d.answer = func(context.Context, cicadapitch.Call, func(string)) (cicadapitch.CallResult, error) {
+		close(begun)
+		<-release
+		return cicadapitch.CallResult{Output: "x"}, nil
+	}
+	o := newOwner(t, d, testConfiguration(1, 1, 1), held)
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { _, err := o.Run(t.Context(), testAttempt("r1"), discard); first <- err }()
+	<-begun
+	go func() { _, err := o.Run(t.Context(), testAttempt("r2"), discard); second <- err }()
+	require.Eventually(t, func() bool { return o.Load("sh").Queued == 1 }, 10*time.Second, time.Millisecond)
+	o.Lose("sh")
+	require.Equal(t, cicadapitch.Redirected, cicadapitch.KindOf(<-second))
+	close(release)
+	require.NoError(t, <-first, "the running call is not cut")
+}
+
+func TestDrainTakesNothingNew(t *testing.T) {
+	d := newFakeDriver()
+	o := newOwner(t, d, testConfiguration(1, 1, 1), held)
+	require.NoError(t, o.Drain(t.Context()))
+	a := testAttempt("r1")
+	_, err := o.Run(t.Context(), a, discard)
+	require.Equal(t, cicadapitch.Redirected, cicadapitch.KindOf(err))
+	require.Zero(t, d.count(a.ID))
+}
+
+func TestLedgerForgetsResultsFirst(t *testing.T) {
+	d := newFakeDriver()
+	o := newOwner(t, d, testConfiguration(1, 1, 1), held, endpoint.WithRetention(0, cicadapitch.Minute))
+	a := testAttempt("r1")
+	_, err := o.Run(t.Context(), a, discard)
+	require.NoError(t, err)
+	state := o.Outcome(a.ID)
+	require.Equal(t, cicadapitch.OutcomeUnknown, state.Error.Kind)
+	_, err = o.Run(t.Context(), a, discard)
+	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+	require.Equal(t, 1, d.count(a.ID))
+}
+
+// Under random failures, cancels, questions and moves of the shard, no attempt
+// is called twice by different starts, and no attempt that was refused as not
+// run or redirected has ever been called.
+func TestNotRunIsTrueUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		fault := newFakeDriver()
+		var effects sync.Map
+		fault.answer = faulty(seed, &effects)
+		var lost atomic.Bool
+		holds := func(cicadapitch.ShardID) (cicadapitch.FencingNumber, bool) { return 1, !lost.Load() }
+		o := newOwner(t, fault, testConfiguration(3, 2, 4), holds)
+		var wg sync.WaitGroup
+		for n := range 30 {
+			a := testAttempt(fmt.Sprint(n % 20))
+			a.Idempotent = false
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(8000))*time.Microsecond+time.Millisecond)
+				defer cancel()
+				if rng.IntN(6) == 0 {
+					o.Outcome(a.ID)
+				}
+				_, err := o.Run(ctx, a, discard)
+				kind := cicadapitch.KindOf(err)
+				if err != nil && (kind == cicadapitch.NotRun || kind == cicadapitch.Redirected) && ran(&effects, a.ID) > 0 {
+					t.Errorf("%v: %v, but it ran", a.ID, err)
+				}
+			})
+			if n == 20 {
+				lost.Store(seed%2 == 0)
+				o.Lose("sh")
+			}
+		}
+		wg.Wait()
+		if err := o.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for n := range 20 {
+			if id := testAttempt(fmt.Sprint(n)).ID; ran(&effects, id) > 1 {
+				t.Errorf("%v ran %d times", id, ran(&effects, id))
+			}
+		}
+	})
+}
+
+// faulty answers, declines or fails by chance, and counts the calls that took
+// effect.
+func faulty(seed uint64, effects *sync.Map) func(context.Context, cicadapitch.Call, func(string)) (cicadapitch.CallResult, error) {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, seed))
+	return func(_ context.Context, c cicadapitch.Call, _ func(string)) (cicadapitch.CallResult, error) {
+		mu.Lock()
+		dice, pause := rng.IntN(10), rng.IntN(2000)
+		mu.Unlock()
+		if dice < 3 {
+			return cicadapitch.CallResult{}, cicadapitch.NewNotRun("overloaded", 1)
+		}
+		n, _ := effects.LoadOrStore(c.Attempt, new(atomic.Int64))
+		n.(*atomic.Int64).Add(1)
+		time.Sleep(time.Duration(pause) * time.Microsecond)
+		if dice < 5 {
+			return cicadapitch.CallResult{}, errors.New("connection reset")
+		}
+		return cicadapitch.CallResult{Output: "done"}, nil
+	}
+}
+
+func ran(effects *sync.Map, id cicadapitch.AttemptID) int64 {
+	n, ok := effects.Load(id)
+	if !ok {
+		return 0
+	}
+	return n.(*atomic.Int64).Load()
+}
