--- a/bench/bounds_test.go
+++ b/bench/bounds_test.go
@@ -76,6 +76,14 @@
 	})
 }
 
+func TestModelLoadsTakeNoCapacityThatRequestsNeed(t *testing.T) {
+	each(t, "model loads", func(t *testing.T, r bench.Result) {
+		require.GreaterOrEqual(t, r.Attainment, 0.99)
+		require.GreaterOrEqual(t, r.Goodput, 0.9)
+		require.GreaterOrEqual(t, r.Loads, 10)
+	})
+}
+
 func TestZoneOutAndBack(t *testing.T) {
 	each(t, "zone out", func(t *testing.T, r bench.Result) {
 		require.GreaterOrEqual(t, r.Attainment, 0.95)
--- a/bench/case.go
+++ b/bench/case.go
@@ -31,6 +31,7 @@
 		{Name: "zone out", Fleet: f, Load: 0.55, Span: 50 * cicadapitch.Second, Script: zoneLeaves},
 		{Name: "flood", Fleet: f, Load: 0.6, Span: 40 * cicadapitch.Second, Shape: flood},
 		{Name: "engine dies", Fleet: f, Load: 0.6, Span: 40 * cicadapitch.Second, Script: engineDies},
+		{Name: "model loads", Fleet: f, Load: 0.5, Span: 90 * cicadapitch.Second, Script: modelLoads},
 	}
 }
 
@@ -96,6 +97,19 @@
 	s.after(ZoneBackSeconds*cicadapitch.Second, set(false))
 }
 
+// modelLoads puts a new version in force while requests run.
+func modelLoads(s *sim) {
+	s.after(5*cicadapitch.Second, func() {
+		s.configure(func(cfg *cicadapitch.Configuration) {
+			for i := range cfg.Pools {
+				if cfg.Pools[i].ID == languageModel {
+					cfg.Pools[i].Version = "2"
+				}
+			}
+		})
+	})
+}
+
 func engineDies(s *sim) {
 	for i, id := range s.endpoints(languageModel) {
 		if i >= 6 {
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -34,6 +34,8 @@
 	engines map[cicadapitch.EndpointID]*engine
 	tally   *tally
 	ids     int
+	orderer *endpoint.Orderer
+	loads   int
 }
 
 // Run runs a case once.
@@ -42,6 +44,7 @@
 	s.start()
 	s.runUntil(s.tally.to.Add(deadline * (maxReturns + 1)))
 	r := s.tally.result(s.fleet)
+	r.Loads = s.loads
 	r.Case, r.Fleet, r.Variant, r.Seed = c.Name, s.fleet.Name, v.Name, seed
 	for _, en := range s.engines {
 		r.MaxOnCold = max(r.MaxOnCold, en.maxOnCold)
@@ -61,6 +64,7 @@
 		cfg:     c.Fleet.configuration(),
 		byShard: make(map[cicadapitch.ShardID]*owner),
 		engines: make(map[cicadapitch.EndpointID]*engine),
+		orderer: endpoint.NewOrderer("bench", nil, loadEvery),
 		tally:   newTally(begin, begin.Add(c.Span)),
 	}
 	s.groups = pipeline.NewGroups(s.cfg)
@@ -158,7 +162,8 @@
 func (s *sim) configure(change func(*cicadapitch.Configuration)) {
 	next := *s.cfg
 	next.Revision++
-	next.Zones = append([]cicadapitch.Zone(nil), s.cfg.Zones...)
+	next.Zones = slices.Clone(s.cfg.Zones)
+	next.Pools = slices.Clone(s.cfg.Pools)
 	change(&next)
 	s.cfg = &next
 	s.groups = pipeline.NewGroups(s.cfg)
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -31,6 +31,13 @@
 	leaving bool
 	removed bool
 
+	// stale is true while the endpoint serves something else than its pool,
+	// loading while it is being changed, ordered once it has been told.
+	stale      bool
+	loading    bool
+	ordered    bool
+	orderAfter cicadapitch.Instant
+
 	running []*job
 	// unproven counts running calls that have shown no output yet.
 	unproven cicadapitch.Slots
@@ -90,14 +97,6 @@
 	return cicadapitch.Slots(len(b.running) + len(b.strays))
 }
 
-// pace returns the endpoint's latency as a multiple of the shard's.
-func (b *backend) pace() float64 {
-	if b.speed.samples == 0 {
-		return 1
-	}
-	return min(max(b.speed.value, minPace), maxPace)
-}
-
 // The bounds of pace.
 const (
 	minPace = 0.25
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -41,7 +41,19 @@
 
 // expected returns the expected service time of a job on an endpoint.
 func (s *State) expected(b *backend, j *job, hit float64) float64 {
-	return s.model.service(j.Size, hit) * b.pace() * slowdown(s.filled(b))
+	return s.model.service(j.Size, hit) * s.pace(b) * slowdown(s.filled(b))
+}
+
+// pace returns an endpoint's latency as a multiple of the shard's.
+func (s *State) pace(b *backend) float64 {
+	m := b.speed
+	if b.reportCold {
+		m = s.cold
+	}
+	if m.samples == 0 {
+		return 1
+	}
+	return min(max(m.value, minPace), maxPace)
 }
 
 // filled returns the busy part of an endpoint's warm slots.
@@ -90,6 +102,9 @@
 			return offer{}, false
 		}
 	}
+	if s.policy.Admission && now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline {
+		return offer{}, false
+	}
 	weight := float64(s.weight)
 	o.score = weight*(o.wait+o.service) + (1-weight)*o.service
 	return o, true
@@ -116,7 +131,7 @@
 
 // untilFree returns the expected time until the endpoint has a free slot.
 func (s *State) untilFree(now cicadapitch.Instant, b *backend) float64 {
-	soonest := s.model.longest(cicadapitch.Tokens(s.model.size.value)) * b.pace()
+	soonest := s.model.longest(cicadapitch.Tokens(s.model.size.value)) * s.pace(b)
 	for _, j := range b.running {
 		left := s.expected(b, j, j.hit) - float64(now.Sub(j.started))
 		soonest = min(soonest, max(left, 0))
--- a/endpoint/dispatch.go
+++ b/endpoint/dispatch.go
@@ -45,24 +45,30 @@
 			s.start(now, j, b)
 		}
 	}
-	for s.queue.Len() > 0 && s.anyFree(now) {
+	s.passed = s.passed[:0]
+	for s.queue.Len() > 0 && len(s.passed) < maxPassed && s.anyFree(now) {
 		s.place(now, s.queue.Pop().Value)
 	}
+	for _, j := range s.passed {
+		s.queue.Return(j.item)
+	}
 	return s.commands
 }
 
+// maxPassed bounds the jobs that are passed over because the free endpoints
+// are too slow for their deadlines.
+const maxPassed = 8
+
 func (s *State) anyFree(now cicadapitch.Instant) bool {
 	return slices.ContainsFunc(s.endpoints, func(b *backend) bool { return s.free(now, b) > 0 })
 }
 
-// place starts a job, puts it into a line or refuses it.
+// place starts a job, puts it into a line or passes it over.
 func (s *State) place(now cicadapitch.Instant, j *job) {
 	o := s.choose(now, j)
 	switch {
 	case o.on == nil:
-		s.refuse(now, j, NoEndpoint, s.retryAfter(outlook{}, 0))
-	case s.policy.Admission && now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline:
-		s.refuse(now, j, Expired, s.retryAfter(s.look(now, j), 0))
+		s.passed = append(s.passed, j)
 	case o.busy:
 		j.on = o.on
 		o.on.line = append(o.on.line, j)
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -18,6 +18,7 @@
 	policy         Policy
 	log            zerolog.Logger
 	ledger         *ledger
+	orderer        *Orderer
 
 	mu       sync.RWMutex
 	shards   map[cicadapitch.ShardID]*shard
--- a/endpoint/report.go
+++ b/endpoint/report.go
@@ -41,7 +41,13 @@
 		s.fall(now, b)
 		b.prefixes.clear()
 	}
+	if b.reportCold && !r.Cold {
+		b.speed = mean{}
+	}
 	b.reportCold = r.Cold
+	if !b.loading && taken >= b.since {
+		b.stale = b.stale || differs(r, s.pool)
+	}
 	b.prefixes.report(taken, r.CachedPrefixes)
 	if !b.inService() {
 		s.scatter(b)
--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -5,7 +5,7 @@
 // limit returns the number of calls the endpoint may have at once now.
 func (s *State) limit(now cicadapitch.Instant, b *backend) cicadapitch.Slots {
 	switch {
-	case !b.inService() || !b.seen || now < b.ejected:
+	case !b.inService() || b.loading || !b.seen || now < b.ejected:
 		return 0
 	case b.ejected > 0:
 		return 1
@@ -79,7 +79,7 @@
 	if j.first == 0 {
 		usual = s.model.first(0)
 	}
-	usual = max(usual*max(j.on.pace(), 1), float64(s.policy.LatencyFloor))
+	usual = max(usual*max(s.pace(j.on), 1), float64(s.policy.LatencyFloor))
 	return float64(now.Sub(j.started)) > usual*factor
 }
 
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -23,7 +23,10 @@
 	slow      int
 	// load is the mean part of the warm slots that were busy when a call
 	// began.
-	load     mean
+	load mean
+	// cold is the latency in a cold start as a multiple of the usual one.
+	cold     mean
+	passed   []*job
 	paces    []float64
 	commands []Command
 }
@@ -71,10 +74,19 @@
 	usual *= slowdown(j.load) / slowdown(s.load.value)
 	s.load.add(j.load)
 	first := float64(j.first)
-	if first <= max(usual*s.policy.ProveFactor*max(b.pace(), 1), float64(s.policy.LatencyFloor)) {
+	if first <= max(usual*s.policy.ProveFactor*max(s.pace(b), 1), float64(s.policy.LatencyFloor)) {
 		b.prove(j)
 	}
-	b.speed.add(first / max(s.model.first(j.hit), 1))
+	s.rate(b, first/max(s.model.first(j.hit), 1))
+}
+
+// rate adds a latency to the endpoint's pace, or to that of cold starts.
+func (s *State) rate(b *backend, ratio float64) {
+	if b.reportCold {
+		s.cold.add(ratio)
+		return
+	}
+	b.speed.add(ratio)
 }
 
 // Finish takes the end of a call.
@@ -156,12 +168,12 @@
 	b.failures = 0
 	s.readmit(now, b)
 	ratio := s.model.ratio(done)
-	if ratio > s.policy.ColdFactor*max(b.pace(), 1) && done.service > float64(s.policy.LatencyFloor) {
+	if ratio > s.policy.ColdFactor*max(s.pace(b), 1) && done.service > float64(s.policy.LatencyFloor) {
 		s.fall(now, b)
 	} else {
 		s.grow(b, j, ratio)
 	}
-	b.speed.add(ratio)
+	s.rate(b, ratio)
 	s.learn(done, ratio)
 	s.judge(now, b)
 }
@@ -192,8 +204,8 @@
 func (s *State) canceled(now cicadapitch.Instant, j *job) {
 	b := j.on
 	b.stray(now.Add(s.policy.CancelLag))
-	if late := float64(now.Sub(j.started)) / max(s.model.longest(j.Size), 1); late > b.pace() {
-		b.speed.add(late)
+	if late := float64(now.Sub(j.started)) / max(s.model.longest(j.Size), 1); late > s.pace(b) {
+		s.rate(b, late)
 		s.judge(now, b)
 	}
 }
