--- a/driver.go
+++ b/driver.go
@@ -37,11 +37,6 @@
 	Leaving bool
 	// At is when the endpoint took the reading, by its own clock, or 0.
 	At Instant
-	// Model, Version and Adapters are what the endpoint says it serves, empty
-	// where it does not say.
-	Model    ModelID
-	Version  ModelVersion
-	Adapters []AdapterID
 	// CachedPrefixes are prefixes known to be cached, from cache events.
 	CachedPrefixes []string
 }
