endpoint, bench: loading is left to rollout; room and start are apart in Load

Package rollout orders the engines, so the orderer of this package, which did the same, comes out before it was wired (WithOrderer, Stale, Unload, Loaded).

ShardLoad.Free counted the calls that could start this moment, which the bound on unproven calls keeps far below the slots of warm engines: rollout, which asks for the room of a whole engine, would never have found it. With nothing queued, Free now counts the slots that are not taken.

Model loads is now a case in which engines turn cold one by one whenever their shard has room.

--- a/bench/case.go
+++ b/bench/case.go
@@ -1,6 +1,10 @@
 package bench
 
-import "cicadapitch.example/cicadapitch"
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+)
 
 // Case is a load with what fails meanwhile.
 type Case struct {
@@ -97,16 +101,25 @@
 	s.after(ZoneBackSeconds*cicadapitch.Second, set(false))
 }
 
-// modelLoads puts a new version in force while requests run.
+// loadEvery is the pace of the weight store.
+const loadEvery = 5 * cicadapitch.Second
+
+// modelLoads orders one engine after another to load a version, whenever its
+// shard has room for the work of a whole engine. Loading is a cold start.
 func modelLoads(s *sim) {
-	s.after(5*cicadapitch.Second, func() {
-		s.configure(func(cfg *cicadapitch.Configuration) {
-			for i := range cfg.Pools {
-				if cfg.Pools[i].ID == languageModel {
-					cfg.Pools[i].Version = "2"
-				}
+	waiting := s.endpoints(languageModel)
+	s.every(loadEvery, func() {
+		for i, id := range waiting {
+			o := s.ownerOf(id)
+			load := o.state.Load(s.now)
+			if load.Queued > 0 || int(load.Free)*len(o.shard.Endpoints) < int(load.Total) {
+				continue
 			}
-		})
+			s.engines[id].chill(s.now)
+			s.loads++
+			waiting = slices.Delete(waiting, i, i+1)
+			return
+		}
 	})
 }
 
--- a/bench/owner.go
+++ b/bench/owner.go
@@ -10,10 +10,6 @@
 	hop cicadapitch.Millis = 1
 	// reportLag is the age of a load report when it is read.
 	reportLag cicadapitch.Millis = 300
-	// loadMillis is the time that an endpoint takes to load a version, and
-	// loadEvery the pace of the weight store.
-	loadMillis = 4 * cicadapitch.Second
-	loadEvery  = 2 * cicadapitch.Second
 )
 
 // owner is one shard with the host that owns it. It does what endpoint.Owner
@@ -39,7 +35,6 @@
 		return
 	}
 	o.handle(o.state.Tick(o.s.now))
-	o.renew()
 	state, asked := o.state, o.s.now
 	for _, e := range o.state.Due(o.s.now) {
 		o.s.after(2*hop, func() {
@@ -55,23 +50,6 @@
 	}
 }
 
-// renew loads a new version, at the pace of the weight store.
-func (o *owner) renew() {
-	if id, ok := o.state.Stale(o.s.now); ok && o.s.orderer.Begin(o.s.now) {
-		o.state.Unload(id)
-	}
-	state := o.state
-	if e, ok := state.Idle(); ok {
-		o.s.loads++
-		o.s.after(loadMillis, func() {
-			o.s.engines[e.ID].chill(o.s.now)
-			if o.state == state {
-				o.handle(state.Loaded(o.s.now, e.ID, true))
-			}
-		})
-	}
-}
-
 func (o *owner) submit(a *attempt) {
 	if o.host == nil {
 		o.s.after(hop, func() { a.failed(cicadapitch.NotRun, 1, endpoint.Moved) })
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -34,7 +34,6 @@
 	engines map[cicadapitch.EndpointID]*engine
 	tally   *tally
 	ids     int
-	orderer *endpoint.Orderer
 	loads   int
 }
 
@@ -64,7 +63,6 @@
 		cfg:     c.Fleet.configuration(),
 		byShard: make(map[cicadapitch.ShardID]*owner),
 		engines: make(map[cicadapitch.EndpointID]*engine),
-		orderer: endpoint.NewOrderer("bench", nil, loadEvery),
 		tally:   newTally(begin, begin.Add(c.Span)),
 	}
 	s.groups = pipeline.NewGroups(s.cfg)
@@ -156,6 +154,12 @@
 	}
 }
 
+// ownerOf returns the owner of an endpoint's shard.
+func (s *sim) ownerOf(id cicadapitch.EndpointID) *owner {
+	i := slices.IndexFunc(s.cfg.Endpoints, func(e cicadapitch.Endpoint) bool { return e.ID == id })
+	return s.byShard[s.cfg.Endpoints[i].Shard]
+}
+
 func (s *sim) owner(id cicadapitch.ShardID) *owner { return s.byShard[id] }
 
 // configure puts a changed configuration in force.
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -31,13 +31,6 @@
 	leaving bool
 	removed bool
 
-	// stale is true while the endpoint serves something else than its pool,
-	// loading while it is being changed, ordered once it has been told.
-	stale      bool
-	loading    bool
-	ordered    bool
-	orderAfter cicadapitch.Instant
-
 	running []*job
 	// unproven counts running calls that have shown no output yet.
 	unproven cicadapitch.Slots
--- a/endpoint/configure.go
+++ b/endpoint/configure.go
@@ -12,7 +12,6 @@
 	if ok && pool.ID != s.pool.ID {
 		s.model = nominalModel(cfg, pool.ID)
 	}
-	changed := ok && s.pool.ID == pool.ID && !served(s.pool, pool)
 	if ok {
 		s.pool = pool
 	}
@@ -25,7 +24,6 @@
 		if b == nil {
 			b = newBackend(now, e, s.policy, s.pool)
 		}
-		b.stale = b.stale || changed
 		s.setting(now, b, e, e.Out || zone.Out)
 	}
 	for _, b := range old {
--- a/endpoint/loop.go
+++ b/endpoint/loop.go
@@ -29,7 +29,6 @@
 		for _, e := range s.due(now) {
 			go o.poll(ctx, s, e)
 		}
-		o.renew(ctx, now, s)
 	}
 }
 
@@ -51,31 +50,3 @@
 	}
 	s.report(o.clock.Now(), asked, e.ID, r)
 }
-
-// renew takes a stale endpoint out of the shard and orders it to load once its
-// work has ended.
-func (o *Owner) renew(ctx context.Context, now cicadapitch.Instant, s *shard) {
-	if o.orderer == nil {
-		return
-	}
-	s.unload(now, o.orderer)
-	if e, ok := s.idle(); ok {
-		go o.order(ctx, s, e)
-	}
-}
-
-// order gives one order if this host still owns the shard.
-func (o *Owner) order(ctx context.Context, s *shard, e cicadapitch.Endpoint) {
-	pool, driver, err := o.route(e.Pool)
-	fencing, held := o.holds(s.id)
-	switch {
-	case err != nil:
-	case !held || fencing != s.fencing:
-		err = redirected("another host took the shard over")
-	default:
-		err = o.orderer.Give(ctx, driver, e, pool, fencing)
-	}
-	s.loaded(o.clock.Now(), e.ID, err == nil)
-	o.log.Info().Str("endpoint", string(e.ID)).Str("model", string(pool.Model)).
-		Str("version", string(pool.Version)).Int64("fencing", int64(s.fencing)).Err(err).Msg("endpoint ordered to load")
-}
--- a/endpoint/options.go
+++ b/endpoint/options.go
@@ -12,10 +12,6 @@
 // WithPolicy replaces the standard policy.
 func WithPolicy(p Policy) Option { return func(o *Owner) { o.policy = p } }
 
-// WithOrderer sets who orders endpoints to load what their pool serves. Without
-// one, no orders are given.
-func WithOrderer(r *Orderer) Option { return func(o *Owner) { o.orderer = r } }
-
 // WithLogger sets the logger. The standard one discards everything.
 func WithLogger(l zerolog.Logger) Option { return func(o *Owner) { o.log = l } }
 
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -18,7 +18,6 @@
 	policy         Policy
 	log            zerolog.Logger
 	ledger         *ledger
-	orderer        *Orderer
 
 	mu       sync.RWMutex
 	shards   map[cicadapitch.ShardID]*shard
--- a/endpoint/report.go
+++ b/endpoint/report.go
@@ -45,9 +45,6 @@
 		b.speed = mean{}
 	}
 	b.reportCold = r.Cold
-	if !b.loading && taken >= b.since {
-		b.stale = b.stale || differs(r, s.pool)
-	}
 	b.prefixes.report(taken, r.CachedPrefixes)
 	if !b.inService() {
 		s.scatter(b)
--- a/endpoint/shard.go
+++ b/endpoint/shard.go
@@ -98,29 +98,6 @@
 	s.state.Unread(id)
 }
 
-// unload takes new work away from a stale endpoint, if the shard can spare it
-// and the weight store another load.
-func (s *shard) unload(now cicadapitch.Instant, r *Orderer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if id, ok := s.state.Stale(now); ok && r.Begin(now) {
-		s.state.Unload(id)
-	}
-}
-
-// idle returns the unloaded endpoint once it can be ordered to load.
-func (s *shard) idle() (cicadapitch.Endpoint, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Idle()
-}
-
-func (s *shard) loaded(now cicadapitch.Instant, id cicadapitch.EndpointID, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pass(s.state.Loaded(now, id, ok))
-}
-
 func (s *shard) surrender(now cicadapitch.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -5,7 +5,7 @@
 // limit returns the number of calls the endpoint may have at once now.
 func (s *State) limit(now cicadapitch.Instant, b *backend) cicadapitch.Slots {
 	switch {
-	case !b.inService() || b.loading || !b.seen || now < b.ejected:
+	case !b.inService() || !b.seen || now < b.ejected:
 		return 0
 	case b.ejected > 0:
 		return 1
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -148,7 +148,11 @@
 	l := cicadapitch.ShardLoad{Queued: len(s.waiting), ServiceMillis: cicadapitch.Millis(s.usual())}
 	for _, b := range s.endpoints {
 		l.Total += s.limit(now, b)
-		l.Free += s.free(now, b)
+		if len(s.waiting) > 0 {
+			l.Free += s.free(now, b)
+		} else if !b.braked {
+			l.Free += max(s.limit(now, b)-b.busy(), 0)
+		}
 	}
 	return l
 }
