--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -16,6 +16,8 @@
 	on       *backend
 	hit      float64
 	first    cicadapitch.Millis
+	proven   bool
+	load     float64
 	declines int
 }
 
@@ -30,6 +32,10 @@
 	removed bool
 
 	running []*job
+	// unproven counts running calls that have shown no output yet.
+	unproven cicadapitch.Slots
+	// braked is true while a call is so late that no new work is sent.
+	braked bool
 	// line holds jobs that wait for this endpoint's prefix cache.
 	line []*job
 	// strays are the instants by which calls have ended that this owner no
@@ -84,14 +90,6 @@
 	return cicadapitch.Slots(len(b.running) + len(b.strays))
 }
 
-// pace returns the endpoint's latency as a multiple of the shard's.
-func (b *backend) pace() float64 {
-	if b.speed.samples == 0 {
-		return 1
-	}
-	return min(max(b.speed.value, minPace), maxPace)
-}
-
 // The bounds of pace.
 const (
 	minPace = 0.25
@@ -100,6 +98,15 @@
 
 func (b *backend) drop(j *job) {
 	b.running = slices.DeleteFunc(b.running, func(k *job) bool { return k == j })
+	b.prove(j)
+}
+
+// prove counts the first output, or the end, of a call.
+func (b *backend) prove(j *job) {
+	if !j.proven {
+		j.proven = true
+		b.unproven--
+	}
 }
 
 func (b *backend) stray(until cicadapitch.Instant) {
