daemon: lease from the settings, the store's state in the record, entry log

Cause: LeaseMillis was checked but not used; hosts could not tell an outage of the store from being cut off alone, since none said whether it reaches it.

--- a/daemon/record.go
+++ b/daemon/record.go
@@ -23,10 +23,12 @@
 	}
 	cfg := d.follower.Current()
 	confirmed := d.follower.Confirmed()
+	storeUp := d.claims.StoreUp()
 	running := d.entry.Running()
 	d.group.Update(func(m *cicadapitch.Member) {
 		m.Claims = owned
 		m.Running = running
+		m.StoreUp = storeUp
 		if cfg == nil {
 			return
 		}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -111,11 +111,16 @@
 }
 
 func newClaims(i do.Injector) (*claim.Claims, error) {
+	policy := claim.StandardPolicy()
+	lease := do.MustInvoke[*settings.Settings](i).LeaseMillis
+	policy.RenewEvery = lease / cicadapitch.Millis(policy.RenewalsPerLease)
 	return claim.New(
 		do.MustInvoke[cicadapitch.Store](i),
 		do.MustInvoke[*host.Group](i),
 		do.MustInvoke[*configuration.Follower](i),
 		clockOf(i),
+		claim.WithPolicy(policy),
+		claim.WithLog(logOf(i)),
 	), nil
 }
 
@@ -152,6 +157,7 @@
 		entry.WithMinter(do.MustInvoke[*booking.Minter](i)),
 		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
 		entry.WithForwarder(forwarder{dialer}),
+		entry.WithLogger(logOf(i)),
 		entry.WithClaims(newKeyClaims(i, self)),
 		entry.WithMetrics(do.MustInvoke[*report.Recorder](i)),
 	), nil
