load, standin, deployment: load tool and emulation of whole deployments

Measurements of the running system need arrivals that do not wait for answers, and both deployments' own answers on one machine. cicadapitch load sends a seeded open-loop plan through package client, or straight to the endpoints as a baseline, and compares the answers with those of the stand-ins. standin deployment serves the store and all endpoints of a questionnaire from one process and writes the answers and the hosts' settings with the new addresses. deployment.HostSettings is taken out of Local for it.

Weighed: one stand-in process per endpoint; 36 to 50 processes beside the daemons would take more memory and start time and measure nothing more.

--- a/cmd/cicadapitch/command.go
+++ b/cmd/cicadapitch/command.go
@@ -23,6 +23,7 @@
 		newConfiguration(),
 		newOrder(),
 		newReport(),
+		newLoad(),
 	}
 }
 
--- /dev/null
+++ b/cmd/cicadapitch/load.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/pprof"
+	"strconv"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/load"
+)
+
+// Bounds of a load whose flags name none.
+const (
+	loadRate        = 10.0
+	loadSeconds     = 10
+	loadMaxRequests = 100_000
+)
+
+// loadFlags are the flags of the command load.
+type loadFlags struct {
+	hosts         []string
+	questionnaire string
+	keys          []string
+	keyPrefix     string
+	mix           []string
+	rate          float64
+	seconds       int
+	requests      int
+	inFlight      int
+	seed          int64
+	prefixes      int
+	burstFactor   float64
+	burstSeconds  int
+	burstEvery    int
+	check         bool
+	direct        bool
+	json          bool
+	cpuProfile    string
+}
+
+func newLoad() command {
+	f := &loadFlags{
+		rate: loadRate, seconds: loadSeconds, requests: loadMaxRequests,
+		inFlight: load.DefaultMaxInFlight, seed: 1, burstFactor: 1,
+	}
+	c := newLeaf("load", "sends requests at a given rate and reports how they ended", f.run)
+	s := c.sub
+	s.StringSlice(&f.hosts, "", "host", "base URL of any host; give several to pass over those that are down")
+	s.String(&f.questionnaire, "q", "questionnaire", "YAML file with the answers, for pipelines, customers and zones")
+	s.StringSlice(&f.keys, "k", "key", "customer=key; customers without one send nothing")
+	s.String(&f.keyPrefix, "", "key-prefix", "customers without --key have this text and their name as key")
+	s.StringSlice(&f.mix, "m", "mix", "pipeline=weight; those not named are left out; all alike where none is named")
+	s.Float64(&f.rate, "r", "rate", "mean arrivals a second")
+	s.Int(&f.seconds, "s", "seconds", "length in seconds")
+	s.Int(&f.requests, "n", "requests", "most requests to send")
+	s.Int(&f.inFlight, "", "in-flight", "most requests at the same time; arrivals above are skipped")
+	s.Int64(&f.seed, "", "seed", "seed of the arrivals")
+	s.Int(&f.prefixes, "", "prefixes", "number of prompt prefixes in use")
+	s.Float64(&f.burstFactor, "", "burst-factor", "factor of the rate during a burst")
+	s.Int(&f.burstSeconds, "", "burst-seconds", "length of a burst")
+	s.Int(&f.burstEvery, "", "burst-every", "seconds from the end of one burst to that of the next, 0 for none")
+	s.Bool(&f.check, "", "check", "compare each answer with that of the stand-ins")
+	s.Bool(&f.direct, "", "direct", "call the endpoints themselves, for a baseline")
+	s.Bool(&f.json, "", "json", "print JSON")
+	s.String(&f.cpuProfile, "", "cpuprofile", "file for a CPU profile of this process")
+	return c
+}
+
+func (f *loadFlags) run(ctx context.Context, w io.Writer) error {
+	cfg, err := readAnswers(f.questionnaire)
+	if err != nil {
+		return err
+	}
+	plan, err := f.plan(cfg)
+	if err != nil {
+		return err
+	}
+	stop, err := startProfile(f.cpuProfile)
+	if err != nil {
+		return err
+	}
+	summary, err := load.NewGenerator(plan, f.sender(cfg), load.WithMaxInFlight(f.inFlight)).Run(ctx)
+	stop()
+	if err != nil {
+		return err
+	}
+	if f.json {
+		return printJSON(w, summary)
+	}
+	summary.Print(w)
+	return nil
+}
+
+func (f *loadFlags) sender(cfg *cicadapitch.Configuration) load.Option {
+	if f.direct {
+		return load.WithSender(load.NewDirect(cfg))
+	}
+	return load.WithSeeds(f.hosts)
+}
+
+func (f *loadFlags) plan(cfg *cicadapitch.Configuration) (load.Plan, error) {
+	keys := make(map[cicadapitch.CustomerID]string)
+	for _, k := range f.keys {
+		name, key, _ := strings.Cut(k, "=")
+		keys[cicadapitch.CustomerID(name)] = key
+	}
+	callers := load.CallersOf(cfg, func(id cicadapitch.CustomerID) string {
+		if key := keys[id]; key != "" || f.keyPrefix == "" {
+			return key
+		}
+		return f.keyPrefix + string(id)
+	})
+	pipelines, err := f.pipelines(cfg)
+	return load.Plan{
+		Rate:        f.rate,
+		Length:      cicadapitch.Millis(f.seconds) * cicadapitch.Second,
+		MaxRequests: f.requests,
+		Burst: load.Burst{
+			Every:  cicadapitch.Millis(f.burstEvery) * cicadapitch.Second,
+			Length: cicadapitch.Millis(f.burstSeconds) * cicadapitch.Second,
+			Factor: f.burstFactor,
+		},
+		Seed:      uint64(f.seed),
+		Callers:   lo.Filter(callers, func(c load.Caller, _ int) bool { return c.Key != "" }),
+		Pipelines: pipelines,
+		Prefixes:  f.prefixes,
+	}, err
+}
+
+// pipelines returns the pipelines of the mix, or all of them.
+func (f *loadFlags) pipelines(cfg *cicadapitch.Configuration) ([]load.Pipeline, error) {
+	all := load.PipelinesOf(cfg, f.check)
+	if len(f.mix) == 0 {
+		return all, nil
+	}
+	var list []load.Pipeline
+	for _, m := range f.mix {
+		name, weight, _ := strings.Cut(m, "=")
+		p, ok := lo.Find(all, func(p load.Pipeline) bool { return string(p.ID) == name })
+		n, err := strconv.ParseFloat(weight, 64)
+		if !ok || err != nil || n <= 0 {
+			return nil, usage("--mix " + m + " is no pipeline=weight of the questionnaire")
+		}
+		p.Weight = n
+		list = append(list, p)
+	}
+	return list, nil
+}
+
+// startProfile writes a CPU profile until the returned function is called.
+func startProfile(file string) (stop func(), err error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return nil, cicadapitch.NewError(cicadapitch.Invalid, err.Error(), "check the path of --cpuprofile")
+	}
+	if err := pprof.StartCPUProfile(out); err != nil {
+		return nil, cicadapitch.Wrap(err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = out.Close()
+	}, nil
+}
--- /dev/null
+++ b/cmd/standin/deployment.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/deployment"
+	"cicadapitch.example/cicadapitch/questionnaire"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+// Rates of the key-value service that a deployment has today, a second.
+const (
+	storeReadRate  = 2000
+	storeWriteRate = 400
+)
+
+// wholeDeployment runs the stand-ins of the platform and of all endpoints of a
+// deployment in this process.
+type wholeDeployment struct {
+	command     *flaggy.Subcommand
+	file        string
+	base        string
+	out         string
+	speed       float64
+	growth      float64
+	lagMillis   int
+	coldStart   bool
+	coldSeconds float64
+	seed        int64
+}
+
+func deploymentCommand() *wholeDeployment {
+	d := &wholeDeployment{
+		command: flaggy.NewSubcommand("deployment"), base: "127.0.0.1:19000", out: ".", speed: 1,
+		growth: standin.DefaultGrowth, lagMillis: int(standin.DefaultLag), seed: 1,
+	}
+	c := d.command
+	c.Description = "runs the store and all endpoints of a questionnaire on consecutive ports"
+	c.String(&d.file, "q", "questionnaire", "YAML file with the answers")
+	c.String(&d.base, "", "listen-base", "ip:port of the store; the endpoints, then the hosts, take the ports that follow")
+	c.String(&d.out, "o", "out", "folder for questionnaire.yaml with the new addresses and HOST.yaml with the settings of each host")
+	c.Float64(&d.speed, "", "speed", "divides all service times, 0 to leave none")
+	c.Float64(&d.growth, "", "growth", "growth of an engine's service time for each other request")
+	c.Int(&d.lagMillis, "", "lag-millis", "lag of the load reports")
+	c.Bool(&d.coldStart, "", "cold-start", "start the engines cold")
+	c.Float64(&d.coldSeconds, "", "cold-seconds", "seconds until another engine turns cold without warning, 0 for never")
+	c.Int64(&d.seed, "", "seed", "seed that picks the engines that turn cold")
+	return d
+}
+
+// run serves until a listener fails.
+func (d *wholeDeployment) run(log zerolog.Logger) error {
+	text, err := os.ReadFile(d.file)
+	if err != nil {
+		return cicadapitch.Wrap(err)
+	}
+	a, err := questionnaire.Read(bytes.NewReader(text), d.file)
+	if err != nil {
+		return err
+	}
+	ports, err := newPorts(d.base)
+	if err != nil {
+		return err
+	}
+	emulation := standin.NewEmulation(cicadapitch.NewSystemClock(), a, d.options()...)
+	failed := make(chan error)
+	store := ports.next()
+	go func() { failed <- listenAndServe(store, newStore(storeReadRate, storeWriteRate)) }()
+	var replacements []string
+	for _, e := range emulation.Endpoints() {
+		address := ports.next()
+		replacements = append(replacements, "'"+e.Address+"'", "'http://"+address+"'")
+		go func() { failed <- listenAndServe(address, e.Handler) }()
+	}
+	if err := d.write(a, strings.NewReplacer(replacements...).Replace(string(text)), ports, store); err != nil {
+		return err
+	}
+	log.Info().Str("Store", store).Int("Endpoints", len(emulation.Endpoints())).Int("Hosts", len(a.Hosts)).Msg("stand-ins started")
+	go d.chill(emulation)
+	return <-failed
+}
+
+func (d *wholeDeployment) options() []standin.EmulationOption {
+	opts := []standin.EmulationOption{
+		standin.WithSpeed(d.speed),
+		standin.WithGrowth(d.growth),
+		standin.WithLag(cicadapitch.Millis(d.lagMillis)),
+	}
+	if d.coldStart {
+		opts = append(opts, standin.WithColdStart())
+	}
+	return opts
+}
+
+// write writes the answers with the new addresses and the hosts' settings.
+func (d *wholeDeployment) write(a *questionnaire.Answers, answers string, p *ports, store string) error {
+	var addresses []string
+	for range 2 * len(a.Hosts) {
+		addresses = append(addresses, p.next())
+	}
+	for _, s := range deployment.HostSettings(a, addresses, "http://"+store) {
+		body, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			return cicadapitch.Wrap(err)
+		}
+		if err := os.WriteFile(filepath.Join(d.out, string(s.Host)+".yaml"), body, 0o600); err != nil {
+			return cicadapitch.Wrap(err)
+		}
+	}
+	return cicadapitch.Wrap(os.WriteFile(filepath.Join(d.out, "questionnaire.yaml"), []byte(answers), 0o600))
+}
+
+// chill turns engines cold without warning.
+func (d *wholeDeployment) chill(e *standin.Emulation) {
+	if d.coldSeconds <= 0 {
+		return
+	}
+	r := rand.New(rand.NewPCG(uint64(d.seed), 0))
+	for range time.Tick(time.Duration(d.coldSeconds * float64(time.Second))) {
+		e.ChillOne(r)
+	}
+}
+
+func listenAndServe(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return cicadapitch.Wrap(err)
+	}
+	s := http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return cicadapitch.Wrap(s.Serve(l))
+}
+
+// ports hands out consecutive ports of one IP number.
+type ports struct{ at netip.AddrPort }
+
+func newPorts(base string) (*ports, error) {
+	at, err := netip.ParseAddrPort(base)
+	if err != nil {
+		return nil, cicadapitch.NewError(cicadapitch.Invalid, fmt.Sprintf("%s is no ip:port", base), "give one with --listen-base")
+	}
+	return &ports{at}, nil
+}
+
+func (p *ports) next() string {
+	address := p.at.String()
+	p.at = netip.AddrPortFrom(p.at.Addr(), p.at.Port()+1)
+	return address
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,8 +29,13 @@
 	for _, b := range builders {
 		flaggy.AttachSubcommand(b.command, 1)
 	}
+	whole := deploymentCommand()
+	flaggy.AttachSubcommand(whole.command, 1)
 	flaggy.Parse()
 	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true}).With().Timestamp().Logger()
+	if whole.command.Used {
+		log.Fatal().Err(whole.run(log)).Msg("deployment ended")
+	}
 	for _, b := range builders {
 		if b.command.Used {
 			serve(log, b.command.Name, listen, b.build())
@@ -61,16 +66,21 @@
 	c.Float64(&reads, "", "read-rate", "reads a second, 0 for no limit")
 	c.Float64(&writes, "", "write-rate", "writes a second, 0 for no limit")
 	return &builder{c, func() http.Handler {
-		s := standin.NewMemoryStore(cicadapitch.NewSystemClock(), standin.WithReadRate(reads), standin.WithWriteRate(writes))
-		go func() {
-			for range time.Tick(sweepEvery) {
-				s.Sweep()
-			}
-		}()
-		return standin.NewStoreHandler(s)
+		return newStore(reads, writes)
 	}}
 }
 
+// newStore returns a store whose leases lapse in time.
+func newStore(reads, writes float64) http.Handler {
+	s := standin.NewMemoryStore(cicadapitch.NewSystemClock(), standin.WithReadRate(reads), standin.WithWriteRate(writes))
+	go func() {
+		for range time.Tick(sweepEvery) {
+			s.Sweep()
+		}
+	}()
+	return standin.NewStoreHandler(s)
+}
+
 func engineCommand() *builder {
 	c := flaggy.NewSubcommand("engine")
 	tokenMillis, lagMillis, growth := 20, 500, 0.02
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -21,10 +20,7 @@
 // Bounds of a local deployment.
 const (
 	serviceTimeout cicadapitch.Millis = 5 * cicadapitch.Second
-	leaseMillis    cicadapitch.Millis = 3 * cicadapitch.Second
-	graceMillis    cicadapitch.Millis = 20 * cicadapitch.Second
 	readyInterval  cicadapitch.Millis = 50
-	keyBytes                          = 32
 )
 
 // Local is a deployment inside this process.
@@ -95,29 +91,12 @@
 	return l.planHosts(a)
 }
 
-// planHosts makes the settings of each host, spread over the zones in turn.
 func (l *Local) planHosts(a *questionnaire.Answers) error {
 	addresses, err := freeAddresses(2 * len(a.Hosts))
 	if err != nil {
 		return err
 	}
-	var seeds []string
-	for i, h := range a.Hosts {
-		zone := a.Zones[i%len(a.Zones)]
-		caller, peers := addresses[2*i], addresses[2*i+1]
-		seeds = append(seeds, peers)
-		l.hosts = append(l.hosts, &settings.Settings{
-			Host: h.Name, Zone: zone.Name, Region: zone.Region,
-			CallerListen: caller, CallerURL: "http://" + caller,
-			PeerListen: peers, PeerAddress: peers,
-			DeploymentKey: hex.EncodeToString(make([]byte, keyBytes)),
-			Store:         []string{l.storeURL},
-			LeaseMillis:   leaseMillis, ShutdownGraceMillis: graceMillis,
-		})
-	}
-	for _, s := range l.hosts {
-		s.SeedPeers = seeds
-	}
+	l.hosts = HostSettings(a, addresses, l.storeURL)
 	return nil
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -144,3 +144,11 @@
 		Leaving: e.leaving,
 	})
 }
+
+// Warm ends the cold start.
+func (e *Engine) Warm() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldLeft = 0
+	e.report()
+}
