--- /dev/null
+++ b/deployment/bench_test.go
@@ -0,0 +1,40 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/client"
+	"cicadapitch.example/cicadapitch/deployment"
+	"cicadapitch.example/cicadapitch/examples/quickstart"
+)
+
+// BenchmarkRequests runs whole requests through three daemons in this process,
+// for a CPU profile of the path of a request.
+func BenchmarkRequests(b *testing.B) {
+	l := startLocal(b)
+	c := client.New(l.Seeds(), customerKey)
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for n := 0; pb.Next(); n++ {
+			req := cicadapitch.Request{Pipeline: "answer", Input: fmt.Sprint(n)}
+			if _, err := c.Do(context.Background(), req, func(cicadapitch.Chunk) {}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+func startLocal(tb testing.TB) *deployment.Local {
+	tb.Helper()
+	l, err := deployment.NewLocal(quickstart.Questionnaire)
+	require.NoError(tb, err)
+	require.NoError(tb, l.Start(context.Background()))
+	tb.Cleanup(l.Stop)
+	require.NoError(tb, l.WaitReady(context.Background()))
+	return l
+}
