--- a/entry/run.go
+++ b/entry/run.go
@@ -12,7 +12,7 @@
 func (s *Server) run(ctx context.Context, w work, out *output) (cicadapitch.Answer, error) {
 	ctx, cancel := withTimeout(ctx, s.clock, w.deadline.Sub(s.clock.Now()))
 	defer cancel()
-	rec := &record{work: w, id: s.nextID(), out: out}
+	rec := &record{work: w, out: out}
 	if err := s.admit(rec); err != nil {
 		return cicadapitch.Answer{}, rec.verdict(err)
 	}
@@ -59,6 +59,7 @@
 	q.Zone = self.Zone
 	q.Region = self.Region
 	q.Weight = cfg.Weight
+	q.Hosts = s.peers.count(now)
 	q.Expected = s.estimates.of(st).Typical()
 	q.Random = s.random.next()
 	return pipeline.Choose(g, func(i int) pipeline.ShardState {
