configuration, claim: the loops in real time, with the watch, under -race

Cause: tests drove the decisions step by step; the watch and the loops with their goroutines ran in no test. Conclusion: the loops end with their context.

--- /dev/null
+++ b/claim/run_test.go
@@ -0,0 +1,54 @@
+package claim_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/claim"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type single struct{}
+
+func (single) Self() cicadapitch.Member {
+	return cicadapitch.Member{Host: "host-0", State: cicadapitch.Ready, Incarnation: 1}
+}
+
+func (s single) Members() []cicadapitch.Member { return []cicadapitch.Member{s.Self()} }
+
+func TestRunClaimsAndReleasesInRealTime(t *testing.T) {
+	clock := cicadapitch.NewSystemClock()
+	store := standin.NewMemoryStore(clock)
+	cfg := configuration.NewFollower(clock)
+	cfg.Offer(&cicadapitch.Configuration{Revision: 1, Endpoints: []cicadapitch.Endpoint{{Shard: "a"}, {Shard: "b"}}})
+	c := claim.New(store, single{}, cfg, clock)
+	var gained, lost atomic.Int32
+	c.OnGain(func(cicadapitch.Claim) { gained.Add(1) })
+	c.OnLoss(func(cicadapitch.ShardID) { lost.Add(1) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- c.Run(ctx) }()
+	require.Eventually(t, func() bool {
+		c.SetLoad("a", cicadapitch.ShardLoad{Free: 3})
+		c.Observe("b", cicadapitch.ShardLoad{Free: 2})
+		return len(c.Owned()) == 2
+	}, time.Minute, time.Millisecond)
+	load, ok := c.Load("a")
+	require.True(t, ok)
+	require.Equal(t, cicadapitch.Slots(3), load.Free)
+	require.NoError(t, c.ReleaseAll(ctx))
+	require.Empty(t, c.Owned())
+	require.EqualValues(t, 2, gained.Load())
+	require.EqualValues(t, 2, lost.Load())
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
--- /dev/null
+++ b/configuration/spreader_test.go
@@ -0,0 +1,80 @@
+package configuration_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/configuration"
+	"cicadapitch.example/cicadapitch/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// lone is a host that has no peers.
+type lone struct{}
+
+func (lone) Self() cicadapitch.Member {
+	return cicadapitch.Member{Host: "h0", State: cicadapitch.Ready}
+}
+
+func (l lone) Members() []cicadapitch.Member { return []cicadapitch.Member{l.Self()} }
+
+func (lone) Fetch(context.Context, cicadapitch.Member, cicadapitch.Revision) (configuration.Update, error) {
+	return configuration.Update{}, cicadapitch.NewError(cicadapitch.Unavailable, "no peer", "ask another")
+}
+
+func TestSpreaderFollowsTheStoreAndRecoversFromAnOutage(t *testing.T) {
+	store, a := newApplied(t, example(3))
+	f := configuration.NewFollower(clock)
+	s := configuration.NewSpreader(f, store, lone{}, lone{}, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Run(ctx) }()
+	reach := func(r cicadapitch.Revision) {
+		require.Eventually(t, func() bool { return f.Revision() == r }, time.Minute, 5*time.Millisecond)
+	}
+	reach(1)
+	apply(t, a, "zone-0")
+	reach(2)
+	store.SetDown(true)
+	require.Eventually(t, func() bool { return store.Calls().Waiting == 0 }, time.Minute, 5*time.Millisecond)
+	store.SetDown(false)
+	apply(t, a, "zone-1")
+	reach(3)
+	require.True(t, f.Confirmed())
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	require.Eventually(t, func() bool { return store.Calls().Waiting == 0 }, time.Minute, 5*time.Millisecond)
+}
+
+func apply(t *testing.T, a *configuration.Applier, zone cicadapitch.ZoneID) {
+	_, err := a.Apply(ctx, takeOut(cicadapitch.ChangeID("out-"+zone), zone))
+	require.NoError(t, err)
+}
+
+// A watch passes a change on long before the next poll.
+func TestWatchIsFollowedWithoutAPoll(t *testing.T) {
+	manual := cicadapitch.NewManualClock(1_000_000)
+	store := standin.NewMemoryStore(clock)
+	a := configuration.NewApplier(store, clock)
+	f := configuration.NewFollower(manual)
+	s := configuration.NewSpreader(f, store, lone{}, lone{}, manual)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, c := range s.Step() {
+		if _, ok := c.(configuration.StartWatch); ok {
+			go s.Execute(ctx, c)
+			continue
+		}
+		s.Execute(ctx, c)
+	}
+	require.Eventually(t, func() bool { return store.Calls().Waiting == 1 }, time.Minute, time.Millisecond)
+	_, err := a.Apply(ctx, configuration.Change{ID: "first", Operator: "ada", Whole: example(3)})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.Revision() == 1 }, time.Minute, time.Millisecond)
+}
