--- a/host/core.go
+++ b/host/core.go
@@ -30,9 +30,11 @@
 	rand  *rand.Rand
 	seeds []string
 
-	// ring is the order of the direct probes, and next its position.
+	// ring is the order of the direct probes, next its position, and rounds
+	// counts the probes.
 	ring   []Ref
 	next   int
+	rounds int
 	probes map[uint64]*probe
 	last   uint64
 
@@ -41,7 +43,7 @@
 	probeAt     cicadapitch.Instant
 	reconnectAt cicadapitch.Instant
 	compareAt   cicadapitch.Instant
-	agreedAt    cicadapitch.Instant
+	changedAt   cicadapitch.Instant
 	forgetAt    cicadapitch.Instant
 	// allowance is what news may be sent now.
 	allowance cicadapitch.Bytes
@@ -67,7 +69,6 @@
 		probes:    make(map[uint64]*probe),
 		started:   now,
 		ticked:    now,
-		agreedAt:  now.Add(-disagreement),
 		allowance: newsBurst,
 	}
 	// Hosts that start together must not probe in step.
@@ -196,6 +197,7 @@
 // changed passes on a change of another host's entry.
 func (c *Core) changed(e *entry, full, urgent bool) {
 	c.changes++
+	c.changedAt = c.ticked
 	c.news.add(item{ref: e.ref, full: full, urgent: urgent})
 	c.urgent = c.urgent || urgent
 }
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -24,7 +24,6 @@
 		ack.News = append(ack.News, e.status())
 	}
 	ack.Self, ack.Loads = c.self.status(), c.self.loads()
-	c.compareDigest(now, p.Digest)
 	return ack, nil
 }
 
@@ -37,7 +36,7 @@
 	cmds := c.settle(now, cmd.ID, a.Reached)
 	wants := c.learn(now, a.Self, a.Loads, a.News, a.Records)
 	reply := c.replyTo(a, wants)
-	if !c.compareDigest(now, a.Digest) && c.mayCompare(now, a.Count) {
+	if a.Digest != c.table.digest() && c.mayCompare(now, a.Count) {
 		reply.Buckets = slices.Clone(c.table.buckets[:])
 	}
 	if cmd.follows >= maxFollows || len(reply.Want)+len(reply.Records)+len(reply.News)+len(reply.Buckets) == 0 {
@@ -106,23 +105,13 @@
 	return records
 }
 
-// compareDigest reports whether the digests agree.
-func (c *Core) compareDigest(now cicadapitch.Instant, digest uint64) bool {
-	if digest != c.table.digest() {
-		return false
-	}
-	c.agreedAt = now
-	return true
-}
-
-// mayCompare bounds comparisons in time, because digests differ for a moment
-// whenever something changes, and for longer while the news of it spread.
+// mayCompare bounds comparisons in time. Digests differ for a moment whenever
+// something changes, and for longer while the news of it spread; a different
+// count of hosts cannot wait.
 func (c *Core) mayCompare(now cicadapitch.Instant, count int) bool {
-	patience := disagreement
-	if count == c.table.alive && len(c.news.items) > 0 {
-		patience = spreading
-	}
-	if now.Sub(c.agreedAt) < patience || now < c.compareAt {
+	calm := now.Sub(c.changedAt) >= settling && len(c.news.items) == 0
+	late := now.Sub(c.compareAt) >= spreading
+	if now < c.compareAt || (count == c.table.alive && !calm && !late) {
 		return false
 	}
 	c.compareAt = now.Add(compareInterval)
--- a/host/group_fleet_test.go
+++ b/host/group_fleet_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+func TestGroupNoticesEveryKilledHostAt40Hosts(t *testing.T) {
+	for seed := range uint64(16) {
+		f := steadyFleet(40, seed)
+		f.loss = 0.01
+		killed := f.nodes[seed]
+		killed.down = true
+		took := f.until(t, fewSeconds, func() bool { return f.seenAs(killed, cicadapitch.Ready) == 0 })
+		require.LessOrEqual(t, took, noticed, "seed %d", seed)
+	}
+}
+
 func TestGroupSuspectsNobodyForAPercentOfLoss(t *testing.T) {
 	for seed := range uint64(4) {
 		f := steadyFleet(40, seed)
--- a/host/probe.go
+++ b/host/probe.go
@@ -18,9 +18,15 @@
 	left  *int
 }
 
-// probeNext pings the next host of the ring.
+// probeNext pings this host's successor and the next host of the ring in turn.
+// Every host is the successor of one, so that the span until it is probed is
+// bounded; the ring spreads news and finds runs of failed hosts.
 func (c *Core) probeNext(now cicadapitch.Instant) []Command {
-	e := c.nextTarget()
+	c.rounds++
+	e := c.successor()
+	if c.rounds%2 == 0 || e == nil {
+		e = c.nextTarget()
+	}
 	if e == nil {
 		return nil
 	}
@@ -33,6 +39,26 @@
 	return []Command{cmd}
 }
 
+// successor returns the host that answers with the next higher reference.
+func (c *Core) successor() *entry {
+	var next, lowest *entry
+	for _, e := range c.table.list {
+		if e == c.self || e.health != Alive {
+			continue
+		}
+		if lowest == nil || e.ref < lowest.ref {
+			lowest = e
+		}
+		if e.ref > c.self.ref && (next == nil || e.ref < next.ref) {
+			next = e
+		}
+	}
+	if next == nil {
+		return lowest
+	}
+	return next
+}
+
 // nextTarget goes round the ring, which is shuffled again after each round.
 func (c *Core) nextTarget() *entry {
 	for range len(c.ring) + 1 {
--- a/host/settings.go
+++ b/host/settings.go
@@ -29,9 +29,10 @@
 	// reconnectInterval is the span between two pings of an address that is
 	// not known to be alive.
 	reconnectInterval cicadapitch.Millis = 5 * cicadapitch.Second
-	// disagreement is how long digests may differ before they are compared.
-	disagreement cicadapitch.Millis = 3 * cicadapitch.Second
-	// spreading is how long digests may differ while there are news.
+	// settling is how long nothing may have changed before a digest that
+	// differs is compared.
+	settling cicadapitch.Millis = 2 * cicadapitch.Second
+	// spreading is how long comparisons wait while there are news.
 	spreading cicadapitch.Millis = 20 * cicadapitch.Second
 	// compareInterval is the span between two comparisons.
 	compareInterval cicadapitch.Millis = cicadapitch.Second
