--- a/host/exchange.go
+++ b/host/exchange.go
@@ -155,15 +155,19 @@
 	return list
 }
 
+// whole returns as many records as the allowance lets, from a random one on.
 func (c *Core) whole() []Record {
 	var records []Record
 	var used cicadapitch.Bytes
-	for _, e := range c.table.list {
+	budget := max(c.allowance, wholeTable)
+	first := c.rand.IntN(len(c.table.list))
+	for i := range c.table.list {
+		e := c.table.list[(first+i)%len(c.table.list)]
 		if e.health == Gone {
 			continue
 		}
 		used += sizeOf(e, true)
-		if used > wholeTable {
+		if used > budget {
 			break
 		}
 		records = append(records, e.record())
--- a/host/learn.go
+++ b/host/learn.go
@@ -73,8 +73,7 @@
 	c.table.put(e)
 	c.date(now, e)
 	c.enrol(e.ref)
-	// When very many start at once, comparing digests is cheaper.
-	c.changed(e, true, c.allowance > newsBurst/2)
+	c.changed(e, true, true)
 }
 
 // renew replaces an entry by a newer one of the same incarnation.
--- a/host/news.go
+++ b/host/news.go
@@ -5,6 +5,8 @@
 	"math/bits"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 )
 
@@ -49,9 +51,15 @@
 		it.urgent = it.urgent || (old.urgent && old.sent < fanout)
 		n.items = slices.Delete(n.items, i, i+1)
 	}
+	// When very much happens at once, comparing digests is cheaper.
+	it.urgent = it.urgent && n.urgent() < maxUrgent
 	n.items = append(n.items, it)
 }
 
+func (n *news) urgent() int {
+	return lo.CountBy(n.items, func(it item) bool { return it.urgent })
+}
+
 // take fills budget with changes and counts them as sent: urgent ones first,
 // then the least often sent, then the newest. What the receiver has just told
 // is left out.
--- a/host/settings.go
+++ b/host/settings.go
@@ -42,11 +42,13 @@
 	// newsRate is what a host may send in news a second over time.
 	newsRate cicadapitch.Bytes = 1200
 	// newsBurst is what may be saved up of newsRate.
-	newsBurst cicadapitch.Bytes = 24 << 10
+	newsBurst cicadapitch.Bytes = 48 << 10
 	// newsMessage bounds the news of one message.
 	newsMessage cicadapitch.Bytes = 1200
 	// newsLeast is what a message may always carry.
 	newsLeast cicadapitch.Bytes = 110
-	// wholeTable bounds the records sent to a host that knows few others.
-	wholeTable cicadapitch.Bytes = 128 << 10
+	// maxUrgent bounds the changes that are urgent at the same time.
+	maxUrgent = 16
+	// wholeTable is what a host that knows few others may always be sent.
+	wholeTable cicadapitch.Bytes = 8 << 10
 )
--- a/host/suspicion.go
+++ b/host/suspicion.go
@@ -24,9 +24,6 @@
 
 // refute answers a suspicion of this host with a higher version.
 func (c *Core) refute(s Status) {
-	c.table.change(c.self, func() {
-		c.self.member.Version = s.Version + 1
-		c.self.shape = c.self.member.Version
-	})
-	c.changed(c.self, true, true)
+	c.table.change(c.self, func() { c.self.member.Version = s.Version + 1 })
+	c.changed(c.self, false, true)
 }
