host: no storm when all hosts restart at once

Cause: when 340 hosts restarted at once each new record was pushed to three hosts at every tick, with an allowance too small for one record (21 pings a second and host, 36.7 s until all agree), and records went on being sent long after all agreed. Changes: a push needs and spends allowance; the least a message may carry fits a record; a change counts as sent to a host whose digest is the same; the rate of news is 4 KB/s, since resends bound the sum and the rate only smooths it. Ruled out: more seeds for the joiners; the sum of bytes, 340 x 340 records, is what takes the time.

--- a/host/core.go
+++ b/host/core.go
@@ -151,7 +151,8 @@
 	if now >= c.reconnectAt {
 		cmds = append(cmds, c.reconnect(now)...)
 	}
-	if c.urgent {
+	// Without an allowance the probes carry what is urgent.
+	if c.urgent && c.allowance >= fanout*newsMessage {
 		cmds = append(cmds, c.push()...)
 	}
 	return cmds
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -12,6 +12,7 @@
 func (c *Core) Receive(now cicadapitch.Instant, p Ping) (Ack, []Command) {
 	wants := c.learn(now, p.Self, p.Loads, p.News, p.Records)
 	ack := Ack{Digest: c.table.digest(), Count: c.table.alive, Want: wants}
+	c.compare(p.Digest)
 	if p.Buckets != nil {
 		c.answerBuckets(&ack, p)
 	}
@@ -36,7 +37,7 @@
 	cmds := c.settle(now, cmd.ID, a.Reached)
 	wants := c.learn(now, a.Self, a.Loads, a.News, a.Records)
 	reply := c.replyTo(a, wants)
-	if a.Digest != c.table.digest() && c.mayCompare(now, a.Count) {
+	if !c.compare(a.Digest) && c.mayCompare(now, a.Count) {
 		reply.Buckets = slices.Clone(c.table.buckets[:])
 	}
 	if cmd.follows >= maxFollows || len(reply.Want)+len(reply.Records)+len(reply.News)+len(reply.Buckets) == 0 {
@@ -105,6 +106,15 @@
 	return records
 }
 
+// compare reports whether the other host knows the same.
+func (c *Core) compare(digest uint64) bool {
+	same := digest == c.table.digest()
+	if same {
+		c.news.agreed(c.table)
+	}
+	return same
+}
+
 // mayCompare bounds comparisons in time. Digests differ for a moment whenever
 // something changes, and for longer while the news of it spread; a different
 // count of hosts cannot wait.
--- a/host/news.go
+++ b/host/news.go
@@ -83,10 +83,26 @@
 			statuses = append(statuses, e.status())
 		}
 	}
+	n.sweep(t)
+	return statuses, records, used
+}
+
+// agreed counts the changes as sent to a host that knows them already, because
+// its digest is the same. Digests do not cover what is urgent.
+func (n *news) agreed(t *table) {
+	for i := range n.items {
+		if !n.items[i].urgent {
+			n.items[i].sent++
+		}
+	}
+	n.sweep(t)
+}
+
+// sweep drops what was sent often enough.
+func (n *news) sweep(t *table) {
 	n.items = slices.DeleteFunc(n.items, func(it item) bool {
 		return it.sent >= it.limit(t.alive) || t.byRef[it.ref] == nil
 	})
-	return statuses, records, used
 }
 
 // compare puts what goes first last.
--- a/host/push.go
+++ b/host/push.go
@@ -20,6 +20,7 @@
 	}
 	cmds := make([]Command, 0, fanout)
 	for _, e := range targets {
+		c.spend(pushBytes)
 		cmds = append(cmds, c.command(e.member.PeerAddress, probeTimeout))
 	}
 	return cmds
--- a/host/settings.go
+++ b/host/settings.go
@@ -40,13 +40,15 @@
 	compareBytes cicadapitch.Bytes = 4 << 10
 
 	// newsRate is what a host may send in news a second over time.
-	newsRate cicadapitch.Bytes = 1200
+	newsRate cicadapitch.Bytes = 4 << 10
 	// newsBurst is what may be saved up of newsRate.
 	newsBurst cicadapitch.Bytes = 48 << 10
+	// pushBytes is what a push takes of the allowance besides its news.
+	pushBytes cicadapitch.Bytes = 300
 	// newsMessage bounds the news of one message.
-	newsMessage cicadapitch.Bytes = 1200
+	newsMessage cicadapitch.Bytes = 1400
 	// newsLeast is what a message may always carry.
-	newsLeast cicadapitch.Bytes = 110
+	newsLeast cicadapitch.Bytes = 256
 	// maxUrgent bounds the changes that are urgent at the same time.
 	maxUrgent = 16
 	// wholeTable is what a host that knows few others may always be sent.
