endpoint, bench: curve over the weights; a wait for a cached prefix counts at least a quarter

Weighed and dropped, 'hold': jobs wait for a less crowded engine while their slack allows, the longer the more cost weighs.

Without it the weight moves little: see the curve of cmd/bench -w.

--- /dev/null
+++ b/bench/curve.go
@@ -0,0 +1,58 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Weights are the weights between cost by stage and attainment of the curve.
+func Weights() []cicadapitch.Weight { return []cicadapitch.Weight{0, 0.25, 0.5, 0.75, 1} }
+
+// Point is the mean of a curve's runs at one weight.
+type Point struct {
+	Fleet      string
+	Weight     cicadapitch.Weight
+	Attainment float64
+	Served     float64
+	Cost       cicadapitch.Cost
+	FirstToken cicadapitch.Millis
+}
+
+// Curve runs the cases of a fleet with the standard policy at each weight.
+func Curve(f Fleet, seeds int) []Point {
+	var points []Point
+	for _, w := range Weights() {
+		f.Weight = w
+		p := Point{Fleet: f.Name, Weight: w}
+		n := 0
+		for _, c := range Cases(f) {
+			for seed := range seeds {
+				r := Run(c, Variants()[0], uint64(seed+1))
+				p.Attainment += r.Attainment
+				p.Served += r.Served
+				p.Cost += r.Cost()
+				p.FirstToken += r.FirstToken
+				n++
+			}
+		}
+		p.Attainment /= float64(n)
+		p.Served /= float64(n)
+		p.Cost /= cicadapitch.Cost(n)
+		p.FirstToken /= cicadapitch.Millis(n)
+		points = append(points, p)
+	}
+	return points
+}
+
+// WriteCurve writes the points of a curve.
+func WriteCurve(w io.Writer, points []Point) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "fleet\tweight\tattainment\tserved\tcost\tfirst token p95")
+	for _, p := range points {
+		fmt.Fprintf(tw, "%s\t%.2f\t%.4f\t%.4f\t%.3f\t%d\n", p.Fleet, p.Weight, p.Attainment, p.Served, p.Cost, p.FirstToken)
+	}
+	return tw.Flush()
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,14 +12,19 @@
 )
 
 func main() {
-	seeds, only, fleet, variant := 3, "", "", ""
+	seeds, only, fleet, variant, curve := 3, "", "", "", false
 	flaggy.SetName("bench")
 	flaggy.SetDescription("Measures the decisions on virtual time.")
 	flaggy.Int(&seeds, "s", "seeds", "number of seeds for each row")
 	flaggy.String(&only, "c", "case", "run this case only")
 	flaggy.String(&fleet, "f", "fleet", "run this fleet only: Verbund or Cwrt")
 	flaggy.String(&variant, "v", "variant", "run this variant only")
+	flaggy.Bool(&curve, "w", "weights", "show the curve over the weights")
 	flaggy.Parse()
+	if curve {
+		exit(weights(fleet, seeds))
+		return
+	}
 	var results []bench.Result
 	for _, f := range []bench.Fleet{bench.Verbund(), bench.Cwrt()} {
 		if fleet != "" && f.Name != fleet {
@@ -32,7 +37,21 @@
 			results = append(results, run(c, variant, seeds)...)
 		}
 	}
-	if err := bench.WriteTable(os.Stdout, results); err != nil {
+	exit(bench.WriteTable(os.Stdout, results))
+}
+
+func weights(fleet string, seeds int) error {
+	var points []bench.Point
+	for _, f := range []bench.Fleet{bench.Verbund(), bench.Cwrt()} {
+		if fleet == "" || f.Name == fleet {
+			points = append(points, bench.Curve(f, seeds)...)
+		}
+	}
+	return bench.WriteCurve(os.Stdout, points)
+}
+
+func exit(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -22,6 +22,10 @@
 	busy bool
 }
 
+// minWaitWeight is what a wait counts at least against the service time that it
+// saves.
+const minWaitWeight = 0.25
+
 // better orders offers: endpoints to be avoided last, then by score, then by
 // the calls they have.
 func (o offer) better(p offer) bool {
@@ -105,8 +109,7 @@
 	if s.policy.Admission && now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline {
 		return offer{}, false
 	}
-	weight := float64(s.weight)
-	o.score = weight*(o.wait+o.service) + (1-weight)*o.service
+	o.score = max(float64(s.weight), minWaitWeight)*o.wait + o.service
 	return o, true
 }
 
