--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -45,25 +45,22 @@
 	s.scatter(b)
 }
 
-const (
-	// maxNeed bounds the good calls that one more slot can cost.
-	maxNeed = 16
-	// slowCredit is how many slow calls count as much as a good one. They
-	// count for something, so that an endpoint slower than its peers grows.
-	slowCredit = 8
-)
+// maxNeed bounds the good calls that one more slot can cost.
+const maxNeed = 16
 
 // grow gives the endpoint another slot for good calls that started after it
-// was last cold, once a load report of that time says that it is warm.
+// was last cold, once a load report of that time says that it is warm. A good
+// call takes about as long as at the peers: an endpoint that stays slower
+// cannot be told from one that is cold and does not say so.
 func (s *State) grow(b *backend, j *job, ratio float64) {
 	if j.started < b.since || b.reportCold || b.read < b.since {
 		return
 	}
-	b.credit++
-	if ratio <= s.policy.GrowFactor {
-		b.credit += slowCredit - 1
+	if ratio > s.policy.GrowFactor {
+		return
 	}
-	if b.credit < b.need*slowCredit {
+	b.credit++
+	if b.credit < b.need {
 		return
 	}
 	b.credit = 0
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -74,7 +74,7 @@
 	usual *= slowdown(j.load) / slowdown(s.load.value)
 	s.load.add(j.load)
 	first := float64(j.first)
-	if first <= max(usual*s.policy.ProveFactor*max(s.pace(b), 1), float64(s.policy.LatencyFloor)) {
+	if first <= max(usual*s.policy.ProveFactor, float64(s.policy.LatencyFloor)) {
 		b.prove(j)
 	}
 	s.rate(b, first/max(s.model.first(j.hit), 1))
@@ -182,12 +182,15 @@
 	s.judge(now, b)
 }
 
+// slowPart is the number of slow calls of which the model takes one.
+const slowPart = 8
+
 // learn adds a call to the shard's model. Few of the slow ones are taken, so
 // that an endpoint that turns cold does not pass for the usual.
 func (s *State) learn(done sample, ratio float64) {
 	if ratio > s.policy.GrowFactor && s.model.spread.samples > fewSamples {
 		s.slow++
-		if s.slow%slowCredit != 0 {
+		if s.slow%slowPart != 0 {
 			return
 		}
 	}
