standin, driver: prefix cache in limited memory, and a weight store

WithPrefixCache and WithPrefill give hits and their gain, WithWeightStore makes loads wait for each other; during one the engine states that it did not start a call.

The driver never sent the prefix to the engine. It does now as prompt_cache_key, the completion API's field for it. Ruled out: taking the prefix from the prompt's text, since the stages before a generation rewrite it.

--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -41,12 +41,44 @@
 	coldStart   bool
 	coldSeconds float64
 	seed        int64
+	engine      engineFlags
+}
+
+// engineFlags are the flags that all engines share.
+type engineFlags struct {
+	prefillMillis int
+	prefixes      int
+	cacheLag      int
+	cacheLoss     float64
+	weightSeconds float64
+}
+
+func (f *engineFlags) addTo(c *flaggy.Subcommand) {
+	c.Int(&f.prefillMillis, "", "prefill-millis", "time of a prompt before its first token, a tenth of it where its prefix is cached")
+	c.Int(&f.prefixes, "", "cache-prefixes", "prefixes that an engine caches")
+	c.Int(&f.cacheLag, "", "cache-lag-millis", "lag of the cache events")
+	c.Float64(&f.cacheLoss, "", "cache-loss", "part of the cache events that are lost")
+	c.Float64(&f.weightSeconds, "", "weight-seconds", "time that the weight store needs for one load of a model, 0 for none")
+}
+
+func (f *engineFlags) options(seed uint64) []standin.EngineOption {
+	prefill := cicadapitch.Millis(f.prefillMillis)
+	opts := []standin.EngineOption{
+		standin.WithPrefill(prefill, prefill/10),
+		standin.WithPrefixCache(f.prefixes, cicadapitch.Millis(f.cacheLag), f.cacheLoss, seed),
+	}
+	if f.weightSeconds > 0 {
+		interval := cicadapitch.Millis(f.weightSeconds * float64(cicadapitch.Second))
+		opts = append(opts, standin.WithWeightStore(standin.NewWeightStore(interval)))
+	}
+	return opts
 }
 
 func deploymentCommand() *wholeDeployment {
 	d := &wholeDeployment{
 		command: flaggy.NewSubcommand("deployment"), base: "127.0.0.1:19000", out: ".", speed: 1,
 		growth: standin.DefaultGrowth, lagMillis: int(standin.DefaultLag), seed: 1,
+		engine: engineFlags{prefixes: 16, cacheLag: 1000, cacheLoss: 0.02},
 	}
 	c := d.command
 	c.Description = "runs the store and all endpoints of a questionnaire on consecutive ports"
@@ -59,6 +91,7 @@
 	c.Bool(&d.coldStart, "", "cold-start", "start the engines cold")
 	c.Float64(&d.coldSeconds, "", "cold-seconds", "seconds until another engine turns cold without warning, 0 for never")
 	c.Int64(&d.seed, "", "seed", "seed that picks the engines that turn cold")
+	d.engine.addTo(c)
 	return d
 }
 
@@ -99,6 +132,7 @@
 		standin.WithSpeed(d.speed),
 		standin.WithGrowth(d.growth),
 		standin.WithLag(cicadapitch.Millis(d.lagMillis)),
+		standin.WithEngineOptions(d.engine.options(uint64(d.seed))...),
 	}
 	if d.coldStart {
 		opts = append(opts, standin.WithColdStart())
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -26,6 +26,8 @@
 	Stream    bool               `json:"stream"`
 	Priority  int                `json:"priority,omitempty"`
 	Resume    string             `json:"resume,omitempty"`
+	// CacheKey names the prefix of the prompt for the engine's cache.
+	CacheKey string `json:"prompt_cache_key,omitempty"`
 }
 
 // Call implements cicadapitch.Driver. The output and the sink hold what follows
@@ -40,6 +42,7 @@
 		Stream:    true,
 		Priority:  c.Priority,
 		Resume:    c.Resume,
+		CacheKey:  c.Prefix,
 	}
 	start := e.opts.clock.Now()
 	w, err := e.post(ctx, c, "/v1/completions", q)
--- a/standin/emulation.go
+++ b/standin/emulation.go
@@ -26,6 +26,7 @@
 	lag       cicadapitch.Millis
 	warmAfter int
 	coldStart bool
+	more      []EngineOption
 	endpoints []Emulated
 	engines   []*Engine
 }
@@ -59,6 +60,11 @@
 	return func(e *Emulation) { e.coldStart = true }
 }
 
+// WithEngineOptions gives further options to all engines.
+func WithEngineOptions(opts ...EngineOption) EmulationOption {
+	return func(e *Emulation) { e.more = append(e.more, opts...) }
+}
+
 // NewEmulation returns stand-ins for all endpoints of the answers.
 func NewEmulation(clock cicadapitch.Clock, a *questionnaire.Answers, opts ...EmulationOption) *Emulation {
 	e := &Emulation{clock: clock, speed: 1, growth: DefaultGrowth, lag: DefaultLag, warmAfter: DefaultWarmAfter}
@@ -112,7 +118,7 @@
 	if p.ChecksFencing {
 		opts = append(opts, WithFencingCheck())
 	}
-	engine := NewEngine(e.clock, opts...)
+	engine := NewEngine(e.clock, append(opts, e.more...)...)
 	if !e.coldStart {
 		engine.Warm()
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -20,6 +20,9 @@
 	warmAfter     int
 	checksFencing bool
 	reports       lagged
+	prefill       prefill
+	cache         *prefixCache
+	weights       *WeightStore
 	record        record
 	mux           *http.ServeMux
 
@@ -32,6 +35,7 @@
 	dieAfter int
 	orders   []cicadapitch.EndpointOrder
 	fencing  cicadapitch.FencingNumber
+	loadedAt cicadapitch.Instant
 }
 
 // NewEngine returns an engine that is warm unless WithCold is given.
@@ -44,7 +48,7 @@
 	}
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
-	e.mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.reports.current()) })
+	e.mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.load()) })
 	e.mux.HandleFunc("POST /orders", e.order)
 	e.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Record()) })
 	e.mux.HandleFunc("POST /faults", e.faults)
@@ -117,6 +121,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.coldLeft = e.warmAfter
+	if e.cache != nil {
+		e.cache.clear()
+	}
 	e.report()
 }
 
--- a/standin/enginestream.go
+++ b/standin/enginestream.go
@@ -16,6 +16,8 @@
 	MaxTokens cicadapitch.Tokens `json:"max_tokens"`
 	Stream    bool               `json:"stream"`
 	Priority  int                `json:"priority"`
+	// CacheKey names the prefix of the prompt, empty for none.
+	CacheKey string `json:"prompt_cache_key"`
 	// Resume is the text that the caller already has.
 	Resume string `json:"resume"`
 }
@@ -42,6 +44,9 @@
 	if q.MaxTokens <= 0 {
 		q.MaxTokens = DefaultTokens
 	}
+	if e.refuseWhileLoading(w) {
+		return
+	}
 	cold, ok := e.acquire(r.Context(), q.Priority)
 	if !ok {
 		http.Error(w, "the engine is cold and bears no more", http.StatusInternalServerError)
@@ -64,6 +69,9 @@
 		skip = 0
 	}
 	dieAfter := e.takeDeath()
+	if err := e.clock.Sleep(r.Context(), e.prefillOf(q.CacheKey)); err != nil {
+		return false
+	}
 	for i := range int(q.MaxTokens) {
 		text := Token(q.Prompt, i)
 		if skip >= len(text) {
@@ -122,6 +130,7 @@
 		return
 	}
 	e.fencing = max(e.fencing, o.Fencing)
+	e.loadWeights(o)
 	e.orders = append(e.orders, o)
 	writeJSON(w, o)
 }
