--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,7 +43,7 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultLeaseMillis         = 10 * cicadapitch.Second
+	DefaultLeaseMillis         = 3 * cicadapitch.Second
 	DefaultShutdownGraceMillis = 60 * cicadapitch.Second
 	DefaultLoadIntervalMillis  = 10 * cicadapitch.Second
 	DefaultLogLevel            = "info"
