--- a/host/settings.go
+++ b/host/settings.go
@@ -29,9 +29,10 @@
 	// reconnectInterval is the span between two pings of an address that is
 	// not known to be alive.
 	reconnectInterval cicadapitch.Millis = 5 * cicadapitch.Second
-	// disagreement is how long digests may differ before they are compared.
-	disagreement cicadapitch.Millis = 3 * cicadapitch.Second
-	// spreading is how long digests may differ while there are news.
+	// settling is how long nothing may have changed before a digest that
+	// differs is compared.
+	settling cicadapitch.Millis = 2 * cicadapitch.Second
+	// spreading is how long comparisons wait while there are news.
 	spreading cicadapitch.Millis = 20 * cicadapitch.Second
 	// compareInterval is the span between two comparisons.
 	compareInterval cicadapitch.Millis = cicadapitch.Second
@@ -39,13 +40,17 @@
 	compareBytes cicadapitch.Bytes = 4 << 10
 
 	// newsRate is what a host may send in news a second over time.
-	newsRate cicadapitch.Bytes = 1200
+	newsRate cicadapitch.Bytes = 4 << 10
 	// newsBurst is what may be saved up of newsRate.
-	newsBurst cicadapitch.Bytes = 24 << 10
+	newsBurst cicadapitch.Bytes = 48 << 10
+	// pushBytes is what a push takes of the allowance besides its news.
+	pushBytes cicadapitch.Bytes = 300
 	// newsMessage bounds the news of one message.
-	newsMessage cicadapitch.Bytes = 1200
+	newsMessage cicadapitch.Bytes = 1400
 	// newsLeast is what a message may always carry.
-	newsLeast cicadapitch.Bytes = 110
-	// wholeTable bounds the records sent to a host that knows few others.
-	wholeTable cicadapitch.Bytes = 128 << 10
+	newsLeast cicadapitch.Bytes = 256
+	// maxUrgent bounds the changes that are urgent at the same time.
+	maxUrgent = 16
+	// wholeTable is what a host that knows few others may always be sent.
+	wholeTable cicadapitch.Bytes = 8 << 10
 )
