--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -58,3 +59,30 @@
 	require.NoError(b, err)
 	require.Equal(b, b.N, got)
 }
+
+// BenchmarkIdleConnections reports what both ends of an idle connection take
+// in memory.
+func BenchmarkIdleConnections(b *testing.B) {
+	const connections = 340
+	for b.Loop() {
+		before := memory()
+		address, _ := benchServer(b)
+		dialers := make([]*peer.Dialer, connections)
+		for i := range dialers {
+			dialers[i] = dialer(b)
+			_, err := peer.Call[question, reply](b.Context(), dialers[i], address, "echo", question{})
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(memory()-before)/connections, "B/connection")
+		b.ReportMetric(float64(runtime.NumGoroutine())/connections, "goroutines/connection")
+		runtime.KeepAlive(dialers)
+	}
+}
+
+// memory returns the bytes in use on the heap and on stacks.
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
