host: an address that another host took over answers for nobody else

Cause: probes went by address, so a replaced host whose address its successor got was kept alive by the successor's answers for ever. Change: a direct probe and one through others count only if the expected incarnation answers. Without WithTransport a transport that reaches nobody stands in.

--- a/host/core_test.go
+++ b/host/core_test.go
@@ -74,6 +74,18 @@
 	require.Equal(t, cicadapitch.Incarnation(2), m.Incarnation)
 }
 
+func TestGroupLosesAHostWhoseAddressAnotherTookOver(t *testing.T) {
+	f := steadyFleet(8, 22)
+	old, heir := f.nodes[2], f.nodes[6]
+	heir.down = true
+	f.until(t, 2*fewSeconds, f.agree)
+	old.down = true
+	heir.self.PeerAddress = old.self.PeerAddress
+	f.byAddr[old.self.PeerAddress] = heir
+	f.start(heir)
+	f.until(t, 2*fewSeconds, f.agree)
+}
+
 func TestCoreKeepsItsOwnVersions(t *testing.T) {
 	c := newCore("h", 1, start)
 	before := c.Self()
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -34,7 +34,7 @@
 
 // Answered tells of the answer to a ping.
 func (c *Core) Answered(now cicadapitch.Instant, cmd Command, a Ack) []Command {
-	cmds := c.settle(now, cmd.ID, a.Reached)
+	cmds := c.settle(now, cmd.ID, a)
 	wants := c.learn(now, a.Self, a.Loads, a.News, a.Records)
 	reply := c.replyTo(a, wants)
 	if !c.compare(a.Digest) && c.mayCompare(now, a.Count) {
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -198,7 +198,7 @@
 			if ok {
 				f.send(to, to.core.Answered(f.now, relay, a))
 			}
-			ack.Reached = ok
+			ack.Reached = ok && cmd.Ping.Reaches(a)
 			answer()
 		})
 	})
--- a/host/group.go
+++ b/host/group.go
@@ -75,17 +75,18 @@
 		return cmds
 	})
 	if p.Target != "" {
-		ack.Reached = g.relay(ctx, p.Target)
+		ack.Reached = g.relay(ctx, p)
 	}
 	return ack, nil
 }
 
 // relay pings a host for another one.
-func (g *Group) relay(ctx context.Context, address string) bool {
+func (g *Group) relay(ctx context.Context, p Ping) bool {
 	g.mu.Lock()
-	cmd := g.core.Relay(address)
+	cmd := g.core.Relay(p.Target)
 	g.mu.Unlock()
-	return g.carry(ctx, cmd)
+	answer, err := g.carry(ctx, cmd)
+	return err == nil && p.Reaches(answer)
 }
 
 // decide runs a step of the core under the lock and its commands after it.
@@ -112,15 +113,12 @@
 
 func (g *Group) send(ctx context.Context, cmds []Command) {
 	for _, cmd := range cmds {
-		g.pings.Go(func() { g.carry(ctx, cmd) })
+		g.pings.Go(func() { _, _ = g.carry(ctx, cmd) })
 	}
 }
 
 // carry sends one ping and tells the core of its outcome.
-func (g *Group) carry(ctx context.Context, cmd Command) bool {
-	if g.opts.transport == nil {
-		return false
-	}
+func (g *Group) carry(ctx context.Context, cmd Command) (Ack, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout.Duration())
 	defer cancel()
 	ack, err := g.opts.transport.Ping(ctx, cmd.Address, cmd.Ping)
@@ -130,7 +128,7 @@
 		}
 		return c.Answered(now, cmd, ack)
 	})
-	return err == nil
+	return ack, err
 }
 
 // goodbyeTimeout bounds the farewell of a leaving host.
@@ -149,7 +147,7 @@
 	defer cancel()
 	var farewells sync.WaitGroup
 	for _, cmd := range cmds {
-		farewells.Go(func() { g.carry(ctx, cmd) })
+		farewells.Go(func() { _, _ = g.carry(ctx, cmd) })
 	}
 	farewells.Wait()
 }
--- a/host/message.go
+++ b/host/message.go
@@ -85,8 +85,10 @@
 	Want []Ref
 	// Buckets asks for what differs, where it is set.
 	Buckets []uint32
-	// Target asks the receiver to ping that address in its turn.
-	Target string
+	// Target asks the receiver to ping that address in its turn, where
+	// TargetRef is expected.
+	Target    string
+	TargetRef Ref
 }
 
 // Ack answers a Ping.
@@ -101,13 +103,25 @@
 	Want    []Ref
 	// Buckets are the indexes of those that News holds wholly.
 	Buckets []int
-	// Reached is true where the Target has answered.
+	// Reached is true where TargetRef has answered at Target.
 	Reached bool
 }
 
+// Reaches reports whether the answer of the target of p is from the host that
+// was expected. Another one may have taken over its address.
+func (p Ping) Reaches(answer Ack) bool { return answer.Self.Ref == p.TargetRef }
+
 // Transport sends pings to other hosts.
 type Transport interface {
 	// Ping sends p to the host at address, which is ip:port, and returns its
 	// answer. Group.Handle is the other end.
 	Ping(ctx context.Context, address string, p Ping) (Ack, error)
 }
+
+// noTransport reaches nobody.
+type noTransport struct{}
+
+// Ping implements Transport.
+func (noTransport) Ping(context.Context, string, Ping) (Ack, error) {
+	return Ack{}, cicadapitch.NewNotRun("no transport", cicadapitch.Second)
+}
--- a/host/options.go
+++ b/host/options.go
@@ -41,7 +41,7 @@
 func WithTransport(t Transport) Option { return func(o *options) { o.transport = t } }
 
 func newOptions(opts []Option) options {
-	o := options{clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(), seed: rand.Uint64()}
+	o := options{clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(), seed: rand.Uint64(), transport: noTransport{}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/host/probe.go
+++ b/host/probe.go
@@ -142,20 +142,25 @@
 	cmds := make([]Command, 0, left)
 	for _, h := range helpers {
 		cmd := c.command(h.member.PeerAddress, relayTimeout)
-		cmd.Ping.Target = e.member.PeerAddress
+		cmd.Ping.Target, cmd.Ping.TargetRef = e.member.PeerAddress, e.ref
 		c.probes[cmd.ID] = &probe{target: e.ref, due: now.Add(relayTimeout), relay: true, left: &left}
 		cmds = append(cmds, cmd)
 	}
 	return cmds
 }
 
-// settle ends a probe whose ping was answered.
-func (c *Core) settle(now cicadapitch.Instant, id uint64, reached bool) []Command {
+// settle ends a probe whose ping was answered. An answer by another host, which
+// has taken over the address, is a failure.
+func (c *Core) settle(now cicadapitch.Instant, id uint64, a Ack) []Command {
 	p, ok := c.probes[id]
 	if !ok {
 		return nil
 	}
-	if p.relay && !reached {
+	reached := a.Reached
+	if !p.relay {
+		reached = a.Self.Ref == p.target
+	}
+	if !reached {
 		return c.Failed(now, id)
 	}
 	for other, q := range c.probes {
