entry: a shard whose redirects lead nowhere is passed over

Cause: a redirect did not count against its shard, so a shard without an owner that looked free was chosen again until the attempts ran out (up to 12 sendings of one stage). It is avoided from the second redirect on, or from the first that names no known host.

Seen: TestShardWithoutOwnerIsPassedOver failed before (4 redirects and more) and passes now.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -174,7 +174,7 @@
 		r.delivered = whole
 		r.chunks = f.before + n
 	}
-	if kind != cicadapitch.Redirected {
+	if kind != cicadapitch.Redirected || r.lost(err) {
 		r.avoid = append(r.avoid, f.attempt.Shard)
 	}
 	switch {
--- a/entry/policy_test.go
+++ b/entry/policy_test.go
@@ -148,6 +148,30 @@
 	require.Equal(t, 50, zones["engines-z2"])
 }
 
+// TestShardWithoutOwnerIsPassedOver has the nearest shard of a pool look free
+// while every host sends its attempts elsewhere.
+func TestShardWithoutOwnerIsPassedOver(t *testing.T) {
+	for _, owner := range []cicadapitch.HostID{"", "h1"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			redirects := 0
+			f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, _ func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
+				if a.Shard != "encoders-z1" {
+					return cicadapitch.StageResult{}, false, nil
+				}
+				redirects++
+				return cicadapitch.StageResult{}, true, &cicadapitch.Error{Kind: cicadapitch.Redirected, Reason: "moved", Owner: owner}
+			})
+			owners := loaded{f, cicadapitch.ShardLoad{Free: 10, Total: 10, ServiceMillis: 10}}
+			s := entry.NewServer(f, f, owners, f.runner, f.clock, entry.WithSeed(1))
+			_, err := s.Serve(context.Background(), draft(), nil)
+			require.NoError(t, err)
+			require.LessOrEqual(t, redirects, 2)
+			require.Positive(t, redirects)
+		})
+	}
+}
+
 func TestDrainEndsWhatRunsAndRefusesWhatIsNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -62,6 +62,7 @@
 	}
 	kind := cicadapitch.KindOf(err)
 	left := r.rec.deadline.Sub(r.s.clock.Now())
+	lost := r.lost(err)
 	progress, step := pipeline.Next(r.progress, kind, left, r.s.random.next())
 	r.progress = progress
 	switch step.Move {
@@ -73,7 +74,7 @@
 		return err
 	}
 	r.owner = nil
-	if step.Move == pipeline.Follow {
+	if step.Move == pipeline.Follow && !lost {
 		r.owner = r.redirected(err)
 	}
 	r.s.metrics.Retried(r.stage.ID, kind)
@@ -83,6 +84,12 @@
 	return nil
 }
 
+// lost reports whether following a redirect leads nowhere: it names no known
+// host, or it comes from a host that the last one named.
+func (r *stageRun) lost(err error) bool {
+	return r.progress.Redirects > 0 || r.redirected(err) == nil
+}
+
 // redirected returns the owner that a Redirected error names.
 func (r *stageRun) redirected(err error) *cicadapitch.Member {
 	e := cicadapitch.AsError(err)
