--- a/claim/lease.go
+++ b/claim/lease.go
@@ -97,10 +97,12 @@
 }
 
 // quorum tells whether this host hears most of the hosts that it knew or that
-// are configured. It is false until a host has had the time to hear of others.
+// are configured. Without configured hosts it is false until a host has had the
+// time to hear of others, since it would take itself for all of them.
 func (s *State) quorum(t Tick) bool {
 	basis := max(len(s.known), t.Hosts)
-	return 2*(t.Up+t.Down) > basis && t.Now.Sub(s.started) >= s.policy.Acquaint
+	acquainted := t.Hosts > 0 || t.Now.Sub(s.started) >= s.policy.Acquaint
+	return acquainted && 2*(t.Up+t.Down) > basis
 }
 
 // regain takes back what lapsed in an outage, unless another host has it.
@@ -135,10 +137,11 @@
 	return []Command{GrantLease{s.policy.ttl(len(t.Members))}}
 }
 
-// startDelay spreads the first calls of a fleet that starts all at once.
+// startDelay lets a host hear of the others before it claims anything, and
+// spreads the first calls of a fleet that starts all at once.
 func (s *State) startDelay(t Tick) cicadapitch.Millis {
-	span := uint64(s.policy.renewEvery(len(t.Members)))
-	return cicadapitch.Millis(xxh3.HashString(string(t.Self.Host)) % span)
+	span := max(1, s.policy.span(len(t.Members)))
+	return s.policy.Settle + cicadapitch.Millis(xxh3.HashString(string(t.Self.Host))%uint64(span))
 }
 
 func (s *State) leaseAnswered(a LeaseAnswer) []Command {
