customer, bench: an entry refuses for a customer's own refusals only

The queue of a shard is shared out by customer, so its length says nothing about one. Change: the plan's waits count only at stages where the customer's own work was refused within 5 s (customer.Throttle.Contended). The daemon's entry does not do this yet.

Throttle: refusals lose their effect within 5 s.

--- a/bench/case.go
+++ b/bench/case.go
@@ -48,6 +48,11 @@
 	}}
 }
 
+// LetterSteady returns the case of the size to design for, over a short span.
+func LetterSteady() Case {
+	return Case{Name: "steady", Fleet: Letter(), Load: 0.8, Span: 5 * cicadapitch.Second}
+}
+
 // burst triples the load for a while.
 func burst(_ int, since cicadapitch.Millis) float64 {
 	if since >= 10*cicadapitch.Second && since < 25*cicadapitch.Second {
--- a/bench/host.go
+++ b/bench/host.go
@@ -122,7 +122,7 @@
 		func(n int) pipeline.ShardState { return h.state(g.Members[n].Shard) },
 		pipeline.Query{
 			Prefix: r.prefix, Zone: h.zone, Region: "region", Expected: expected, Budget: budget,
-			Weight: h.s.cfg.Weight, Avoid: avoid, Random: h.s.rng.Uint64(),
+			Weight: h.s.cfg.Weight, Avoid: avoid, Random: h.s.rng.Uint64(), Hosts: len(h.s.hosts),
 		})
 }
 
@@ -148,6 +148,17 @@
 	return 0, false
 }
 
+// patient returns the plan without the waits at stages where the customer's work
+// has not been refused lately, since the queues there may be those of others.
+func (h *host) patient(r *request, plan pipeline.Plan) pipeline.Plan {
+	for i, st := range r.pipeline.Stages {
+		if !h.throttles[throttleKey{r.customer, stageKey{r.pipeline.ID, st.ID}}].Contended(h.s.now) {
+			plan[i].Wait = 0
+		}
+	}
+	return plan
+}
+
 // plan returns the expected course of the stages from the given one on, and
 // the choice for that one.
 func (h *host) plan(r *request, from int, avoid []cicadapitch.ShardID) (pipeline.Plan, pipeline.Choice, bool) {
--- a/bench/request.go
+++ b/bench/request.go
@@ -53,7 +53,7 @@
 		r.refuse("no endpoint", cicadapitch.Second)
 		return
 	}
-	if err := plan.Admit(r.pipeline.Deadline); err != nil && s.policy.Admission {
+	if err := r.host.patient(r, plan).Admit(r.pipeline.Deadline); err != nil && s.policy.Admission {
 		r.refuse("admission", cicadapitch.AsError(err).RetryAfter)
 		return
 	}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,7 +17,7 @@
 	flaggy.SetDescription("Measures the decisions on virtual time.")
 	flaggy.Int(&seeds, "s", "seeds", "number of seeds for each row")
 	flaggy.String(&only, "c", "case", "run this case only")
-	flaggy.String(&fleet, "f", "fleet", "run this fleet only: Verbund or Cwrt")
+	flaggy.String(&fleet, "f", "fleet", "run this fleet only: Verbund, Cwrt or Letter")
 	flaggy.String(&variant, "v", "variant", "run this variant only")
 	flaggy.Bool(&curve, "w", "weights", "show the curve over the weights")
 	flaggy.Parse()
@@ -37,6 +37,9 @@
 			results = append(results, run(c, variant, seeds)...)
 		}
 	}
+	if fleet == "Letter" {
+		results = run(bench.LetterSteady(), bench.Standard, 1)
+	}
 	exit(bench.WriteTable(os.Stdout, results))
 }
 
--- a/customer/throttle.go
+++ b/customer/throttle.go
@@ -17,6 +17,8 @@
 	accepted float64
 	at       cicadapitch.Instant
 	after    cicadapitch.Millis
+	// refused is when the last work was refused.
+	refused cicadapitch.Instant
 }
 
 const (
@@ -24,6 +26,9 @@
 	throttleHalfLife = 2 * cicadapitch.Second
 	// throttleExcess is how much more than was accepted is let through.
 	throttleExcess = 1.05
+	// throttleFade is the span in which a refusal loses its effect. It bounds
+	// the time in which requests are refused after capacity has come back.
+	throttleFade = 5 * cicadapitch.Second
 	// throttleFew is the number of outcomes below which nothing is refused.
 	throttleFew = 4
 	// minThrottleRetry is the shortest time to come back.
@@ -44,6 +49,7 @@
 	t = t.decay(now)
 	t.sent++
 	t.after = max(after, minThrottleRetry)
+	t.refused = now
 	return t
 }
 
@@ -55,13 +61,20 @@
 	if t.sent < throttleFew {
 		return t, 0, false
 	}
-	if random >= (t.sent-throttleExcess*t.accepted)/(t.sent+1) {
+	fresh := max(1-float64(now.Sub(t.refused))/float64(throttleFade), 0)
+	if random >= fresh*(t.sent-throttleExcess*t.accepted)/(t.sent+1) {
 		return t, 0, false
 	}
 	t.sent++
 	return t, t.after, true
 }
 
+// Contended is true while a refusal of the customer's work has not lost its
+// effect. Other customers' queues are no reason to refuse it before.
+func (t Throttle) Contended(now cicadapitch.Instant) bool {
+	return t.after > 0 && now.Sub(t.refused) < throttleFade
+}
+
 func (t Throttle) decay(now cicadapitch.Instant) Throttle {
 	if now > t.at {
 		f := math.Exp2(-float64(now.Sub(t.at)) / float64(throttleHalfLife))
