--- a/host/learn.go
+++ b/host/learn.go
@@ -73,7 +73,7 @@
 	c.table.put(e)
 	c.date(now, e)
 	c.enrol(e.ref)
-	c.changed(e, true, false)
+	c.changed(e, true, true)
 }
 
 // renew replaces an entry by a newer one of the same incarnation.
