--- a/host/news.go
+++ b/host/news.go
@@ -5,6 +5,8 @@
 	"math/bits"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 )
 
@@ -49,9 +51,15 @@
 		it.urgent = it.urgent || (old.urgent && old.sent < fanout)
 		n.items = slices.Delete(n.items, i, i+1)
 	}
+	// When very much happens at once, comparing digests is cheaper.
+	it.urgent = it.urgent && n.urgent() < maxUrgent
 	n.items = append(n.items, it)
 }
 
+func (n *news) urgent() int {
+	return lo.CountBy(n.items, func(it item) bool { return it.urgent })
+}
+
 // take fills budget with changes and counts them as sent: urgent ones first,
 // then the least often sent, then the newest. What the receiver has just told
 // is left out.
@@ -75,10 +83,26 @@
 			statuses = append(statuses, e.status())
 		}
 	}
+	n.sweep(t)
+	return statuses, records, used
+}
+
+// agreed counts the changes as sent to a host that knows them already, because
+// its digest is the same. Digests do not cover what is urgent.
+func (n *news) agreed(t *table) {
+	for i := range n.items {
+		if !n.items[i].urgent {
+			n.items[i].sent++
+		}
+	}
+	n.sweep(t)
+}
+
+// sweep drops what was sent often enough.
+func (n *news) sweep(t *table) {
 	n.items = slices.DeleteFunc(n.items, func(it item) bool {
 		return it.sent >= it.limit(t.alive) || t.byRef[it.ref] == nil
 	})
-	return statuses, records, used
 }
 
 // compare puts what goes first last.
