claim: a host that hears nobody stops within the bound for changes

Cause: a host cut off from the store and from its peers went on starting work until its lease ended, 7 s by the standard policy and more in a large fleet, while a zone that was taken out in that time must get no new work after 6 s. Ruled out: shorter leases, which would cost renewals that grow with the fleet. Change: what a host holds also ends 2 s after it last heard most of the hosts, or a renewal and 2 s after the store last answered.

--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -140,6 +140,21 @@
 	return n
 }
 
+// TestIsolatedHostStopsBeforeItsLeaseEnds cuts a host off from the store and
+// from all hosts. It must stop within the bound for a change to be in force.
+func TestIsolatedHostStopsBeforeItsLeaseEnds(t *testing.T) {
+	f := newFleet(t, 8, 3, 40)
+	f.settle(seconds)
+	f.run(10 * cicadapitch.Second)
+	cut := f.hosts[2]
+	require.NotEmpty(t, cut.claims.Owned())
+	cut.cut, cut.alone = true, true
+	f.run(6 * cicadapitch.Second)
+	require.Empty(t, cut.claims.Owned())
+	cut.cut, cut.alone = false, false
+	f.settle(seconds)
+}
+
 func TestHostCutOffAloneStopsAndIsReplaced(t *testing.T) {
 	f := newFleet(t, 8, 3, 40)
 	f.settle(seconds)
--- /dev/null
+++ b/claim/isolation.go
@@ -0,0 +1,16 @@
+package claim
+
+// hear notes that this host hears most of the hosts, of which it would learn of
+// a change of the configuration.
+func (s *State) hear(t Tick) {
+	if s.quorum(t) {
+		s.leasing.contact = max(s.leasing.contact, t.Now.Add(s.policy.Isolation))
+	}
+}
+
+// reach notes that the store has answered a call that was sent at a.Sent. The
+// next answer is due one renewal later.
+func (s *State) reach(a LeaseAnswer) {
+	span := s.policy.renewEvery(len(s.known)) + s.policy.Isolation
+	s.leasing.contact = max(s.leasing.contact, a.Sent.Add(span))
+}
--- a/claim/lease.go
+++ b/claim/lease.go
@@ -31,6 +31,9 @@
 	// extended is true while the host carries on without a lease.
 	extended bool
 	lastTick cicadapitch.Instant
+	// contact is the instant after which a host that hears neither the store
+	// nor most of the hosts starts nothing.
+	contact cicadapitch.Instant
 	// doubt is the instant until which a host that was paused, or that lost
 	// its shards while it heard too few hosts, does not carry on without a
 	// lease.
@@ -47,15 +50,16 @@
 // until returns the instant after which this host starts nothing for a shard.
 func (s *State) until(o ownership) cicadapitch.Instant {
 	if s.leasing.id != 0 && o.lease == s.leasing.id {
-		return s.leasing.until
+		return min(s.leasing.until, s.leasing.contact)
 	}
-	return s.leasing.carry
+	return min(s.leasing.carry, s.leasing.contact)
 }
 
 // keepOrLose extends the validity while the store is down for all, and gives
 // up what has run out.
 func (s *State) keepOrLose(t Tick) []Command {
 	l := &s.leasing
+	s.hear(t)
 	if t.Now.Sub(l.lastTick) > s.policy.MaxTickGap && t.Now >= max(l.until, l.carry) {
 		l.doubt = t.Now.Add(s.policy.Doubt)
 	}
@@ -188,6 +192,7 @@
 	l := &s.leasing
 	l.failing, l.extended = false, false
 	l.id = a.Lease
+	s.reach(a)
 	l.until = a.Sent.Add(a.TTL - s.policy.Margin)
 	l.next = a.Sent.Add(min(s.policy.renewEvery(len(s.known)), a.TTL/2))
 	clear(s.lapsed)
--- a/claim/options.go
+++ b/claim/options.go
@@ -15,6 +15,10 @@
 	RenewalsPerSecond int
 	// RenewalsPerLease is how many renewals fit into a lease.
 	RenewalsPerLease int
+	// Isolation is how long a host that hears neither the store nor most of
+	// the hosts goes on starting work. It cannot learn of changes then, which
+	// must be in force everywhere within seconds, however long its lease is.
+	Isolation cicadapitch.Millis
 	// LeaseTimeout bounds one call for the lease, so that hosts notice an
 	// outage before their leases run out.
 	LeaseTimeout cicadapitch.Millis
@@ -66,6 +70,7 @@
 		Margin:            1 * cicadapitch.Second,
 		MaxTickGap:        2 * cicadapitch.Second,
 		Extension:         2 * cicadapitch.Second,
+		Isolation:         2 * cicadapitch.Second,
 		LeaseTimeout:      1 * cicadapitch.Second,
 		Reclaim:           6 * cicadapitch.Second,
 		Settle:            1 * cicadapitch.Second,
