--- a/host/bench_test.go
+++ b/host/bench_test.go
@@ -14,8 +14,8 @@
 	"cicadapitch.example/cicadapitch/host"
 )
 
-// run each with -benchtime 1x: the figures are of virtual time and repeat.
-
+// bySize runs a benchmark for each size, to be used with -benchtime 1x: its
+// figures are of virtual time and repeat.
 func bySize(b *testing.B, run func(b *testing.B, f *fleet, n int)) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
