daemon: leave where a later process runs under the same host id

Cause: the error of the membership was ignored, so two processes with one host id would both have gone on; and the own record followed a new configuration only at its next reading, up to 100 ms later on each hop of a revision.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -112,7 +112,9 @@
 	failed := make(chan error, 2)
 	go func() { failed <- callers.Serve(callerListener) }()
 	go func() { failed <- peers.Serve(peerListener) }()
-	d.startRoles(work)
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	d.startRoles(work, leave)
 	d.log.Info().Str("Host", string(d.self.Host)).Str("Zone", string(d.self.Zone)).
 		Str("CallerURL", d.self.CallerURL).Str("PeerAddress", d.self.PeerAddress).
 		Uint64("Incarnation", uint64(d.self.Incarnation)).Msg("started")
@@ -131,8 +133,10 @@
 	serveForwarded(d.peers, d.self, d.entry)
 }
 
-func (d *Daemon) startRoles(ctx context.Context) {
-	go func() { _ = d.group.Run(ctx) }()
+// startRoles starts the roles, which end with ctx. Leave shuts the daemon down.
+func (d *Daemon) startRoles(ctx context.Context, leave func()) {
+	d.follower.Subscribe(func(*cicadapitch.Configuration) { d.record() })
+	go d.belong(ctx, leave)
 	go func() { _ = d.claims.Run(ctx) }()
 	d.owner.Start(ctx)
 	go func() { _ = d.spreader.Run(ctx) }()
@@ -140,6 +144,15 @@
 	go func() { _ = do.MustInvoke[*rollout.Rollout](d.roles).Run(ctx) }()
 }
 
+// belong takes part in the membership. It shuts the daemon down where a later
+// process runs under the same host id.
+func (d *Daemon) belong(ctx context.Context, leave func()) {
+	if err := d.group.Run(ctx); err != nil && ctx.Err() == nil {
+		d.log.Error().Err(err).Msg("membership ended")
+		leave()
+	}
+}
+
 func listenError(field string, err error) error {
 	return cicadapitch.NewError(cicadapitch.Unavailable,
 		"cannot listen on "+field+": "+err.Error(), "free the address or change it in the settings")
