rollout, endpoint: an engine is taken out of new work before it is ordered

Change: the rollout pauses the engine, waits until its work has ended, orders it and lets it take work again from a cold start. An engine that is paused keeps its turn, since its shard has done without it since. Seen failing without it: TestPausedEndpointEndsItsWorkAndStartsCold; the first form left an engine paused for good where its order was withdrawn, which TestPausedEngineThatNeedsNoOrderTakesWorkAgain found.

Just started fleets refused first requests for want of owners (TestOrdersOnWholeHosts failed, passes now).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"net"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
@@ -37,6 +38,11 @@
 	orders   *order.Service
 	peers    *peer.Server
 	dialer   *peer.Dialer
+
+	// settled is true once the host takes callers, readySince when it became
+	// ready to own shards. Only keepRecord writes them.
+	settled    atomic.Bool
+	readySince cicadapitch.Instant
 }
 
 // Option changes a Daemon.
--- a/daemon/handler.go
+++ b/daemon/handler.go
@@ -39,6 +39,9 @@
 	listing := host.Directory(d.group.Members(), cfg, q)
 	answer := entry.DirectoryAnswer{TTL: listing.TTL}
 	for _, m := range listing.Hosts {
+		if m.Host == d.self.Host && !d.settled.Load() {
+			continue
+		}
 		h := entry.DirectoryHost{Host: m.Host, Zone: m.Zone, URL: m.CallerURL}
 		answer.Hosts = append(answer.Hosts, h)
 	}
@@ -78,8 +81,9 @@
 
 // ready tells whether the host takes callers.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.group.Self().State != cicadapitch.Ready {
-		http.Error(w, d.group.Self().State.String(), http.StatusServiceUnavailable)
+	state := d.group.Self().State
+	if state != cicadapitch.Ready || !d.settled.Load() {
+		http.Error(w, state.String(), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/daemon/rollout.go
+++ b/daemon/rollout.go
@@ -14,10 +14,12 @@
 
 func newRollout(i do.Injector) (*rollout.Rollout, error) {
 	s := do.MustInvoke[*settings.Settings](i)
+	owner := do.MustInvoke[*endpoint.Owner](i)
 	return rollout.New(s.Host, do.MustInvoke[*claim.Claims](i), rollout.Platform{
 		Configurations: do.MustInvoke[*configuration.Follower](i),
 		Driver:         driver.NewEngine(driver.WithClock(clockOf(i))),
-		Load:           do.MustInvoke[*endpoint.Owner](i).Load,
+		Load:           owner.Load,
+		Rest:           owner,
 		Store:          do.MustInvoke[cicadapitch.Store](i),
 		Clock:          clockOf(i),
 	}, rollout.WithInterval(s.LoadIntervalMillis), rollout.WithLog(logOf(i))), nil
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -26,10 +26,11 @@
 	cicadapitch.Endpoint
 
 	// out is set by operators, leaving by the endpoint itself, removed by a
-	// configuration without the endpoint.
+	// configuration without the endpoint, paused while it is ordered to load.
 	out     bool
 	leaving bool
 	removed bool
+	paused  bool
 
 	running []*job
 	// unproven counts running calls that have shown no output yet.
@@ -83,7 +84,7 @@
 }
 
 // inService is true while the endpoint may get new work.
-func (b *backend) inService() bool { return !b.out && !b.leaving && !b.removed }
+func (b *backend) inService() bool { return !b.out && !b.leaving && !b.removed && !b.paused }
 
 // busy counts the calls that are or may be running at the endpoint.
 func (b *backend) busy() cicadapitch.Slots {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -22,6 +22,7 @@
 	configurations cicadapitch.Configurations
 	driver         cicadapitch.Driver
 	load           func(cicadapitch.ShardID) cicadapitch.ShardLoad
+	rest           Rest
 	store          cicadapitch.Store
 	clock          cicadapitch.Clock
 	options        options
@@ -34,7 +35,9 @@
 	// Driver speaks to engines.
 	Driver cicadapitch.Driver
 	// Load gives the present load of an owned shard.
-	Load  func(cicadapitch.ShardID) cicadapitch.ShardLoad
+	Load func(cicadapitch.ShardID) cicadapitch.ShardLoad
+	// Rest keeps work from an engine while it is ordered, nil for NoRest.
+	Rest  Rest
 	Store cicadapitch.Store
 	Clock cicadapitch.Clock
 }
@@ -47,6 +50,7 @@
 		configurations: p.Configurations,
 		driver:         p.Driver,
 		load:           p.Load,
+		rest:           p.Rest,
 		store:          p.Store,
 		clock:          p.Clock,
 		options: options{
@@ -57,6 +61,9 @@
 		},
 		shards: make(map[cicadapitch.ShardID]*shard),
 	}
+	if r.rest == nil {
+		r.rest = NoRest{}
+	}
 	for _, opt := range opts {
 		opt(&r.options)
 	}
@@ -84,10 +91,18 @@
 		owned[c.Shard] = c.Fencing
 	}
 	r.forget(owned)
+	ordered := make(map[cicadapitch.ShardID]bool)
 	for _, v := range views(cfg, owned, r.clock.Now()) {
-		v.Load = r.load(v.Endpoints[0].Shard)
+		id := v.Endpoints[0].Shard
+		ordered[id] = true
+		v.Load = r.load(id)
 		r.order(ctx, v)
 	}
+	for id, s := range r.shards {
+		if !ordered[id] {
+			r.resume(id, s)
+		}
+	}
 }
 
 // forget drops what was known of shards that this host no longer owns or owns
@@ -110,6 +125,12 @@
 	}
 	e, target, due := s.next(v, r.options)
 	if !due {
+		if !s.stillDue(v, target, r.options) {
+			r.resume(id, s)
+		}
+		return
+	}
+	if !r.rested(id, s, e.ID) {
 		return
 	}
 	if f, ok := r.owners.Holds(id); !ok || f != v.Fencing {
@@ -124,6 +145,7 @@
 		Orderer:  r.self,
 	})
 	s.done(v, e.ID, target, err, r.options)
+	r.resume(id, s)
 	r.options.log.Info().Str("Endpoint", string(e.ID)).Str("Model", string(target.Model)).
 		Str("Version", string(target.Version)).Int64("Fencing", int64(v.Fencing)).
 		AnErr("Error", err).Msg("engine ordered")
--- a/rollout/shard.go
+++ b/rollout/shard.go
@@ -33,7 +33,9 @@
 	// superseded is true once an engine has seen a later owner.
 	superseded bool
 	// turn is the last turn in which an order was given.
-	turn    int64
+	turn int64
+	// paused is the engine that waits for its work to end before its order.
+	paused  cicadapitch.EndpointID
 	engines map[cicadapitch.EndpointID]*engine
 }
 
@@ -52,7 +54,10 @@
 func (s *shard) next(v View, o options) (cicadapitch.Endpoint, Target, bool) {
 	target, ok := targetOf(v.Pool)
 	if !ok || s.superseded || !s.isTurn(v, o) {
-		return cicadapitch.Endpoint{}, Target{}, false
+		return cicadapitch.Endpoint{}, target, false
+	}
+	if s.stillDue(v, target, o) {
+		return s.pausedEngine(v), target, true
 	}
 	var due []cicadapitch.Endpoint
 	for _, e := range v.Endpoints {
@@ -61,7 +66,7 @@
 		}
 	}
 	if len(due) == 0 {
-		return cicadapitch.Endpoint{}, Target{}, false
+		return cicadapitch.Endpoint{}, target, false
 	}
 	slices.SortStableFunc(due, func(a, b cicadapitch.Endpoint) int {
 		return cmp.Compare(s.rank(v, a, target), s.rank(v, b, target))
@@ -69,6 +74,18 @@
 	return due[0], target, true
 }
 
+// stillDue tells whether the paused engine, if there is one, still needs its
+// order. Its shard has done without it since it was paused.
+func (s *shard) stillDue(v View, t Target, o options) bool {
+	e := s.pausedEngine(v)
+	return e.ID != "" && !s.superseded && s.isDue(v, e, t, o)
+}
+
+func (s *shard) pausedEngine(v View) cicadapitch.Endpoint {
+	e, _ := lo.Find(v.Endpoints, func(e cicadapitch.Endpoint) bool { return e.ID == s.paused })
+	return e
+}
+
 // isTurn divides time into turns of one order each, which the shards of a pool
 // take in rotation. Owners need no messages to keep the common pace; their
 // clocks being apart by less than a turn lets at most two orders meet.
