--- a/claim/lease.go
+++ b/claim/lease.go
@@ -84,7 +84,11 @@
 		if t.Now < s.until(o) {
 			continue
 		}
-		s.lapsed[shard] = o
+		if l.failing {
+			// The lease ran out in an outage that this host has seen. After a
+			// pause that began before, others may have claimed the shard.
+			s.lapsed[shard] = o
+		}
 		s.unsettled[shard] = true
 		cmds = append(cmds, s.lose(shard))
 	}
