platform, driver: silent connections cost one call, not one call each

Cause: connections that go silent for good stay in the pool, and each fails a call by its timeout; four in a row let a lease run out. Weighed: a connection for each call (a handshake for each renewal) against new connections after the first call that gave no answer, and keep-alive probes that find an idle silent connection within 6 s (chosen). For endpoints the idle time falls from 90 s to 10 s, since a call into a silent connection has an unknown outcome. Not proved: the keep-alive probes of the kernel run in no test.

--- a/driver/transport.go
+++ b/driver/transport.go
@@ -17,8 +17,15 @@
 
 const (
 	maxSmallAnswer = 1 << 20
-	idleTimeout    = 90 * time.Second
-	defaultRetryMs = 200 * cicadapitch.Millis(1)
+	// idleTimeout is short, since a connection that something on the way has
+	// lost track of turns the next call into one with an unknown outcome.
+	idleTimeout = 10 * time.Second
+	// Keep-alive probes find a silent connection within
+	// keepAliveIdle + keepAliveCount*keepAliveInterval.
+	keepAliveIdle     = 3 * time.Second
+	keepAliveInterval = 1 * time.Second
+	keepAliveCount    = 3
+	defaultRetryMs    = 200 * cicadapitch.Millis(1)
 )
 
 // transport makes calls of which it can tell whether a byte was written.
@@ -29,7 +36,15 @@
 
 func newTransport(opts []Option) transport {
 	o := newOptions(opts)
-	d := net.Dialer{Timeout: o.dialTimeout.Duration()}
+	d := net.Dialer{
+		Timeout: o.dialTimeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
