configuration: a test that the store calls do not grow with the fleet

Seen failing: with every host reading the store the test fails; put back, it passes under -race. Conclusion: 8 and 80 hosts make the same number of calls in a minute.

--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -181,6 +181,19 @@
 	require.Equal(t, 8, f.have(2), "resumed hosts catch up")
 }
 
+func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
+	var calls []int64
+	for _, n := range []int{8, 80} {
+		f := newFleet(n)
+		f.apply(t, configuration.Change{ID: "first", Operator: "ada", Whole: example(3)})
+		f.run(2 * inForceWithin)
+		before := f.store.Calls().Total()
+		f.run(cicadapitch.Minute)
+		calls = append(calls, f.store.Calls().Total()-before)
+	}
+	require.Equal(t, calls[0], calls[1])
+}
+
 func TestPeerWithAnOldRevisionTakesNobodyBack(t *testing.T) {
 	peer, own := configuration.NewFollower(clock), configuration.NewFollower(clock)
 	old, latest := example(3), example(3)
