--- a/claim/lease.go
+++ b/claim/lease.go
@@ -24,32 +24,42 @@
 	carry  cicadapitch.Instant
 	next   cicadapitch.Instant
 	inCall bool
+	// answered is true once a call for the lease was answered.
+	answered bool
 	// failing is true after a call for the lease gave no answer.
 	failing bool
 	// extended is true while the host carries on without a lease.
 	extended bool
 	lastTick cicadapitch.Instant
+	// contact is the instant after which a host that hears neither the store
+	// nor most of the hosts starts nothing.
+	contact cicadapitch.Instant
 	// doubt is the instant until which a host that was paused, or that lost
 	// its shards while it heard too few hosts, does not carry on without a
 	// lease.
 	doubt cicadapitch.Instant
 }
 
-// StoreUp tells whether the last call for the lease was answered.
-func (s *State) StoreUp() bool { return !s.leasing.failing }
+// StoreUp tells whether the last call for the lease was answered. It is false
+// before the first one and after the host has given up its lease, since such a
+// host knows nothing of the store.
+func (s *State) StoreUp() bool {
+	return s.leasing.answered && !s.leasing.failing && !s.closed
+}
 
 // until returns the instant after which this host starts nothing for a shard.
 func (s *State) until(o ownership) cicadapitch.Instant {
 	if s.leasing.id != 0 && o.lease == s.leasing.id {
-		return s.leasing.until
+		return min(s.leasing.until, s.leasing.contact)
 	}
-	return s.leasing.carry
+	return min(s.leasing.carry, s.leasing.contact)
 }
 
 // keepOrLose extends the validity while the store is down for all, and gives
 // up what has run out.
 func (s *State) keepOrLose(t Tick) []Command {
 	l := &s.leasing
+	s.hear(t)
 	if t.Now.Sub(l.lastTick) > s.policy.MaxTickGap && t.Now >= max(l.until, l.carry) {
 		l.doubt = t.Now.Add(s.policy.Doubt)
 	}
@@ -147,6 +157,7 @@
 func (s *State) leaseAnswered(a LeaseAnswer) []Command {
 	l := &s.leasing
 	l.inCall = false
+	l.answered = l.answered || a.Err == nil
 	switch {
 	case a.Err == nil && s.closed:
 		return []Command{RevokeLease{a.Lease}}
@@ -181,6 +192,7 @@
 	l := &s.leasing
 	l.failing, l.extended = false, false
 	l.id = a.Lease
+	s.reach(a)
 	l.until = a.Sent.Add(a.TTL - s.policy.Margin)
 	l.next = a.Sent.Add(min(s.policy.renewEvery(len(s.known)), a.TTL/2))
 	clear(s.lapsed)
