standin: addresses of answers are replaced whole or not at all

standin deployment replaced addresses in single quotes only; one written otherwise would have stayed, and a load would have gone to the real endpoint. The answers are read again after the replacement and refused where an address is not the stand-in's.

--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -113,13 +112,17 @@
 	failed := make(chan error)
 	store := ports.next()
 	go func() { failed <- listenAndServe(store, newStore(storeReadRate, storeWriteRate)) }()
-	var replacements []string
-	for _, e := range emulation.Endpoints() {
+	var urls []string
+	for _, h := range emulation.Endpoints() {
 		address := ports.next()
-		replacements = append(replacements, "'"+e.Address+"'", "'http://"+address+"'")
-		go func() { failed <- listenAndServe(address, e.Handler) }()
+		urls = append(urls, "http://"+address)
+		go func() { failed <- listenAndServe(address, h) }()
 	}
-	if err := d.write(a, strings.NewReplacer(replacements...).Replace(string(text)), ports, store); err != nil {
+	answers, err := standin.Readdress(string(text), d.file, urls)
+	if err != nil {
+		return err
+	}
+	if err := d.write(a, answers, ports, store); err != nil {
 		return err
 	}
 	log.Info().Str("Store", store).Int("Endpoints", len(emulation.Endpoints())).Int("Hosts", len(a.Hosts)).Msg("stand-ins started")
--- a/standin/emulation.go
+++ b/standin/emulation.go
@@ -27,16 +27,10 @@
 	warmAfter int
 	coldStart bool
 	more      []EngineOption
-	endpoints []Emulated
+	endpoints []http.Handler
 	engines   []*Engine
 }
 
-// Emulated is the stand-in of one endpoint. Address is the one in the answers.
-type Emulated struct {
-	Address string
-	Handler http.Handler
-}
-
 // EmulationOption sets an option of an Emulation.
 type EmulationOption func(*Emulation)
 
@@ -73,15 +67,15 @@
 	}
 	uses := usesOf(a)
 	for _, p := range a.Pools {
-		for _, t := range p.Endpoints {
-			e.endpoints = append(e.endpoints, Emulated{Address: t.Address, Handler: e.standIn(p, uses[p.Name])})
+		for range p.Endpoints {
+			e.endpoints = append(e.endpoints, e.standIn(p, uses[p.Name]))
 		}
 	}
 	return e
 }
 
 // Endpoints returns the stand-ins in the order of the answers.
-func (e *Emulation) Endpoints() []Emulated { return e.endpoints }
+func (e *Emulation) Endpoints() []http.Handler { return e.endpoints }
 
 // ChillOne makes an engine that r picks cold without warning.
 func (e *Emulation) ChillOne(r *rand.Rand) {
--- a/standin/emulation_test.go
+++ b/standin/emulation_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,11 +25,9 @@
 	var engine *standin.Engine
 	n := 0
 	for _, p := range a.Pools {
-		for _, want := range p.Endpoints {
-			got := e.Endpoints()[n]
-			require.Equal(t, want.Address, got.Address)
-			if *p.Kind == cicadapitch.Engine {
-				engine = got.Handler.(*standin.Engine)
+		for range p.Endpoints {
+			if got := e.Endpoints()[n]; *p.Kind == cicadapitch.Engine {
+				engine = got.(*standin.Engine)
 			}
 			n++
 		}
@@ -46,3 +46,23 @@
 	require.NoError(t, err)
 	require.Equal(t, standin.Completion("x", 3), r.Output)
 }
+
+func TestReaddressReplacesEveryAddressOrFails(t *testing.T) {
+	text := string(quickstart.Questionnaire)
+	var urls []string
+	for n := range 11 {
+		urls = append(urls, fmt.Sprintf("http://127.0.0.1:%d", 18102+n))
+	}
+	replaced, err := standin.Readdress(text, "answers", urls)
+	require.NoError(t, err)
+	a, err := questionnaire.Read(strings.NewReader(replaced), "answers")
+	require.NoError(t, err)
+	require.Equal(t, urls[0], a.Pools[0].Endpoints[0].Address)
+	require.Equal(t, urls[10], a.Pools[4].Endpoints[1].Address)
+	bare := strings.ReplaceAll(text, "'http://127.0.0.1:18112'", "http://127.0.0.1:18112")
+	for n := range urls {
+		urls[n] = fmt.Sprintf("http://127.0.0.1:%d", 19000+n)
+	}
+	_, err = standin.Readdress(bare, "answers", urls)
+	require.Equal(t, cicadapitch.Invalid, cicadapitch.KindOf(err))
+}
