deployment: the load tool's check against a whole deployment

The same plan goes through three hosts and straight to the endpoints; no answer may differ from what the stand-ins make of its input.

--- /dev/null
+++ b/deployment/load_test.go
@@ -0,0 +1,33 @@
+package deployment_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/load"
+)
+
+// TestLoadChecksWholeAnswers sends the same plan through the hosts and straight
+// to the endpoints; both must give the answers that the stand-ins make.
+func TestLoadChecksWholeAnswers(t *testing.T) {
+	l := startLocal(t)
+	keyOf := func(id cicadapitch.CustomerID) string { return "sample-key-of-" + string(id) }
+	plan := load.Plan{
+		Rate: 20, Length: cicadapitch.Minute, MaxRequests: 40, Seed: 1,
+		Callers:   load.CallersOf(l.Configuration, keyOf),
+		Pipelines: load.PipelinesOf(l.Configuration, true),
+	}
+	for name, sender := range map[string]load.Option{
+		"hosts": load.WithSeeds(l.Seeds()), "direct": load.WithSender(load.NewDirect(l.Configuration)),
+	} {
+		s, err := load.NewGenerator(plan, sender).Run(context.Background())
+		require.NoError(t, err)
+		require.EqualValues(t, 40, s.All.Sent, name)
+		require.Positive(t, s.All.Answered, name)
+		require.Zero(t, s.All.Wrong, name)
+		require.Equal(t, s.All.Answered, s.All.FirstToken.Count, name)
+	}
+}
