--- a/bench/bounds_test.go
+++ b/bench/bounds_test.go
@@ -9,7 +9,7 @@
 	"cicadapitch.example/cicadapitch/bench"
 )
 
-const seeds = 3
+const seeds = 8
 
 func fleets() []bench.Fleet { return []bench.Fleet{bench.Verbund(), bench.Cwrt()} }
 
--- a/bench/case.go
+++ b/bench/case.go
@@ -109,8 +109,12 @@
 // loadEvery is the pace of the weight store.
 const loadEvery = 5 * cicadapitch.Second
 
+// restEvery is the span between two looks at an engine that is to load.
+const restEvery = 100 * cicadapitch.Millis(1)
+
 // modelLoads orders one engine after another to load a version, whenever its
-// shard has room for the work of a whole engine. Loading is a cold start.
+// shard has room for the work of a whole engine. As in rollout, the engine is
+// paused until its work has ended. Loading is a cold start.
 func modelLoads(s *sim) {
 	waiting := s.endpoints(languageModel)
 	s.every(loadEvery, func() {
@@ -120,14 +124,23 @@
 			if load.Queued > 0 || int(load.Free)*len(o.shard.Endpoints) < int(load.Total) {
 				continue
 			}
-			s.engines[id].chill(s.now)
-			s.loads++
 			waiting = slices.Delete(waiting, i, i+1)
+			s.loadOnceIdle(o, id)
 			return
 		}
 	})
 }
 
+func (s *sim) loadOnceIdle(o *owner, id cicadapitch.EndpointID) {
+	if !o.state.Pause(id) {
+		s.after(restEvery, func() { s.loadOnceIdle(o, id) })
+		return
+	}
+	s.engines[id].chill(s.now)
+	s.loads++
+	o.handle(o.state.Resume(s.now, id))
+}
+
 func engineDies(s *sim) {
 	for i, id := range s.endpoints(languageModel) {
 		if i >= 6 {
