pipeline: waits count at least six tenths of the service time

The Verbund's weight is small, so waits counted 0.2 and prefixes were kept together up to the deadline.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -21,9 +21,8 @@
 	likeness = 0.5
 	// prefixSaving is the part of a service time that a cached prefix saves.
 	prefixSaving = 0.3
-	// minWaitWeight keeps a queue from growing without bound where only cost
-	// counts.
-	minWaitWeight = 0.2
+	// minWaitWeight keeps deadlines from being missed where only cost counts.
+	minWaitWeight = 0.6
 	// lateWeight makes a completion after the budget worse than any in time.
 	lateWeight = 10
 )
