--- a/bench/owner.go
+++ b/bench/owner.go
@@ -15,9 +15,11 @@
 // owner is one shard with the host that owns it. It does what endpoint.Owner
 // does, on virtual time.
 type owner struct {
-	s        *sim
-	shard    cicadapitch.Shard
-	host     *host
+	s     *sim
+	shard cicadapitch.Shard
+	host  *host
+	// resting is true while an engine of the shard loads or waits to.
+	resting  bool
 	state    *endpoint.State
 	attempts map[cicadapitch.AttemptID]*attempt
 }
