pipeline: hedges start well above a steady service time

Cause: Tail is the mean and three mean deviations; where service times hardly vary that is 1 to 2 ms above the mean, less than a hop varies. Ruled out: failed attempts (every attempt that ended did so well) and queues (queued p99 0).

The tail now lies at least 10 ms and a quarter of the mean above it.

--- a/pipeline/estimate.go
+++ b/pipeline/estimate.go
@@ -6,6 +6,10 @@
 	estimateGain     = 0.1
 	deviationsOfTail = 3
 	minTailMillis    = 20
+	// A tail lies at least this far above the mean, since a hop and the
+	// scheduling of a steady endpoint vary by more than its service time.
+	minMarginMillis = 10
+	minMarginPart   = 0.25
 )
 
 // Estimate is a moving estimate of a service time in milliseconds.
@@ -37,5 +41,6 @@
 
 // Tail returns a span that few attempts exceed.
 func (e Estimate) Tail() cicadapitch.Millis {
-	return max(cicadapitch.Millis(e.Mean+deviationsOfTail*e.Deviation), minTailMillis)
+	margin := max(deviationsOfTail*e.Deviation, minMarginPart*e.Mean, minMarginMillis)
+	return max(cicadapitch.Millis(e.Mean+margin), minTailMillis)
 }
