daemon: an owner answers only for its own incarnation

Cause: the message that asks for the outcome of an attempt named no incarnation. A restarted owner refused the attempts of its predecessor as never started, and the entry host disbelieved it only once the membership told of the restart: a booking could run twice. Change: the query names the incarnation the attempt was sent to; another one answers OutcomeUnknown.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,7 +135,7 @@
 func (d *Daemon) registerPeerMessages() {
 	serveMembership(d.peers, d.group)
 	serveConfiguration(d.peers, d.follower)
-	serveAttempts(d.peers, d.owner)
+	serveAttempts(d.peers, d.self, d.owner)
 	serveForwarded(d.peers, d.self, d.entry)
 }
 
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -14,10 +14,17 @@
 	outcomeMessage = "Endpoint.Outcome"
 )
 
+// outcomeQuery asks one incarnation of an owner what became of an attempt. A
+// later one does not know the attempts of the one before and must not answer.
+type outcomeQuery struct {
+	Incarnation cicadapitch.Incarnation
+	Attempt     cicadapitch.AttemptID
+}
+
 // runner runs attempts on this host's own shards directly and on those of
 // other hosts through the peer transport.
 type runner struct {
-	self   cicadapitch.HostID
+	self   cicadapitch.Member
 	local  *endpoint.Owner
 	dialer *peer.Dialer
 }
@@ -26,7 +33,7 @@
 func (r *runner) Run(
 	ctx context.Context, owner cicadapitch.Member, a cicadapitch.Attempt, sink func(cicadapitch.Chunk),
 ) (cicadapitch.StageResult, error) {
-	if owner.Host == r.self {
+	if owner.Host == r.self.Host {
 		return r.local.Run(ctx, a, sink)
 	}
 	return peer.CallStream[cicadapitch.Attempt, cicadapitch.Chunk, cicadapitch.StageResult](
@@ -37,15 +44,24 @@
 func (r *runner) Outcome(
 	ctx context.Context, owner cicadapitch.Member, id cicadapitch.AttemptID,
 ) (cicadapitch.AttemptState, error) {
-	if owner.Host == r.self {
-		return r.local.Outcome(id), nil
+	q := outcomeQuery{Incarnation: owner.Incarnation, Attempt: id}
+	if owner.Host == r.self.Host {
+		return answerOutcome(r.self, r.local, q)
+	}
+	return peer.Call[outcomeQuery, cicadapitch.AttemptState](ctx, r.dialer, owner.PeerAddress, outcomeMessage, q)
+}
+
+func answerOutcome(
+	self cicadapitch.Member, owner *endpoint.Owner, q outcomeQuery,
+) (cicadapitch.AttemptState, error) {
+	if q.Incarnation != self.Incarnation {
+		return cicadapitch.AttemptState{}, replaced()
 	}
-	return peer.Call[cicadapitch.AttemptID, cicadapitch.AttemptState](
-		ctx, r.dialer, owner.PeerAddress, outcomeMessage, id)
+	return owner.Outcome(q.Attempt), nil
 }
 
 // serveAttempts answers the attempts of other hosts.
-func serveAttempts(s *peer.Server, owner *endpoint.Owner) {
+func serveAttempts(s *peer.Server, self cicadapitch.Member, owner *endpoint.Owner) {
 	peer.HandleStream(s, runMessage, func(
 		ctx context.Context, a cicadapitch.Attempt, send func(cicadapitch.Chunk) error,
 	) (cicadapitch.StageResult, error) {
@@ -57,9 +73,7 @@
 			}
 		})
 	})
-	peer.Handle(s, outcomeMessage, func(
-		_ context.Context, id cicadapitch.AttemptID,
-	) (cicadapitch.AttemptState, error) {
-		return owner.Outcome(id), nil
+	peer.Handle(s, outcomeMessage, func(_ context.Context, q outcomeQuery) (cicadapitch.AttemptState, error) {
+		return answerOutcome(self, owner, q)
 	})
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -147,7 +147,7 @@
 func newEntry(i do.Injector) (*entry.Server, error) {
 	self := do.MustInvoke[cicadapitch.Member](i)
 	dialer := do.MustInvoke[*peer.Dialer](i)
-	run := &runner{self: self.Host, local: do.MustInvoke[*endpoint.Owner](i), dialer: dialer}
+	run := &runner{self: self, local: do.MustInvoke[*endpoint.Owner](i), dialer: dialer}
 	return entry.NewServer(
 		do.MustInvoke[*configuration.Follower](i),
 		do.MustInvoke[*host.Group](i),
