entry: a customer is refused early for its own refusals only

Change: the entry keeps a throttle for each customer and stage, fed by refusals that an owner marks as want of room (Contended), and counts waits only where the customer's own work was refused lately. Ruled out: counting each NotRun; a lost connection is one too and would have refused callers while hosts are down.

--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -255,7 +255,9 @@
 	if c.Cause == Moved {
 		return redirected("another host took the shard over")
 	}
-	return cicadapitch.NewNotRun("attempt refused: "+strings.ToLower(c.Cause.String()), c.RetryAfter)
+	e := cicadapitch.NewNotRun("attempt refused: "+strings.ToLower(c.Cause.String()), c.RetryAfter)
+	e.Contended = c.Cause == Unreachable || c.Cause == Expired
+	return e
 }
 
 func redirected(reason string) *cicadapitch.Error {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -130,9 +130,11 @@
 		res, err = r.settle(ctx, f, err)
 	}
 	if err == nil {
+		r.s.throttles.accepted(r.s.clock.Now(), r.rec.req.Customer, r.stage)
 		r.s.router.end(f.attempt.Shard, &res.Load)
 		return r.join(f, res)
 	}
+	r.noteRefusal(err)
 	r.s.router.end(f.attempt.Shard, nil)
 	r.fail(f, err)
 	return cicadapitch.StageResult{}, err
--- a/entry/run.go
+++ b/entry/run.go
@@ -45,7 +45,10 @@
 	if !s.admission {
 		return nil
 	}
-	return plan.Admit(left)
+	if err := s.throttled(rec); err != nil {
+		return err
+	}
+	return s.ownWaits(rec, plan).Admit(left)
 }
 
 // choose picks a shard for a stage. The query brings what is particular to the
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,12 +40,13 @@
 	peers     *peerCount
 	estimates *estimates
 	// firsts holds the spans until the first chunk.
-	firsts   *estimates
-	budget   *budget
-	random   *random
-	gate     *gate
-	sequence atomic.Uint64
-	prefix   string
+	firsts    *estimates
+	throttles throttles
+	budget    *budget
+	random    *random
+	gate      *gate
+	sequence  atomic.Uint64
+	prefix    string
 }
 
 // NewServer returns a server that runs its attempts by runner on the owners of
--- a/entry/state.go
+++ b/entry/state.go
@@ -54,6 +54,9 @@
 	return r.source.Uint64()
 }
 
+// fraction returns a number in [0, 1).
+func (r *random) fraction() float64 { return float64(r.next()>>11) / (1 << 53) }
+
 type estimateKey struct {
 	pool  cicadapitch.PoolID
 	stage cicadapitch.StageID
--- a/errors.go
+++ b/errors.go
@@ -18,6 +18,9 @@
 	RetryAfter Millis
 	// Owner is set on Redirected errors where the owner is known.
 	Owner HostID
+	// Contended is set on NotRun errors of an owner whose shard has no room in
+	// time for the customer's work.
+	Contended bool
 }
 
 // Error implements error.
