pipeline: a cached prefix counts as half of the service time

Cause: first token p95 in steady load was 1,710 ms (Verbund) and 1,484 ms (Cwrt), above the 1,400 ms of the size to design for. The choice valued a cached prefix at 0.3 of the service time, so requests left the shard that had it.

--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -20,7 +20,7 @@
 	// host to have sent to the same shard.
 	likeness = 0.5
 	// prefixSaving is the part of a service time that a cached prefix saves.
-	prefixSaving = 0.3
+	prefixSaving = 0.5
 	// minWaitWeight keeps deadlines from being missed where only cost counts.
 	minWaitWeight = 0.6
 	// lateWeight makes a completion after the budget worse than any in time.
