--- a/capacity/memory_test.go
+++ b/capacity/memory_test.go
@@ -21,10 +21,10 @@
 // controlBytes is what a node may spend on control, from the size to design for.
 const controlBytes cicadapitch.Bytes = 128 << 20
 
-// held returns the heap that the value of make keeps.
-func held(make func() any) cicadapitch.Bytes {
+// held returns the heap that the value of build keeps.
+func held(build func() any) cicadapitch.Bytes {
 	before := heap()
-	v := make()
+	v := build()
 	after := heap()
 	runtime.KeepAlive(v)
 	return max(after-before, 0)
@@ -108,8 +108,8 @@
 // to design for.
 func TestControlFitsInMemory(t *testing.T) {
 	var all cicadapitch.Bytes
-	for name, make := range roles(t, capacity.Planned) {
-		n := held(make)
+	for name, build := range roles(t, capacity.Planned) {
+		n := held(build)
 		t.Logf("%s: %d bytes", name, n)
 		all += n
 	}
@@ -119,10 +119,10 @@
 // BenchmarkMemory reports what each role keeps at both sizes.
 func BenchmarkMemory(b *testing.B) {
 	for _, s := range []capacity.Size{capacity.Today, capacity.Planned} {
-		for name, make := range roles(b, s) {
+		for name, build := range roles(b, s) {
 			b.Run(fmt.Sprintf("%s/Hosts=%d", name, s.Hosts), func(b *testing.B) {
 				for b.Loop() {
-					b.ReportMetric(float64(held(make)), "bytes")
+					b.ReportMetric(float64(held(build)), "bytes")
 				}
 			})
 		}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -131,7 +131,7 @@
 		cicadapitch.Engine:  driver.NewEngine(driver.WithClock(clockOf(i))),
 	}
 	owner := endpoint.NewOwner(do.MustInvoke[*configuration.Follower](i), drivers, claims.Holds,
-		clockOf(i), endpoint.WithLogger(logOf(i)))
+		clockOf(i), endpoint.WithLog(logOf(i)))
 	claims.OnGain(owner.Gain)
 	claims.OnLoss(owner.Lose)
 	return owner, nil
@@ -157,7 +157,7 @@
 		entry.WithMinter(do.MustInvoke[*booking.Minter](i)),
 		entry.WithLedger(booking.NewLedger(clockOf(i), self.Incarnation)),
 		entry.WithForwarder(forwarder{dialer}),
-		entry.WithLogger(logOf(i)),
+		entry.WithLog(logOf(i)),
 		entry.WithClaims(newKeyClaims(i, self)),
 		entry.WithMetrics(do.MustInvoke[*report.Recorder](i)),
 	), nil
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -35,13 +35,13 @@
 	running []*job
 	// unproven counts running calls that have shown no output yet.
 	unproven cicadapitch.Slots
-	// braked is true while a call is so late that no new work is sent.
-	braked bool
+	// held is true while a call is so late that no new work is sent.
+	held bool
 	// line holds jobs that wait for this endpoint's prefix cache.
 	line []*job
-	// strays are the instants by which calls have ended that this owner no
+	// untracked are the instants by which calls have ended that this owner no
 	// longer follows, or never did.
-	strays []cicadapitch.Instant
+	untracked []cicadapitch.Instant
 
 	// bears is the number of calls the endpoint is trusted with.
 	bears cicadapitch.Slots
@@ -88,7 +88,7 @@
 
 // busy counts the calls that are or may be running at the endpoint.
 func (b *backend) busy() cicadapitch.Slots {
-	return cicadapitch.Slots(len(b.running) + len(b.strays))
+	return cicadapitch.Slots(len(b.running) + len(b.untracked))
 }
 
 // The bounds of pace.
@@ -110,15 +110,15 @@
 	}
 }
 
-func (b *backend) stray(until cicadapitch.Instant) {
-	b.strays = append(b.strays, until)
-	slices.Sort(b.strays)
+func (b *backend) addUntracked(until cicadapitch.Instant) {
+	b.untracked = append(b.untracked, until)
+	slices.Sort(b.untracked)
 }
 
-func (b *backend) expireStrays(now cicadapitch.Instant) {
+func (b *backend) expireUntracked(now cicadapitch.Instant) {
 	n := 0
-	for n < len(b.strays) && b.strays[n] <= now {
+	for n < len(b.untracked) && b.untracked[n] <= now {
 		n++
 	}
-	b.strays = b.strays[n:]
+	b.untracked = b.untracked[n:]
 }
--- a/endpoint/configure.go
+++ b/endpoint/configure.go
@@ -29,10 +29,10 @@
 	for _, b := range old {
 		if b != nil && len(b.running) > 0 {
 			b.removed = true
-			s.scatter(b)
+			s.requeue(b)
 			s.endpoints = append(s.endpoints, b)
 		} else if b != nil {
-			s.scatter(b)
+			s.requeue(b)
 		}
 	}
 	return s.dispatch(now)
@@ -48,7 +48,7 @@
 		s.fall(now, b)
 	}
 	if out {
-		s.scatter(b)
+		s.requeue(b)
 	}
 	s.endpoints = append(s.endpoints, b)
 }
--- a/endpoint/dispatch.go
+++ b/endpoint/dispatch.go
@@ -27,8 +27,8 @@
 	s.queue.Remove(j.item)
 }
 
-// scatter returns the jobs in an endpoint's line to the queue.
-func (s *State) scatter(b *backend) {
+// requeue returns the jobs in an endpoint's line to the queue.
+func (s *State) requeue(b *backend) {
 	for _, j := range b.line {
 		j.on = nil
 		s.queue.Return(j.item)
@@ -113,7 +113,7 @@
 	for _, b := range s.endpoints {
 		late := slices.ContainsFunc(b.line, func(j *job) bool { return s.pressing(now, j) })
 		if late {
-			s.scatter(b)
+			s.requeue(b)
 		}
 	}
 	s.queue.Expire(
--- a/endpoint/loop.go
+++ b/endpoint/loop.go
@@ -45,7 +45,7 @@
 	r, err := driver.Load(ctx, e)
 	if err != nil {
 		s.unread(e.ID)
-		o.log.Debug().Str("endpoint", string(e.ID)).Err(err).Msg("load report unread")
+		o.log.Debug().Str("Endpoint", string(e.ID)).Err(err).Msg("load report unread")
 		return
 	}
 	s.report(o.clock.Now(), asked, e.ID, r)
--- a/endpoint/options.go
+++ b/endpoint/options.go
@@ -12,8 +12,8 @@
 // WithPolicy replaces the standard policy.
 func WithPolicy(p Policy) Option { return func(o *Owner) { o.policy = p } }
 
-// WithLogger sets the logger. The standard one discards everything.
-func WithLogger(l zerolog.Logger) Option { return func(o *Owner) { o.log = l } }
+// WithLog sets the logger. The standard one discards everything.
+func WithLog(l zerolog.Logger) Option { return func(o *Owner) { o.log = l } }
 
 // WithRetention sets for how long the results and the ids of settled attempts
 // are kept.
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -69,7 +69,7 @@
 		old.surrender(o.clock.Now())
 	}
 	s.gain(o.clock.Now(), o.configurations.Current())
-	o.log.Info().Str("shard", string(claim.Shard)).Int64("fencing", int64(claim.Fencing)).Msg("shard gained")
+	o.log.Info().Str("Shard", string(claim.Shard)).Int64("Fencing", int64(claim.Fencing)).Msg("shard gained")
 }
 
 // Lose gives up a shard. Attempts that wait are sent elsewhere; calls that run
@@ -83,7 +83,7 @@
 		return
 	}
 	s.surrender(o.clock.Now())
-	o.log.Info().Str("shard", string(id)).Msg("shard lost")
+	o.log.Info().Str("Shard", string(id)).Msg("shard lost")
 }
 
 // Drain stops taking attempts and waits until those that were taken have been
--- a/endpoint/pause.go
+++ b/endpoint/pause.go
@@ -10,7 +10,7 @@
 		return true
 	}
 	b.paused = true
-	s.scatter(b)
+	s.requeue(b)
 	return b.busy() == 0
 }
 
--- a/endpoint/policy.go
+++ b/endpoint/policy.go
@@ -42,9 +42,9 @@
 	// GrowFactor is how many times its expected latency a call may take to
 	// count fully towards another slot.
 	GrowFactor float64
-	// BrakeFactor is how many times its usual latency an endpoint takes for
+	// HoldFactor is how many times its usual latency an endpoint takes for
 	// the first output of a call when it gets no new work until it answers.
-	BrakeFactor float64
+	HoldFactor float64
 	// LatencyFloor is the latency below which no endpoint counts as slow.
 	LatencyFloor cicadapitch.Millis
 	// EjectAfter is the number of failures in a row that eject an endpoint.
@@ -79,7 +79,7 @@
 		ColdFactor:   3,
 		ProveFactor:  1.2,
 		GrowFactor:   1.6,
-		BrakeFactor:  2,
+		HoldFactor:   2,
 		LatencyFloor: 20,
 		EjectAfter:   3,
 		EjectFactor:  3,
--- a/endpoint/report.go
+++ b/endpoint/report.go
@@ -12,7 +12,7 @@
 	var due []cicadapitch.Endpoint
 	for _, b := range s.endpoints {
 		every := s.policy.PollEvery
-		if !b.seen || b.braked {
+		if !b.seen || b.held {
 			every /= 10
 		}
 		if b.removed || b.polling || now.Sub(b.polled) < every {
@@ -47,7 +47,7 @@
 	b.reportCold = r.Cold
 	b.prefixes.report(taken, r.CachedPrefixes)
 	if !b.inService() {
-		s.scatter(b)
+		s.requeue(b)
 	}
 	return s.dispatch(now)
 }
@@ -68,7 +68,7 @@
 		}
 		b.seen = true
 		for range total {
-			b.stray(now.Add(s.policy.ForeignWork))
+			b.addUntracked(now.Add(s.policy.ForeignWork))
 		}
 		return
 	}
@@ -78,8 +78,8 @@
 			own++
 		}
 	}
-	if others := max(total-own, 0); others < len(b.strays) {
-		b.strays = b.strays[len(b.strays)-others:]
+	if others := max(total-own, 0); others < len(b.untracked) {
+		b.untracked = b.untracked[len(b.untracked)-others:]
 	}
 }
 
--- a/endpoint/slots.go
+++ b/endpoint/slots.go
@@ -27,7 +27,7 @@
 		if s.pool.Kind == cicadapitch.Engine {
 			n = min(n, s.pool.ColdSlots-b.unproven)
 		}
-		if b.braked {
+		if b.held {
 			n = 0
 		}
 	}
@@ -42,7 +42,7 @@
 	b.bears = s.pool.ColdSlots
 	b.since = now
 	b.credit = 0
-	s.scatter(b)
+	s.requeue(b)
 }
 
 // maxNeed bounds the good calls that one more slot can cost.
@@ -84,16 +84,16 @@
 // as cold if that lasts.
 func (s *State) watch(now cicadapitch.Instant) {
 	for _, b := range s.endpoints {
-		b.expireStrays(now)
+		b.expireUntracked(now)
 		if !b.seen && now.Sub(b.added) >= s.policy.ForeignWork {
 			b.seen = true
 		}
-		b.braked = false
+		b.held = false
 		for _, j := range b.running {
-			if !s.overdue(now, j, s.policy.BrakeFactor) {
+			if !s.overdue(now, j, s.policy.HoldFactor) {
 				continue
 			}
-			b.braked = true
+			b.held = true
 			if b.bears > s.pool.ColdSlots && s.overdue(now, j, s.policy.ColdFactor) {
 				s.fall(now, b)
 			}
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -126,7 +126,7 @@
 func (s *State) Surrender(now cicadapitch.Instant) []Command {
 	s.commands = s.commands[:0]
 	for _, b := range s.endpoints {
-		s.scatter(b)
+		s.requeue(b)
 	}
 	s.queue.Expire(
 		func(*customer.Item[*job]) bool { return true },
@@ -150,7 +150,7 @@
 		l.Total += s.limit(now, b)
 		if len(s.waiting) > 0 {
 			l.Free += s.free(now, b)
-		} else if !b.braked {
+		} else if !b.held {
 			l.Free += max(s.limit(now, b)-b.busy(), 0)
 		}
 	}
@@ -201,7 +201,7 @@
 func (s *State) broken(now cicadapitch.Instant, j *job) {
 	b := j.on
 	b.failures++
-	b.stray(min(now.Add(s.policy.ForeignWork), max(j.Deadline, now.Add(s.policy.CancelLag))))
+	b.addUntracked(min(now.Add(s.policy.ForeignWork), max(j.Deadline, now.Add(s.policy.CancelLag))))
 	s.fall(now, b)
 	s.judge(now, b)
 }
@@ -210,7 +210,7 @@
 // whole call takes tells as much about the endpoint as one that ended.
 func (s *State) canceled(now cicadapitch.Instant, j *job) {
 	b := j.on
-	b.stray(now.Add(s.policy.CancelLag))
+	b.addUntracked(now.Add(s.policy.CancelLag))
 	if late := float64(now.Sub(j.started)) / max(s.model.longest(j.Size), 1); late > s.pace(b) {
 		s.rate(b, late)
 		s.judge(now, b)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,11 +8,11 @@
 	"cicadapitch.example/cicadapitch/pipeline"
 )
 
-// maxFlights bounds the attempts of one stage that run at the same time.
-const maxFlights = 2
+// maxOutstanding bounds the attempts of one stage that run at the same time.
+const maxOutstanding = 2
 
-// flight is one attempt on its way.
-type flight struct {
+// dispatched is one attempt that has been sent to the owner of its shard.
+type dispatched struct {
 	attempt cicadapitch.Attempt
 	owner   cicadapitch.Member
 	gather  *gatherer
@@ -24,15 +24,15 @@
 	over atomic.Bool
 }
 
-// landing is how a flight ended.
-type landing struct {
-	flight *flight
-	result cicadapitch.StageResult
-	err    error
+// ending is how an attempt ended.
+type ending struct {
+	attempt *dispatched
+	result  cicadapitch.StageResult
+	err     error
 }
 
-// launch sends a new attempt to the owner of a shard.
-func (r *stageRun) launch(ctx context.Context, landings chan<- landing) (*flight, error) {
+// dispatch sends a new attempt to the owner of a shard.
+func (r *stageRun) dispatch(ctx context.Context, endings chan<- ending) (*dispatched, error) {
 	budget, limit := r.s.split(r.rec, r.index)
 	if limit <= 0 {
 		return nil, cicadapitch.NewNotRun("the deadline has passed", 1)
@@ -41,22 +41,22 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &flight{attempt: r.describe(limit), owner: owner, before: r.chunks}
+	f := &dispatched{attempt: r.describe(limit), owner: owner, before: r.chunks}
 	f.sent = r.s.clock.Now()
 	f.gather = newGatherer(f.attempt.ID, func(c cicadapitch.Chunk) { r.deliver(f, c) }, r.s.metrics.Dropped)
 	ctx, f.cancel = context.WithCancel(ctx)
 	r.rec.open(r.stage.Idempotent)
 	r.s.router.begin(f.attempt.Shard)
-	go r.fly(ctx, f, landings)
+	go r.send(ctx, f, endings)
 	return f, nil
 }
 
-func (r *stageRun) fly(ctx context.Context, f *flight, landings chan<- landing) {
+func (r *stageRun) send(ctx context.Context, f *dispatched, endings chan<- ending) {
 	res, err := r.s.runner.Run(ctx, f.owner, f.attempt, f.gather.take)
 	if err == nil && f.over.Load() {
 		r.s.metrics.Dropped(DroppedLate)
 	}
-	landings <- landing{flight: f, result: res, err: err}
+	endings <- ending{attempt: f, result: res, err: err}
 }
 
 // target picks the shard of the next attempt and its owner.
@@ -107,7 +107,7 @@
 
 // deliver passes a chunk to the caller. Only the first attempt of a race that
 // brings a chunk streams.
-func (r *stageRun) deliver(f *flight, c cicadapitch.Chunk) {
+func (r *stageRun) deliver(f *dispatched, c cicadapitch.Chunk) {
 	if !r.stage.Streams {
 		return
 	}
@@ -120,12 +120,12 @@
 	}
 }
 
-// land ends a flight and returns the whole output of the stage, or an error
+// end ends an attempt and returns the whole output of the stage, or an error
 // that says whether the attempt may have started.
-func (r *stageRun) land(ctx context.Context, l landing) (cicadapitch.StageResult, error) {
-	f := l.flight
+func (r *stageRun) end(ctx context.Context, e ending) (cicadapitch.StageResult, error) {
+	f := e.attempt
 	f.cancel()
-	res, err := r.match(l)
+	res, err := r.match(e)
 	if err != nil && !r.stage.Idempotent {
 		res, err = r.settle(ctx, f, err)
 	}
@@ -141,20 +141,20 @@
 }
 
 // match drops a result that belongs to another attempt.
-func (r *stageRun) match(l landing) (cicadapitch.StageResult, error) {
-	if l.err != nil {
-		return cicadapitch.StageResult{}, l.err
+func (r *stageRun) match(e ending) (cicadapitch.StageResult, error) {
+	if e.err != nil {
+		return cicadapitch.StageResult{}, e.err
 	}
-	if l.result.Attempt != l.flight.attempt.ID {
+	if e.result.Attempt != e.attempt.attempt.ID {
 		r.s.metrics.Dropped(DroppedCrossed)
 		return cicadapitch.StageResult{}, cicadapitch.NewOutcomeUnknown("the result of another attempt came")
 	}
-	return l.result, nil
+	return e.result, nil
 }
 
 // join puts the text that the attempt resumed from before its output. The
 // output must begin with what the caller has got as chunks.
-func (r *stageRun) join(f *flight, res cicadapitch.StageResult) (cicadapitch.StageResult, error) {
+func (r *stageRun) join(f *dispatched, res cicadapitch.StageResult) (cicadapitch.StageResult, error) {
 	if !f.gather.complete(res.Output) && r.stage.Streams {
 		r.broken = true
 		return cicadapitch.StageResult{}, cicadapitch.NewError(cicadapitch.Internal,
@@ -167,9 +167,9 @@
 	return res, nil
 }
 
-// fail keeps what a failed flight brought, so that the next attempt resumes
+// fail keeps what a failed attempt brought, so that the next attempt resumes
 // there, and avoids its shard from then on.
-func (r *stageRun) fail(f *flight, err error) {
+func (r *stageRun) fail(f *dispatched, err error) {
 	kind := cicadapitch.KindOf(err)
 	text, n := f.gather.close()
 	if whole := f.attempt.Resume + text; r.stage.Idempotent && len(whole) > len(r.delivered) {
@@ -187,8 +187,8 @@
 	}
 }
 
-// abandon ends a flight whose result is no longer awaited.
-func (r *stageRun) abandon(f *flight) {
+// abandon ends an attempt whose result is no longer awaited.
+func (r *stageRun) abandon(f *dispatched) {
 	f.over.Store(true)
 	f.cancel()
 	f.gather.close()
--- a/entry/options.go
+++ b/entry/options.go
@@ -27,8 +27,8 @@
 // WithMetrics sets the receiver of measurements.
 func WithMetrics(m Metrics) Option { return func(s *Server) { s.metrics = m } }
 
-// WithLogger sets the log. Answers are logged at debug level, errors at info.
-func WithLogger(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+// WithLog sets the log. Answers are logged at debug level, errors at info.
+func WithLog(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
 
 // WithRetryBudget bounds retries and hedges to a ratio of the requests, with
 // limit of them saved up at most.
--- a/entry/race.go
+++ b/entry/race.go
@@ -16,11 +16,11 @@
 // race is the attempts of one stage that run beside each other.
 type race struct {
 	*stageRun
-	ctx      context.Context
-	landings chan landing
-	flights  []*flight
-	slow     <-chan struct{}
-	stalled  <-chan struct{}
+	ctx         context.Context
+	endings     chan ending
+	outstanding []*dispatched
+	slow        <-chan struct{}
+	stalled     <-chan struct{}
 }
 
 // race runs one attempt, and a second one beside it where the first is slow.
@@ -29,13 +29,13 @@
 func (r *stageRun) race(ctx context.Context) (cicadapitch.StageResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &race{stageRun: r, ctx: ctx, landings: make(chan landing, maxFlights)}
+	c := &race{stageRun: r, ctx: ctx, endings: make(chan ending, maxOutstanding)}
 	r.begin()
-	first, err := r.launch(ctx, c.landings)
+	first, err := r.dispatch(ctx, c.endings)
 	if err != nil {
 		return cicadapitch.StageResult{}, err
 	}
-	c.flights = []*flight{first}
+	c.outstanding = []*dispatched{first}
 	c.slow = r.slow(ctx)
 	return c.run()
 }
@@ -45,12 +45,12 @@
 	led := c.led
 	for {
 		select {
-		case l := <-c.landings:
-			if l.flight.over.Load() {
+		case e := <-c.endings:
+			if e.attempt.over.Load() {
 				continue
 			}
-			res, err := c.take(l)
-			if err == nil || len(c.flights) == 0 {
+			res, err := c.take(e)
+			if err == nil || len(c.outstanding) == 0 {
 				return res, err
 			}
 		case <-led:
@@ -67,23 +67,23 @@
 	}
 }
 
-// take lands a flight.
-func (c *race) take(l landing) (cicadapitch.StageResult, error) {
-	c.flights = slices.DeleteFunc(c.flights, func(f *flight) bool { return f == l.flight })
-	return c.land(c.ctx, l)
+// take ends an attempt that has come back.
+func (c *race) take(e ending) (cicadapitch.StageResult, error) {
+	c.outstanding = slices.DeleteFunc(c.outstanding, func(f *dispatched) bool { return f == e.attempt })
+	return c.end(c.ctx, e)
 }
 
 // follow ends all attempts but the one that streams, and watches that.
 func (c *race) follow() {
 	lead := c.lead.Load()
-	for _, f := range c.flights {
+	for _, f := range c.outstanding {
 		if f != lead {
 			c.abandon(f)
 		}
 	}
-	c.flights = slices.DeleteFunc(c.flights, func(f *flight) bool { return f != lead })
+	c.outstanding = slices.DeleteFunc(c.outstanding, func(f *dispatched) bool { return f != lead })
 	c.slow = nil
-	if len(c.flights) > 0 {
+	if len(c.outstanding) > 0 {
 		c.stalled = c.watch(c.ctx, lead)
 	}
 }
@@ -92,16 +92,16 @@
 // resumes it.
 func (c *race) giveUp() error {
 	err := cicadapitch.NewOutcomeUnknown("the stream of the attempt has stalled")
-	for _, f := range c.flights {
+	for _, f := range c.outstanding {
 		c.abandon(f)
 		c.fail(f, err)
 	}
-	c.flights = nil
+	c.outstanding = nil
 	return err
 }
 
 func (c *race) abandonAll() {
-	for _, f := range c.flights {
+	for _, f := range c.outstanding {
 		c.abandon(f)
 	}
 }
@@ -112,12 +112,12 @@
 		return
 	}
 	c.avoid = append(c.avoid, c.shard.Shard)
-	f, err := c.launch(c.ctx, c.landings)
+	f, err := c.dispatch(c.ctx, c.endings)
 	if err != nil {
 		return
 	}
 	c.s.metrics.Hedged(c.stage.ID)
-	c.flights = append(c.flights, f)
+	c.outstanding = append(c.outstanding, f)
 }
 
 // slow returns a channel that is closed once the attempt takes longer than
@@ -149,7 +149,7 @@
 
 // watch returns a channel that is closed once a stream brings no further chunk,
 // or nil where the stage may not be run again.
-func (r *stageRun) watch(ctx context.Context, f *flight) <-chan struct{} {
+func (r *stageRun) watch(ctx context.Context, f *dispatched) <-chan struct{} {
 	span := pipeline.StallSpan(r.rec.pipeline)
 	if span == 0 || !r.stage.Idempotent {
 		return nil
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -18,7 +18,7 @@
 // settle finds out what became of an attempt that may not be repeated and that
 // ended without a result. It returns the result, an error that says that the
 // attempt never ran, or OutcomeUnknown where nobody can tell.
-func (r *stageRun) settle(ctx context.Context, f *flight, err error) (cicadapitch.StageResult, error) {
+func (r *stageRun) settle(ctx context.Context, f *dispatched, err error) (cicadapitch.StageResult, error) {
 	kind := cicadapitch.KindOf(err)
 	if _, step := pipeline.Next(r.progress, kind, askMillis, 0); step.Move != pipeline.Ask {
 		return cicadapitch.StageResult{}, err
@@ -69,7 +69,7 @@
 }
 
 // ask asks once, for no longer than askMillis.
-func (r *stageRun) ask(ctx context.Context, f *flight) (cicadapitch.AttemptState, error) {
+func (r *stageRun) ask(ctx context.Context, f *dispatched) (cicadapitch.AttemptState, error) {
 	ctx, cancel := withTimeout(ctx, r.s.clock, askMillis)
 	defer cancel()
 	return await(ctx, func() (cicadapitch.AttemptState, error) {
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -30,7 +30,7 @@
 	owner *cicadapitch.Member
 	shard pipeline.Choice
 	// lead is the attempt of the present race that streams to the caller.
-	lead atomic.Pointer[flight]
+	lead atomic.Pointer[dispatched]
 	// led is closed once there is one.
 	led chan struct{}
 }
