--- a/proof/order_test.go
+++ b/proof/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/order"
+	"cicadapitch.example/cicadapitch/settings"
 )
 
 const (
@@ -95,6 +97,31 @@
 	t.Logf("%d requests", len(all))
 }
 
+// TestHostCutFromTheStoreFollowsItsPeers cuts one host off from the store and
+// takes a zone out at another. The change must reach it by its peers.
+func TestHostCutFromTheStoreFollowsItsPeers(t *testing.T) {
+	var way *relay
+	f := newFleet(t, func(hosts []*settings.Settings) {
+		store := strings.TrimPrefix(hosts[2].Store[0], "http://")
+		way = newRelay(t, store)
+		hosts[2].Store = []string{"http://" + way.address()}
+	})
+	l := startLoad(f, loadWorkers)
+	f.awaitRuns(20)
+	way.cutOff()
+	time.Sleep(time.Second)
+	ordered := time.Now()
+	r, err := f.order(0, "zone", zoneOrder("zone-b-out-cut", "b", true))
+	require.NoError(t, err)
+	require.Equal(t, r.Hosts, r.InForce, "in force on %d of %d hosts", r.InForce, r.Hosts)
+	requireNoStartsInZone(t, f, "b", ordered)
+	all := l.stop()
+	requireWhole(t, all)
+	requireAtMostOnce(t, f, all)
+	requireOnlyBookingsFailed(t, all)
+	t.Logf("%d requests, %d failed", len(all), len(failures(all)))
+}
+
 // TestOrdersInARaceAreAllInForceWithinTheBound lets operators race one another
 // at different hosts while answers of the store are lost, and watches that no
 // host ever goes back.
--- a/proof/relay_test.go
+++ b/proof/relay_test.go
@@ -16,6 +16,7 @@
 type relay struct {
 	listener net.Listener
 	target   string
+	cut      atomic.Bool
 	mu       sync.Mutex
 	links    []*link
 }
@@ -44,7 +45,7 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", r.target)
+		out, err := r.dial()
 		if err != nil {
 			_ = in.Close()
 			continue
@@ -58,6 +59,19 @@
 	}
 }
 
+func (r *relay) dial() (net.Conn, error) {
+	if r.cut.Load() {
+		return nil, net.ErrClosed
+	}
+	return net.Dial("tcp", r.target)
+}
+
+// cutOff makes all present connections silent and refuses new ones.
+func (r *relay) cutOff() {
+	r.cut.Store(true)
+	r.silence()
+}
+
 // pass copies until the connection ends. A silent link swallows all, its end
 // included.
 func (l *link) pass(to, from net.Conn) {
