claim: hosts that do not reach the store are no candidates while others do

Ruled out: the configuration, which reached the cut host from a peer 20 ms after the others. Change: only hosts that reach the store are candidates while there are any.

daemon: leases have a store client and budget of their own. The proof now waits the second that the refusal names before it asks again; its bounds and tries are as before.

--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -155,6 +155,23 @@
 	f.settle(seconds)
 }
 
+// TestShardsOfAHostCutFromTheStoreAreClaimedByOthers leaves the host cut off from
+// the store, heard by its peers all the time.
+func TestShardsOfAHostCutFromTheStoreAreClaimedByOthers(t *testing.T) {
+	f := newFleet(t, 8, 3, 40)
+	f.settle(seconds)
+	f.run(10 * cicadapitch.Second)
+	cut := f.hosts[2]
+	require.NotEmpty(t, cut.claims.Owned())
+	cut.cut = true
+	f.run(20 * cicadapitch.Second)
+	holders := f.holders()
+	for _, shard := range f.shards {
+		require.Len(t, holders[shard], 1, "%s", shard)
+		require.NotSame(t, cut, holders[shard][0])
+	}
+}
+
 func TestHostCutOffAloneStopsAndIsReplaced(t *testing.T) {
 	f := newFleet(t, 8, 3, 40)
 	f.settle(seconds)
--- a/claim/placing.go
+++ b/claim/placing.go
@@ -69,12 +69,13 @@
 	if f == s.placing.fingerprint && s.placing.winners != nil {
 		return
 	}
-	byRegion := lo.GroupBy(t.Members, func(m cicadapitch.Member) cicadapitch.RegionID { return m.Region })
+	members := eligible(t.Members)
+	byRegion := lo.GroupBy(members, func(m cicadapitch.Member) cicadapitch.RegionID { return m.Region })
 	winners := make(map[cicadapitch.ShardID]cicadapitch.Member, len(t.Shards))
 	for _, p := range t.Shards {
 		candidates := byRegion[p.Region]
 		if s.foreign(t, p.Region) {
-			candidates = t.Members
+			candidates = members
 		}
 		if m, ok := Winner(p.Shard, candidates); ok {
 			winners[p.Shard.ID] = m
@@ -83,6 +84,19 @@
 	s.placing = placing{fingerprint: f, winners: winners}
 }
 
+// eligible returns the members that can claim shards. While some reach the store,
+// those that do not are left out, since nobody would claim in their place what
+// they have given up.
+func eligible(members []cicadapitch.Member) []cicadapitch.Member {
+	reach := lo.Filter(members, func(m cicadapitch.Member, _ int) bool {
+		return m.StoreUp && m.State == cicadapitch.Ready
+	})
+	if len(reach) == 0 {
+		return members
+	}
+	return reach
+}
+
 // foreign tells whether a region has been without hosts for so long that hosts
 // of other regions own its shards.
 func (s *State) foreign(t Tick, r cicadapitch.RegionID) bool {
@@ -93,7 +107,7 @@
 // fingerprint changes whenever the placing may change.
 func (s *State) fingerprint(t Tick) uint64 {
 	var sum uint64
-	for _, m := range t.Members {
+	for _, m := range eligible(t.Members) {
 		if m.State == cicadapitch.Ready {
 			// A sum does not depend on the order of the members.
 			sum += xxh3.HashString(string(m.Host) + "\x00" + string(m.Zone) + "\x00" + string(m.Region))
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -114,8 +114,14 @@
 	policy := claim.StandardPolicy()
 	lease := do.MustInvoke[*settings.Settings](i).LeaseMillis
 	policy.RenewEvery = lease / cicadapitch.Millis(policy.RenewalsPerLease)
+	// Leases have a client and so a budget of their own, which orders and
+	// callers' keys cannot spend.
+	store, err := newStore(i)
+	if err != nil {
+		return nil, err
+	}
 	return claim.New(
-		do.MustInvoke[cicadapitch.Store](i),
+		store,
 		do.MustInvoke[*host.Group](i),
 		do.MustInvoke[*configuration.Follower](i),
 		clockOf(i),
--- a/proof/order_test.go
+++ b/proof/order_test.go
@@ -174,6 +174,8 @@
 			return
 		}
 		require.Less(t, tries, 10, "%v", err)
+		// A refusal says to come back after a second.
+		time.Sleep(time.Second)
 	}
 }
 
