--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/pipeline"
 )
 
 const (
@@ -26,7 +27,7 @@
 	clock    cicadapitch.Clock
 	deadline cicadapitch.Millis
 	maxSends int
-	budget   budget
+	budget   pipeline.SharedBudget
 	hosts    *directory
 }
 
@@ -40,7 +41,7 @@
 		deadline: defaultDeadline,
 		maxSends: defaultMaxSends,
 	}
-	c.budget.set(defaultRatio, defaultLimit)
+	c.budget.Set(defaultRatio, defaultLimit)
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -56,7 +57,7 @@
 	span := c.span(ctx, req)
 	ctx, cancel := context.WithTimeout(ctx, span.Duration())
 	defer cancel()
-	c.budget.earn()
+	c.budget.Earn()
 	d := &delivery{c: c, req: req, deadline: c.clock.Now().Add(span), stream: newStream(sink)}
 	return d.run(ctx)
 }
--- a/client/options.go
+++ b/client/options.go
@@ -27,5 +27,5 @@
 // WithRetryBudget bounds repeated sendings to a ratio of the requests, with
 // limit of them saved up at most.
 func WithRetryBudget(ratio, limit float64) Option {
-	return func(c *Client) { c.budget.set(ratio, limit) }
+	return func(c *Client) { c.budget.Set(ratio, limit) }
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -33,7 +33,7 @@
 // WithRetryBudget bounds retries and hedges to a ratio of the requests, with
 // limit of them saved up at most.
 func WithRetryBudget(ratio, limit float64) Option {
-	return func(s *Server) { s.budget.set(ratio, limit) }
+	return func(s *Server) { s.budget.Set(ratio, limit) }
 }
 
 // WithHedging sets whether slow idempotent attempts get a second one beside
--- a/entry/race.go
+++ b/entry/race.go
@@ -108,7 +108,7 @@
 
 // hedge starts a second attempt at another shard where the budget allows it.
 func (c *race) hedge() {
-	if !c.s.budget.spend() {
+	if !c.s.budget.Spend() {
 		return
 	}
 	c.avoid = append(c.avoid, c.shard.Shard)
--- a/entry/server.go
+++ b/entry/server.go
@@ -7,6 +7,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/booking"
+	"cicadapitch.example/cicadapitch/pipeline"
 	"github.com/rs/zerolog"
 )
 
@@ -42,7 +43,7 @@
 	// firsts holds the spans until the first chunk.
 	firsts    *estimates
 	throttles throttles
-	budget    *budget
+	budget    pipeline.SharedBudget
 	random    *random
 	gate      *gate
 	sequence  atomic.Uint64
@@ -77,11 +78,11 @@
 		peers:          &peerCount{members: members},
 		estimates:      newEstimates(),
 		firsts:         newEstimates(),
-		budget:         newBudget(defaultRetryRatio, defaultRetryLimit),
 		random:         &random{},
 		gate:           newGate(),
 		prefix:         fmt.Sprintf("%s-%x", self.Host, uint64(self.Incarnation)),
 	}
+	s.budget.Set(defaultRetryRatio, defaultRetryLimit)
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -8,36 +8,6 @@
 	"cicadapitch.example/cicadapitch/pipeline"
 )
 
-// budget holds the retry budget of the host.
-type budget struct {
-	mu    sync.Mutex
-	state pipeline.Budget
-}
-
-func newBudget(ratio, limit float64) *budget {
-	return &budget{state: pipeline.NewBudget(ratio, limit)}
-}
-
-func (b *budget) set(ratio, limit float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state = pipeline.NewBudget(ratio, limit)
-}
-
-func (b *budget) earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state = b.state.Earn()
-}
-
-func (b *budget) spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ok bool
-	b.state, ok = b.state.Spend()
-	return ok
-}
-
 // random gives the random numbers of choices and backoff. Without a seed it
 // draws from the runtime, which needs no lock.
 type random struct {
--- /dev/null
+++ b/pipeline/sharedbudget.go
@@ -0,0 +1,34 @@
+package pipeline
+
+import "sync"
+
+// SharedBudget is a Budget that many requests use at the same time. Its zero
+// value allows nothing.
+type SharedBudget struct {
+	mu    sync.Mutex
+	state Budget
+}
+
+// Set replaces the budget by a full one.
+func (b *SharedBudget) Set(ratio, limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state = NewBudget(ratio, limit)
+}
+
+// Earn counts a request.
+func (b *SharedBudget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state = b.state.Earn()
+}
+
+// Spend takes a retry or hedge from the budget and returns false where none is
+// left.
+func (b *SharedBudget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ok bool
+	b.state, ok = b.state.Spend()
+	return ok
+}
--- a/rollout/rest_test.go
+++ b/rollout/rest_test.go
@@ -23,16 +23,21 @@
 
 func (r *rest) Resume(_ cicadapitch.ShardID, e cicadapitch.EndpointID) { delete(r.paused, e) }
 
+// ownResting returns a host that owns the shard and pauses its engines.
+func (f *fleet) ownResting(r *rest) *rollout.Rollout {
+	o := &owner{claims: []cicadapitch.Claim{{Shard: "drafts-0", Fencing: 1}}}
+	return rollout.New("host", o, rollout.Platform{
+		Configurations: f, Driver: f, Rest: r, Store: f.store, Clock: f.clock,
+		Load: func(cicadapitch.ShardID) cicadapitch.ShardLoad { return f.load },
+	}, rollout.WithInterval(interval))
+}
+
 // TestEngineIsOrderedOnceItsWorkHasEnded lets the work of an engine outlast the
 // room that its shard had when it was paused.
 func TestEngineIsOrderedOnceItsWorkHasEnded(t *testing.T) {
 	f := newFleet(1, 2)
 	r := &rest{paused: make(map[cicadapitch.EndpointID]bool), busy: 3}
-	o := &owner{claims: []cicadapitch.Claim{{Shard: "drafts-0", Fencing: 1}}}
-	h := rollout.New("host", o, rollout.Platform{
-		Configurations: f, Driver: f, Rest: r, Store: f.store, Clock: f.clock,
-		Load: func(cicadapitch.ShardID) cicadapitch.ShardLoad { return f.load },
-	}, rollout.WithInterval(interval))
+	h := f.ownResting(r)
 	f.run(cicadapitch.Second, h)
 	require.Len(t, r.paused, 1)
 	f.load = cicadapitch.ShardLoad{Free: 0, Total: 8}
@@ -47,11 +52,7 @@
 func TestPausedEngineThatNeedsNoOrderTakesWorkAgain(t *testing.T) {
 	f := newFleet(1, 2)
 	r := &rest{paused: make(map[cicadapitch.EndpointID]bool), busy: 1000}
-	o := &owner{claims: []cicadapitch.Claim{{Shard: "drafts-0", Fencing: 1}}}
-	h := rollout.New("host", o, rollout.Platform{
-		Configurations: f, Driver: f, Rest: r, Store: f.store, Clock: f.clock,
-		Load: func(cicadapitch.ShardID) cicadapitch.ShardLoad { return f.load },
-	}, rollout.WithInterval(interval))
+	h := f.ownResting(r)
 	f.run(cicadapitch.Second, h)
 	require.Len(t, r.paused, 1)
 	f.cfg.Pools[0].Ordered = false
