--- a/claim/placing.go
+++ b/claim/placing.go
@@ -44,6 +44,7 @@
 			s.heard[shard] = t.Now
 		}
 	}
+	s.watchStore(t)
 	s.place(t)
 }
 
@@ -69,7 +70,7 @@
 	if f == s.placing.fingerprint && s.placing.winners != nil {
 		return
 	}
-	members := eligible(t.Members)
+	members := s.eligible(t)
 	byRegion := lo.GroupBy(members, func(m cicadapitch.Member) cicadapitch.RegionID { return m.Region })
 	winners := make(map[cicadapitch.ShardID]cicadapitch.Member, len(t.Shards))
 	for _, p := range t.Shards {
@@ -84,17 +85,34 @@
 	s.placing = placing{fingerprint: f, winners: winners}
 }
 
+// watchStore notes since when each ready member has not reached the store.
+func (s *State) watchStore(t Tick) {
+	seen := make(map[cicadapitch.HostID]bool, len(t.Members))
+	for _, m := range t.Members {
+		seen[m.Host] = true
+		_, noted := s.cutSince[m.Host]
+		switch {
+		case m.StoreUp || m.State != cicadapitch.Ready:
+			delete(s.cutSince, m.Host)
+		case !noted:
+			s.cutSince[m.Host] = t.Now
+		}
+	}
+	maps.DeleteFunc(s.cutSince, func(h cicadapitch.HostID, _ cicadapitch.Instant) bool { return !seen[h] })
+}
+
 // eligible returns the members that can claim shards. While some reach the store,
-// those that do not are left out, since nobody would claim in their place what
-// they have given up.
-func eligible(members []cicadapitch.Member) []cicadapitch.Member {
-	reach := lo.Filter(members, func(m cicadapitch.Member, _ int) bool {
-		return m.StoreUp && m.State == cicadapitch.Ready
+// those that have not for a while are left out, since nobody would claim in their
+// place what they have given up. A host that has just started gets that while to
+// reach the store, so that the first one does not claim everything.
+func (s *State) eligible(t Tick) []cicadapitch.Member {
+	if !lo.SomeBy(t.Members, func(m cicadapitch.Member) bool { return m.StoreUp }) {
+		return t.Members
+	}
+	return lo.Reject(t.Members, func(m cicadapitch.Member, _ int) bool {
+		since, cut := s.cutSince[m.Host]
+		return cut && t.Now.Sub(since) >= s.policy.CutAfter
 	})
-	if len(reach) == 0 {
-		return members
-	}
-	return reach
 }
 
 // foreign tells whether a region has been without hosts for so long that hosts
@@ -107,7 +125,7 @@
 // fingerprint changes whenever the placing may change.
 func (s *State) fingerprint(t Tick) uint64 {
 	var sum uint64
-	for _, m := range eligible(t.Members) {
+	for _, m := range s.eligible(t) {
 		if m.State == cicadapitch.Ready {
 			// A sum does not depend on the order of the members.
 			sum += xxh3.HashString(string(m.Host) + "\x00" + string(m.Zone) + "\x00" + string(m.Region))
--- a/claim/state.go
+++ b/claim/state.go
@@ -30,9 +30,12 @@
 	retryAt   map[cicadapitch.ShardID]cicadapitch.Instant
 	handOvers map[cicadapitch.ShardID]handOver
 	// outage is when the store last gave no answer.
-	outage     cicadapitch.Instant
-	known      map[cicadapitch.HostID]cicadapitch.Instant
-	regions    map[cicadapitch.RegionID]cicadapitch.Instant
+	outage  cicadapitch.Instant
+	known   map[cicadapitch.HostID]cicadapitch.Instant
+	regions map[cicadapitch.RegionID]cicadapitch.Instant
+	// cutSince is when each ready host that does not reach the store was first
+	// seen so.
+	cutSince   map[cicadapitch.HostID]cicadapitch.Instant
 	placing    placing
 	advertised map[cicadapitch.ShardID]advert
 	// heard is when a live host last advertised a shard.
@@ -70,6 +73,7 @@
 		heard:     make(map[cicadapitch.ShardID]cicadapitch.Instant),
 		known:     make(map[cicadapitch.HostID]cicadapitch.Instant),
 		regions:   make(map[cicadapitch.RegionID]cicadapitch.Instant),
+		cutSince:  make(map[cicadapitch.HostID]cicadapitch.Instant),
 	}
 }
 
