endpoint: an idle endpoint is tried against its estimate

Ruled out: the connections between hosts, whose calls all had their attempt queued at the owner. Change: an endpoint that has been idle for a second takes one job whatever its estimate says.

--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -69,6 +69,9 @@
 	if needed <= remaining {
 		return true
 	}
+	if s.probesAny(now) {
+		return true
+	}
 	s.refuse(now, j, Unreachable, s.retryAfter(o, needed-remaining))
 	return false
 }
--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -51,6 +51,8 @@
 	credit int
 	need   int
 
+	// ended is when the last call ended.
+	ended cicadapitch.Instant
 	// added is when the shard got the endpoint.
 	added cicadapitch.Instant
 	// seen is true once its running work is known.
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -106,7 +106,8 @@
 			return offer{}, false
 		}
 	}
-	if s.policy.Admission && now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline {
+	late := now.Add(cicadapitch.Millis(o.wait+o.service)) > j.Deadline
+	if s.policy.Admission && late && !s.probes(now, b) {
 		return offer{}, false
 	}
 	o.score = max(float64(s.weight), minWaitWeight)*o.wait + o.service
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -98,6 +98,7 @@
 	}
 	delete(s.running, end.Attempt)
 	j.on.drop(j)
+	j.on.ended = now
 	s.queue.Charge(j.item, customer.Work(now.Sub(j.started)))
 	switch end.Outcome {
 	case Succeeded:
