--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,95 @@
+package batch
+
+import (
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+)
+
+// JobID names one stage of one request at its owner.
+type JobID uint64
+
+// Job is one stage of one request: pieces that share their input.
+type Job struct {
+	ID      JobID
+	Request cicadapitch.RequestID
+	Stage   int
+	Pieces  int
+	// Key or Inputs are the input of each piece.
+	Key    string
+	Inputs []string
+	// Zone is where the results are used next.
+	Zone cicadapitch.ZoneID
+	// ResultBytes is the approximate size of one result.
+	ResultBytes cicadapitch.Bytes
+	Priority    int
+	// Due is when the stage has to end for the request to meet its objective.
+	Due cicadapitch.Instant
+	// Expire is when the results are of no use any more.
+	Expire cicadapitch.Instant
+}
+
+// Outcome ends a job.
+type Outcome struct {
+	Job JobID
+	// Handles are the results in order, or nil.
+	Handles []string
+	// Lost is set where an input is gone, so that the stages before have to be
+	// run again.
+	Lost bool
+	// Reason is set where there is no result.
+	Reason string
+	// RetryAfter is when the queue will have drained.
+	RetryAfter cicadapitch.Millis
+}
+
+// PieceRef is one piece of a job.
+type PieceRef struct {
+	Job   *Job
+	Index int
+}
+
+// CallID names a call of the planner.
+type CallID uint64
+
+// Call is a command: run these pieces at this endpoint.
+type Call struct {
+	ID       CallID
+	Endpoint catalog.Endpoint
+	Pieces   []PieceRef
+	// Expected is how long the call should take.
+	Expected cicadapitch.Millis
+}
+
+// PieceResult is what became of a piece of a call.
+type PieceResult struct {
+	Handle string
+	// Gone means that an input is gone, Late that the piece's time had passed,
+	// and any other failure is Failed.
+	Gone, Late, Failed bool
+}
+
+// Failure is what became of a call without results.
+type Failure int
+
+// The failures of a call.
+const (
+	// None means that there are results.
+	None Failure = iota
+	// Full endpoints refused the call.
+	Full
+	// Broken calls ended without an answer.
+	Broken
+)
+
+// entry is a job in the planner.
+type entry struct {
+	Job
+	handles []string
+	left    int
+	// waiting holds the indices that are in no call.
+	waiting []int
+	// hedged marks pieces that were put back while their call went on.
+	hedged  map[int]bool
+	tries   int
+	arrived cicadapitch.Instant
+}
--- /dev/null
+++ b/batch/planner.go
@@ -0,0 +1,409 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+)
+
+const (
+	// heavyResult is the size from which moving a result between zones costs
+	// more than a short wait.
+	heavyResult cicadapitch.Bytes = 100_000
+	// maxTries bounds the calls that one piece's job is part of after failures.
+	maxTries = 4
+	// tick is the pause between looks at overdue calls and expiring jobs.
+	tick cicadapitch.Millis = 50
+)
+
+type result struct {
+	endpoint cicadapitch.EndpointID
+	bytes    cicadapitch.Bytes
+	expire   cicadapitch.Instant
+}
+
+// Planner is the state of one stage service at its owner. It is not safe for
+// concurrent use.
+type Planner struct {
+	spec    catalog.BatchSpec
+	workers map[cicadapitch.EndpointID]*worker
+	jobs    map[JobID]*entry
+	results map[string]result
+	calls   map[CallID]*worker
+	next    CallID
+	done    []Outcome
+	// orphans are results that nobody waits for.
+	orphans []string
+}
+
+// NewPlanner returns a planner without endpoints.
+func NewPlanner(spec catalog.BatchSpec) *Planner {
+	return &Planner{
+		spec:    spec,
+		workers: map[cicadapitch.EndpointID]*worker{},
+		jobs:    map[JobID]*entry{},
+		results: map[string]result{},
+		calls:   map[CallID]*worker{},
+	}
+}
+
+// SetSpec takes a changed description of the service.
+func (p *Planner) SetSpec(spec catalog.BatchSpec) { p.spec = spec }
+
+// SetEndpoints takes the endpoints that may get work.
+func (p *Planner) SetEndpoints(list []catalog.Endpoint) {
+	seen := map[cicadapitch.EndpointID]bool{}
+	for _, e := range list {
+		seen[e.ID] = true
+		w := p.workers[e.ID]
+		if w == nil || w.Started != e.Started || w.Address != e.Address {
+			w = newWorker(e)
+			p.workers[e.ID] = w
+		}
+		w.Endpoint, w.gone = e, false
+	}
+	for id, w := range p.workers {
+		if !seen[id] {
+			w.gone = true
+			if len(w.calls) == 0 {
+				delete(p.workers, id)
+			}
+		}
+	}
+}
+
+// Expected returns how long a call of n pieces takes.
+func (p *Planner) Expected(n int) cicadapitch.Millis {
+	return p.spec.CallTime + cicadapitch.Millis(float64(n)*p.spec.PieceTime)
+}
+
+// Submit adds a job, or refuses it at once where its results would come too
+// late to be of use.
+func (p *Planner) Submit(now cicadapitch.Instant, j Job) {
+	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, arrived: now}
+	for i := range j.Pieces {
+		e.waiting = append(e.waiting, i)
+	}
+	if wait := p.Wait(now, j.Priority, j.Due); now.Add(wait+p.Expected(j.Pieces)) > j.Expire {
+		p.done = append(p.done, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: wait})
+		return
+	}
+	p.jobs[j.ID] = e
+}
+
+// Cancel drops a job. Its results are freed as they come.
+func (p *Planner) Cancel(id JobID) {
+	e := p.jobs[id]
+	if e == nil {
+		return
+	}
+	p.drop(e)
+}
+
+func (p *Planner) drop(e *entry) {
+	delete(p.jobs, e.ID)
+	e.waiting = nil
+	for _, h := range e.handles {
+		if h != "" {
+			p.orphans = append(p.orphans, h)
+		}
+	}
+}
+
+func (p *Planner) fail(e *entry, o Outcome) {
+	p.drop(e)
+	o.Job = e.ID
+	p.done = append(p.done, o)
+}
+
+// Wait estimates how long a new piece of the given priority and due time waits
+// for the start of its call.
+func (p *Planner) Wait(now cicadapitch.Instant, priority int, due cicadapitch.Instant) cicadapitch.Millis {
+	rate, first := 0.0, cicadapitch.Millis(-1)
+	for _, w := range p.workers {
+		if w.gone || w.pause >= maxPause {
+			continue
+		}
+		slow := w.slowness(now)
+		rate += float64(p.spec.Size) / (float64(p.Expected(p.spec.Size)) * slow)
+		free := max(w.until.Sub(now), 0)
+		for _, c := range w.calls {
+			free = max(free, c.started.Add(c.Expected).Sub(now))
+		}
+		if first < 0 || free < first {
+			first = free
+		}
+	}
+	if rate == 0 {
+		return maxPause
+	}
+	ahead := 0
+	for _, e := range p.jobs {
+		if e.Priority < priority || e.Priority == priority && e.Due <= due {
+			ahead += len(e.waiting)
+		}
+	}
+	return max(first, 0) + cicadapitch.Millis(float64(ahead)/rate)
+}
+
+// Finish takes the end of a call.
+func (p *Planner) Finish(now cicadapitch.Instant, id CallID, results []PieceResult, failure Failure) {
+	w := p.calls[id]
+	if w == nil {
+		return
+	}
+	f := w.calls[id]
+	delete(w.calls, id)
+	delete(p.calls, id)
+	if w.gone && len(w.calls) == 0 && p.workers[w.ID] == w {
+		delete(p.workers, w.ID)
+	}
+	switch failure {
+	case Full:
+		w.until = now.Add(fullPause)
+	case Broken:
+		w.failed(now)
+	default:
+		w.pause = 0
+		w.learn(now, float64(now.Sub(f.started))/float64(f.Expected))
+	}
+	for i, ref := range f.Pieces {
+		if failure != None {
+			w.used -= ref.Job.ResultBytes
+			p.again(ref, f, failure == Broken)
+			continue
+		}
+		p.settle(now, w, f, ref, results[i])
+	}
+}
+
+func (p *Planner) settle(now cicadapitch.Instant, w *worker, f *flight, ref PieceRef, r PieceResult) {
+	if r.Handle == "" {
+		w.used -= ref.Job.ResultBytes
+	} else {
+		p.results[r.Handle] = result{w.ID, ref.Job.ResultBytes, now.Add(p.spec.ResultLife)}
+	}
+	e := p.jobs[ref.Job.ID]
+	switch {
+	case e == nil || e.handles[ref.Index] != "":
+		if r.Handle != "" {
+			p.orphans = append(p.orphans, r.Handle)
+		}
+	case r.Handle != "":
+		e.handles[ref.Index] = r.Handle
+		e.waiting = slices.DeleteFunc(e.waiting, func(i int) bool { return i == ref.Index })
+		if e.left--; e.left == 0 {
+			delete(p.jobs, e.ID)
+			p.done = append(p.done, Outcome{Job: e.ID, Handles: e.handles})
+		}
+	case r.Gone:
+		p.fail(e, Outcome{Lost: true, Reason: "an input is gone"})
+	default:
+		p.again(ref, f, r.Failed)
+	}
+}
+
+// again puts a piece back into the queue.
+func (p *Planner) again(ref PieceRef, f *flight, failed bool) {
+	e := p.jobs[ref.Job.ID]
+	if e == nil || e.handles[ref.Index] != "" || slices.Contains(e.waiting, ref.Index) {
+		return
+	}
+	if f.overdue && e.hedged[ref.Index] && p.inFlight(e.ID, ref.Index) {
+		return
+	}
+	if failed {
+		if e.tries++; e.tries > maxTries*e.Pieces {
+			p.fail(e, Outcome{Reason: "the pieces failed too often"})
+			return
+		}
+	}
+	e.waiting = append(e.waiting, ref.Index)
+}
+
+func (p *Planner) inFlight(id JobID, index int) bool {
+	for call, w := range p.calls {
+		for _, ref := range w.calls[call].Pieces {
+			if ref.Job.ID == id && ref.Index == index {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Free gives up results. It returns them by endpoint.
+func (p *Planner) Free(handles []string) map[cicadapitch.EndpointID][]string {
+	out := map[cicadapitch.EndpointID][]string{}
+	for _, h := range handles {
+		r, ok := p.results[h]
+		if !ok {
+			continue
+		}
+		delete(p.results, h)
+		if w := p.workers[r.endpoint]; w != nil {
+			w.used -= r.bytes
+			out[r.endpoint] = append(out[r.endpoint], h)
+		}
+	}
+	return out
+}
+
+// Plan returns what to do now: calls to make, jobs that ended, results to give
+// up, and when to look again at the latest.
+func (p *Planner) Plan(now cicadapitch.Instant) ([]Call, []Outcome, []string, cicadapitch.Millis) {
+	p.expire(now)
+	p.hedge(now)
+	var calls []Call
+	order := p.order(now)
+	free := p.freeWorkers(now)
+	for i, w := range free {
+		refs := p.fill(now, w, order, free[i+1:])
+		if len(refs) == 0 {
+			continue
+		}
+		calls = append(calls, p.start(now, w, refs))
+	}
+	done, orphans := p.done, p.orphans
+	p.done, p.orphans = nil, nil
+	return calls, done, orphans, tick
+}
+
+// Idle reports whether there is nothing to look at.
+func (p *Planner) Idle() bool { return len(p.jobs) == 0 && len(p.calls) == 0 && len(p.results) == 0 }
+
+func (p *Planner) expire(now cicadapitch.Instant) {
+	for _, e := range p.jobs {
+		if len(e.waiting) > 0 && now.Add(p.Expected(1)) > e.Expire {
+			p.fail(e, Outcome{Reason: "the request's time is over"})
+		}
+	}
+	for h, r := range p.results {
+		if now > r.expire {
+			delete(p.results, h)
+			if w := p.workers[r.endpoint]; w != nil {
+				w.used -= r.bytes
+			}
+		}
+	}
+}
+
+// hedge puts the pieces of overdue calls back into the queue: the endpoint is
+// slow, or gone without a sign.
+func (p *Planner) hedge(now cicadapitch.Instant) {
+	for _, w := range p.workers {
+		for _, f := range w.calls {
+			took := now.Sub(f.started)
+			limit := cicadapitch.Millis(float64(f.Expected)*slowFrom) + overdueSlack
+			if f.overdue || took <= limit {
+				continue
+			}
+			f.overdue = true
+			w.slow, w.seen = max(w.slow, float64(took)/float64(f.Expected)), now
+			for _, ref := range f.Pieces {
+				e := p.jobs[ref.Job.ID]
+				if e == nil || e.handles[ref.Index] != "" || e.hedged[ref.Index] {
+					continue
+				}
+				if e.hedged == nil {
+					e.hedged = map[int]bool{}
+				}
+				e.hedged[ref.Index] = true
+				e.waiting = append(e.waiting, ref.Index)
+			}
+		}
+	}
+}
+
+// order lists the waiting jobs: those that can still meet their objective
+// first, by priority and due time, then the late ones.
+func (p *Planner) order(now cicadapitch.Instant) []*entry {
+	var list []*entry
+	for _, e := range p.jobs {
+		if len(e.waiting) > 0 {
+			list = append(list, e)
+		}
+	}
+	soonest := now.Add(p.Expected(1))
+	late := func(e *entry) int {
+		if soonest > e.Due {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(list, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// freeWorkers lists the endpoints that can start a call, the fastest first.
+func (p *Planner) freeWorkers(now cicadapitch.Instant) []*worker {
+	var list []*worker
+	for _, w := range p.workers {
+		if w.free(now, p.spec.Slots) {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.class(now), b.class(now)), cmp.Compare(a.seen, b.seen), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// class groups endpoints of about the same speed.
+func (w *worker) class(now cicadapitch.Instant) int {
+	if w.slowness(now) < slowFrom {
+		return 0
+	}
+	return 1
+}
+
+// fill chooses pieces for one call. others are further endpoints that are free.
+func (p *Planner) fill(now cicadapitch.Instant, w *worker, order []*entry, others []*worker) []PieceRef {
+	var refs []PieceRef
+	room := p.spec.ResultRoom - w.used
+	slow := w.slowness(now)
+	for _, e := range order {
+		if len(refs) == p.spec.Size {
+			break
+		}
+		end := now.Add(cicadapitch.Millis(float64(p.Expected(len(refs)+len(e.waiting))) * slow))
+		if slow >= slowFrom && end > e.Due && now.Add(p.Expected(1)) <= e.Due {
+			continue
+		}
+		if e.ResultBytes >= heavyResult && e.Zone != w.Zone && slices.ContainsFunc(others, func(o *worker) bool { return o.Zone == e.Zone }) {
+			continue
+		}
+		for len(e.waiting) > 0 && len(refs) < p.spec.Size && (room >= e.ResultBytes || w.used == 0 && len(refs) == 0) {
+			refs = append(refs, PieceRef{&e.Job, e.waiting[0]})
+			e.waiting = e.waiting[1:]
+			room -= e.ResultBytes
+		}
+	}
+	return refs
+}
+
+func (p *Planner) start(now cicadapitch.Instant, w *worker, refs []PieceRef) Call {
+	p.next++
+	c := Call{ID: p.next, Endpoint: w.Endpoint, Pieces: refs, Expected: p.Expected(len(refs))}
+	for _, ref := range refs {
+		w.used += ref.Job.ResultBytes
+	}
+	w.calls[c.ID] = &flight{Call: c, started: now}
+	w.slow, w.seen = w.slowness(now), now
+	p.calls[c.ID] = w
+	return c
+}
+
+// Endpoint returns an endpoint that the planner knows.
+func (p *Planner) Endpoint(id cicadapitch.EndpointID) (catalog.Endpoint, bool) {
+	w := p.workers[id]
+	if w == nil {
+		return catalog.Endpoint{}, false
+	}
+	return w.Endpoint, true
+}
--- /dev/null
+++ b/catalog/kind.go
@@ -0,0 +1,17 @@
+package catalog
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=RequestKind -text -output=requestkind_enumer.go
+
+// RequestKind says what may be repeated.
+type RequestKind int
+
+// The kinds of requests.
+const (
+	// Unsafe requests run at most once.
+	Unsafe RequestKind = iota
+	// Safe requests are idempotent.
+	Safe
+	// Streaming requests are answered by a series of events. They run at most
+	// once unless their route allows resuming.
+	Streaming
+)
--- /dev/null
+++ b/cmd/cicadapitch-front/main.go
@@ -0,0 +1,51 @@
+// Command cicadapitch-front runs one host on the users' platform.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fronthost"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+func main() {
+	path := platform.SettingsPath()
+	check := false
+	flaggy.SetName("cicadapitch-front")
+	flaggy.SetDescription("Runs one host on the users' platform.")
+	flaggy.String(&path, "s", "settings", "settings file of the platform")
+	flaggy.Bool(&check, "c", "check", "check the settings and end")
+	flaggy.Parse()
+	w := fronthost.NewLogWriter(os.Stdout)
+	err := run(path, check, w)
+	w.Close()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool, w *fronthost.LogWriter) error {
+	clock := cicadapitch.NewSystemClock()
+	log := fronthost.NewLogger(w, clock)
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings cannot be used")
+		return err
+	}
+	if check {
+		log.Info().Msg("settings are good")
+		return nil
+	}
+	h, err := fronthost.New(s, log, clock)
+	if err == nil {
+		err = h.Run(context.Background())
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("ended")
+	}
+	return err
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Buckets of latencies cover calls within a zone up to whole deadlines.
+var Buckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second,
+}
--- /dev/null
+++ b/gateway/owner.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+const (
+	// callGiveUp bounds a call to a stage endpoint as a multiple of its expected
+	// time. Its pieces went to others long before.
+	callGiveUp = 12
+	// freePause gathers results that are given up into one call.
+	freePause cicadapitch.Millis = 60
+)
+
+// Owner runs the stage services that this host owns: it carries out the
+// commands of a batch.Planner for each.
+type Owner struct {
+	endpoints *platform.Endpoints
+	clock     cicadapitch.Clock
+	log       zerolog.Logger
+	metrics   tally.Scope
+
+	mu      sync.Mutex
+	view    *fleet.View
+	next    batch.JobID
+	planned map[catalog.ServiceID]*service
+}
+
+// service is one stage service. Its lock orders the planner's messages.
+type service struct {
+	o       *Owner
+	name    catalog.ServiceID
+	mu      sync.Mutex
+	planner *batch.Planner
+	waiting map[batch.JobID]chan batch.Outcome
+	timer   *time.Timer
+	freeing map[cicadapitch.EndpointID][]string
+	view    *fleet.View
+}
+
+func newOwner(e *platform.Endpoints, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *Owner {
+	return &Owner{
+		endpoints: e, clock: clock, log: log, metrics: metrics,
+		planned: map[catalog.ServiceID]*service{},
+	}
+}
+
+func (o *Owner) setView(v *fleet.View) {
+	o.mu.Lock()
+	o.view = v
+	list := make([]*service, 0, len(o.planned))
+	for _, s := range o.planned {
+		list = append(list, s)
+	}
+	o.mu.Unlock()
+	for _, s := range list {
+		s.setView(v)
+	}
+}
+
+func (o *Owner) service(name catalog.ServiceID) *service {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s := o.planned[name]; s != nil {
+		return s
+	}
+	if o.view == nil || o.view.Catalog == nil {
+		return nil
+	}
+	spec := o.view.Catalog.Services[name]
+	if spec == nil || spec.Batch == nil {
+		return nil
+	}
+	s := &service{
+		o: o, name: name, planner: batch.NewPlanner(*spec.Batch),
+		waiting: map[batch.JobID]chan batch.Outcome{},
+		freeing: map[cicadapitch.EndpointID][]string{},
+	}
+	s.timer = time.AfterFunc(time.Hour, s.wake)
+	s.setView(o.view)
+	o.planned[name] = s
+	return s
+}
+
+// Run runs one stage of a request.
+func (o *Owner) Run(ctx context.Context, c StageCall) (StageReply, error) {
+	s := o.service(c.Service)
+	if s == nil {
+		return StageReply{}, cicadapitch.NewNotRun("stage service "+string(c.Service)+" is not configured here", notReadyRetry)
+	}
+	o.mu.Lock()
+	o.next++
+	id := o.next
+	o.mu.Unlock()
+	now := o.clock.Now()
+	done := make(chan batch.Outcome, 1)
+	s.submit(now, batch.Job{
+		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
+		Zone: c.Zone, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
+	}, done)
+	select {
+	case out := <-done:
+		return StageReply{Handles: out.Handles, Lost: out.Lost, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
+	case <-ctx.Done():
+		s.cancel(id)
+		return StageReply{}, context.Cause(ctx)
+	}
+}
+
+// Free gives up results.
+func (o *Owner) Free(name catalog.ServiceID, handles []string) {
+	s := o.service(name)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.giveUp(handles)
+}
+
+// Waits returns the waits of the services that have work here.
+func (o *Owner) Waits() map[string]cicadapitch.Millis {
+	now := o.clock.Now()
+	out := map[string]cicadapitch.Millis{}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, s := range o.planned {
+		s.mu.Lock()
+		if !s.planner.Idle() {
+			out[string(name)] = s.planner.Wait(now, 1<<30, now)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+func (s *service) setView(v *fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	if v.Catalog != nil {
+		if spec := v.Catalog.Services[s.name]; spec != nil && spec.Batch != nil {
+			s.planner.SetSpec(*spec.Batch)
+		}
+	}
+	var list []catalog.Endpoint
+	for _, e := range v.Endpoints(s.name) {
+		list = append(list, e.Endpoint)
+	}
+	s.planner.SetEndpoints(list)
+}
+
+func (s *service) submit(now cicadapitch.Instant, j batch.Job, done chan batch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[j.ID] = done
+	s.planner.Submit(now, j)
+	s.plan(now)
+}
+
+func (s *service) cancel(id batch.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	s.planner.Cancel(id)
+	s.plan(s.o.clock.Now())
+}
+
+func (s *service) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, handles := range s.freeing {
+		delete(s.freeing, id)
+		s.sendFree(id, handles)
+	}
+	s.plan(s.o.clock.Now())
+}
+
+// plan carries out what the planner asks for. The caller holds mu.
+func (s *service) plan(now cicadapitch.Instant) {
+	calls, done, orphans, next := s.planner.Plan(now)
+	for _, out := range done {
+		if ch := s.waiting[out.Job]; ch != nil {
+			ch <- out
+			delete(s.waiting, out.Job)
+		}
+	}
+	for _, c := range calls {
+		s.log(c)
+		go s.call(c, now)
+	}
+	s.giveUp(orphans)
+	if !s.planner.Idle() || len(s.freeing) > 0 {
+		s.timer.Reset(next.Duration())
+	}
+}
+
+func (s *service) log(c batch.Call) {
+	ids := make([]string, 0, len(c.Pieces))
+	for _, ref := range c.Pieces {
+		if n := len(ids); n == 0 || ids[n-1] != string(ref.Job.Request) {
+			ids = append(ids, string(ref.Job.Request))
+		}
+	}
+	s.o.log.Info().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
+		Int64("EntryRevision", c.Endpoint.Revision).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
+		Int64("ExpectedMs", int64(c.Expected)).Msg("stage call")
+}
+
+func (s *service) call(c batch.Call, now cicadapitch.Instant) {
+	ctx, cancel := context.WithTimeout(context.Background(), callGiveUp*c.Expected.Duration())
+	defer cancel()
+	pieces := make([]platform.Piece, len(c.Pieces))
+	for i, ref := range c.Pieces {
+		pieces[i] = platform.Piece{
+			Request: ref.Job.Request, Stage: ref.Job.Stage, Index: ref.Index,
+			Left: max(ref.Job.Expire.Sub(now), 1), Key: ref.Job.Key, Inputs: ref.Job.Inputs,
+		}
+	}
+	results, err := s.o.endpoints.RunPieces(ctx, c.Endpoint, pieces)
+	failure := batch.None
+	if err != nil {
+		failure = batch.Broken
+		if cicadapitch.KindOf(err) == cicadapitch.NotRun && cicadapitch.AsError(err).RetryAfter > 0 {
+			failure = batch.Full
+		}
+		s.o.log.Warn().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).
+			Str("Endpoint", string(c.Endpoint.ID)).Err(err).Msg("stage call failed")
+	}
+	out := make([]batch.PieceResult, len(results))
+	for i, r := range results {
+		out[i] = batch.PieceResult{Handle: r.Handle, Gone: r.InputGone(), Late: r.TooLate(), Failed: r.Failed()}
+	}
+	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StageCalls").Inc(1)
+	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StagePieces").Inc(int64(len(c.Pieces)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.o.clock.Now()
+	s.planner.Finish(at, c.ID, out, failure)
+	s.plan(at)
+}
+
+// giveUp gathers results to give up. The caller holds mu.
+func (s *service) giveUp(handles []string) {
+	for id, list := range s.planner.Free(handles) {
+		if len(s.freeing[id]) == 0 {
+			s.timer.Reset(freePause.Duration())
+		}
+		s.freeing[id] = append(s.freeing[id], list...)
+	}
+}
+
+// sendFree gives up results at their endpoint. The caller holds mu.
+func (s *service) sendFree(id cicadapitch.EndpointID, handles []string) {
+	e, ok := s.planner.Endpoint(id)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+		defer cancel()
+		if err := s.o.endpoints.Free(ctx, e, handles); err != nil {
+			s.o.log.Warn().Str("Endpoint", string(id)).Int("Results", len(handles)).Err(err).
+				Msg("results were not given up; they end by themselves")
+		}
+	}()
+}
--- /dev/null
+++ b/gateway/stagerun.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/peer"
+)
+
+// Names of the calls between hosts.
+const (
+	callStage = "stage"
+	callFree  = "free"
+)
+
+const (
+	// stageOwners bounds the hosts tried as the owner of a stage service before
+	// this host runs the stage itself.
+	stageOwners = 2
+	// transitSlack is the time between a stage's end and the next one's start.
+	transitSlack cicadapitch.Millis = 40
+)
+
+// StageCall asks the owner of a stage service to run one stage of a request.
+type StageCall struct {
+	Service catalog.ServiceID
+	Request cicadapitch.RequestID
+	Stage   int
+	Pieces  int
+	Key     string
+	Inputs  []string
+	// Zone is where the results are used.
+	Zone        cicadapitch.ZoneID
+	ResultBytes cicadapitch.Bytes
+	Priority    int
+	// DueIn and ExpireIn are the spans until the stage has to end, for the
+	// objective and for any use.
+	DueIn, ExpireIn cicadapitch.Millis
+}
+
+// StageReply is the owner's answer.
+type StageReply struct {
+	Handles []string
+	Lost    bool
+	Reason  string
+	// RetryAfter is when the owner's queue will have drained.
+	RetryAfter cicadapitch.Millis
+}
+
+// FreeCall gives up results.
+type FreeCall struct {
+	Service catalog.ServiceID
+	Handles []string
+}
+
+type stageEnd struct {
+	stage int
+	reply StageReply
+	err   error
+}
+
+// runStages runs the stages of the request and returns the results that its
+// engine needs. release gives up the results that are still held.
+func (t *task) runStages(ctx context.Context, zone cicadapitch.ZoneID) ([]string, func(), error) {
+	held := &holding{t: t, handles: map[int][]string{}}
+	pieces := t.request.Pieces
+	if len(pieces) < len(t.route.Stages) {
+		pieces = append(append([]int(nil), pieces...), make([]int, len(t.route.Stages)-len(pieces))...)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan stageEnd, len(t.route.Stages))
+	started := make([]bool, len(t.route.Stages))
+	running := 0
+	startReady := func() {
+		for i := range t.route.Stages {
+			if started[i] || pieces[i] == 0 || !t.inputsReady(i, pieces, held) {
+				continue
+			}
+			started[i] = true
+			running++
+			go func() { ends <- t.runStage(ctx, i, pieces, held, zone) }()
+		}
+	}
+	startReady()
+	for running > 0 {
+		end := <-ends
+		running--
+		if end.err != nil {
+			cancel()
+			// The results of stages that still run come back to their owner.
+			held.release()
+			return nil, func() {}, end.err
+		}
+		held.put(end.stage, end.reply.Handles)
+		t.freeUsed(pieces, held)
+		startReady()
+	}
+	var inputs []string
+	for _, i := range t.route.Sinks(pieces) {
+		inputs = append(inputs, held.get(i)...)
+	}
+	return inputs, held.release, nil
+}
+
+func (t *task) inputsReady(stage int, pieces []int, held *holding) bool {
+	for _, a := range t.route.Stages[stage].After {
+		if pieces[a] > 0 && held.get(a) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// freeUsed gives up results that every stage which needs them has used.
+func (t *task) freeUsed(pieces []int, held *holding) {
+	for i := range t.route.Stages {
+		if held.get(i) == nil {
+			continue
+		}
+		followed, open := false, false
+		for j, s := range t.route.Stages {
+			for _, a := range s.After {
+				if a == i && pieces[j] > 0 {
+					followed = true
+					open = open || held.get(j) == nil && !held.freed(j)
+				}
+			}
+		}
+		if followed && !open {
+			held.free(i)
+		}
+	}
+}
+
+func (t *task) runStage(ctx context.Context, stage int, pieces []int, held *holding, zone cicadapitch.ZoneID) stageEnd {
+	s := t.route.Stages[stage]
+	now := t.g.clock.Now()
+	after := t.pathAfter(stage, pieces)
+	c := StageCall{
+		Service: s.Service, Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority,
+		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
+		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
+	}
+	for _, a := range s.After {
+		c.Inputs = append(c.Inputs, held.get(a)...)
+	}
+	if len(c.Inputs) == 0 {
+		c.Key = t.request.PieceKey
+	}
+	reply, err := t.callOwner(ctx, c)
+	took := t.g.clock.Now().Sub(now)
+	t.g.log.Info().Str("Id", string(t.request.ID)).Int("Stage", stage).Str("Service", string(s.Service)).
+		Int("Pieces", c.Pieces).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
+		Int64("TookMs", int64(took)).Str("Reason", reply.Reason).Err(err).Msg("stage")
+	t.g.metrics.Tagged(map[string]string{"Service": string(s.Service)}).Histogram("Stage", Buckets).RecordDuration(took.Duration())
+	if err == nil && reply.Handles == nil {
+		err = cicadapitch.NewNotRun("stage of "+string(s.Service)+": "+reply.Reason, max(reply.RetryAfter, fullRetry))
+	}
+	return stageEnd{stage, reply, err}
+}
+
+// pathAfter estimates the time of the stages that follow a stage.
+func (t *task) pathAfter(stage int, pieces []int) cicadapitch.Millis {
+	longest := cicadapitch.Millis(0)
+	for j, s := range t.route.Stages {
+		for _, a := range s.After {
+			if a != stage || pieces[j] == 0 {
+				continue
+			}
+			longest = max(longest, t.stageTime(s.Service)+t.pathAfter(j, pieces))
+		}
+	}
+	return longest
+}
+
+// stageTime estimates one stage: a call that is half full, and transit.
+func (t *task) stageTime(name catalog.ServiceID) cicadapitch.Millis {
+	s := t.view.Catalog.Services[name]
+	if s == nil || s.Batch == nil {
+		return 0
+	}
+	return s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
+}
+
+// callOwner runs a stage at the owner of its service, or here where no owner
+// can be reached.
+func (t *task) callOwner(ctx context.Context, c StageCall) (StageReply, error) {
+	d := t.g.mesh.Dialer()
+	begin := t.g.clock.Now()
+	for i, h := range t.g.mesh.OwnersOf(string(c.Service)) {
+		if i == stageOwners || t.g.mesh.IsSelf(h) || d == nil {
+			break
+		}
+		reply, err := peer.Call[StageCall, StageReply](ctx, d, h.Peers, callStage, c)
+		if err == nil || ctx.Err() != nil {
+			return reply, err
+		}
+		t.g.log.Warn().Str("Id", string(c.Request)).Str("Owner", string(h.ID)).Err(err).Msg("owner of a stage service not reached")
+		passed := t.g.clock.Now().Sub(begin)
+		begin = begin.Add(passed)
+		c.DueIn -= passed
+		c.ExpireIn -= passed
+	}
+	return t.g.owner.Run(ctx, c)
+}
+
+// holding is the set of stage results that a request holds.
+type holding struct {
+	t       *task
+	mu      sync.Mutex
+	handles map[int][]string
+	gone    map[int]bool
+}
+
+func (h *holding) put(stage int, handles []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handles[stage] = handles
+}
+
+func (h *holding) get(stage int) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.handles[stage]
+}
+
+func (h *holding) freed(stage int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gone[stage]
+}
+
+func (h *holding) free(stage int) {
+	h.mu.Lock()
+	handles := h.handles[stage]
+	delete(h.handles, stage)
+	if h.gone == nil {
+		h.gone = map[int]bool{}
+	}
+	h.gone[stage] = true
+	h.mu.Unlock()
+	if len(handles) > 0 {
+		h.t.g.free(h.t.route.Stages[stage].Service, handles)
+	}
+}
+
+// release gives up all results that are still held.
+func (h *holding) release() {
+	h.mu.Lock()
+	var stages []int
+	for s := range h.handles {
+		stages = append(stages, s)
+	}
+	h.mu.Unlock()
+	for _, s := range stages {
+		h.free(s)
+	}
+}
+
+// free gives up results through their owner, beside the request.
+func (g *Gateway) free(s catalog.ServiceID, handles []string) {
+	owners := g.mesh.OwnersOf(string(s))
+	d := g.mesh.Dialer()
+	if len(owners) == 0 || d == nil || g.mesh.IsSelf(owners[0]) {
+		g.owner.Free(s, handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+		defer cancel()
+		_, err := peer.Call[FreeCall, struct{}](ctx, d, owners[0].Peers, callFree, FreeCall{s, handles})
+		if err != nil {
+			g.log.Warn().Str("Service", string(s)).Err(err).Msg("results were not given up; they end by themselves")
+		}
+	}()
+}
+
+// freeTimeout bounds the call that gives up results.
+const freeTimeout cicadapitch.Millis = 1000
+
+// Join serves the calls of other hosts.
+func (g *Gateway) Join(s *peer.Server) {
+	peer.Handle(s, callStage, func(ctx context.Context, c StageCall) (StageReply, error) {
+		return g.owner.Run(ctx, c)
+	})
+	peer.Handle(s, callFree, func(_ context.Context, c FreeCall) (struct{}, error) {
+		g.owner.Free(c.Service, c.Handles)
+		return struct{}{}, nil
+	})
+}
--- a/platform/calls.go
+++ b/keyvalue/calls.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import "sync/atomic"
 
--- a/platform/exchange.go
+++ b/keyvalue/exchange.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"net/http"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform/etcd"
+	"cicadapitch.example/cicadapitch/keyvalue/etcd"
 )
 
 // effect says whether a call writes, which decides what a lost answer means.
--- a/platform/options.go
+++ b/keyvalue/options.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"golang.org/x/time/rate"
--- a/platform/store_test.go
+++ b/keyvalue/store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/keyvalue"
 	"cicadapitch.example/cicadapitch/standin"
 )
 
-func newStore(t *testing.T, opts ...platform.Option) (*platform.Store, *standin.MemoryStore) {
+func newStore(t *testing.T, opts ...keyvalue.Option) (*keyvalue.Store, *standin.MemoryStore) {
 	t.Helper()
 	memory := standin.NewMemoryStore(cicadapitch.NewSystemClock())
 	srv := httptest.NewServer(standin.NewStoreHandler(memory))
 	t.Cleanup(srv.Close)
-	return platform.NewStore([]string{srv.URL}, opts...), memory
+	return keyvalue.NewStore([]string{srv.URL}, opts...), memory
 }
 
 func put(key, value string) []cicadapitch.Put {
@@ -59,14 +59,14 @@
 	require.Equal(t, cicadapitch.Unavailable, cicadapitch.KindOf(err))
 	memory.SetDown(false)
 
-	refused := platform.NewStore([]string{"http://127.0.0.1:1"})
+	refused := keyvalue.NewStore([]string{"http://127.0.0.1:1"})
 	_, err = refused.Commit(ctx, nil, put("a", "y"))
 	require.Equal(t, cicadapitch.Unavailable, cicadapitch.KindOf(err))
 }
 
 func TestStoreTimesOutAWriteAsUnknownAndAReadAsUnavailable(t *testing.T) {
 	ctx := context.Background()
-	s, memory := newStore(t, platform.WithTimeout(30))
+	s, memory := newStore(t, keyvalue.WithTimeout(30))
 	memory.SetDelay(10 * cicadapitch.Minute)
 	_, err := s.Commit(ctx, nil, put("a", "y"))
 	require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
@@ -75,7 +75,7 @@
 }
 
 func TestStoreRefusesAboveItsBudget(t *testing.T) {
-	s, memory := newStore(t, platform.WithReadBudget(0.001, 1))
+	s, memory := newStore(t, keyvalue.WithReadBudget(0.001, 1))
 	_, _, err := s.List(context.Background(), "")
 	require.NoError(t, err)
 	_, _, err = s.List(context.Background(), "")
@@ -178,7 +178,7 @@
 	srv := httptest.NewServer(standin.NewStoreHandler(standin.NewMemoryStore(cicadapitch.NewSystemClock())))
 	r := newRelay(t, srv.Listener.Addr().String())
 	t.Cleanup(srv.CloseClientConnections)
-	s := platform.NewStore([]string{"http://" + r.Addr().String()}, platform.WithTimeout(3000))
+	s := keyvalue.NewStore([]string{"http://" + r.Addr().String()}, keyvalue.WithTimeout(3000))
 	var calls sync.WaitGroup
 	for range 4 {
 		calls.Go(func() { _, _, _ = s.List(context.Background(), "") })
@@ -195,7 +195,7 @@
 	_, memory := newStore(t)
 	srv := httptest.NewServer(standin.NewStoreHandler(memory))
 	defer srv.Close()
-	s := platform.NewStore([]string{"http://127.0.0.1:1", srv.URL})
+	s := keyvalue.NewStore([]string{"http://127.0.0.1:1", srv.URL})
 	_, _, err := s.List(context.Background(), "")
 	require.Error(t, err)
 	_, _, err = s.List(context.Background(), "")
@@ -208,7 +208,7 @@
 	defer srv.Close()
 	want := cicadapitch.ListedHost{Host: "h1", PeerAddress: "127.0.0.1:1", Leaving: true}
 	list.Set(want)
-	got, err := platform.NewHostList(srv.URL).Hosts(context.Background())
+	got, err := keyvalue.NewHostList(srv.URL).Hosts(context.Background())
 	require.NoError(t, err)
 	require.Equal(t, []cicadapitch.ListedHost{want}, got)
 }
@@ -223,7 +223,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, line []byte) {
-		list, err := platform.DecodeWatch(line)
+		list, err := keyvalue.DecodeWatch(line)
 		require.False(t, err != nil && len(list) > 0)
 	})
 }
--- a/platform/storeread.go
+++ b/keyvalue/storeread.go
@@ -1,10 +1,10 @@
-package platform
+package keyvalue
 
 import (
 	"context"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform/etcd"
+	"cicadapitch.example/cicadapitch/keyvalue/etcd"
 )
 
 // Get implements cicadapitch.Store.
--- a/platform/storewatch.go
+++ b/keyvalue/storewatch.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"time"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform/etcd"
+	"cicadapitch.example/cicadapitch/keyvalue/etcd"
 )
 
 // Watch implements cicadapitch.Store. One message of the watch may have up to
--- /dev/null
+++ b/mesh/beat.go
@@ -0,0 +1,218 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+const (
+	// hostLease is how long the host's entry outlives it. With a heartbeat's
+	// silence before, a dead host is out of the directory long before the
+	// contract's limit.
+	hostLease cicadapitch.Millis = 4000
+	// renewInterval leaves room for two lost renewals.
+	renewInterval cicadapitch.Millis = 1200
+	// behindAfter is how long a host waits for a change that another host has
+	// before it asks that host.
+	behindAfter cicadapitch.Millis = 250
+	secretBytes                    = 32
+)
+
+func (m *Mesh) peerAddress() string {
+	return net.JoinHostPort(m.settings.IP, strconv.Itoa(m.settings.PeerPort))
+}
+
+// Secret reads the deployment's secret, and creates it if there is none.
+func (m *Mesh) Secret(ctx context.Context) ([]byte, error) {
+	for {
+		items, _, err := m.store.List(ctx, secretKey)
+		if err == nil && len(items) > 0 {
+			return items[0].Value, nil
+		}
+		if err == nil {
+			fresh := []byte(newIncarnation() + newIncarnation() + newIncarnation() + newIncarnation())[:secretBytes]
+			err = m.store.Create(ctx, secretKey, fresh)
+		}
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			m.storeFailed(err)
+		}
+		if err := m.clock.Sleep(ctx, retryFirst); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Join takes part in the exchange with other hosts over s and d.
+func (m *Mesh) Join(s *peer.Server, d *peer.Dialer) {
+	peer.Handle(s, callBeat, func(_ context.Context, b Beat) (Beat, error) {
+		m.hear(b)
+		return m.beat(), nil
+	})
+	peer.Handle(s, callSync, func(_ context.Context, r SyncRequest) (SyncReply, error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return SyncReply{Revision: m.mirror.At(), Records: m.mirror.Since(r.Since)}, nil
+	})
+	m.dialer.Store(d)
+}
+
+func (m *Mesh) beat() Beat {
+	m.mu.Lock()
+	at := m.mirror.At()
+	m.mu.Unlock()
+	return Beat{
+		Host: m.settings.Host, Incarnation: m.incarnation, Ready: m.Ready(), Revision: at,
+		Loads: m.loads(), Waits: m.waits(),
+	}
+}
+
+func (m *Mesh) hear(b Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.heard[b.Incarnation]
+	if h == nil {
+		return
+	}
+	now := m.clock.Now()
+	if h.at == 0 || now.Sub(h.at) >= silentAfter {
+		m.log.Info().Str("Host", string(b.Host)).Bool("Ready", b.Ready).Msg("host heard")
+	}
+	h.Beat, h.at = b, now
+}
+
+// Beats exchanges heartbeats with the other hosts until ctx ends.
+func (m *Mesh) Beats(ctx context.Context) {
+	for m.clock.Sleep(ctx, beatInterval) == nil {
+		d := m.Dialer()
+		if d == nil {
+			continue
+		}
+		m.settle()
+		for _, h := range m.View().Hosts {
+			if h.Incarnation != m.incarnation {
+				go m.beatOne(ctx, d, h)
+			}
+		}
+	}
+}
+
+func (m *Mesh) settle() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.take(m.clock.Now(), nil, "timer")
+}
+
+func (m *Mesh) beatOne(ctx context.Context, d *peer.Dialer, h fleet.Host) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout.Duration())
+	defer cancel()
+	b, err := peer.Call[Beat, Beat](ctx, d, h.Peers, callBeat, m.beat())
+	if err != nil {
+		m.missed(h, err)
+		return
+	}
+	m.hear(b)
+	m.mu.Lock()
+	at := m.mirror.At()
+	m.mu.Unlock()
+	if b.Revision <= at {
+		return
+	}
+	// The change is most likely on its way from the store.
+	if m.clock.Sleep(ctx, behindAfter) != nil {
+		return
+	}
+	m.syncFrom(ctx, d, h, b.Revision)
+}
+
+func (m *Mesh) missed(h fleet.Host, err error) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	heard := m.heard[h.Incarnation]
+	silent := heard != nil && heard.at > 0 && now.Sub(heard.at) >= silentAfter && now.Sub(heard.at) < silentAfter+beatInterval+beatTimeout
+	m.mu.Unlock()
+	if silent {
+		m.log.Warn().Str("Host", string(h.ID)).Err(err).Msg("host silent")
+	}
+}
+
+func (m *Mesh) syncFrom(ctx context.Context, d *peer.Dialer, h fleet.Host, known int64) {
+	m.mu.Lock()
+	at := m.mirror.At()
+	m.mu.Unlock()
+	if at >= known {
+		return
+	}
+	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: at})
+	if err != nil {
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", at).Err(err).Msg("changes could not be fetched from a host")
+		return
+	}
+	m.apply(r.Records, r.Revision, string(h.ID))
+}
+
+// HoldEntry keeps the host's entry in the store until ctx ends.
+func (m *Mesh) HoldEntry(ctx context.Context) {
+	value, err := json.Marshal(hostRecord{
+		Host: m.settings.Host, Incarnation: m.incarnation, Zone: m.settings.Zone,
+		Callers: m.settings.Callers, Peers: m.peerAddress(),
+	})
+	if err != nil {
+		m.log.Error().Err(err).Msg("the host's entry cannot be encoded")
+		return
+	}
+	for ctx.Err() == nil && !m.leaving.Load() {
+		pause := renewInterval
+		if err := m.holdOnce(ctx, value); err != nil {
+			m.log.Warn().Err(err).Msg("the host's lease could not be renewed")
+			pause = retryMost
+		}
+		// The only error is that ctx has ended, which the loop sees.
+		_ = m.clock.Sleep(ctx, pause)
+	}
+}
+
+func (m *Mesh) holdOnce(ctx context.Context, value []byte) error {
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	if lease != 0 {
+		err := m.store.Keep(ctx, lease)
+		if !errors.Is(err, platform.ErrNoLease) {
+			return err
+		}
+	}
+	if m.View().Catalog == nil {
+		return nil
+	}
+	lease, err := m.store.Lease(ctx, max(hostLease, m.settings.Store.MinLease))
+	if err != nil {
+		return err
+	}
+	if err := m.store.Put(ctx, hostPrefix+m.incarnation, value, lease); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leaving.Load() {
+		m.lease = lease
+	}
+	return nil
+}
+
+// Warm waits until the host can serve, or until ctx ends.
+func (m *Mesh) Warm(ctx context.Context) error {
+	for !m.Ready() {
+		if err := m.clock.Sleep(ctx, 20); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/follow.go
@@ -0,0 +1,216 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. A watch that went silent
+	// is noticed soon after it.
+	watchWait cicadapitch.Millis = 2500
+	// retryFirst and retryMost bound the pause after a failed call to the store.
+	retryFirst cicadapitch.Millis = 100
+	retryMost  cicadapitch.Millis = 600
+	// lapseGrace is how long an endpoint whose entry lapsed while the store was
+	// away may take to write it again.
+	lapseGrace cicadapitch.Millis = 1900
+	// lapseWindow is how long before and after a failure of the store a
+	// vanished entry may have lapsed rather than been removed.
+	lapseWindow cicadapitch.Millis = 2000
+)
+
+// Follow keeps the copy of the store up to date until ctx ends.
+func (m *Mesh) Follow(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := m.followOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil || errors.Is(err, platform.ErrCompacted) {
+			pause = retryFirst
+			continue
+		}
+		m.storeFailed(err)
+		// The only error is that ctx has ended, which the loop sees.
+		_ = m.clock.Sleep(ctx, pause)
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// followOnce lists the store and then watches it until a call fails.
+func (m *Mesh) followOnce(ctx context.Context) error {
+	items, at, err := m.store.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	m.storeAnswered()
+	m.replace(records(items), at)
+	for {
+		items, next, err := m.store.Watch(ctx, "", at, watchWait)
+		if err != nil {
+			return err
+		}
+		m.storeAnswered()
+		at = max(at, next)
+		m.apply(records(items), at, "store")
+	}
+}
+
+func records(items []platform.Item) []fleet.Record {
+	out := make([]fleet.Record, len(items))
+	for i, it := range items {
+		out[i] = fleet.Record(it)
+	}
+	return out
+}
+
+func (m *Mesh) storeFailed(err error) {
+	m.mu.Lock()
+	was := m.storeUp
+	m.storeUp, m.storeLost = false, m.clock.Now()
+	m.mu.Unlock()
+	m.store.Reset()
+	if was {
+		m.log.Warn().Err(err).Msg("store lost")
+	}
+}
+
+func (m *Mesh) storeAnswered() {
+	m.mu.Lock()
+	was := m.storeUp
+	if !was {
+		m.storeUp, m.storeBack = true, m.clock.Now()
+	}
+	at := m.mirror.At()
+	m.mu.Unlock()
+	if !was {
+		m.log.Info().Int64("Revision", at).Msg("store reached")
+	}
+}
+
+func (m *Mesh) replace(list []fleet.Record, at int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.take(now, m.mirror.Replace(now, "", list, at), "store")
+}
+
+func (m *Mesh) apply(list []fleet.Record, at int64, from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.take(now, m.mirror.Apply(now, list, at), from)
+}
+
+// take turns changed records into beliefs. The caller holds mu.
+func (m *Mesh) take(now cicadapitch.Instant, changed []fleet.Record, from string) {
+	due := m.settleLapsed(now)
+	if len(changed) == 0 && !due {
+		return
+	}
+	for _, r := range changed {
+		m.takeOne(now, r, from)
+	}
+	m.publish(now)
+}
+
+func (m *Mesh) takeOne(now cicadapitch.Instant, r fleet.Record, from string) {
+	if platform.IsCatalog(r.Key) {
+		m.takeCatalog(r, from)
+		return
+	}
+	if z, ok := platform.EvacuatedZone(r.Key); ok {
+		m.state.Evacuate(z, !r.Removed)
+		m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
+			Int64("Revision", r.Revision).Str("From", from).Msg("zone")
+		return
+	}
+	if id, ok := platform.EndpointOf(r.Key); ok {
+		m.takeEndpoint(now, id, r, from)
+		return
+	}
+	if strings.HasPrefix(r.Key, hostPrefix) {
+		m.takeHost(r)
+	}
+}
+
+func (m *Mesh) takeCatalog(r fleet.Record, from string) {
+	if r.Removed {
+		return
+	}
+	c, err := platform.DecodeCatalog(r.Value)
+	if err != nil {
+		m.log.Error().Err(err).Int64("Revision", r.Revision).Msg("configuration cannot be read and is left out")
+		return
+	}
+	ok := m.state.SetCatalog(c)
+	m.log.Info().Int64("Version", c.Version).Int64("Revision", r.Revision).
+		Str("From", from).Bool("InForce", ok).Msg("configuration")
+}
+
+func (m *Mesh) takeEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, from string) {
+	if r.Removed {
+		if m.mayHaveLapsed(now) {
+			m.lapsed[id] = max(m.storeBack, now-cicadapitch.Instant(lapseGrace)).Add(lapseGrace)
+			return
+		}
+		m.state.RemoveEndpoint(id)
+		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", r.Revision).Str("From", from).Msg("endpoint gone")
+		return
+	}
+	delete(m.lapsed, id)
+	e, err := platform.DecodeEndpoint(id, platform.Item(r))
+	if err != nil {
+		m.state.RemoveEndpoint(id)
+		m.log.Warn().Str("Endpoint", string(id)).Err(err).Msg("entry is not an endpoint's own and is left out")
+		return
+	}
+	m.state.SetEndpoint(now, e)
+	m.log.Info().Str("Endpoint", string(id)).Str("Address", e.Address).Str("Service", string(e.Service)).
+		Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
+		Int64("Revision", r.Revision).Str("From", from).Msg("endpoint")
+}
+
+// mayHaveLapsed reports whether a vanished entry may have lapsed because its
+// writer could not reach the store.
+func (m *Mesh) mayHaveLapsed(now cicadapitch.Instant) bool {
+	return m.storeLost > 0 && (!m.storeUp || now.Sub(m.storeBack) < lapseWindow)
+}
+
+// settleLapsed removes endpoints that did not come back. The caller holds mu.
+func (m *Mesh) settleLapsed(now cicadapitch.Instant) bool {
+	changed := false
+	for id, due := range m.lapsed {
+		if now < due || !m.storeUp {
+			continue
+		}
+		delete(m.lapsed, id)
+		m.state.RemoveEndpoint(id)
+		changed = true
+		m.log.Info().Str("Endpoint", string(id)).Msg("endpoint did not come back after the store did")
+	}
+	return changed
+}
+
+func (m *Mesh) takeHost(r fleet.Record) {
+	if r.Removed {
+		m.state.RemoveHost(r.Key)
+		m.log.Info().Str("Key", r.Key).Int64("Revision", r.Revision).Msg("host gone")
+		return
+	}
+	var h hostRecord
+	if err := json.Unmarshal(r.Value, &h); err != nil {
+		m.log.Warn().Str("Key", r.Key).Err(err).Msg("entry is not a host's own and is left out")
+		return
+	}
+	m.state.SetHost(r.Key, fleet.Host{ID: h.Host, Incarnation: h.Incarnation, Zone: h.Zone, Callers: h.Callers, Peers: h.Peers})
+	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", r.Revision).Msg("host")
+}
--- /dev/null
+++ b/mesh/message.go
@@ -0,0 +1,44 @@
+package mesh
+
+import (
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+)
+
+// Names of the calls between hosts.
+const (
+	callBeat = "beat"
+	callSync = "sync"
+)
+
+// Beat is a heartbeat. Both directions carry the same content.
+type Beat struct {
+	Host        cicadapitch.HostID
+	Incarnation string
+	// Ready hosts take callers.
+	Ready bool
+	// Revision is the store's revision up to which the host's copy is complete.
+	Revision int64
+	// Loads are the requests that the host has at each engine.
+	Loads map[cicadapitch.EndpointID]int
+	// Waits are the waits of the stage services that the host owns.
+	Waits map[string]cicadapitch.Millis
+}
+
+// SyncRequest asks for the changes after a revision.
+type SyncRequest struct{ Since int64 }
+
+// SyncReply carries them, complete up to Revision.
+type SyncReply struct {
+	Revision int64
+	Records  []fleet.Record
+}
+
+// hostRecord is a host's own entry in the store.
+type hostRecord struct {
+	Host        cicadapitch.HostID
+	Incarnation string
+	Zone        cicadapitch.ZoneID
+	Callers     string
+	Peers       string
+}
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/keyvalue"
 )
 
 // HostList is the platform's list of hosts. It shows a change after a lag.
@@ -59,12 +59,12 @@
 		return
 	}
 	if r.Method == http.MethodPost {
-		var b platform.HostsBody
+		var b keyvalue.HostsBody
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxStoreRequest)).Decode(&b); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		l.Set(b.Hosts...)
 	}
-	writeJSON(w, platform.HostsBody{Hosts: l.Hosts()})
+	writeJSON(w, keyvalue.HostsBody{Hosts: l.Hosts()})
 }
--- a/standin/storehandler.go
+++ b/standin/storehandler.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"cicadapitch.example/cicadapitch"
-	"cicadapitch.example/cicadapitch/platform/etcd"
+	"cicadapitch.example/cicadapitch/keyvalue/etcd"
 )
 
 const maxStoreRequest = 4 << 20
