--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -22,6 +22,9 @@
 	maxPause   cicadapitch.Millis = 2000
 	// fullPause is the pause after a refusal: a call of others runs there.
 	fullPause cicadapitch.Millis = 40
+	// roomPause is the pause of an endpoint without room for results, about the
+	// time that an engine takes to fetch them.
+	roomPause cicadapitch.Millis = 100
 )
 
 type flight struct {
--- a/batch/job.go
+++ b/batch/job.go
@@ -64,8 +64,9 @@
 type PieceResult struct {
 	Handle string
 	// Gone means that an input is gone, Late that the piece's time had passed,
-	// and any other failure is Failed.
-	Gone, Late, Failed bool
+	// NoRoom that the endpoint holds too many results. Any other failure is
+	// Failed.
+	Gone, Late, NoRoom, Failed bool
 }
 
 // Failure is what became of a call without results.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -169,6 +169,9 @@
 		w.pause = 0
 		w.learn(now, float64(now.Sub(f.started))/float64(f.Expected))
 	}
+	if slices.ContainsFunc(results, func(r PieceResult) bool { return r.NoRoom }) {
+		w.until = now.Add(roomPause)
+	}
 	for i, ref := range f.Pieces {
 		if failure != None {
 			w.used -= ref.Job.ResultBytes
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -241,7 +241,7 @@
 	}
 	out := make([]batch.PieceResult, len(results))
 	for i, r := range results {
-		out[i] = batch.PieceResult{Handle: r.Handle, Gone: r.InputGone(), Late: r.TooLate(), Failed: r.Failed()}
+		out[i] = batch.PieceResult{Handle: r.Handle, Gone: r.InputGone(), Late: r.TooLate(), NoRoom: r.NoRoom(), Failed: r.Failed()}
 	}
 	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StageCalls").Inc(1)
 	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StagePieces").Inc(int64(len(c.Pieces)))
