batch, gateway: admission by predicted waits; results counted until freed

Changed: jobs are refused at once if the queue, what overtakes it and the stages after it take longer than the caller waits; late work runs behind; room counts until the endpoint confirms; heavy moves prefer their zone; waiting requests are turned away 2.5 s after SIGTERM.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -67,6 +67,19 @@
 	return !w.gone && len(w.calls) < slots && now >= w.until
 }
 
+// freeIn estimates when the endpoint can start another call.
+func (w *worker) freeIn(now cicadapitch.Instant, slots int) cicadapitch.Millis {
+	wait := max(w.until.Sub(now), 0)
+	if len(w.calls) < slots {
+		return wait
+	}
+	for _, c := range w.calls {
+		end := c.started.Add(cicadapitch.Millis(float64(c.Expected) * w.slow))
+		wait = max(wait, end.Sub(now))
+	}
+	return wait
+}
+
 func (w *worker) failed(now cicadapitch.Instant) {
 	w.pause = min(max(2*w.pause, firstPause), maxPause)
 	w.until = now.Add(w.pause)
--- a/batch/job.go
+++ b/batch/job.go
@@ -17,8 +17,10 @@
 	// Key or Inputs are the input of each piece.
 	Key    string
 	Inputs []string
-	// Zone is where the results are used next.
-	Zone cicadapitch.ZoneID
+	// Zone is where the inputs are or the results are used, and MoveBytes what
+	// moves between zones if the job runs elsewhere.
+	Zone      cicadapitch.ZoneID
+	MoveBytes cicadapitch.Bytes
 	// ResultBytes is the approximate size of one result.
 	ResultBytes cicadapitch.Bytes
 	Priority    int
@@ -33,6 +35,8 @@
 	Job JobID
 	// Handles are the results in order, or nil.
 	Handles []string
+	// Zone is where most results are.
+	Zone cicadapitch.ZoneID
 	// Lost is set where an input is gone, so that the stages before have to be
 	// run again.
 	Lost bool
@@ -86,6 +90,7 @@
 type entry struct {
 	Job
 	handles []string
+	zones   map[cicadapitch.ZoneID]int
 	left    int
 	// waiting holds the indices that are in no call.
 	waiting []int
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"cicadapitch.example/cicadapitch"
@@ -9,11 +10,24 @@
 )
 
 const (
-	// heavyResult is the size from which moving a result between zones costs
-	// more than a short wait.
-	heavyResult cicadapitch.Bytes = 100_000
+	// heavyMove is the size from which moving inputs and results between zones
+	// costs more than a short wait.
+	heavyMove cicadapitch.Bytes = 100_000
 	// maxTries bounds the calls that one piece's job is part of after failures.
 	maxTries = 4
+	// priorityStep is how much earlier one priority counts as due than the next.
+	priorityStep cicadapitch.Millis = 400
+	// leastSpare is the part of the capacity that late work can count on however
+	// much arrives.
+	leastSpare = 0.05
+	// roomUse is the part of an endpoint's room that is filled, since sizes are
+	// approximate.
+	roomUse = 0.95
+	// lifeUse is the part of a result's life within which its use has to begin.
+	lifeUse = 0.8
+	// zoneSlack is the time to spare that a job keeps when it waits for an
+	// endpoint in its zone.
+	zoneSlack cicadapitch.Millis = 250
 	// tick is the pause between looks at overdue calls and expiring jobs.
 	tick cicadapitch.Millis = 50
 )
@@ -34,6 +48,7 @@
 	calls   map[CallID]*worker
 	next    CallID
 	done    []Outcome
+	demand  demand
 	// orphans are results that nobody waits for.
 	orphans []string
 }
@@ -82,13 +97,21 @@
 // Submit adds a job, or refuses it at once where its results would come too
 // late to be of use.
 func (p *Planner) Submit(now cicadapitch.Instant, j Job) {
-	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, arrived: now}
+	if len(j.Inputs) > 0 {
+		j.Expire = min(j.Expire, now.Add(cicadapitch.Millis(lifeUse*float64(p.spec.ResultLife))))
+	}
+	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, arrived: now, zones: map[cicadapitch.ZoneID]int{}}
 	for i := range j.Pieces {
 		e.waiting = append(e.waiting, i)
 	}
-	if wait := p.Wait(now, j.Priority, j.Due); now.Add(wait+p.Expected(j.Pieces)) > j.Expire {
-		p.done = append(p.done, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: wait})
-		return
+	work := p.Expected(j.Pieces)
+	if now.Add(p.Wait(now, j.Priority)+work) > j.Due {
+		if wait := p.lateWait(now); now.Add(wait+work) > j.Expire {
+			p.done = append(p.done, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: p.drain(now)})
+			return
+		}
+	} else {
+		p.demand.add(now, j.Priority, j.Pieces)
 	}
 	p.jobs[j.ID] = e
 }
@@ -118,34 +141,67 @@
 	p.done = append(p.done, o)
 }
 
-// Wait estimates how long a new piece of the given priority and due time waits
-// for the start of its call.
-func (p *Planner) Wait(now cicadapitch.Instant, priority int, due cicadapitch.Instant) cicadapitch.Millis {
+// capacity returns the pieces a millisecond that full calls get through, and
+// when the first endpoint is free.
+func (p *Planner) capacity(now cicadapitch.Instant) (float64, cicadapitch.Millis) {
 	rate, first := 0.0, cicadapitch.Millis(-1)
 	for _, w := range p.workers {
 		if w.gone || w.pause >= maxPause {
 			continue
 		}
-		slow := w.slowness(now)
-		rate += float64(p.spec.Size) / (float64(p.Expected(p.spec.Size)) * slow)
-		free := max(w.until.Sub(now), 0)
-		for _, c := range w.calls {
-			free = max(free, c.started.Add(c.Expected).Sub(now))
-		}
-		if first < 0 || free < first {
+		rate += float64(p.spec.Size) / (float64(p.Expected(p.spec.Size)) * w.slowness(now))
+		if free := w.freeIn(now, p.spec.Slots); first < 0 || free < first {
 			first = free
 		}
 	}
-	if rate == 0 {
-		return maxPause
-	}
+	return rate, max(first, 0)
+}
+
+// Wait estimates how long a piece of the given priority that arrives now waits
+// for the start of its call, given what is before it in the queue and what will
+// overtake it.
+func (p *Planner) Wait(now cicadapitch.Instant, priority int) cicadapitch.Millis {
 	ahead := 0
 	for _, e := range p.jobs {
-		if e.Priority < priority || e.Priority == priority && e.Due <= due {
+		if e.Priority <= priority && !p.late(now, e) {
 			ahead += len(e.waiting)
 		}
 	}
-	return max(first, 0) + cicadapitch.Millis(float64(ahead)/rate)
+	return p.waitBehind(now, ahead, p.demand.above(now, priority))
+}
+
+// lateWait estimates the wait of a job that is late already.
+func (p *Planner) lateWait(now cicadapitch.Instant) cicadapitch.Millis {
+	return p.waitBehind(now, p.queued(), p.demand.all(now))
+}
+
+// drain estimates when the queue will have drained.
+func (p *Planner) drain(now cicadapitch.Instant) cicadapitch.Millis {
+	return p.waitBehind(now, p.queued(), p.demand.all(now)/2)
+}
+
+func (p *Planner) queued() int {
+	n := 0
+	for _, e := range p.jobs {
+		n += len(e.waiting)
+	}
+	return n
+}
+
+func (p *Planner) waitBehind(now cicadapitch.Instant, ahead int, overtaking float64) cicadapitch.Millis {
+	rate, first := p.capacity(now)
+	if rate == 0 {
+		return maxPause
+	}
+	if ahead < p.spec.Size/2 {
+		return first
+	}
+	return first + cicadapitch.Millis(float64(ahead)/max(rate-overtaking, leastSpare*rate))
+}
+
+// late reports whether a job cannot meet its objective any more.
+func (p *Planner) late(now cicadapitch.Instant, e *entry) bool {
+	return now.Add(p.Expected(len(e.waiting))) > e.Due
 }
 
 // Finish takes the end of a call.
@@ -174,7 +230,7 @@
 	}
 	for i, ref := range f.Pieces {
 		if failure != None {
-			w.used -= ref.Job.ResultBytes
+			p.unsettled(now, w, f, i, failure)
 			p.again(ref, f, failure == Broken)
 			continue
 		}
@@ -182,6 +238,18 @@
 	}
 }
 
+// unsettled releases the room of a piece without a result. An endpoint may go on
+// with a call that broke, so its room stays taken for a result's life.
+func (p *Planner) unsettled(now cicadapitch.Instant, w *worker, f *flight, i int, failure Failure) {
+	bytes := f.Pieces[i].Job.ResultBytes
+	if failure == Full {
+		w.used -= bytes
+		return
+	}
+	name := fmt.Sprintf("unknown/%d/%d", f.ID, i)
+	p.results[name] = result{w.ID, bytes, now.Add(p.spec.ResultLife)}
+}
+
 func (p *Planner) settle(now cicadapitch.Instant, w *worker, f *flight, ref PieceRef, r PieceResult) {
 	if r.Handle == "" {
 		w.used -= ref.Job.ResultBytes
@@ -196,10 +264,11 @@
 		}
 	case r.Handle != "":
 		e.handles[ref.Index] = r.Handle
+		e.zones[w.Zone]++
 		e.waiting = slices.DeleteFunc(e.waiting, func(i int) bool { return i == ref.Index })
 		if e.left--; e.left == 0 {
 			delete(p.jobs, e.ID)
-			p.done = append(p.done, Outcome{Job: e.ID, Handles: e.handles})
+			p.done = append(p.done, Outcome{Job: e.ID, Handles: e.handles, Zone: e.mainZone()})
 		}
 	case r.Gone:
 		p.fail(e, Outcome{Lost: true, Reason: "an input is gone"})
@@ -237,9 +306,19 @@
 	return false
 }
 
-// Free gives up results. It returns them by endpoint.
-func (p *Planner) Free(handles []string) map[cicadapitch.EndpointID][]string {
+// Locate returns results that are held, by endpoint.
+func (p *Planner) Locate(handles []string) map[cicadapitch.EndpointID][]string {
 	out := map[cicadapitch.EndpointID][]string{}
+	for _, h := range handles {
+		if r, ok := p.results[h]; ok && p.workers[r.endpoint] != nil {
+			out[r.endpoint] = append(out[r.endpoint], h)
+		}
+	}
+	return out
+}
+
+// Freed takes that an endpoint has given up results.
+func (p *Planner) Freed(handles []string) {
 	for _, h := range handles {
 		r, ok := p.results[h]
 		if !ok {
@@ -248,10 +327,8 @@
 		delete(p.results, h)
 		if w := p.workers[r.endpoint]; w != nil {
 			w.used -= r.bytes
-			out[r.endpoint] = append(out[r.endpoint], h)
 		}
 	}
-	return out
 }
 
 // Plan returns what to do now: calls to make, jobs that ended, results to give
@@ -261,9 +338,8 @@
 	p.hedge(now)
 	var calls []Call
 	order := p.order(now)
-	free := p.freeWorkers(now)
-	for i, w := range free {
-		refs := p.fill(now, w, order, free[i+1:])
+	for _, w := range p.freeWorkers(now) {
+		refs := p.fill(now, w, order)
 		if len(refs) == 0 {
 			continue
 		}
@@ -277,10 +353,20 @@
 // Idle reports whether there is nothing to look at.
 func (p *Planner) Idle() bool { return len(p.jobs) == 0 && len(p.calls) == 0 && len(p.results) == 0 }
 
+// expire gives up the jobs that cannot be served in time any more and forgets
+// results whose life is over.
 func (p *Planner) expire(now cicadapitch.Instant) {
-	for _, e := range p.jobs {
-		if len(e.waiting) > 0 && now.Add(p.Expected(1)) > e.Expire {
-			p.fail(e, Outcome{Reason: "the request's time is over"})
+	rate, first := p.capacity(now)
+	spare := max(rate-p.demand.all(now), leastSpare*rate)
+	ahead := 0
+	for _, e := range p.order(now) {
+		ahead += len(e.waiting)
+		end := now.Add(p.Expected(1))
+		if spare > 0 && p.late(now, e) && ahead > p.spec.Size {
+			end = end.Add(first + cicadapitch.Millis(float64(ahead)/spare))
+		}
+		if end > e.Expire {
+			p.fail(e, Outcome{Reason: "the request's time does not suffice", RetryAfter: p.drain(now)})
 		}
 	}
 	for h, r := range p.results {
@@ -329,16 +415,17 @@
 			list = append(list, e)
 		}
 	}
-	soonest := now.Add(p.Expected(1))
-	late := func(e *entry) int {
-		if soonest > e.Due {
+	lateness := func(e *entry) int {
+		if p.late(now, e) {
 			return 1
 		}
 		return 0
 	}
+	rank := func(e *entry) cicadapitch.Instant {
+		return e.Due.Add(cicadapitch.Millis(level(e.Priority)) * priorityStep)
+	}
 	slices.SortFunc(list, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Priority, b.Priority),
-			cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(lateness(a), lateness(b)), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
@@ -365,23 +452,23 @@
 	return 1
 }
 
-// fill chooses pieces for one call. others are further endpoints that are free.
-func (p *Planner) fill(now cicadapitch.Instant, w *worker, order []*entry, others []*worker) []PieceRef {
+// fill chooses pieces for one call.
+func (p *Planner) fill(now cicadapitch.Instant, w *worker, order []*entry) []PieceRef {
 	var refs []PieceRef
-	room := p.spec.ResultRoom - w.used
+	room := cicadapitch.Bytes(roomUse*float64(p.spec.ResultRoom)) - w.used
 	slow := w.slowness(now)
 	for _, e := range order {
 		if len(refs) == p.spec.Size {
 			break
 		}
 		end := now.Add(cicadapitch.Millis(float64(p.Expected(len(refs)+len(e.waiting))) * slow))
-		if slow >= slowFrom && end > e.Due && now.Add(p.Expected(1)) <= e.Due {
+		if slow >= slowFrom && end > e.Due && !p.late(now, e) {
 			continue
 		}
-		if e.ResultBytes >= heavyResult && e.Zone != w.Zone && slices.ContainsFunc(others, func(o *worker) bool { return o.Zone == e.Zone }) {
+		if e.MoveBytes >= heavyMove && e.Zone != w.Zone && p.nearSoon(now, e) {
 			continue
 		}
-		for len(e.waiting) > 0 && len(refs) < p.spec.Size && (room >= e.ResultBytes || w.used == 0 && len(refs) == 0) {
+		for len(e.waiting) > 0 && len(refs) < p.spec.Size && (room >= e.ResultBytes || w.used <= 0 && len(refs) == 0) {
 			refs = append(refs, PieceRef{&e.Job, e.waiting[0]})
 			e.waiting = e.waiting[1:]
 			room -= e.ResultBytes
@@ -390,6 +477,20 @@
 	return refs
 }
 
+// nearSoon reports whether an endpoint in the job's zone will be free in time.
+func (p *Planner) nearSoon(now cicadapitch.Instant, e *entry) bool {
+	latest := e.Due - cicadapitch.Instant(zoneSlack)
+	for _, w := range p.workers {
+		if w.gone || w.Zone != e.Zone || w.slowness(now) >= slowFrom {
+			continue
+		}
+		if now.Add(w.freeIn(now, p.spec.Slots)+p.Expected(p.spec.Size)) <= latest {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) start(now cicadapitch.Instant, w *worker, refs []PieceRef) Call {
 	p.next++
 	c := Call{ID: p.next, Endpoint: w.Endpoint, Pieces: refs, Expected: p.Expected(len(refs))}
@@ -410,3 +511,14 @@
 	}
 	return w.Endpoint, true
 }
+
+// mainZone returns the zone that holds most results of the job.
+func (e *entry) mainZone() cicadapitch.ZoneID {
+	var main cicadapitch.ZoneID
+	for z, n := range e.zones {
+		if n > e.zones[main] || n == e.zones[main] && z < main {
+			main = z
+		}
+	}
+	return main
+}
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -29,9 +29,12 @@
 	// memoryPart is the part of the host's memory at which the garbage
 	// collector works harder, as a divisor.
 	memoryPart = 2
-	// stopListening is how long after SIGTERM new connections are still taken:
-	// callers keep an answer of the directory that long.
-	stopListening cicadapitch.Millis = 4500
+	// stopWaiting is how long after SIGTERM requests may wait for an engine. A
+	// stream that starts then ends before the kill.
+	stopWaiting cicadapitch.Millis = 2500
+	// stopListening is how long before the kill no new connection is taken.
+	// Callers may keep an answer of the directory that names the host until then.
+	stopListening cicadapitch.Millis = 1200
 	// endMargin is left before the kill for the last answers.
 	endMargin cicadapitch.Millis = 400
 )
@@ -164,7 +167,7 @@
 }
 
 // stop takes the host out of the directory, takes new connections while callers
-// may still know it, and waits for the work that was begun.
+// may still know it, turns away what waits, and waits for the work that was begun.
 func (h *Host) stop(callers *http.Server) {
 	began := h.clock.Now()
 	h.log.Info().Msg("stop requested")
@@ -173,7 +176,9 @@
 	defer cancel()
 	go h.mesh.Leave(ctx)
 	// The only error is that the time is over, which Shutdown sees too.
-	_ = h.clock.Sleep(ctx, min(stopListening, h.settings.Bounds.Grace/2))
+	_ = h.clock.Sleep(ctx, min(stopWaiting, h.settings.Bounds.Grace/3))
+	h.gateway.Stop()
+	_ = h.clock.Sleep(ctx, h.settings.Bounds.Grace-stopListening-h.clock.Now().Sub(began))
 	err := callers.Shutdown(ctx)
 	h.log.Info().Int64("TookMs", int64(h.clock.Now().Sub(began))).Err(err).Msg("stop")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 
@@ -20,7 +21,7 @@
 type Mesh interface {
 	View() *fleet.View
 	Loads() map[cicadapitch.EndpointID]int
-	Waits() map[string]cicadapitch.Millis
+	Waits() map[string]Waits
 	HostCount() int
 	OwnersOf(key string) []fleet.Host
 	IsSelf(h fleet.Host) bool
@@ -37,6 +38,9 @@
 	bounds    platform.Bounds
 	zone      cicadapitch.ZoneID
 	owner     *Owner
+	// stopped ends once requests that wait are turned away.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	chooser *placement.Chooser
@@ -69,10 +73,15 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.owner = newOwner(g.endpoints, g.clock, g.log, g.metrics)
 	return g
 }
 
+// Stop turns away the requests that no endpoint has got yet, and those that come,
+// except for plain services, whose calls are short.
+func (g *Gateway) Stop() { g.stop() }
+
 // Owner returns the owner of stage services at this host.
 func (g *Gateway) Owner() *Owner { return g.owner }
 
@@ -121,7 +130,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, left.Duration(), errLimit)
 	defer cancel()
 	if t.service.Engine != nil {
-		err = t.generate(ctx)
+		err = t.generateUntilStop(ctx)
 	} else {
 		err = t.plain(ctx)
 	}
@@ -131,6 +140,29 @@
 var errLimit = cicadapitch.NewError(cicadapitch.DeadlineExceeded,
 	"the time of the request is over", "send it again where that is harmless")
 
+var errStopping = cicadapitch.NewNotRun("the host is stopping", stoppingRetry)
+
+// stoppingRetry is when a caller may come back, to another host.
+const stoppingRetry cicadapitch.Millis = 50
+
+// generateUntilStop gives the request up if the host stops before an engine has
+// got it.
+func (t *task) generateUntilStop(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	unlink := context.AfterFunc(t.g.stopped, func() {
+		if t.phase.CompareAndSwap(waiting, turnedAway) {
+			cancel(errStopping)
+		}
+	})
+	defer unlink()
+	err := t.generate(ctx)
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping
+	}
+	return err
+}
+
 // admit finds the route and the customer of a request.
 func (g *Gateway) admit(r *catalog.Request) (*task, error) {
 	v := g.mesh.View()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -26,18 +26,19 @@
 
 // generate serves a request of a service of model engines.
 func (t *task) generate(ctx context.Context) error {
-	near, err := t.choose(true)
+	near, err := t.choose(true, "")
 	if err != nil {
 		return err
 	}
 	var events eventReader
 	for reruns, connects := 0, 0; ; {
-		inputs, release, err := t.runStages(ctx, near.Zone)
+		t.waits = t.g.mesh.Waits()
+		in, err := t.runStages(ctx, near.Zone)
 		if err != nil {
 			return err
 		}
-		err = t.generateOnce(ctx, inputs, release, &events)
-		release()
+		err = t.generateOnce(ctx, in, &events)
+		in.release()
 		switch {
 		case err == nil || ctx.Err() != nil:
 			return err
@@ -53,8 +54,8 @@
 }
 
 // generateOnce sends the request to one engine and passes the stream on.
-func (t *task) generateOnce(ctx context.Context, inputs []string, release func(), events *eventReader) error {
-	e, err := t.choose(false)
+func (t *task) generateOnce(ctx context.Context, in stageResults, events *eventReader) error {
+	e, err := t.choose(false, in.zone)
 	if err != nil {
 		return err
 	}
@@ -64,7 +65,7 @@
 	if events.last != "" {
 		resume = events.last
 	}
-	reply, err := t.send(ctx, e, inputs, resume)
+	reply, err := t.send(ctx, e, in.handles, resume)
 	if err != nil {
 		if !errors.Is(err, errInputGone) {
 			t.exclude[e.ID] = true
@@ -77,7 +78,7 @@
 		took := t.g.clock.Now().Sub(start)
 		t.succeeded(e.ID, took)
 		t.learnFirst(took)
-		release()
+		in.release()
 	}
 	if reply.Status < 300 && t.route.Resumable {
 		return t.passEvents(e, reply, events, first)
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -20,9 +20,15 @@
 	// time. Its pieces went to others long before.
 	callGiveUp = 12
 	// freePause gathers results that are given up into one call.
-	freePause cicadapitch.Millis = 60
+	freePause cicadapitch.Millis = 15
 )
 
+// Waits are the waits for the start of a call by priority.
+type Waits = []cicadapitch.Millis
+
+// waitLevels is the number of priorities that waits are told for.
+const waitLevels = 4
+
 // Owner runs the stage services that this host owns: it carries out the
 // commands of a batch.Planner for each.
 type Owner struct {
@@ -107,12 +113,12 @@
 	done := make(chan batch.Outcome, 1)
 	s.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		Zone: c.Zone, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority,
 		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
 	}, done)
 	select {
 	case out := <-done:
-		return StageReply{Handles: out.Handles, Lost: out.Lost, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
+		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
 	case <-ctx.Done():
 		s.cancel(id)
 		return StageReply{}, context.Cause(ctx)
@@ -131,15 +137,19 @@
 }
 
 // Waits returns the waits of the services that have work here.
-func (o *Owner) Waits() map[string]cicadapitch.Millis {
+func (o *Owner) Waits() map[string]Waits {
 	now := o.clock.Now()
-	out := map[string]cicadapitch.Millis{}
+	out := map[string]Waits{}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for name, s := range o.planned {
 		s.mu.Lock()
 		if !s.planner.Idle() {
-			out[string(name)] = s.planner.Wait(now, 1<<30, now)
+			w := make(Waits, waitLevels)
+			for p := range w {
+				w[p] = s.planner.Wait(now, p)
+			}
+			out[string(name)] = w
 		}
 		s.mu.Unlock()
 	}
@@ -254,7 +264,7 @@
 
 // giveUp gathers results to give up. The caller holds mu.
 func (s *service) giveUp(handles []string) {
-	for id, list := range s.planner.Free(handles) {
+	for id, list := range s.planner.Locate(handles) {
 		if len(s.freeing[id]) == 0 {
 			s.timer.Reset(freePause.Duration())
 		}
@@ -274,6 +284,11 @@
 		if err := s.o.endpoints.Free(ctx, e, handles); err != nil {
 			s.o.log.Warn().Str("Endpoint", string(id)).Int("Results", len(handles)).Err(err).
 				Msg("results were not given up; they end by themselves")
+			return
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.planner.Freed(handles)
+		s.plan(s.o.clock.Now())
 	}()
 }
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -31,8 +31,10 @@
 	Pieces  int
 	Key     string
 	Inputs  []string
-	// Zone is where the results are used.
+	// Zone is where the inputs are or the results are used, and MoveBytes what
+	// moves between zones if the stage runs elsewhere.
 	Zone        cicadapitch.ZoneID
+	MoveBytes   cicadapitch.Bytes
 	ResultBytes cicadapitch.Bytes
 	Priority    int
 	// DueIn and ExpireIn are the spans until the stage has to end, for the
@@ -43,8 +45,10 @@
 // StageReply is the owner's answer.
 type StageReply struct {
 	Handles []string
-	Lost    bool
-	Reason  string
+	// Zone is where most results are.
+	Zone   cicadapitch.ZoneID
+	Lost   bool
+	Reason string
 	// RetryAfter is when the owner's queue will have drained.
 	RetryAfter cicadapitch.Millis
 }
@@ -63,8 +67,8 @@
 
 // runStages runs the stages of the request and returns the results that its
 // engine needs. release gives up the results that are still held.
-func (t *task) runStages(ctx context.Context, zone cicadapitch.ZoneID) ([]string, func(), error) {
-	held := &holding{t: t, handles: map[int][]string{}}
+func (t *task) runStages(ctx context.Context, zone cicadapitch.ZoneID) (stageResults, error) {
+	held := &holding{t: t, handles: map[int][]string{}, zones: map[int]cicadapitch.ZoneID{}}
 	pieces := t.request.Pieces
 	if len(pieces) < len(t.route.Stages) {
 		pieces = append(append([]int(nil), pieces...), make([]int, len(t.route.Stages)-len(pieces))...)
@@ -92,17 +96,35 @@
 			cancel()
 			// The results of stages that still run come back to their owner.
 			held.release()
-			return nil, func() {}, end.err
+			return stageResults{}, end.err
 		}
-		held.put(end.stage, end.reply.Handles)
+		held.put(end.stage, end.reply.Handles, end.reply.Zone)
 		t.freeUsed(pieces, held)
 		startReady()
 	}
-	var inputs []string
+	out := stageResults{release: held.release}
+	heaviest := heavyInputs
 	for _, i := range t.route.Sinks(pieces) {
-		inputs = append(inputs, held.get(i)...)
+		handles := held.get(i)
+		out.handles = append(out.handles, handles...)
+		if bytes := t.route.Stages[i].ResultBytes * cicadapitch.Bytes(len(handles)); bytes >= heaviest {
+			heaviest, out.zone = bytes, held.zone(i)
+		}
 	}
-	return inputs, held.release, nil
+	return out, nil
+}
+
+// heavyInputs is the size from which an engine in the zone of its inputs is
+// better than the one that holds the prompt.
+const heavyInputs cicadapitch.Bytes = 400_000
+
+// stageResults are what an engine needs of the stages.
+type stageResults struct {
+	handles []string
+	// zone is where heavy results are, or empty.
+	zone cicadapitch.ZoneID
+	// release gives up the results that are still held.
+	release func()
 }
 
 func (t *task) inputsReady(stage int, pieces []int, held *holding) bool {
@@ -145,8 +167,13 @@
 		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
 		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
 	}
+	c.MoveBytes = s.ResultBytes * cicadapitch.Bytes(c.Pieces)
 	for _, a := range s.After {
-		c.Inputs = append(c.Inputs, held.get(a)...)
+		inputs := held.get(a)
+		c.Inputs = append(c.Inputs, inputs...)
+		if bytes := t.route.Stages[a].ResultBytes * cicadapitch.Bytes(len(inputs)); bytes > c.MoveBytes {
+			c.MoveBytes, c.Zone = bytes, held.zone(a)
+		}
 	}
 	if len(c.Inputs) == 0 {
 		c.Key = t.request.PieceKey
@@ -177,13 +204,18 @@
 	return longest
 }
 
-// stageTime estimates one stage: a call that is half full, and transit.
+// stageTime estimates one stage: its owner's queue, a call that is half full,
+// and transit.
 func (t *task) stageTime(name catalog.ServiceID) cicadapitch.Millis {
 	s := t.view.Catalog.Services[name]
 	if s == nil || s.Batch == nil {
 		return 0
 	}
-	return s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
+	work := s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
+	if w := t.waits[string(name)]; len(w) > 0 {
+		work += w[min(max(t.priority, 0), len(w)-1)]
+	}
+	return work
 }
 
 // callOwner runs a stage at the owner of its service, or here where no owner
@@ -213,13 +245,20 @@
 	t       *task
 	mu      sync.Mutex
 	handles map[int][]string
+	zones   map[int]cicadapitch.ZoneID
 	gone    map[int]bool
 }
 
-func (h *holding) put(stage int, handles []string) {
+func (h *holding) put(stage int, handles []string, zone cicadapitch.ZoneID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handles[stage], h.zones[stage] = handles, zone
+}
+
+func (h *holding) zone(stage int) cicadapitch.ZoneID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.handles[stage] = handles
+	return h.zones[stage]
 }
 
 func (h *holding) get(stage int) []string {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
@@ -30,6 +31,15 @@
 	fullRetry cicadapitch.Millis = 250
 )
 
+// The phases of a request.
+const (
+	waiting int32 = iota
+	// committed requests go to an endpoint.
+	committed
+	// turnedAway requests never will.
+	turnedAway
+)
+
 // task is one request on its way.
 type task struct {
 	g        *Gateway
@@ -47,8 +57,12 @@
 	// sent counts the endpoints that got the request, exclude names them.
 	sent    int
 	exclude map[cicadapitch.EndpointID]bool
+	// phase tells whether an endpoint has got the request.
+	phase atomic.Int32
 	// mayRun is true once an endpoint may have run the request.
 	mayRun bool
+	// waits are the waits of stage services as their owners told them.
+	waits map[string]Waits
 	// status is what the caller got, or 0.
 	status int
 }
@@ -78,13 +92,14 @@
 func (t *task) left() cicadapitch.Millis { return max(t.limit.Sub(t.g.clock.Now()), 1) }
 
 // choose picks an endpoint and counts the call that starts there.
-func (t *task) choose(peek bool) (fleet.Endpoint, error) {
+// zone, if set, is where an engine should be.
+func (t *task) choose(peek bool, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
 	g := t.g
 	now := g.clock.Now()
 	v := g.mesh.View()
 	w := placement.Want{
 		Service: t.service, Session: t.request.Session(), Exclude: t.exclude,
-		Hosts: g.mesh.HostCount(),
+		Hosts: g.mesh.HostCount(), Zone: zone,
 	}
 	list := v.Endpoints(t.service.Name)
 	var (
@@ -141,7 +156,7 @@
 // plain serves a request of a plain service.
 func (t *task) plain(ctx context.Context) error {
 	for connects := 0; ; {
-		e, err := t.choose(false)
+		e, err := t.choose(false, "")
 		if err != nil {
 			return err
 		}
@@ -204,6 +219,9 @@
 // send sends the request to an endpoint and sorts out refusals. A reply is
 // signed or a failure of the endpoint's own.
 func (t *task) send(ctx context.Context, e fleet.Endpoint, inputs []string, resume string) (*platform.Reply, error) {
+	if t.phase.Load() != committed && !t.phase.CompareAndSwap(waiting, committed) {
+		return nil, errStopping
+	}
 	reply, err := t.g.endpoints.Send(ctx, platform.Call{
 		Endpoint: e.Endpoint, Request: t.request, Customer: t.customer, Left: t.left(),
 		Inputs: inputs, Urgency: t.urgency(), ResumeAfter: resume,
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -42,7 +42,7 @@
 	store       *platform.Store
 	incarnation string
 	loads       func() map[cicadapitch.EndpointID]int
-	waits       func() map[string]cicadapitch.Millis
+	waits       func() map[string][]cicadapitch.Millis
 	onView      []func(*fleet.View)
 
 	view    atomic.Pointer[fleet.View]
@@ -83,7 +83,7 @@
 		settings: s, clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(),
 		store: platform.NewStore(s.Store.Address), incarnation: newIncarnation(),
 		loads:  func() map[cicadapitch.EndpointID]int { return nil },
-		waits:  func() map[string]cicadapitch.Millis { return nil },
+		waits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror: fleet.NewMirror(), state: fleet.NewState(),
 		heard: map[string]*heardHost{}, lapsed: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
@@ -105,7 +105,7 @@
 
 // SetFigures sets what heartbeats say about the host's use of engines and about
 // the stage services that it owns. It is called before Join.
-func (m *Mesh) SetFigures(loads func() map[cicadapitch.EndpointID]int, waits func() map[string]cicadapitch.Millis) {
+func (m *Mesh) SetFigures(loads func() map[cicadapitch.EndpointID]int, waits func() map[string][]cicadapitch.Millis) {
 	m.loads, m.waits = loads, waits
 }
 
@@ -229,10 +229,14 @@
 	return out
 }
 
-// Waits returns the waits that owners of stage services told last.
-func (m *Mesh) Waits() map[string]cicadapitch.Millis {
+// Waits returns the waits that owners of stage services told last, this host
+// among them.
+func (m *Mesh) Waits() map[string][]cicadapitch.Millis {
 	now := m.clock.Now()
-	out := map[string]cicadapitch.Millis{}
+	out := maps.Clone(m.waits())
+	if out == nil {
+		out = map[string][]cicadapitch.Millis{}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, h := range m.heard {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -22,7 +22,7 @@
 	// Loads are the requests that the host has at each engine.
 	Loads map[cicadapitch.EndpointID]int
 	// Waits are the waits of the stage services that the host owns.
-	Waits map[string]cicadapitch.Millis
+	Waits map[string][]cicadapitch.Millis
 }
 
 // SyncRequest asks for the changes after a revision.
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -71,6 +71,8 @@
 	Service *catalog.Service
 	// Session names the prompt that requests of one session share.
 	Session string
+	// Zone, if set, is where an engine should be.
+	Zone cicadapitch.ZoneID
 	// Exclude are endpoints that already had the request.
 	Exclude map[cicadapitch.EndpointID]bool
 	// Hosts is the number of hosts that may send work.
@@ -91,6 +93,9 @@
 		total += c.load(e.ID, w)
 	}
 	bound := boundedLoad*float64(total)/float64(len(usable)) + boundedSlack
+	if near := c.near(usable, w, bound); len(near) > 0 {
+		usable = near
+	}
 	ranked := fleet.Rank(w.Session, usable, func(e fleet.Endpoint) string { return string(e.ID) })
 	best, least := ranked[0], c.load(ranked[0].ID, w)
 	for _, e := range ranked {
@@ -105,6 +110,17 @@
 	return best, true
 }
 
+// near lists the engines in the wanted zone with a load within bound.
+func (c *Chooser) near(list []fleet.Endpoint, w Want, bound float64) []fleet.Endpoint {
+	var out []fleet.Endpoint
+	for _, e := range list {
+		if e.Zone == w.Zone && float64(c.load(e.ID, w)) <= bound {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func (c *Chooser) load(id cicadapitch.EndpointID, w Want) int {
 	return c.Health(id).Running + w.Others[id]
 }
