batch: room taken by results of an earlier owner is counted, and they are freed

When the owner changed (hosts stopped in turn) the new one did not know the results of the old one: it neither counted nor freed them. Ruled out: sizes that differ from the announced ones (57 refusals of 5,648 remain at the service with varying sizes).

--- a/batch/planner.go
+++ b/batch/planner.go
@@ -25,6 +25,9 @@
 	roomUse = 0.95
 	// lifeUse is the part of a result's life within which its use has to begin.
 	lifeUse = 0.8
+	// othersLife is how long room that others took counts as taken: about as long
+	// as a request needs its results.
+	othersLife cicadapitch.Millis = 700
 	// zoneSlack is the time to spare that a job keeps when it waits for an
 	// endpoint in its zone.
 	zoneSlack cicadapitch.Millis = 250
@@ -225,9 +228,6 @@
 		w.pause = 0
 		w.learn(now, float64(now.Sub(f.started))/float64(f.Expected))
 	}
-	if slices.ContainsFunc(results, func(r PieceResult) bool { return r.NoRoom }) {
-		w.until = now.Add(roomPause)
-	}
 	for i, ref := range f.Pieces {
 		if failure != None {
 			p.unsettled(now, w, f, i, failure)
@@ -236,6 +236,21 @@
 		}
 		p.settle(now, w, f, ref, results[i])
 	}
+	if slices.ContainsFunc(results, func(r PieceResult) bool { return r.NoRoom }) {
+		p.fullOfOthers(now, w, id)
+	}
+}
+
+// fullOfOthers takes that an endpoint has less room than was thought: it holds
+// results of an earlier owner, or of calls that broke.
+func (p *Planner) fullOfOthers(now cicadapitch.Instant, w *worker, id CallID) {
+	w.until = now.Add(roomPause)
+	unknown := p.spec.ResultRoom - w.used
+	if unknown <= 0 {
+		return
+	}
+	w.used += unknown
+	p.results[fmt.Sprintf("others/%d", id)] = result{w.ID, unknown, now.Add(othersLife)}
 }
 
 // unsettled releases the room of a piece without a result. An endpoint may go on
@@ -306,15 +321,19 @@
 	return false
 }
 
-// Locate returns results that are held, by endpoint.
-func (p *Planner) Locate(handles []string) map[cicadapitch.EndpointID][]string {
+// Locate returns results by the endpoint that holds them, and those that this
+// owner did not order.
+func (p *Planner) Locate(handles []string) (map[cicadapitch.EndpointID][]string, []string) {
 	out := map[cicadapitch.EndpointID][]string{}
+	var unknown []string
 	for _, h := range handles {
-		if r, ok := p.results[h]; ok && p.workers[r.endpoint] != nil {
+		if r, ok := p.results[h]; !ok {
+			unknown = append(unknown, h)
+		} else if p.workers[r.endpoint] != nil {
 			out[r.endpoint] = append(out[r.endpoint], h)
 		}
 	}
-	return out
+	return out, unknown
 }
 
 // Freed takes that an endpoint has given up results.
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -246,13 +246,21 @@
 		if cicadapitch.KindOf(err) == cicadapitch.NotRun && cicadapitch.AsError(err).RetryAfter > 0 {
 			failure = batch.Full
 		}
-		s.o.log.Warn().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).
-			Str("Endpoint", string(c.Endpoint.ID)).Err(err).Msg("stage call failed")
 	}
 	out := make([]batch.PieceResult, len(results))
+	made, full := 0, 0
 	for i, r := range results {
 		out[i] = batch.PieceResult{Handle: r.Handle, Gone: r.InputGone(), Late: r.TooLate(), NoRoom: r.NoRoom(), Failed: r.Failed()}
+		if r.Handle != "" {
+			made++
+		}
+		if r.NoRoom() {
+			full++
+		}
 	}
+	s.o.log.Info().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
+		Int("Pieces", len(c.Pieces)).Int("Made", made).Int("NoRoom", full).Int64("ExpectedMs", int64(c.Expected)).
+		Int64("TookMs", int64(s.o.clock.Now().Sub(now))).Err(err).Msg("stage call ended")
 	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StageCalls").Inc(1)
 	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StagePieces").Inc(int64(len(c.Pieces)))
 	s.mu.Lock()
@@ -264,7 +272,16 @@
 
 // giveUp gathers results to give up. The caller holds mu.
 func (s *service) giveUp(handles []string) {
-	for id, list := range s.planner.Locate(handles) {
+	if len(handles) == 0 {
+		return
+	}
+	located, unknown := s.planner.Locate(handles)
+	for _, h := range unknown {
+		if id, ok := s.makerOf(h); ok {
+			located[id] = append(located[id], h)
+		}
+	}
+	for id, list := range located {
 		if len(s.freeing[id]) == 0 {
 			s.timer.Reset(freePause.Duration())
 		}
@@ -272,6 +289,17 @@
 	}
 }
 
+// makerOf finds the endpoint that holds a result which another owner ordered.
+func (s *service) makerOf(handle string) (cicadapitch.EndpointID, bool) {
+	address := platform.HandleAddress(handle)
+	for _, e := range s.view.Endpoints(s.name) {
+		if e.Address == address {
+			return e.ID, true
+		}
+	}
+	return "", false
+}
+
 // sendFree gives up results at their endpoint. The caller holds mu.
 func (s *service) sendFree(id cicadapitch.EndpointID, handles []string) {
 	e, ok := s.planner.Endpoint(id)
