batch: results are given up once their user has fetched them

Changed: an owner reports inputs fetched 100 ms after a call began at a sound endpoint; they are given up where room is tight, and a request whose input is gone runs its stages once more. Zones decide for sinks and inputs only; an engine in the results' zone is taken only if moving them costs more than reading the session's prompt again.

--- a/batch/job.go
+++ b/batch/job.go
@@ -17,6 +17,8 @@
 	// Key or Inputs are the input of each piece.
 	Key    string
 	Inputs []string
+	// InputServices are the services that hold the inputs.
+	InputServices []catalog.ServiceID
 	// Zone is where the inputs are or the results are used, and MoveBytes what
 	// moves between zones if the job runs elsewhere.
 	Zone      cicadapitch.ZoneID
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -23,6 +23,9 @@
 	// roomUse is the part of an endpoint's room that is filled, since sizes are
 	// approximate.
 	roomUse = 0.95
+	// tightRoom is the part of its room from which an endpoint gives up results
+	// that were fetched.
+	tightRoom = 0.4
 	// lifeUse is the part of a result's life within which its use has to begin.
 	lifeUse = 0.8
 	// othersLife is how long room that others took counts as taken: about as long
@@ -39,6 +42,8 @@
 	endpoint cicadapitch.EndpointID
 	bytes    cicadapitch.Bytes
 	expire   cicadapitch.Instant
+	// fetched results were read by their user.
+	fetched bool
 }
 
 // Planner is the state of one stage service at its owner. It is not safe for
@@ -250,7 +255,7 @@
 		return
 	}
 	w.used += unknown
-	p.results[fmt.Sprintf("others/%d", id)] = result{w.ID, unknown, now.Add(othersLife)}
+	p.results[fmt.Sprintf("others/%d", id)] = result{endpoint: w.ID, bytes: unknown, expire: now.Add(othersLife)}
 }
 
 // unsettled releases the room of a piece without a result. An endpoint may go on
@@ -262,14 +267,14 @@
 		return
 	}
 	name := fmt.Sprintf("unknown/%d/%d", f.ID, i)
-	p.results[name] = result{w.ID, bytes, now.Add(p.spec.ResultLife)}
+	p.results[name] = result{endpoint: w.ID, bytes: bytes, expire: now.Add(p.spec.ResultLife)}
 }
 
 func (p *Planner) settle(now cicadapitch.Instant, w *worker, f *flight, ref PieceRef, r PieceResult) {
 	if r.Handle == "" {
 		w.used -= ref.Job.ResultBytes
 	} else {
-		p.results[r.Handle] = result{w.ID, ref.Job.ResultBytes, now.Add(p.spec.ResultLife)}
+		p.results[r.Handle] = result{endpoint: w.ID, bytes: ref.Job.ResultBytes, expire: now.Add(p.spec.ResultLife)}
 	}
 	e := p.jobs[ref.Job.ID]
 	switch {
@@ -336,6 +341,53 @@
 	return out, unknown
 }
 
+// Fetched takes that results were read by their user. They are given up where
+// their endpoint runs out of room, and kept for a repeat otherwise.
+func (p *Planner) Fetched(handles []string) {
+	for _, h := range handles {
+		if r, ok := p.results[h]; ok {
+			r.fetched = true
+			p.results[h] = r
+		}
+	}
+}
+
+// FetchedBy returns the inputs that a call has fetched, by the service that
+// holds them. Inputs of jobs with pieces elsewhere or still waiting are left out,
+// and those of calls at slow endpoints, which may have to be repeated.
+func (p *Planner) FetchedBy(id CallID) map[catalog.ServiceID][]string {
+	w := p.calls[id]
+	if w == nil || w.slow >= slowFrom {
+		return nil
+	}
+	f := w.calls[id]
+	pieces := map[JobID]int{}
+	for _, ref := range f.Pieces {
+		pieces[ref.Job.ID]++
+	}
+	out := map[catalog.ServiceID][]string{}
+	for _, ref := range f.Pieces {
+		j := ref.Job
+		if pieces[j.ID] == j.Pieces && len(j.InputServices) == 1 {
+			out[j.InputServices[0]] = append(out[j.InputServices[0]], j.Inputs...)
+			pieces[j.ID] = 0
+		}
+	}
+	return out
+}
+
+// makeRoom lists fetched results at endpoints that run out of room.
+func (p *Planner) makeRoom() {
+	for h, r := range p.results {
+		w := p.workers[r.endpoint]
+		if r.fetched && w != nil && float64(w.used) >= tightRoom*float64(p.spec.ResultRoom) {
+			p.orphans = append(p.orphans, h)
+			r.fetched = false
+			p.results[h] = r
+		}
+	}
+}
+
 // Freed takes that an endpoint has given up results.
 func (p *Planner) Freed(handles []string) {
 	for _, h := range handles {
@@ -355,6 +407,7 @@
 func (p *Planner) Plan(now cicadapitch.Instant) ([]Call, []Outcome, []string, cicadapitch.Millis) {
 	p.expire(now)
 	p.hedge(now)
+	p.makeRoom()
 	var calls []Call
 	order := p.order(now)
 	for _, w := range p.freeWorkers(now) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	}
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.owner = newOwner(g.endpoints, g.clock, g.log, g.metrics)
+	g.owner.fetched = g.free
 	return g
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -34,6 +34,10 @@
 	for reruns, connects := 0, 0; ; {
 		t.waits = t.g.mesh.Waits()
 		in, err := t.runStages(ctx, near.Zone)
+		if errors.Is(err, errInputGone) && reruns < stageReruns && ctx.Err() == nil {
+			reruns++
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -19,6 +19,9 @@
 	// callGiveUp bounds a call to a stage endpoint as a multiple of its expected
 	// time. Its pieces went to others long before.
 	callGiveUp = 12
+	// fetchTime is when a call that began at once has fetched its inputs: they
+	// are a few megabytes over links of gigabits.
+	fetchTime cicadapitch.Millis = 100
 	// freePause gathers results that are given up into one call.
 	freePause cicadapitch.Millis = 15
 )
@@ -37,6 +40,9 @@
 	log       zerolog.Logger
 	metrics   tally.Scope
 
+	// fetched tells the owner of results that they were fetched.
+	fetched func(FreeCall)
+
 	mu      sync.Mutex
 	view    *fleet.View
 	next    batch.JobID
@@ -113,7 +119,7 @@
 	done := make(chan batch.Outcome, 1)
 	s.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority,
 		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
 	}, done)
 	select {
@@ -125,15 +131,20 @@
 	}
 }
 
-// Free gives up results.
-func (o *Owner) Free(name catalog.ServiceID, handles []string) {
-	s := o.service(name)
+// Free gives up results, or marks those that may be given up.
+func (o *Owner) Free(c FreeCall) {
+	s := o.service(c.Service)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.giveUp(handles)
+	if c.IfNeeded {
+		s.planner.Fetched(c.Handles)
+		s.plan(o.clock.Now())
+		return
+	}
+	s.giveUp(c.Handles)
 }
 
 // Waits returns the waits of the services that have work here.
@@ -210,6 +221,9 @@
 	for _, c := range calls {
 		s.log(c)
 		go s.call(c, now)
+		if s.o.fetched != nil {
+			time.AfterFunc(fetchTime.Duration(), func() { s.reportFetched(c.ID) })
+		}
 	}
 	s.giveUp(orphans)
 	if !s.planner.Idle() || len(s.freeing) > 0 {
@@ -270,6 +284,16 @@
 	s.plan(at)
 }
 
+// reportFetched tells the owners of a call's inputs that they were fetched.
+func (s *service) reportFetched(id batch.CallID) {
+	s.mu.Lock()
+	used := s.planner.FetchedBy(id)
+	s.mu.Unlock()
+	for name, handles := range used {
+		s.o.fetched(FreeCall{Service: name, Handles: handles, IfNeeded: true})
+	}
+}
+
 // giveUp gathers results to give up. The caller holds mu.
 func (s *service) giveUp(handles []string) {
 	if len(handles) == 0 {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"cicadapitch.example/cicadapitch"
@@ -31,6 +32,8 @@
 	Pieces  int
 	Key     string
 	Inputs  []string
+	// InputServices are the services that hold the inputs.
+	InputServices []catalog.ServiceID
 	// Zone is where the inputs are or the results are used, and MoveBytes what
 	// moves between zones if the stage runs elsewhere.
 	Zone        cicadapitch.ZoneID
@@ -57,6 +60,9 @@
 type FreeCall struct {
 	Service catalog.ServiceID
 	Handles []string
+	// IfNeeded results were fetched by their user, who may need them again if its
+	// call breaks. They are given up where their endpoint lacks room.
+	IfNeeded bool
 }
 
 type stageEnd struct {
@@ -103,20 +109,35 @@
 		startReady()
 	}
 	out := stageResults{release: held.release}
-	heaviest := heavyInputs
+	var heaviest cicadapitch.Bytes
 	for _, i := range t.route.Sinks(pieces) {
 		handles := held.get(i)
 		out.handles = append(out.handles, handles...)
-		if bytes := t.route.Stages[i].ResultBytes * cicadapitch.Bytes(len(handles)); bytes >= heaviest {
+		bytes := t.route.Stages[i].ResultBytes * cicadapitch.Bytes(len(handles))
+		if bytes > heaviest && bytes >= t.rereadBytes() {
 			heaviest, out.zone = bytes, held.zone(i)
 		}
 	}
 	return out, nil
 }
 
-// heavyInputs is the size from which an engine in the zone of its inputs is
-// better than the one that holds the prompt.
-const heavyInputs cicadapitch.Bytes = 400_000
+const (
+	// tokenBytes is the size of stage results whose move between zones costs as
+	// much as reading a prompt token again.
+	tokenBytes cicadapitch.Bytes = 3500
+	// leastMove is the size below which results never decide the engine.
+	leastMove cicadapitch.Bytes = 400_000
+)
+
+// rereadBytes is the size of results from which an engine in their zone is
+// better than the one that holds the session's prompt.
+func (t *task) rereadBytes() cicadapitch.Bytes {
+	n := len(t.request.Prompt)
+	if n < 2 {
+		return leastMove
+	}
+	return max(leastMove, tokenBytes*cicadapitch.Bytes(t.request.Prompt[n-2].Tokens))
+}
 
 // stageResults are what an engine needs of the stages.
 type stageResults struct {
@@ -167,11 +188,16 @@
 		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
 		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
 	}
-	c.MoveBytes = s.ResultBytes * cicadapitch.Bytes(c.Pieces)
+	if slices.Contains(t.route.Sinks(pieces), stage) {
+		c.MoveBytes = s.ResultBytes * cicadapitch.Bytes(c.Pieces)
+	}
 	for _, a := range s.After {
 		inputs := held.get(a)
 		c.Inputs = append(c.Inputs, inputs...)
-		if bytes := t.route.Stages[a].ResultBytes * cicadapitch.Bytes(len(inputs)); bytes > c.MoveBytes {
+		c.InputServices = append(c.InputServices, t.route.Stages[a].Service)
+		// Each piece fetches all inputs.
+		bytes := t.route.Stages[a].ResultBytes * cicadapitch.Bytes(len(inputs)*c.Pieces)
+		if bytes > c.MoveBytes {
 			c.MoveBytes, c.Zone = bytes, held.zone(a)
 		}
 	}
@@ -184,6 +210,9 @@
 		Int("Pieces", c.Pieces).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
 		Int64("TookMs", int64(took)).Str("Reason", reply.Reason).Err(err).Msg("stage")
 	t.g.metrics.Tagged(map[string]string{"Service": string(s.Service)}).Histogram("Stage", Buckets).RecordDuration(took.Duration())
+	if err == nil && reply.Lost {
+		err = errInputGone
+	}
 	if err == nil && reply.Handles == nil {
 		err = cicadapitch.NewNotRun("stage of "+string(s.Service)+": "+reply.Reason, max(reply.RetryAfter, fullRetry))
 	}
@@ -283,7 +312,7 @@
 	h.gone[stage] = true
 	h.mu.Unlock()
 	if len(handles) > 0 {
-		h.t.g.free(h.t.route.Stages[stage].Service, handles)
+		h.t.g.free(FreeCall{Service: h.t.route.Stages[stage].Service, Handles: handles})
 	}
 }
 
@@ -301,19 +330,19 @@
 }
 
 // free gives up results through their owner, beside the request.
-func (g *Gateway) free(s catalog.ServiceID, handles []string) {
-	owners := g.mesh.OwnersOf(string(s))
+func (g *Gateway) free(c FreeCall) {
+	owners := g.mesh.OwnersOf(string(c.Service))
 	d := g.mesh.Dialer()
 	if len(owners) == 0 || d == nil || g.mesh.IsSelf(owners[0]) {
-		g.owner.Free(s, handles)
+		g.owner.Free(c)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
 		defer cancel()
-		_, err := peer.Call[FreeCall, struct{}](ctx, d, owners[0].Peers, callFree, FreeCall{s, handles})
+		_, err := peer.Call[FreeCall, struct{}](ctx, d, owners[0].Peers, callFree, c)
 		if err != nil {
-			g.log.Warn().Str("Service", string(s)).Err(err).Msg("results were not given up; they end by themselves")
+			g.log.Warn().Str("Service", string(c.Service)).Err(err).Msg("results were not given up; they end by themselves")
 		}
 	}()
 }
@@ -327,7 +356,7 @@
 		return g.owner.Run(ctx, c)
 	})
 	peer.Handle(s, callFree, func(_ context.Context, c FreeCall) (struct{}, error) {
-		g.owner.Free(c.Service, c.Handles)
+		g.owner.Free(c)
 		return struct{}{}, nil
 	})
 }
