batch, gateway: calls wait a moment for room; waiting jobs move with the owner

Cause: with room nearly full, payments sent calls of 2 to 8 pieces that cost 250 ms each while 270 pieces waited; after a change of owner both owners called the same endpoints for seconds and the new one took the doubled call times for slowness. Changed: a call below two fifths of its size waits up to 120 ms for room; an owner that is not first any more gives its untouched jobs back; call times are not learned in an owner's first 1.2 s.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -45,6 +45,8 @@
 	until cicadapitch.Instant
 	used  cicadapitch.Bytes
 	gone  bool
+	// shortSince is when the endpoint began to wait for room, or 0.
+	shortSince cicadapitch.Instant
 }
 
 func newWorker(e catalog.Endpoint) *worker {
--- a/batch/job.go
+++ b/batch/job.go
@@ -26,6 +26,8 @@
 	// ResultBytes is the approximate size of one result.
 	ResultBytes cicadapitch.Bytes
 	Priority    int
+	// StandIn jobs come from a host that does not reach the owner.
+	StandIn bool
 	// Due is when the stage has to end for the request to meet its objective.
 	Due cicadapitch.Instant
 	// Expire is when the results are of no use any more.
@@ -42,6 +44,8 @@
 	// Lost is set where an input is gone, so that the stages before have to be
 	// run again.
 	Lost bool
+	// Moved is set where another owner should run the job.
+	Moved bool
 	// Reason is set where there is no result.
 	Reason string
 	// RetryAfter is when the queue will have drained.
@@ -64,6 +68,10 @@
 	Pieces   []PieceRef
 	// Expected is how long the call should take.
 	Expected cicadapitch.Millis
+	// Queued counts the pieces that stay in the queue, RoomUsed is what the
+	// endpoint's results take.
+	Queued   int
+	RoomUsed cicadapitch.Bytes
 }
 
 // PieceResult is what became of a piece of a call.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -28,6 +28,12 @@
 	tightRoom = 0.4
 	// lifeUse is the part of a result's life within which its use has to begin.
 	lifeUse = 0.8
+	// roomWait is how long a call that lacks room waits for results to be given up,
+	// if it carries less than fairCall of what the queue would fill.
+	roomWait cicadapitch.Millis = 120
+	fairCall                    = 0.4
+	// newOwner is how long calls of an earlier owner may still run at endpoints.
+	newOwner cicadapitch.Millis = 1200
 	// othersLife is how long room that others took counts as taken: about as long
 	// as a request needs its results.
 	othersLife cicadapitch.Millis = 700
@@ -57,6 +63,8 @@
 	next    CallID
 	done    []Outcome
 	demand  demand
+	// since is when the planner got its first job.
+	since cicadapitch.Instant
 	// orphans are results that nobody waits for.
 	orphans []string
 }
@@ -108,6 +116,9 @@
 	if len(j.Inputs) > 0 {
 		j.Expire = min(j.Expire, now.Add(cicadapitch.Millis(lifeUse*float64(p.spec.ResultLife))))
 	}
+	if p.since == 0 {
+		p.since = now
+	}
 	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, arrived: now, zones: map[cicadapitch.ZoneID]int{}}
 	for i := range j.Pieces {
 		e.waiting = append(e.waiting, i)
@@ -231,7 +242,9 @@
 		w.failed(now)
 	default:
 		w.pause = 0
-		w.learn(now, float64(now.Sub(f.started))/float64(f.Expected))
+		if f.started.Sub(p.since) > newOwner {
+			w.learn(now, float64(now.Sub(f.started))/float64(f.Expected))
+		}
 	}
 	for i, ref := range f.Pieces {
 		if failure != None {
@@ -419,7 +432,27 @@
 	}
 	done, orphans := p.done, p.orphans
 	p.done, p.orphans = nil, nil
-	return calls, done, orphans, tick
+	return calls, done, orphans, p.nextLook()
+}
+
+// nextLook returns when to plan again at the latest.
+func (p *Planner) nextLook() cicadapitch.Millis {
+	for _, w := range p.workers {
+		if w.shortSince > 0 {
+			return tick / 2
+		}
+	}
+	return tick
+}
+
+// HandOver ends the jobs of which no piece has been in a call, so that another
+// owner can take them.
+func (p *Planner) HandOver() {
+	for _, e := range p.jobs {
+		if len(e.waiting) == e.Pieces && !e.StandIn {
+			p.fail(e, Outcome{Moved: true, Reason: "the service has another owner"})
+		}
+	}
 }
 
 // Idle reports whether there is nothing to look at.
@@ -527,6 +560,7 @@
 // fill chooses pieces for one call.
 func (p *Planner) fill(now cicadapitch.Instant, w *worker, order []*entry) []PieceRef {
 	var refs []PieceRef
+	short := false
 	room := cicadapitch.Bytes(roomUse*float64(p.spec.ResultRoom)) - w.used
 	slow := w.slowness(now)
 	for _, e := range order {
@@ -545,10 +579,40 @@
 			e.waiting = e.waiting[1:]
 			room -= e.ResultBytes
 		}
+		short = short || len(e.waiting) > 0 && len(refs) < p.spec.Size
+	}
+	if short && p.waitForRoom(now, w, len(refs)) {
+		p.putBack(refs)
+		return nil
 	}
 	return refs
 }
 
+// waitForRoom reports whether an endpoint that lacks room should wait a moment
+// rather than spend a call on few pieces.
+func (p *Planner) waitForRoom(now cicadapitch.Instant, w *worker, pieces int) bool {
+	if float64(pieces) >= fairCall*float64(p.spec.Size) || w.used <= 0 {
+		w.shortSince = 0
+		return false
+	}
+	if w.shortSince == 0 {
+		w.shortSince = now
+	}
+	if now.Sub(w.shortSince) < roomWait {
+		return true
+	}
+	w.shortSince = 0
+	return pieces == 0
+}
+
+func (p *Planner) putBack(refs []PieceRef) {
+	for _, ref := range refs {
+		if e := p.jobs[ref.Job.ID]; e != nil {
+			e.waiting = append(e.waiting, ref.Index)
+		}
+	}
+}
+
 // nearSoon reports whether an endpoint in the job's zone will be free in time.
 func (p *Planner) nearSoon(now cicadapitch.Instant, e *entry) bool {
 	latest := e.Due - cicadapitch.Instant(zoneSlack)
@@ -565,7 +629,7 @@
 
 func (p *Planner) start(now cicadapitch.Instant, w *worker, refs []PieceRef) Call {
 	p.next++
-	c := Call{ID: p.next, Endpoint: w.Endpoint, Pieces: refs, Expected: p.Expected(len(refs))}
+	c := Call{ID: p.next, Endpoint: w.Endpoint, Pieces: refs, Expected: p.Expected(len(refs)), Queued: p.queued(), RoomUsed: w.used}
 	for _, ref := range refs {
 		w.used += ref.Job.ResultBytes
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,10 @@
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.owner = newOwner(g.endpoints, g.clock, g.log, g.metrics)
 	g.owner.fetched = g.free
+	g.owner.owns = func(s catalog.ServiceID) bool {
+		owners := mesh.OwnersOf(string(s))
+		return len(owners) == 0 || mesh.IsSelf(owners[0])
+	}
 	return g
 }
 
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -40,6 +40,8 @@
 	log       zerolog.Logger
 	metrics   tally.Scope
 
+	// owns reports whether this host should own a service.
+	owns func(catalog.ServiceID) bool
 	// fetched tells the owner of results that they were fetched.
 	fetched func(FreeCall)
 
@@ -119,12 +121,12 @@
 	done := make(chan batch.Outcome, 1)
 	s.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, StandIn: c.StandIn,
 		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
 	}, done)
 	select {
 	case out := <-done:
-		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
+		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Moved: out.Moved, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
 	case <-ctx.Done():
 		s.cancel(id)
 		return StageReply{}, context.Cause(ctx)
@@ -206,6 +208,9 @@
 		delete(s.freeing, id)
 		s.sendFree(id, handles)
 	}
+	if s.o.owns != nil && !s.o.owns(s.name) {
+		s.planner.HandOver()
+	}
 	s.plan(s.o.clock.Now())
 }
 
@@ -240,7 +245,7 @@
 	}
 	s.o.log.Info().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
 		Int64("EntryRevision", c.Endpoint.Revision).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
-		Int64("ExpectedMs", int64(c.Expected)).Msg("stage call")
+		Int64("ExpectedMs", int64(c.Expected)).Int("Queued", c.Queued).Int64("RoomUsed", int64(c.RoomUsed)).Msg("stage call")
 }
 
 func (s *service) call(c batch.Call, now cicadapitch.Instant) {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -7,6 +7,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
 )
 
@@ -43,14 +44,18 @@
 	// DueIn and ExpireIn are the spans until the stage has to end, for the
 	// objective and for any use.
 	DueIn, ExpireIn cicadapitch.Millis
+	// StandIn is set where the owner could not be reached.
+	StandIn bool
 }
 
 // StageReply is the owner's answer.
 type StageReply struct {
 	Handles []string
 	// Zone is where most results are.
-	Zone   cicadapitch.ZoneID
-	Lost   bool
+	Zone cicadapitch.ZoneID
+	Lost bool
+	// Moved is set where another host owns the service by now.
+	Moved  bool
 	Reason string
 	// RetryAfter is when the owner's queue will have drained.
 	RetryAfter cicadapitch.Millis
@@ -247,26 +252,51 @@
 	return work
 }
 
-// callOwner runs a stage at the owner of its service, or here where no owner
-// can be reached.
+// callOwner runs a stage at the owner of its service. Where that cannot be
+// reached the next host in its order stands in, and at last this one.
 func (t *task) callOwner(ctx context.Context, c StageCall) (StageReply, error) {
-	d := t.g.mesh.Dialer()
 	begin := t.g.clock.Now()
-	for i, h := range t.g.mesh.OwnersOf(string(c.Service)) {
-		if i == stageOwners || t.g.mesh.IsSelf(h) || d == nil {
-			break
+	due, expire := c.DueIn, c.ExpireIn
+	for tries := 0; ; {
+		passed := t.g.clock.Now().Sub(begin)
+		c.DueIn, c.ExpireIn, c.StandIn = due-passed, expire-passed, tries > 0
+		h, self := t.ownerAfter(c.Service, tries)
+		var (
+			reply StageReply
+			err   error
+		)
+		if self {
+			reply, err = t.g.owner.Run(ctx, c)
+		} else {
+			reply, err = peer.Call[StageCall, StageReply](ctx, t.g.mesh.Dialer(), h.Peers, callStage, c)
 		}
-		reply, err := peer.Call[StageCall, StageReply](ctx, d, h.Peers, callStage, c)
-		if err == nil || ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
+			return reply, ctx.Err()
+		case err == nil && !reply.Moved || self && err != nil:
 			return reply, err
+		case err == nil:
+			if err := t.g.clock.Sleep(ctx, movedPause); err != nil {
+				return reply, err
+			}
+		default:
+			tries++
+			t.g.log.Warn().Str("Id", string(c.Request)).Str("Owner", string(h.ID)).Err(err).Msg("owner of a stage service not reached")
 		}
-		t.g.log.Warn().Str("Id", string(c.Request)).Str("Owner", string(h.ID)).Err(err).Msg("owner of a stage service not reached")
-		passed := t.g.clock.Now().Sub(begin)
-		begin = begin.Add(passed)
-		c.DueIn -= passed
-		c.ExpireIn -= passed
 	}
-	return t.g.owner.Run(ctx, c)
+}
+
+// movedPause lets the news of a new owner arrive.
+const movedPause cicadapitch.Millis = 20
+
+// ownerAfter returns the owner of a service after so many that were not
+// reached, or that this host runs the stage itself.
+func (t *task) ownerAfter(s catalog.ServiceID, tries int) (fleet.Host, bool) {
+	owners := t.g.mesh.OwnersOf(string(s))
+	if t.g.mesh.Dialer() == nil || tries >= min(stageOwners, len(owners)) || t.g.mesh.IsSelf(owners[tries]) {
+		return fleet.Host{}, true
+	}
+	return owners[tries], false
 }
 
 // holding is the set of stage results that a request holds.
