placement: rates at engines by token bucket; a wait for an engine; capacity by room

Changed: buckets with a burst of three at warm engines and one at cold ones, cold ones for few hosts by rendezvous; a request waits up to 0.8 s for an engine; the predicted capacity of a stage counts its room.

--- a/batch/planner.go
+++ b/batch/planner.go
@@ -28,6 +28,10 @@
 	tightRoom = 0.4
 	// lifeUse is the part of a result's life within which its use has to begin.
 	lifeUse = 0.8
+	// turnover is the part of the room that one of several calls in a row can use.
+	turnover = 0.5
+	// bytesWeight is the weight of the newest job in the usual size of a result.
+	bytesWeight = 0.05
 	// roomWait is how long a call that lacks room waits for results to be given up,
 	// if it carries less than fairCall of what the queue would fill.
 	roomWait cicadapitch.Millis = 120
@@ -63,6 +67,8 @@
 	next    CallID
 	done    []Outcome
 	demand  demand
+	// pieceBytes is the smoothed size of a result.
+	pieceBytes float64
 	// since is when the planner got its first job.
 	since cicadapitch.Instant
 	// orphans are results that nobody waits for.
@@ -132,6 +138,7 @@
 	} else {
 		p.demand.add(now, j.Priority, j.Pieces)
 	}
+	p.pieceBytes += bytesWeight * (float64(j.ResultBytes) - p.pieceBytes)
 	p.jobs[j.ID] = e
 }
 
@@ -163,12 +170,13 @@
 // capacity returns the pieces a millisecond that full calls get through, and
 // when the first endpoint is free.
 func (p *Planner) capacity(now cicadapitch.Instant) (float64, cicadapitch.Millis) {
+	size := p.usualSize()
 	rate, first := 0.0, cicadapitch.Millis(-1)
 	for _, w := range p.workers {
 		if w.gone || w.pause >= maxPause {
 			continue
 		}
-		rate += float64(p.spec.Size) / (float64(p.Expected(p.spec.Size)) * w.slowness(now))
+		rate += size / (float64(p.Expected(int(size))) * w.slowness(now))
 		if free := w.freeIn(now, p.spec.Slots); first < 0 || free < first {
 			first = free
 		}
@@ -176,6 +184,16 @@
 	return rate, max(first, 0)
 }
 
+// usualSize returns the pieces of a call that room allows when one call follows
+// the other: results stay for about a call's time after their own call.
+func (p *Planner) usualSize() float64 {
+	size := float64(p.spec.Size)
+	if p.pieceBytes <= 0 {
+		return size
+	}
+	return max(min(size, turnover*float64(p.spec.ResultRoom)/p.pieceBytes), 1)
+}
+
 // Wait estimates how long a piece of the given priority that arrives now waits
 // for the start of its call, given what is before it in the queue and what will
 // overtake it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	Loads() map[cicadapitch.EndpointID]int
 	Waits() map[string]Waits
 	HostCount() int
+	Hosts() []fleet.Host
 	OwnersOf(key string) []fleet.Host
 	IsSelf(h fleet.Host) bool
 	Dialer() *peer.Dialer
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -59,7 +59,7 @@
 
 // generateOnce sends the request to one engine and passes the stream on.
 func (t *task) generateOnce(ctx context.Context, in stageResults, events *eventReader) error {
-	e, err := t.choose(false, in.zone)
+	e, err := t.chooseSoon(ctx, in.zone)
 	if err != nil {
 		return err
 	}
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -212,7 +212,7 @@
 	reply, err := t.callOwner(ctx, c)
 	took := t.g.clock.Now().Sub(now)
 	t.g.log.Info().Str("Id", string(t.request.ID)).Int("Stage", stage).Str("Service", string(s.Service)).
-		Int("Pieces", c.Pieces).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
+		Int("Pieces", c.Pieces).Str("Key", c.Key).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
 		Int64("TookMs", int64(took)).Str("Reason", reply.Reason).Err(err).Msg("stage")
 	t.g.metrics.Tagged(map[string]string{"Service": string(s.Service)}).Histogram("Stage", Buckets).RecordDuration(took.Duration())
 	if err == nil && reply.Lost {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync/atomic"
 
 	"cicadapitch.example/cicadapitch"
@@ -27,6 +28,10 @@
 	// inlineAnswer is the largest answer that is read whole before it is passed
 	// on, so that a broken one can be replaced by another attempt.
 	inlineAnswer = 256 << 10
+	// chooseWait is how long a request whose stages are done waits for an engine
+	// that bears one more, looking each choosePause.
+	chooseWait  cicadapitch.Millis = 800
+	choosePause cicadapitch.Millis = 40
 	// fullRetry is when to come back to endpoints that were full.
 	fullRetry cicadapitch.Millis = 250
 )
@@ -99,7 +104,7 @@
 	v := g.mesh.View()
 	w := placement.Want{
 		Service: t.service, Session: t.request.Session(), Exclude: t.exclude,
-		Hosts: g.mesh.HostCount(), Zone: zone,
+		Hosts: g.mesh.HostCount(), Zone: zone, Rank: t.rank(),
 	}
 	list := v.Endpoints(t.service.Name)
 	var (
@@ -120,11 +125,37 @@
 		return e, cicadapitch.NewNotRun("no endpoint of "+string(t.service.Name)+" can take the request", fullRetry)
 	}
 	if !peek {
-		g.chooser.Started(now, e.ID)
+		g.chooser.Started(e.ID)
 	}
 	return e, nil
 }
 
+// rank returns a function that ranks this host among all hosts for a key.
+func (t *task) rank() func(string) int {
+	var hosts []fleet.Host
+	return func(key string) int {
+		if hosts == nil {
+			hosts = t.g.mesh.Hosts()
+		}
+		owners := fleet.Rank(key, hosts, func(h fleet.Host) string { return h.Incarnation })
+		return slices.IndexFunc(owners, t.g.mesh.IsSelf)
+	}
+}
+
+// chooseSoon waits a moment where all endpoints have got as many requests as
+// they bear for now.
+func (t *task) chooseSoon(ctx context.Context, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
+	for waited := cicadapitch.Millis(0); ; waited += choosePause {
+		e, err := t.choose(false, zone)
+		if err == nil || waited >= chooseWait || len(t.g.mesh.View().Endpoints(t.service.Name)) <= len(t.exclude) {
+			return e, err
+		}
+		if t.g.clock.Sleep(ctx, choosePause) != nil {
+			return e, err
+		}
+	}
+}
+
 func (t *task) ended(id cicadapitch.EndpointID) {
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -13,7 +15,15 @@
 	// boundedSlack keeps few requests from moving sessions.
 	boundedSlack = 3.0
 	// coldUse is the part of a cold endpoint's rate that all hosts together use.
-	coldUse = 0.75
+	coldUse = 0.9
+	// coldHosts is the part of a cold endpoint's rate that is the most hosts
+	// which send it work, so that each has a useful share.
+	coldHosts = 0.6
+	// warmBurst is how many calls a host may start at once at a warm endpoint.
+	warmBurst = 3
+	// leastRate is what each host of a large fleet may start a second at a warm
+	// endpoint.
+	leastRate = 1
 	// otherZone is the latency that a call within the zone may have more, in
 	// milliseconds.
 	otherZone = 3.0
@@ -77,6 +87,8 @@
 	Exclude map[cicadapitch.EndpointID]bool
 	// Hosts is the number of hosts that may send work.
 	Hosts int
+	// Rank returns the rank of this host among all hosts for a key.
+	Rank func(key string) int
 	// Others are the other hosts' running calls by endpoint.
 	Others map[cicadapitch.EndpointID]int
 }
@@ -131,7 +143,7 @@
 	var good, bad []fleet.Endpoint
 	for _, e := range list {
 		h := c.Health(e.ID)
-		if w.Exclude[e.ID] || !h.allowed(now, c.rate(now, e, w)) {
+		if w.Exclude[e.ID] || !c.allowed(now, e, w) {
 			continue
 		}
 		if h.Ejected(now) {
@@ -146,18 +158,25 @@
 	return good
 }
 
-// rate returns how many calls a second this host may start at an endpoint. An
-// endpoint may turn cold without a sign, so the contract's bound holds for warm
-// ones too.
-func (c *Chooser) rate(now cicadapitch.Instant, e fleet.Endpoint, w Want) float64 {
-	if w.Service.ColdPerSecond <= 0 {
-		return 1e9
+// allowed reports whether this host may start a call at an endpoint. A cold one
+// gets single calls from a few hosts, so that all together stay within the bound
+// in any second. An endpoint may turn cold without a sign, so warm ones have a
+// bound too, with room for callers of one session that come together.
+func (c *Chooser) allowed(now cicadapitch.Instant, e fleet.Endpoint, w Want) bool {
+	bears := w.Service.ColdPerSecond
+	if bears <= 0 {
+		return true
 	}
+	h := c.Health(e.ID)
 	hosts := float64(max(w.Hosts, 1))
-	if e.Cold(now) {
-		return w.Service.ColdPerSecond * coldUse / hosts
+	if !e.Cold(now) {
+		return h.allowed(now, max((bears*c.coldExcess+c.coldSlack)/hosts, leastRate), warmBurst)
+	}
+	few := min(hosts, max(math.Floor(bears*coldHosts), 1))
+	if w.Rank != nil && w.Rank(string(e.ID)) >= int(few) {
+		return false
 	}
-	return (w.Service.ColdPerSecond*c.coldExcess + c.coldSlack) * coldUse / hosts
+	return h.allowed(now, coldUse*bears/few, 1)
 }
 
 // Plain chooses an endpoint of a plain service by its latency, this host's
@@ -180,10 +199,10 @@
 }
 
 // Started records the start of a call.
-func (c *Chooser) Started(now cicadapitch.Instant, id cicadapitch.EndpointID) {
+func (c *Chooser) Started(id cicadapitch.EndpointID) {
 	h := c.Health(id)
 	h.Running++
-	h.count(now)
+	h.count()
 }
 
 // Ended records the end of a call.
--- a/placement/health.go
+++ b/placement/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"cicadapitch.example/cicadapitch"
 )
@@ -29,8 +28,9 @@
 	seen     cicadapitch.Instant
 	// Running counts this host's calls.
 	Running int
-	// recent holds the starts of the calls of the last second.
-	recent []cicadapitch.Instant
+	// tokens bound the rate of calls, as of filled.
+	tokens float64
+	filled cicadapitch.Instant
 }
 
 func (h *Health) fade(now cicadapitch.Instant, memory cicadapitch.Millis) float64 {
@@ -67,21 +67,19 @@
 // Ejected reports whether the endpoint gets work only where there is no other.
 func (h *Health) Ejected(now cicadapitch.Instant) bool { return h.Failures(now) >= ejectFrom }
 
-// allowed reports whether a call may start without going over perSecond calls
-// in any second.
-func (h *Health) allowed(now cicadapitch.Instant, perSecond float64) bool {
-	n := 0
-	for _, at := range h.recent {
-		if now.Sub(at) <= cicadapitch.Second {
-			n++
-		}
-	}
-	return float64(n+1) <= max(perSecond, 1)
+// allowed reports whether a call may start at a rate of perSecond calls: within
+// any second no more than perSecond and burst calls start.
+func (h *Health) allowed(now cicadapitch.Instant, perSecond, burst float64) bool {
+	h.fill(now, perSecond, burst)
+	return h.tokens >= 1
 }
 
-func (h *Health) count(now cicadapitch.Instant) {
-	h.recent = slices.DeleteFunc(h.recent, func(at cicadapitch.Instant) bool {
-		return now.Sub(at) > cicadapitch.Second
-	})
-	h.recent = append(h.recent, now)
+func (h *Health) fill(now cicadapitch.Instant, perSecond, burst float64) {
+	if h.filled == 0 {
+		h.tokens = burst
+	}
+	h.tokens = min(burst, h.tokens+perSecond*float64(now.Sub(h.filled))/float64(cicadapitch.Second))
+	h.filled = now
 }
+
+func (h *Health) count() { h.tokens-- }
