batch: callers that come back are known by their input key and go first among the late

Tried first: those who come back go before all new work of their kind. Changed: the owner of the first stage remembers refused keys for 10 s; their jobs go before other late ones and are admitted on that. Retry-After is spread by a fifth.

--- a/batch/job.go
+++ b/batch/job.go
@@ -26,6 +26,8 @@
 	// ResultBytes is the approximate size of one result.
 	ResultBytes cicadapitch.Bytes
 	Priority    int
+	// Returned jobs are of callers that were refused before and have come back.
+	Returned bool
 	// StandIn jobs come from a host that does not reach the owner.
 	StandIn bool
 	// Due is when the stage has to end for the request to meet its objective.
@@ -44,6 +46,8 @@
 	// Lost is set where an input is gone, so that the stages before have to be
 	// run again.
 	Lost bool
+	// Returned is set where the caller had been refused before.
+	Returned bool
 	// Moved is set where another owner should run the job.
 	Moved bool
 	// Reason is set where there is no result.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -32,6 +32,9 @@
 	turnover = 0.5
 	// bytesWeight is the weight of the newest job in the usual size of a result.
 	bytesWeight = 0.05
+	// refusedMemory is how long a caller that was refused is known: longer than
+	// any caller waits before it comes back.
+	refusedMemory cicadapitch.Millis = 10_000
 	// roomWait is how long a call that lacks room waits for results to be given up,
 	// if it carries less than fairCall of what the queue would fill.
 	roomWait cicadapitch.Millis = 120
@@ -71,6 +74,8 @@
 	pieceBytes float64
 	// since is when the planner got its first job.
 	since cicadapitch.Instant
+	// refusals holds when callers with an input key were refused.
+	refusals map[string]cicadapitch.Instant
 	// orphans are results that nobody waits for.
 	orphans []string
 }
@@ -78,11 +83,12 @@
 // NewPlanner returns a planner without endpoints.
 func NewPlanner(spec catalog.BatchSpec) *Planner {
 	return &Planner{
-		spec:    spec,
-		workers: map[cicadapitch.EndpointID]*worker{},
-		jobs:    map[JobID]*entry{},
-		results: map[string]result{},
-		calls:   map[CallID]*worker{},
+		spec:     spec,
+		workers:  map[cicadapitch.EndpointID]*worker{},
+		jobs:     map[JobID]*entry{},
+		results:  map[string]result{},
+		calls:    map[CallID]*worker{},
+		refusals: map[string]cicadapitch.Instant{},
 	}
 }
 
@@ -129,19 +135,34 @@
 	for i := range j.Pieces {
 		e.waiting = append(e.waiting, i)
 	}
+	if at, ok := p.refusals[j.Key]; ok && now.Sub(at) < refusedMemory {
+		e.Returned = true
+	}
 	work := p.Expected(j.Pieces)
-	if now.Add(p.Wait(now, j.Priority)+work) > j.Due {
-		if wait := p.lateWait(now); now.Add(wait+work) > j.Expire {
-			p.done = append(p.done, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: p.drain(now)})
-			return
-		}
-	} else {
+	switch {
+	case !e.Returned && now.Add(p.Wait(now, j.Priority)+work) <= j.Due:
 		p.demand.add(now, j.Priority, j.Pieces)
+	case now.Add(p.lateWait(now, e.Returned)+work) > j.Expire:
+		p.done = append(p.done, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: p.drain(now)})
+		return
 	}
 	p.pieceBytes += bytesWeight * (float64(j.ResultBytes) - p.pieceBytes)
 	p.jobs[j.ID] = e
 }
 
+// Refused remembers that the caller with an input key was refused, so that it
+// goes first when it comes back.
+func (p *Planner) Refused(now cicadapitch.Instant, key string) {
+	for k, at := range p.refusals {
+		if now.Sub(at) >= refusedMemory {
+			delete(p.refusals, k)
+		}
+	}
+	if key != "" {
+		p.refusals[key] = now
+	}
+}
+
 // Cancel drops a job. Its results are freed as they come.
 func (p *Planner) Cancel(id JobID) {
 	e := p.jobs[id]
@@ -207,9 +228,16 @@
 	return p.waitBehind(now, ahead, p.demand.above(now, priority))
 }
 
-// lateWait estimates the wait of a job that is late already.
-func (p *Planner) lateWait(now cicadapitch.Instant) cicadapitch.Millis {
-	return p.waitBehind(now, p.queued(), p.demand.all(now))
+// lateWait estimates the wait of a job that is late already. Those that came back
+// go before the others.
+func (p *Planner) lateWait(now cicadapitch.Instant, returned bool) cicadapitch.Millis {
+	ahead := 0
+	for _, e := range p.jobs {
+		if !returned || e.Returned || !p.late(now, e) {
+			ahead += len(e.waiting)
+		}
+	}
+	return p.waitBehind(now, ahead, p.demand.all(now))
 }
 
 // drain estimates when the queue will have drained.
@@ -236,9 +264,10 @@
 	return first + cicadapitch.Millis(float64(ahead)/max(rate-overtaking, leastSpare*rate))
 }
 
-// late reports whether a job cannot meet its objective any more.
+// late reports whether a job cannot meet its objective any more. That of a
+// caller who came back counts from before its refusal.
 func (p *Planner) late(now cicadapitch.Instant, e *entry) bool {
-	return now.Add(p.Expected(len(e.waiting))) > e.Due
+	return e.Returned || now.Add(p.Expected(len(e.waiting))) > e.Due
 }
 
 // Finish takes the end of a call.
@@ -319,7 +348,7 @@
 		e.waiting = slices.DeleteFunc(e.waiting, func(i int) bool { return i == ref.Index })
 		if e.left--; e.left == 0 {
 			delete(p.jobs, e.ID)
-			p.done = append(p.done, Outcome{Job: e.ID, Handles: e.handles, Zone: e.mainZone()})
+			p.done = append(p.done, Outcome{Job: e.ID, Handles: e.handles, Zone: e.mainZone(), Returned: e.Returned})
 		}
 	case r.Gone:
 		p.fail(e, Outcome{Lost: true, Reason: "an input is gone"})
@@ -530,7 +559,8 @@
 }
 
 // order lists the waiting jobs: those that can still meet their objective
-// first, by priority and due time, then the late ones.
+// first, by priority and due time, then those of callers who came back, then the
+// other late ones.
 func (p *Planner) order(now cicadapitch.Instant) []*entry {
 	var list []*entry
 	for _, e := range p.jobs {
@@ -539,8 +569,11 @@
 		}
 	}
 	lateness := func(e *entry) int {
-		if p.late(now, e) {
+		switch {
+		case e.Returned:
 			return 1
+		case p.late(now, e):
+			return 2
 		}
 		return 0
 	}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -121,12 +121,12 @@
 	done := make(chan batch.Outcome, 1)
 	s.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, StandIn: c.StandIn,
+		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Returned: c.Returned, StandIn: c.StandIn,
 		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
 	}, done)
 	select {
 	case out := <-done:
-		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Moved: out.Moved, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
+		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Moved: out.Moved, Returned: out.Returned, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
 	case <-ctx.Done():
 		s.cancel(id)
 		return StageReply{}, context.Cause(ctx)
@@ -149,6 +149,17 @@
 	s.giveUp(c.Handles)
 }
 
+// Refused takes that a caller was refused.
+func (o *Owner) Refused(c RefusedCall) {
+	s := o.service(c.Service)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.planner.Refused(o.clock.Now(), c.Key)
+}
+
 // Waits returns the waits of the services that have work here.
 func (o *Owner) Waits() map[string]Waits {
 	now := o.clock.Now()
@@ -336,7 +347,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout.Duration())
 		defer cancel()
 		if err := s.o.endpoints.Free(ctx, e, handles); err != nil {
 			s.o.log.Warn().Str("Endpoint", string(id)).Int("Results", len(handles)).Err(err).
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -13,8 +13,9 @@
 
 // Names of the calls between hosts.
 const (
-	callStage = "stage"
-	callFree  = "free"
+	callStage   = "stage"
+	callFree    = "free"
+	callRefused = "refused"
 )
 
 const (
@@ -44,6 +45,8 @@
 	// DueIn and ExpireIn are the spans until the stage has to end, for the
 	// objective and for any use.
 	DueIn, ExpireIn cicadapitch.Millis
+	// Returned is set where the caller was refused before.
+	Returned bool
 	// StandIn is set where the owner could not be reached.
 	StandIn bool
 }
@@ -55,8 +58,10 @@
 	Zone cicadapitch.ZoneID
 	Lost bool
 	// Moved is set where another host owns the service by now.
-	Moved  bool
-	Reason string
+	Moved bool
+	// Returned is set where the caller was refused before.
+	Returned bool
+	Reason   string
 	// RetryAfter is when the owner's queue will have drained.
 	RetryAfter cicadapitch.Millis
 }
@@ -70,6 +75,13 @@
 	IfNeeded bool
 }
 
+// RefusedCall tells the owner of a request's first stage that its caller was
+// refused, and may come back with the same input key.
+type RefusedCall struct {
+	Service catalog.ServiceID
+	Key     string
+}
+
 type stageEnd struct {
 	stage int
 	reply StageReply
@@ -109,6 +121,7 @@
 			held.release()
 			return stageResults{}, end.err
 		}
+		t.returned = t.returned || end.reply.Returned
 		held.put(end.stage, end.reply.Handles, end.reply.Zone)
 		t.freeUsed(pieces, held)
 		startReady()
@@ -189,7 +202,7 @@
 	after := t.pathAfter(stage, pieces)
 	c := StageCall{
 		Service: s.Service, Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority,
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority, Returned: t.returned,
 		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
 		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
 	}
@@ -359,26 +372,45 @@
 	}
 }
 
+// noteRefusal tells the owner of the first stage that the caller was refused.
+func (t *task) noteRefusal() {
+	if t.request.PieceKey == "" || len(t.route.Stages) == 0 {
+		return
+	}
+	c := RefusedCall{Service: t.route.Stages[0].Service, Key: t.request.PieceKey}
+	t.g.tellOwner(c.Service, func() { t.g.owner.Refused(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
+		_, err := peer.Call[RefusedCall, struct{}](ctx, d, address, callRefused, c)
+		return err
+	})
+}
+
 // free gives up results through their owner, beside the request.
 func (g *Gateway) free(c FreeCall) {
-	owners := g.mesh.OwnersOf(string(c.Service))
+	g.tellOwner(c.Service, func() { g.owner.Free(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
+		_, err := peer.Call[FreeCall, struct{}](ctx, d, address, callFree, c)
+		return err
+	})
+}
+
+// tellOwner tells the owner of a service something that can be lost.
+func (g *Gateway) tellOwner(s catalog.ServiceID, here func(), there func(context.Context, *peer.Dialer, string) error) {
+	owners := g.mesh.OwnersOf(string(s))
 	d := g.mesh.Dialer()
 	if len(owners) == 0 || d == nil || g.mesh.IsSelf(owners[0]) {
-		g.owner.Free(c)
+		here()
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout.Duration())
 		defer cancel()
-		_, err := peer.Call[FreeCall, struct{}](ctx, d, owners[0].Peers, callFree, c)
-		if err != nil {
-			g.log.Warn().Str("Service", string(c.Service)).Err(err).Msg("results were not given up; they end by themselves")
+		if err := there(ctx, d, owners[0].Peers); err != nil {
+			g.log.Warn().Str("Service", string(s)).Str("Owner", string(owners[0].ID)).Err(err).Msg("owner was not told")
 		}
 	}()
 }
 
-// freeTimeout bounds the call that gives up results.
-const freeTimeout cicadapitch.Millis = 1000
+// tellTimeout bounds calls that can be lost.
+const tellTimeout cicadapitch.Millis = 1000
 
 // Join serves the calls of other hosts.
 func (g *Gateway) Join(s *peer.Server) {
@@ -389,4 +421,8 @@
 		g.owner.Free(c)
 		return struct{}{}, nil
 	})
+	peer.Handle(s, callRefused, func(_ context.Context, c RefusedCall) (struct{}, error) {
+		g.owner.Refused(c)
+		return struct{}{}, nil
+	})
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 
@@ -68,6 +69,8 @@
 	mayRun bool
 	// waits are the waits of stage services as their owners told them.
 	waits map[string]Waits
+	// returned is set where the caller was refused before.
+	returned bool
 	// status is what the caller got, or 0.
 	status int
 }
@@ -326,7 +329,11 @@
 	if t.answer.Begun() || gone {
 		t.answer.Abort()
 	}
-	t.answer.Refuse(t.finalError(ctx, err))
+	final := t.finalError(ctx, err)
+	if cicadapitch.KindOf(final) == cicadapitch.NotRun {
+		t.noteRefusal()
+	}
+	t.answer.Refuse(final)
 }
 
 // finalError makes sure that "not run" is said only where it is true.
@@ -338,7 +345,13 @@
 	case t.mayRun:
 		return cicadapitch.NewOutcomeUnknown(err.Error())
 	case e != nil && e.Kind == cicadapitch.NotRun && e.RetryAfter > 0:
-		return e
+		return e.After(spread(e.RetryAfter))
 	}
 	return cicadapitch.NewNotRun(err.Error(), fullRetry)
 }
+
+// spread varies a span by a fifth either way, so that callers who were refused
+// together do not come back together.
+func spread(m cicadapitch.Millis) cicadapitch.Millis {
+	return cicadapitch.Millis(float64(m) * (0.8 + 0.4*rand.Float64()))
+}
