mesh, batch: heartbeats to twelve hosts, stage services divided by zone

Changed: a host sends heartbeats to twelve hosts by rendezvous; hosts found down and waits of stage services travel on; changes of the store are gathered for 150 ms and watches wait longer in large fleets; a stage service of twelve endpoints and more with three in each zone has one owner a zone.

--- a/batch/job.go
+++ b/batch/job.go
@@ -17,8 +17,8 @@
 	// Key or Inputs are the input of each piece.
 	Key    string
 	Inputs []string
-	// InputServices are the services that hold the inputs.
-	InputServices []catalog.ServiceID
+	// InputShards are the shards that hold the inputs.
+	InputShards []Shard
 	// Zone is where the inputs are or the results are used, and MoveBytes what
 	// moves between zones if the job runs elsewhere.
 	Zone      cicadapitch.ZoneID
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -412,10 +412,10 @@
 	}
 }
 
-// FetchedBy returns the inputs that a call has fetched, by the service that
+// FetchedBy returns the inputs that a call has fetched, by the shard that
 // holds them. Inputs of jobs with pieces elsewhere or still waiting are left out,
 // and those of calls at slow endpoints, which may have to be repeated.
-func (p *Planner) FetchedBy(id CallID) map[catalog.ServiceID][]string {
+func (p *Planner) FetchedBy(id CallID) map[Shard][]string {
 	w := p.calls[id]
 	if w == nil || w.slow >= slowFrom {
 		return nil
@@ -425,11 +425,11 @@
 	for _, ref := range f.Pieces {
 		pieces[ref.Job.ID]++
 	}
-	out := map[catalog.ServiceID][]string{}
+	out := map[Shard][]string{}
 	for _, ref := range f.Pieces {
 		j := ref.Job
-		if pieces[j.ID] == j.Pieces && len(j.InputServices) == 1 {
-			out[j.InputServices[0]] = append(out[j.InputServices[0]], j.Inputs...)
+		if pieces[j.ID] == j.Pieces && len(j.InputShards) == 1 {
+			out[j.InputShards[0]] = append(out[j.InputShards[0]], j.Inputs...)
 			pieces[j.ID] = 0
 		}
 	}
--- /dev/null
+++ b/batch/shard.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+)
+
+const (
+	// shardFrom is the number of endpoints from which a service is divided by
+	// zone, so that no owner has to order the pieces of a whole large fleet.
+	shardFrom = 12
+	// shardLeast is the number of endpoints that each zone needs for that. Calls of
+	// fewer are better filled together.
+	shardLeast = 3
+)
+
+// Shard is the part of a stage service that has one owner.
+type Shard struct {
+	Service catalog.ServiceID
+	// Zone is set where the service is divided by zone.
+	Zone cicadapitch.ZoneID
+}
+
+// Key names the shard.
+func (s Shard) Key() string {
+	if s.Zone == "" {
+		return string(s.Service)
+	}
+	return string(s.Service) + "/" + string(s.Zone)
+}
+
+// ShardsOf divides the endpoints of a service.
+func ShardsOf(s catalog.ServiceID, list []fleet.Endpoint) []Shard {
+	zones := map[cicadapitch.ZoneID]int{}
+	var order []cicadapitch.ZoneID
+	for _, e := range list {
+		if zones[e.Zone] == 0 {
+			order = append(order, e.Zone)
+		}
+		zones[e.Zone]++
+	}
+	if len(list) < shardFrom || len(order) < 2 {
+		return []Shard{{Service: s}}
+	}
+	var out []Shard
+	for _, z := range order {
+		if zones[z] < shardLeast {
+			return []Shard{{Service: s}}
+		}
+		out = append(out, Shard{s, z})
+	}
+	return out
+}
+
+// Holds reports whether an endpoint belongs to the shard.
+func (s Shard) Holds(e catalog.Endpoint) bool {
+	return e.Service == s.Service && (s.Zone == "" || s.Zone == e.Zone)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
@@ -77,8 +78,8 @@
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.owner = newOwner(g.endpoints, g.clock, g.log, g.metrics)
 	g.owner.fetched = g.free
-	g.owner.owns = func(s catalog.ServiceID) bool {
-		owners := mesh.OwnersOf(string(s))
+	g.owner.owns = func(s batch.Shard) bool {
+		owners := mesh.OwnersOf(s.Key())
 		return len(owners) == 0 || mesh.IsSelf(owners[0])
 	}
 	return g
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -41,20 +41,20 @@
 	metrics   tally.Scope
 
 	// owns reports whether this host should own a service.
-	owns func(catalog.ServiceID) bool
+	owns func(batch.Shard) bool
 	// fetched tells the owner of results that they were fetched.
 	fetched func(FreeCall)
 
 	mu      sync.Mutex
 	view    *fleet.View
 	next    batch.JobID
-	planned map[catalog.ServiceID]*service
+	planned map[batch.Shard]*service
 }
 
 // service is one stage service. Its lock orders the planner's messages.
 type service struct {
 	o       *Owner
-	name    catalog.ServiceID
+	shard   batch.Shard
 	mu      sync.Mutex
 	planner *batch.Planner
 	waiting map[batch.JobID]chan batch.Outcome
@@ -66,7 +66,7 @@
 func newOwner(e *platform.Endpoints, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *Owner {
 	return &Owner{
 		endpoints: e, clock: clock, log: log, metrics: metrics,
-		planned: map[catalog.ServiceID]*service{},
+		planned: map[batch.Shard]*service{},
 	}
 }
 
@@ -83,35 +83,35 @@
 	}
 }
 
-func (o *Owner) service(name catalog.ServiceID) *service {
+func (o *Owner) service(shard batch.Shard) *service {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.planned[name]; s != nil {
+	if s := o.planned[shard]; s != nil {
 		return s
 	}
 	if o.view == nil || o.view.Catalog == nil {
 		return nil
 	}
-	spec := o.view.Catalog.Services[name]
+	spec := o.view.Catalog.Services[shard.Service]
 	if spec == nil || spec.Batch == nil {
 		return nil
 	}
 	s := &service{
-		o: o, name: name, planner: batch.NewPlanner(*spec.Batch),
+		o: o, shard: shard, planner: batch.NewPlanner(*spec.Batch),
 		waiting: map[batch.JobID]chan batch.Outcome{},
 		freeing: map[cicadapitch.EndpointID][]string{},
 	}
 	s.timer = time.AfterFunc(time.Hour, s.wake)
 	s.setView(o.view)
-	o.planned[name] = s
+	o.planned[shard] = s
 	return s
 }
 
 // Run runs one stage of a request.
 func (o *Owner) Run(ctx context.Context, c StageCall) (StageReply, error) {
-	s := o.service(c.Service)
+	s := o.service(c.Shard)
 	if s == nil {
-		return StageReply{}, cicadapitch.NewNotRun("stage service "+string(c.Service)+" is not configured here", notReadyRetry)
+		return StageReply{}, cicadapitch.NewNotRun("stage service "+c.Shard.Key()+" is not configured here", notReadyRetry)
 	}
 	o.mu.Lock()
 	o.next++
@@ -121,7 +121,7 @@
 	done := make(chan batch.Outcome, 1)
 	s.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		InputServices: c.InputServices, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Returned: c.Returned, StandIn: c.StandIn,
+		InputShards: c.InputShards, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Returned: c.Returned, StandIn: c.StandIn,
 		Due: now.Add(c.DueIn), Expire: now.Add(c.ExpireIn),
 	}, done)
 	select {
@@ -135,7 +135,7 @@
 
 // Free gives up results, or marks those that may be given up.
 func (o *Owner) Free(c FreeCall) {
-	s := o.service(c.Service)
+	s := o.service(c.Shard)
 	if s == nil {
 		return
 	}
@@ -151,7 +151,7 @@
 
 // Refused takes that a caller was refused.
 func (o *Owner) Refused(c RefusedCall) {
-	s := o.service(c.Service)
+	s := o.service(c.Shard)
 	if s == nil {
 		return
 	}
@@ -166,14 +166,14 @@
 	out := map[string]Waits{}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for name, s := range o.planned {
+	for shard, s := range o.planned {
 		s.mu.Lock()
 		if !s.planner.Idle() {
 			w := make(Waits, waitLevels)
 			for p := range w {
 				w[p] = s.planner.Wait(now, p)
 			}
-			out[string(name)] = w
+			out[shard.Key()] = w
 		}
 		s.mu.Unlock()
 	}
@@ -185,13 +185,15 @@
 	defer s.mu.Unlock()
 	s.view = v
 	if v.Catalog != nil {
-		if spec := v.Catalog.Services[s.name]; spec != nil && spec.Batch != nil {
+		if spec := v.Catalog.Services[s.shard.Service]; spec != nil && spec.Batch != nil {
 			s.planner.SetSpec(*spec.Batch)
 		}
 	}
 	var list []catalog.Endpoint
-	for _, e := range v.Endpoints(s.name) {
-		list = append(list, e.Endpoint)
+	for _, e := range v.Endpoints(s.shard.Service) {
+		if s.shard.Holds(e.Endpoint) {
+			list = append(list, e.Endpoint)
+		}
 	}
 	s.planner.SetEndpoints(list)
 }
@@ -219,7 +221,7 @@
 		delete(s.freeing, id)
 		s.sendFree(id, handles)
 	}
-	if s.o.owns != nil && !s.o.owns(s.name) {
+	if s.o.owns != nil && !s.o.owns(s.shard) {
 		s.planner.HandOver()
 	}
 	s.plan(s.o.clock.Now())
@@ -254,7 +256,7 @@
 			ids = append(ids, string(ref.Job.Request))
 		}
 	}
-	s.o.log.Info().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
+	s.o.log.Info().Str("Service", s.shard.Key()).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
 		Int64("EntryRevision", c.Endpoint.Revision).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
 		Int64("ExpectedMs", int64(c.Expected)).Int("Queued", c.Queued).Int64("RoomUsed", int64(c.RoomUsed)).Msg("stage call")
 }
@@ -288,11 +290,11 @@
 			full++
 		}
 	}
-	s.o.log.Info().Str("Service", string(s.name)).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
+	s.o.log.Info().Str("Service", s.shard.Key()).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
 		Int("Pieces", len(c.Pieces)).Int("Made", made).Int("NoRoom", full).Int64("ExpectedMs", int64(c.Expected)).
 		Int64("TookMs", int64(s.o.clock.Now().Sub(now))).Err(err).Msg("stage call ended")
-	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StageCalls").Inc(1)
-	s.o.metrics.Tagged(map[string]string{"Service": string(s.name)}).Counter("StagePieces").Inc(int64(len(c.Pieces)))
+	s.o.metrics.Tagged(map[string]string{"Service": s.shard.Key()}).Counter("StageCalls").Inc(1)
+	s.o.metrics.Tagged(map[string]string{"Service": s.shard.Key()}).Counter("StagePieces").Inc(int64(len(c.Pieces)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.o.clock.Now()
@@ -305,8 +307,8 @@
 	s.mu.Lock()
 	used := s.planner.FetchedBy(id)
 	s.mu.Unlock()
-	for name, handles := range used {
-		s.o.fetched(FreeCall{Service: name, Handles: handles, IfNeeded: true})
+	for shard, handles := range used {
+		s.o.fetched(FreeCall{Shard: shard, Handles: handles, IfNeeded: true})
 	}
 }
 
@@ -332,7 +334,7 @@
 // makerOf finds the endpoint that holds a result which another owner ordered.
 func (s *service) makerOf(handle string) (cicadapitch.EndpointID, bool) {
 	address := platform.HandleAddress(handle)
-	for _, e := range s.view.Endpoints(s.name) {
+	for _, e := range s.view.Endpoints(s.shard.Service) {
 		if e.Address == address {
 			return e.ID, true
 		}
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
@@ -28,14 +29,14 @@
 
 // StageCall asks the owner of a stage service to run one stage of a request.
 type StageCall struct {
-	Service catalog.ServiceID
+	Shard   batch.Shard
 	Request cicadapitch.RequestID
 	Stage   int
 	Pieces  int
 	Key     string
 	Inputs  []string
-	// InputServices are the services that hold the inputs.
-	InputServices []catalog.ServiceID
+	// InputShards are the shards that hold the inputs.
+	InputShards []batch.Shard
 	// Zone is where the inputs are or the results are used, and MoveBytes what
 	// moves between zones if the stage runs elsewhere.
 	Zone        cicadapitch.ZoneID
@@ -68,7 +69,7 @@
 
 // FreeCall gives up results.
 type FreeCall struct {
-	Service catalog.ServiceID
+	Shard   batch.Shard
 	Handles []string
 	// IfNeeded results were fetched by their user, who may need them again if its
 	// call breaks. They are given up where their endpoint lacks room.
@@ -78,8 +79,8 @@
 // RefusedCall tells the owner of a request's first stage that its caller was
 // refused, and may come back with the same input key.
 type RefusedCall struct {
-	Service catalog.ServiceID
-	Key     string
+	Shard batch.Shard
+	Key   string
 }
 
 type stageEnd struct {
@@ -91,7 +92,7 @@
 // runStages runs the stages of the request and returns the results that its
 // engine needs. release gives up the results that are still held.
 func (t *task) runStages(ctx context.Context, zone cicadapitch.ZoneID) (stageResults, error) {
-	held := &holding{t: t, handles: map[int][]string{}, zones: map[int]cicadapitch.ZoneID{}}
+	held := &holding{t: t, handles: map[int][]string{}, zones: map[int]cicadapitch.ZoneID{}, shards: map[int]batch.Shard{}}
 	pieces := t.request.Pieces
 	if len(pieces) < len(t.route.Stages) {
 		pieces = append(append([]int(nil), pieces...), make([]int, len(t.route.Stages)-len(pieces))...)
@@ -201,7 +202,7 @@
 	now := t.g.clock.Now()
 	after := t.pathAfter(stage, pieces)
 	c := StageCall{
-		Service: s.Service, Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
+		Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
 		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority, Returned: t.returned,
 		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
 		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
@@ -212,7 +213,7 @@
 	for _, a := range s.After {
 		inputs := held.get(a)
 		c.Inputs = append(c.Inputs, inputs...)
-		c.InputServices = append(c.InputServices, t.route.Stages[a].Service)
+		c.InputShards = append(c.InputShards, held.shard(a))
 		// Each piece fetches all inputs.
 		bytes := t.route.Stages[a].ResultBytes * cicadapitch.Bytes(len(inputs)*c.Pieces)
 		if bytes > c.MoveBytes {
@@ -222,9 +223,11 @@
 	if len(c.Inputs) == 0 {
 		c.Key = t.request.PieceKey
 	}
+	c.Shard = t.shardFor(s.Service, c.Zone, c.MoveBytes)
+	held.setShard(stage, c.Shard)
 	reply, err := t.callOwner(ctx, c)
 	took := t.g.clock.Now().Sub(now)
-	t.g.log.Info().Str("Id", string(t.request.ID)).Int("Stage", stage).Str("Service", string(s.Service)).
+	t.g.log.Info().Str("Id", string(t.request.ID)).Int("Stage", stage).Str("Service", c.Shard.Key()).
 		Int("Pieces", c.Pieces).Str("Key", c.Key).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
 		Int64("TookMs", int64(took)).Str("Reason", reply.Reason).Err(err).Msg("stage")
 	t.g.metrics.Tagged(map[string]string{"Service": string(s.Service)}).Histogram("Stage", Buckets).RecordDuration(took.Duration())
@@ -259,10 +262,52 @@
 		return 0
 	}
 	work := s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
-	if w := t.waits[string(name)]; len(w) > 0 {
-		work += w[min(max(t.priority, 0), len(w)-1)]
+	least := cicadapitch.Millis(-1)
+	for _, shard := range batch.ShardsOf(name, t.view.Endpoints(name)) {
+		if w := t.waitOf(shard); least < 0 || w < least {
+			least = w
+		}
 	}
-	return work
+	return work + max(least, 0)
+}
+
+// waitOf returns the wait that the owner of a shard told last.
+func (t *task) waitOf(s batch.Shard) cicadapitch.Millis {
+	w := t.waits[s.Key()]
+	if len(w) == 0 {
+		return 0
+	}
+	return w[min(max(t.priority, 0), len(w)-1)]
+}
+
+const (
+	// otherZoneWait is the wait that a stage takes upon itself to stay in its
+	// zone, and heavyZoneWait where much would move.
+	otherZoneWait cicadapitch.Millis = 30
+	heavyZoneWait cicadapitch.Millis = 200
+	// heavyStage is the size from which a move between zones is heavy.
+	heavyStage cicadapitch.Bytes = 100_000
+)
+
+// shardFor chooses the shard of a service: the one of the wanted zone, unless
+// another has a much shorter queue.
+func (t *task) shardFor(s catalog.ServiceID, zone cicadapitch.ZoneID, moves cicadapitch.Bytes) batch.Shard {
+	shards := batch.ShardsOf(s, t.g.mesh.View().Endpoints(s))
+	best, least := shards[0], cicadapitch.Millis(-1)
+	for _, shard := range shards {
+		w := t.waitOf(shard)
+		switch {
+		case shard.Zone == zone:
+		case moves >= heavyStage:
+			w += heavyZoneWait
+		default:
+			w += otherZoneWait
+		}
+		if least < 0 || w < least {
+			best, least = shard, w
+		}
+	}
+	return best
 }
 
 // callOwner runs a stage at the owner of its service. Where that cannot be
@@ -273,7 +318,7 @@
 	for tries := 0; ; {
 		passed := t.g.clock.Now().Sub(begin)
 		c.DueIn, c.ExpireIn, c.StandIn = due-passed, expire-passed, tries > 0
-		h, self := t.ownerAfter(c.Service, tries)
+		h, self := t.ownerAfter(c.Shard, tries)
 		var (
 			reply StageReply
 			err   error
@@ -304,8 +349,8 @@
 
 // ownerAfter returns the owner of a service after so many that were not
 // reached, or that this host runs the stage itself.
-func (t *task) ownerAfter(s catalog.ServiceID, tries int) (fleet.Host, bool) {
-	owners := t.g.mesh.OwnersOf(string(s))
+func (t *task) ownerAfter(s batch.Shard, tries int) (fleet.Host, bool) {
+	owners := t.g.mesh.OwnersOf(s.Key())
 	if t.g.mesh.Dialer() == nil || tries >= min(stageOwners, len(owners)) || t.g.mesh.IsSelf(owners[tries]) {
 		return fleet.Host{}, true
 	}
@@ -318,6 +363,7 @@
 	mu      sync.Mutex
 	handles map[int][]string
 	zones   map[int]cicadapitch.ZoneID
+	shards  map[int]batch.Shard
 	gone    map[int]bool
 }
 
@@ -333,6 +379,18 @@
 	return h.zones[stage]
 }
 
+func (h *holding) setShard(stage int, s batch.Shard) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shards[stage] = s
+}
+
+func (h *holding) shard(stage int) batch.Shard {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.shards[stage]
+}
+
 func (h *holding) get(stage int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -355,7 +413,7 @@
 	h.gone[stage] = true
 	h.mu.Unlock()
 	if len(handles) > 0 {
-		h.t.g.free(FreeCall{Service: h.t.route.Stages[stage].Service, Handles: handles})
+		h.t.g.free(FreeCall{Shard: h.shard(stage), Handles: handles})
 	}
 }
 
@@ -377,8 +435,14 @@
 	if t.request.PieceKey == "" || len(t.route.Stages) == 0 {
 		return
 	}
-	c := RefusedCall{Service: t.route.Stages[0].Service, Key: t.request.PieceKey}
-	t.g.tellOwner(c.Service, func() { t.g.owner.Refused(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
+	// A caller that comes back may be sent to another shard, so all are told.
+	for _, shard := range batch.ShardsOf(t.route.Stages[0].Service, t.view.Endpoints(t.route.Stages[0].Service)) {
+		t.g.tellRefusal(RefusedCall{shard, t.request.PieceKey})
+	}
+}
+
+func (g *Gateway) tellRefusal(c RefusedCall) {
+	g.tellOwner(c.Shard, func() { g.owner.Refused(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
 		_, err := peer.Call[RefusedCall, struct{}](ctx, d, address, callRefused, c)
 		return err
 	})
@@ -386,15 +450,15 @@
 
 // free gives up results through their owner, beside the request.
 func (g *Gateway) free(c FreeCall) {
-	g.tellOwner(c.Service, func() { g.owner.Free(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
+	g.tellOwner(c.Shard, func() { g.owner.Free(c) }, func(ctx context.Context, d *peer.Dialer, address string) error {
 		_, err := peer.Call[FreeCall, struct{}](ctx, d, address, callFree, c)
 		return err
 	})
 }
 
 // tellOwner tells the owner of a service something that can be lost.
-func (g *Gateway) tellOwner(s catalog.ServiceID, here func(), there func(context.Context, *peer.Dialer, string) error) {
-	owners := g.mesh.OwnersOf(string(s))
+func (g *Gateway) tellOwner(s batch.Shard, here func(), there func(context.Context, *peer.Dialer, string) error) {
+	owners := g.mesh.OwnersOf(s.Key())
 	d := g.mesh.Dialer()
 	if len(owners) == 0 || d == nil || g.mesh.IsSelf(owners[0]) {
 		here()
@@ -404,7 +468,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout.Duration())
 		defer cancel()
 		if err := there(ctx, d, owners[0].Peers); err != nil {
-			g.log.Warn().Str("Service", string(s)).Str("Owner", string(owners[0].ID)).Err(err).Msg("owner was not told")
+			g.log.Warn().Str("Service", s.Key()).Str("Owner", string(owners[0].ID)).Err(err).Msg("owner was not told")
 		}
 	}()
 }
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -65,29 +65,51 @@
 }
 
 func (m *Mesh) beat() Beat {
+	own, loads, ready := m.waits(), m.loads(), m.Ready()
+	now := m.clock.Now()
 	m.mu.Lock()
-	at := m.mirror.At()
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	waits := m.freshWaits(now)
+	for s, w := range own {
+		waits[s] = AgedWaits{Waits: w}
+	}
 	return Beat{
-		Host: m.settings.Host, Incarnation: m.incarnation, Ready: m.Ready(), Revision: at,
-		Loads: m.loads(), Waits: m.waits(),
+		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.At(),
+		Loads: loads, Waits: waits, Down: m.down(now),
 	}
 }
 
 func (m *Mesh) hear(b Beat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.hearRumors(now, b)
 	h := m.heard[b.Incarnation]
 	if h == nil {
 		return
 	}
-	now := m.clock.Now()
 	if h.at == 0 || now.Sub(h.at) >= silentAfter {
 		m.log.Info().Str("Host", string(b.Host)).Bool("Ready", b.Ready).Msg("host heard")
 	}
 	h.Beat, h.at = b, now
 }
 
+// watch sets the hosts that this host sends heartbeats to.
+func (m *Mesh) watch(hosts []fleet.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	next := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		next[h.Incarnation] = true
+		if heard := m.heard[h.Incarnation]; heard != nil && !m.watched[h.Incarnation] && now.Sub(heard.at) >= silentAfter {
+			// It has had no heartbeat from here yet.
+			heard.at, heard.first = 0, now
+		}
+	}
+	m.watched = next
+}
+
 // Beats exchanges heartbeats with the other hosts until ctx ends.
 func (m *Mesh) Beats(ctx context.Context) {
 	for m.clock.Sleep(ctx, beatInterval) == nil {
@@ -96,10 +118,10 @@
 			continue
 		}
 		m.settle()
-		for _, h := range m.View().Hosts {
-			if h.Incarnation != m.incarnation {
-				go m.beatOne(ctx, d, h)
-			}
+		hosts := neighboursOf(m.incarnation, m.View().Hosts)
+		m.watch(hosts)
+		for _, h := range hosts {
+			go m.beatOne(ctx, d, h)
 		}
 	}
 }
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -15,6 +15,12 @@
 	// watchWait is how long a watch waits for a change. A watch that went silent
 	// is noticed soon after it.
 	watchWait cicadapitch.Millis = 2500
+	// watchWaitMost is the longest wait, which large fleets use: heartbeats tell a
+	// host of changes that it missed.
+	watchWaitMost cicadapitch.Millis = 10_000
+	// watchPause gathers changes that come together into one call. It is short
+	// against the time in which a change has to be in force.
+	watchPause cicadapitch.Millis = 150
 	// retryFirst and retryMost bound the pause after a failed call to the store.
 	retryFirst cicadapitch.Millis = 100
 	retryMost  cicadapitch.Millis = 600
@@ -54,16 +60,24 @@
 	m.storeAnswered()
 	m.replace(records(items), at)
 	for {
-		items, next, err := m.store.Watch(ctx, "", at, watchWait)
+		items, next, err := m.store.Watch(ctx, "", at, m.watchWait())
 		if err != nil {
 			return err
 		}
 		m.storeAnswered()
 		at = max(at, next)
 		m.apply(records(items), at, "store")
+		if len(items) > 0 && m.clock.Sleep(ctx, watchPause) != nil {
+			return ctx.Err()
+		}
 	}
 }
 
+func (m *Mesh) watchWait() cicadapitch.Millis {
+	hosts := cicadapitch.Millis(len(m.View().Hosts))
+	return min(watchWait*max(1, hosts/neighbours), watchWaitMost)
+}
+
 func records(items []platform.Item) []fleet.Record {
 	out := make([]fleet.Record, len(items))
 	for i, it := range items {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -54,6 +54,12 @@
 	state  *fleet.State
 	// heard holds what other hosts said last, by incarnation.
 	heard map[string]*heardHost
+	// watched are the hosts that get heartbeats from here.
+	watched map[string]bool
+	// rumors holds when a host was last found down, by incarnation.
+	rumors map[string]cicadapitch.Instant
+	// told holds the waits of stage services as other hosts told them.
+	told map[string]heardWaits
 	// lapsed holds removals that wait for the endpoint to come back.
 	lapsed map[cicadapitch.EndpointID]cicadapitch.Instant
 	// storeLost is when the store failed last, storeBack when it answered again.
@@ -85,6 +91,7 @@
 		loads:  func() map[cicadapitch.EndpointID]int { return nil },
 		waits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror: fleet.NewMirror(), state: fleet.NewState(),
+		rumors: map[string]cicadapitch.Instant{}, told: map[string]heardWaits{},
 		heard: map[string]*heardHost{}, lapsed: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	for _, opt := range opts {
@@ -202,48 +209,57 @@
 	}
 }
 
+// alive reports whether a host takes callers. The caller holds mu.
 func (m *Mesh) alive(now cicadapitch.Instant, h fleet.Host) bool {
 	heard := m.heard[h.Incarnation]
 	if heard == nil {
 		return false
 	}
+	if !m.watched[h.Incarnation] && now.Sub(heard.at) >= silentAfter {
+		return now.Sub(m.rumors[h.Incarnation]) >= rumorLife
+	}
 	if heard.at == 0 {
 		return now.Sub(heard.first) < unheardGrace
 	}
 	return heard.Ready && now.Sub(heard.at) < silentAfter
 }
 
-// Loads returns the requests of all other hosts at each engine.
+// Loads estimates the requests of all other hosts at each engine, from those that
+// were heard lately.
 func (m *Mesh) Loads() map[cicadapitch.EndpointID]int {
 	now := m.clock.Now()
 	out := map[cicadapitch.EndpointID]int{}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	heard := 0
 	for _, h := range m.heard {
 		if h.at > 0 && now.Sub(h.at) < silentAfter {
+			heard++
 			for id, n := range h.Loads {
 				out[id] += n
 			}
 		}
 	}
+	others := len(m.view.Load().Hosts) - 1
+	if heard > 0 && others > neighbours && heard < others {
+		for id, n := range out {
+			out[id] = n * others / heard
+		}
+	}
 	return out
 }
 
-// Waits returns the waits that owners of stage services told last, this host
-// among them.
+// Waits returns the waits of stage services, as their owners told them.
 func (m *Mesh) Waits() map[string][]cicadapitch.Millis {
+	own := m.waits()
 	now := m.clock.Now()
-	out := maps.Clone(m.waits())
-	if out == nil {
-		out = map[string][]cicadapitch.Millis{}
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, h := range m.heard {
-		if h.at > 0 && now.Sub(h.at) < silentAfter {
-			maps.Copy(out, h.Waits)
-		}
+	out := map[string][]cicadapitch.Millis{}
+	for s, w := range m.freshWaits(now) {
+		out[s] = w.Waits
 	}
+	maps.Copy(out, own)
 	return out
 }
 
@@ -271,6 +287,7 @@
 	maps.DeleteFunc(m.heard, func(inc string, _ *heardHost) bool {
 		return !slices.ContainsFunc(v.Hosts, func(h fleet.Host) bool { return h.Incarnation == inc })
 	})
+	maps.DeleteFunc(m.rumors, func(_ string, at cicadapitch.Instant) bool { return now.Sub(at) >= rumorLife })
 	m.view.Store(v)
 	for _, f := range m.onView {
 		f(v)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -21,8 +21,23 @@
 	Revision int64
 	// Loads are the requests that the host has at each engine.
 	Loads map[cicadapitch.EndpointID]int
-	// Waits are the waits of the stage services that the host owns.
-	Waits map[string][]cicadapitch.Millis
+	// Waits are the waits of stage services, this host's own and those that it
+	// heard of.
+	Waits map[string]AgedWaits
+	// Down are hosts that take no callers, as this host found or heard.
+	Down []Rumor
+}
+
+// AgedWaits are the waits of a stage service by priority and how old they are.
+type AgedWaits struct {
+	Waits []cicadapitch.Millis
+	Age   cicadapitch.Millis
+}
+
+// Rumor says that a host was found silent or not ready, and how long ago.
+type Rumor struct {
+	Incarnation string
+	Age         cicadapitch.Millis
 }
 
 // SyncRequest asks for the changes after a revision.
