--- /dev/null
+++ b/batch/planner_test.go
@@ -0,0 +1,269 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
+	"cicadapitch.example/cicadapitch/catalog"
+)
+
+const start cicadapitch.Instant = 1_000_000
+
+func spec() catalog.BatchSpec {
+	return catalog.BatchSpec{
+		Slots: 1, Queue: 2, Size: 8, CallTime: 240, PieceTime: 26,
+		ResultRoom: 9_600_000, ResultLife: 4000,
+	}
+}
+
+func endpoints(n int) []catalog.Endpoint {
+	var out []catalog.Endpoint
+	for i := range n {
+		out = append(out, catalog.Endpoint{
+			ID: cicadapitch.EndpointID(fmt.Sprintf("e%d", i)), Service: "archive",
+			Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: cicadapitch.ZoneID(fmt.Sprintf("z%d", i%2)),
+		})
+	}
+	return out
+}
+
+func planner(n int) *batch.Planner {
+	p := batch.NewPlanner(spec())
+	p.SetEndpoints(endpoints(n))
+	return p
+}
+
+func job(id, pieces int, due, expire cicadapitch.Millis) batch.Job {
+	return batch.Job{
+		ID: batch.JobID(id), Request: cicadapitch.RequestID(fmt.Sprint(id)), Pieces: pieces,
+		Key: fmt.Sprintf("key%d", id), ResultBytes: 8000, Due: start.Add(due), Expire: start.Add(expire),
+	}
+}
+
+func made(c batch.Call) []batch.PieceResult {
+	out := make([]batch.PieceResult, len(c.Pieces))
+	for i := range out {
+		out[i].Handle = fmt.Sprintf("%s/%d-%d", c.Endpoint.Address, c.ID, i)
+	}
+	return out
+}
+
+func TestPiecesOfSeveralRequestsShareACall(t *testing.T) {
+	p := planner(1)
+	p.Submit(start, job(1, 1, 1000, 5000))
+	first, _, _, _ := p.Plan(start)
+	require.Len(t, first, 1)
+	for i := 2; i <= 6; i++ {
+		p.Submit(start.Add(10), job(i, 1, 1000, 5000))
+	}
+	none, _, _, _ := p.Plan(start.Add(10))
+	require.Empty(t, none, "the endpoint takes one call at a time")
+	p.Finish(start.Add(266), first[0].ID, made(first[0]), batch.None)
+	second, done, _, _ := p.Plan(start.Add(266))
+	require.Len(t, done, 1)
+	require.Len(t, second, 1)
+	require.Len(t, second[0].Pieces, 5)
+}
+
+func TestResultsKeepTheOrderOfTheirPieces(t *testing.T) {
+	p := planner(2)
+	p.Submit(start, job(1, 10, 2000, 9000))
+	calls, _, _, _ := p.Plan(start)
+	require.Len(t, calls, 2)
+	want := make([]string, 10)
+	for _, c := range calls {
+		results := made(c)
+		for i, ref := range c.Pieces {
+			want[ref.Index] = results[i].Handle
+		}
+		p.Finish(start.Add(300), c.ID, results, batch.None)
+	}
+	_, done, _, _ := p.Plan(start.Add(300))
+	require.Len(t, done, 1)
+	require.Equal(t, want, done[0].Handles)
+}
+
+func TestWorkThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	p := planner(1)
+	for i := 1; i <= 40; i++ {
+		p.Submit(start, job(i, 2, 60_000, 60_000))
+	}
+	p.Plan(start)
+	p.Submit(start.Add(1), job(99, 1, 400, 800))
+	_, done, _, _ := p.Plan(start.Add(1))
+	require.Len(t, done, 1)
+	require.Equal(t, batch.JobID(99), done[0].Job)
+	require.Nil(t, done[0].Handles)
+	require.Greater(t, done[0].RetryAfter, cicadapitch.Second, "80 pieces at 8 in 448 ms take seconds")
+}
+
+func TestLateWorkYieldsAndReturnedCallersGoFirstAmongIt(t *testing.T) {
+	p := planner(1)
+	p.Refused(start.Add(-500), "key2")
+	p.Submit(start, job(9, 1, 1000, 9000))
+	busy, _, _, _ := p.Plan(start)
+	now := start.Add(100)
+	p.Submit(now, job(1, 4, 0, 9000))
+	p.Submit(now, job(2, 4, 1500, 9000))
+	p.Submit(now, job(3, 4, 1500, 9000))
+	p.Finish(start.Add(266), busy[0].ID, made(busy[0]), batch.None)
+	calls, _, _, _ := p.Plan(start.Add(266))
+	require.Len(t, calls, 1)
+	var order []batch.JobID
+	for _, ref := range calls[0].Pieces {
+		order = append(order, ref.Job.ID)
+	}
+	require.Equal(t, []batch.JobID{3, 3, 3, 3, 2, 2, 2, 2}, order)
+}
+
+func TestRoomCountsUntilTheEndpointHasFreed(t *testing.T) {
+	p := planner(1)
+	big := job(1, 8, 5000, 20_000)
+	big.ResultBytes = 1_000_000
+	p.Submit(start, big)
+	calls, _, _, _ := p.Plan(start)
+	require.Len(t, calls[0].Pieces, 8)
+	results := made(calls[0])
+	p.Finish(start.Add(448), calls[0].ID, results, batch.None)
+	next := big
+	next.ID = 2
+	p.Submit(start.Add(448), next)
+	calls, _, _, _ = p.Plan(start.Add(448))
+	require.Empty(t, calls, "a call with one piece waits for room")
+	var handles []string
+	for _, r := range results {
+		handles = append(handles, r.Handle)
+	}
+	located, unknown := p.Locate(handles)
+	require.Equal(t, map[cicadapitch.EndpointID][]string{"e0": handles}, located)
+	require.Empty(t, unknown)
+	p.Freed(handles)
+	calls, _, _, _ = p.Plan(start.Add(500))
+	require.Len(t, calls[0].Pieces, 8)
+}
+
+func TestRoomThatOthersTookIsLearned(t *testing.T) {
+	p := planner(1)
+	j := job(1, 8, 5000, 20_000)
+	j.ResultBytes = 1_000_000
+	p.Submit(start, j)
+	calls, _, _, _ := p.Plan(start)
+	refused := make([]batch.PieceResult, 8)
+	for i := range refused {
+		refused[i].NoRoom = true
+	}
+	p.Finish(start.Add(240), calls[0].ID, refused, batch.None)
+	for at := cicadapitch.Millis(240); at < 700; at += 20 {
+		calls, _, _, _ = p.Plan(start.Add(at))
+		require.Empty(t, calls, "no call at %d ms", at)
+	}
+	calls, _, _, _ = p.Plan(start.Add(1100))
+	require.Len(t, calls, 1)
+}
+
+func TestFetchedResultsAreGivenUpWhereRoomIsTight(t *testing.T) {
+	p := planner(1)
+	j := job(1, 8, 5000, 20_000)
+	j.ResultBytes = 1_000_000
+	p.Submit(start, j)
+	calls, _, _, _ := p.Plan(start)
+	results := made(calls[0])
+	p.Finish(start.Add(448), calls[0].ID, results, batch.None)
+	_, _, orphans, _ := p.Plan(start.Add(448))
+	require.Empty(t, orphans)
+	p.Fetched([]string{results[0].Handle, results[1].Handle})
+	_, _, orphans, _ = p.Plan(start.Add(449))
+	require.ElementsMatch(t, []string{results[0].Handle, results[1].Handle}, orphans)
+}
+
+func TestPiecesOfACrawlingEndpointGoToAnother(t *testing.T) {
+	p := planner(2)
+	p.Submit(start, job(1, 8, 3000, 9000))
+	first, _, _, _ := p.Plan(start)
+	require.Len(t, first, 1)
+	again, _, _, _ := p.Plan(start.Add(800))
+	require.Len(t, again, 1, "448 ms were expected")
+	require.NotEqual(t, first[0].Endpoint.ID, again[0].Endpoint.ID)
+	p.Finish(start.Add(1248), again[0].ID, made(again[0]), batch.None)
+	_, done, _, _ := p.Plan(start.Add(1248))
+	require.Len(t, done, 1)
+	late := made(first[0])
+	p.Finish(start.Add(1800), first[0].ID, late, batch.None)
+	_, done, orphans, _ := p.Plan(start.Add(1800))
+	require.Empty(t, done)
+	require.Len(t, orphans, 8, "results that came twice are given up")
+}
+
+func TestBrokenCallsAreRepeatedElsewhere(t *testing.T) {
+	p := planner(2)
+	p.Submit(start, job(1, 2, 3000, 9000))
+	first, _, _, _ := p.Plan(start)
+	p.Finish(start.Add(5), first[0].ID, nil, batch.Broken)
+	second, _, _, _ := p.Plan(start.Add(5))
+	require.Len(t, second, 1)
+	require.NotEqual(t, first[0].Endpoint.ID, second[0].Endpoint.ID)
+}
+
+func TestLostInputsEndTheJob(t *testing.T) {
+	p := planner(1)
+	p.Submit(start, job(1, 2, 3000, 9000))
+	calls, _, _, _ := p.Plan(start)
+	p.Finish(start.Add(300), calls[0].ID, []batch.PieceResult{{Handle: "h"}, {Gone: true}}, batch.None)
+	_, done, orphans, _ := p.Plan(start.Add(300))
+	require.Len(t, done, 1)
+	require.True(t, done[0].Lost)
+	require.Equal(t, []string{"h"}, orphans)
+}
+
+func TestCancelledWorkIsNeitherSentNorKept(t *testing.T) {
+	p := planner(1)
+	p.Submit(start, job(1, 1, 3000, 9000))
+	calls, _, _, _ := p.Plan(start)
+	p.Submit(start, job(2, 1, 3000, 9000))
+	p.Cancel(1)
+	p.Cancel(2)
+	p.Finish(start.Add(300), calls[0].ID, made(calls[0]), batch.None)
+	again, done, orphans, _ := p.Plan(start.Add(300))
+	require.Empty(t, again)
+	require.Empty(t, done)
+	require.Len(t, orphans, 1)
+}
+
+func TestHandOverGivesBackOnlyUntouchedJobs(t *testing.T) {
+	p := planner(1)
+	p.Submit(start, job(1, 1, 3000, 9000))
+	p.Plan(start)
+	p.Submit(start, job(2, 1, 3000, 9000))
+	standIn := job(3, 1, 3000, 9000)
+	standIn.StandIn = true
+	p.Submit(start, standIn)
+	p.HandOver()
+	_, done, _, _ := p.Plan(start.Add(1))
+	require.Len(t, done, 1)
+	require.Equal(t, batch.JobID(2), done[0].Job)
+	require.True(t, done[0].Moved)
+}
+
+func TestHeavyWorkStaysInItsZoneWhileThatIsInTime(t *testing.T) {
+	p := planner(2)
+	j := job(1, 4, 3000, 9000)
+	j.Zone, j.MoveBytes = "z1", 2_000_000
+	p.Submit(start, j)
+	calls, _, _, _ := p.Plan(start)
+	require.Len(t, calls, 1)
+	require.Equal(t, cicadapitch.ZoneID("z1"), calls[0].Endpoint.Zone)
+	j.ID = 2
+	p.Submit(start.Add(10), j)
+	calls, _, _, _ = p.Plan(start.Add(10))
+	require.Empty(t, calls, "the zone's endpoint is free soon")
+	hurried := j
+	hurried.ID, hurried.Due = 3, start.Add(600)
+	p.Submit(start.Add(10), hurried)
+	calls, _, _, _ = p.Plan(start.Add(10))
+	require.Len(t, calls, 1)
+	require.Equal(t, batch.JobID(3), calls[0].Pieces[0].Job.ID)
+}
--- /dev/null
+++ b/fleet/mirror_test.go
@@ -0,0 +1,88 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+)
+
+const start cicadapitch.Instant = 1_000_000
+
+func rec(key string, revision int64) fleet.Record {
+	return fleet.Record{Key: key, Value: []byte(key), Revision: revision}
+}
+
+func TestMirrorNeverGoesBack(t *testing.T) {
+	m := fleet.NewMirror()
+	require.Len(t, m.Apply(start, []fleet.Record{rec("a", 5)}, 5), 1)
+	require.Empty(t, m.Apply(start, []fleet.Record{rec("a", 4)}, 4))
+	require.Equal(t, int64(5), m.At())
+	require.Len(t, m.Apply(start, []fleet.Record{{Key: "a", Revision: 6, Removed: true}}, 6), 1)
+	require.Empty(t, m.Apply(start, []fleet.Record{rec("a", 5)}, 7), "a removed key comes back only with a later revision")
+}
+
+func TestMirrorRemovesWhatAListingLacksUnlessNewer(t *testing.T) {
+	m := fleet.NewMirror()
+	m.Apply(start, []fleet.Record{rec("op/a", 3), rec("op/b", 9), rec("x", 1)}, 9)
+	changed := m.Replace(start, "op/", []fleet.Record{rec("op/c", 4)}, 6)
+	require.ElementsMatch(t, []fleet.Record{rec("op/c", 4), {Key: "op/a", Revision: 6, Removed: true}}, changed)
+}
+
+// TestMirrorsAgreeInAnyOrder merges the same changes in two orders.
+func TestMirrorsAgreeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []fleet.Record
+		for i := int64(1); i <= 20; i++ {
+			r := rec(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), i)
+			if r.Removed = rapid.Bool().Draw(t, "removed"); r.Removed {
+				r.Value = nil
+			}
+			all = append(all, r)
+		}
+		one, two := fleet.NewMirror(), fleet.NewMirror()
+		one.Apply(start, all, 20)
+		for _, i := range rapid.Permutation(all).Draw(t, "order") {
+			two.Apply(start, []fleet.Record{i}, i.Revision)
+		}
+		require.ElementsMatch(t, one.Since(0), two.Since(0))
+	})
+}
+
+func TestStateKeepsTheLatestConfiguration(t *testing.T) {
+	s := fleet.NewState()
+	require.True(t, s.SetCatalog(catalog.NewBuilder(7, catalog.Limits{}).Catalog()))
+	require.False(t, s.SetCatalog(catalog.NewBuilder(6, catalog.Limits{}).Catalog()))
+	require.Equal(t, int64(7), s.View().Catalog.Version)
+}
+
+func TestViewLeavesOutLeavingEndpointsAndZonesOutOfService(t *testing.T) {
+	s := fleet.NewState()
+	for _, e := range []catalog.Endpoint{
+		{ID: "a", Service: "s", Zone: "z1"},
+		{ID: "b", Service: "s", Zone: "z2"},
+		{ID: "c", Service: "s", Zone: "z1", Leaving: true},
+	} {
+		s.SetEndpoint(start, e)
+	}
+	s.Evacuate("z2", true)
+	require.Len(t, s.View().Endpoints("s"), 1)
+	s.Evacuate("z2", false)
+	require.Len(t, s.View().Endpoints("s"), 2)
+}
+
+func TestALostCandidateMovesOnlyItsOwnKeys(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e"}
+	name := func(s string) string { return s }
+	for i := range 200 {
+		key := string(rune('A' + i))
+		with, without := fleet.Rank(key, all, name)[0], fleet.Rank(key, all[:4], name)[0]
+		if with != "e" {
+			require.Equal(t, with, without)
+		}
+	}
+}
