batch: pieces of two silent endpoints in a row are tried again

Changed: pieces of an overdue call go back to the queue unless another call that is not overdue carries them. Test: TestTwoSilentEndpointsInARow failed before (two endpoints), passes now.

--- a/batch/job.go
+++ b/batch/job.go
@@ -108,8 +108,6 @@
 	left    int
 	// waiting holds the indices that are in no call.
 	waiting []int
-	// hedged marks pieces that were put back while their call went on.
-	hedged  map[int]bool
 	tries   int
 	arrived cicadapitch.Instant
 }
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -296,7 +296,7 @@
 	for i, ref := range f.Pieces {
 		if failure != None {
 			p.unsettled(now, w, f, i, failure)
-			p.again(ref, f, failure == Broken)
+			p.again(ref, failure == Broken)
 			continue
 		}
 		p.settle(now, w, f, ref, results[i])
@@ -353,17 +353,17 @@
 	case r.Gone:
 		p.fail(e, Outcome{Lost: true, Reason: "an input is gone"})
 	default:
-		p.again(ref, f, r.Failed)
+		p.again(ref, r.Failed)
 	}
 }
 
 // again puts a piece back into the queue.
-func (p *Planner) again(ref PieceRef, f *flight, failed bool) {
+func (p *Planner) again(ref PieceRef, failed bool) {
 	e := p.jobs[ref.Job.ID]
 	if e == nil || e.handles[ref.Index] != "" || slices.Contains(e.waiting, ref.Index) {
 		return
 	}
-	if f.overdue && e.hedged[ref.Index] && p.inFlight(e.ID, ref.Index) {
+	if p.underWay(e.ID, ref.Index) {
 		return
 	}
 	if failed {
@@ -375,9 +375,14 @@
 	e.waiting = append(e.waiting, ref.Index)
 }
 
-func (p *Planner) inFlight(id JobID, index int) bool {
+// underWay reports whether a piece is in a call that is not overdue.
+func (p *Planner) underWay(id JobID, index int) bool {
 	for call, w := range p.calls {
-		for _, ref := range w.calls[call].Pieces {
+		f := w.calls[call]
+		if f.overdue {
+			continue
+		}
+		for _, ref := range f.Pieces {
 			if ref.Job.ID == id && ref.Index == index {
 				return true
 			}
@@ -545,13 +550,9 @@
 			w.slow, w.seen = max(w.slow, float64(took)/float64(f.Expected)), now
 			for _, ref := range f.Pieces {
 				e := p.jobs[ref.Job.ID]
-				if e == nil || e.handles[ref.Index] != "" || e.hedged[ref.Index] {
+				if e == nil || e.handles[ref.Index] != "" || slices.Contains(e.waiting, ref.Index) || p.underWay(e.ID, ref.Index) {
 					continue
 				}
-				if e.hedged == nil {
-					e.hedged = map[int]bool{}
-				}
-				e.hedged[ref.Index] = true
 				e.waiting = append(e.waiting, ref.Index)
 			}
 		}
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -267,3 +267,18 @@
 	require.Len(t, calls, 1)
 	require.Equal(t, batch.JobID(3), calls[0].Pieces[0].Job.ID)
 }
+
+// TestTwoSilentEndpointsInARow is request 9d1dac12c371a3c6 of an incident: the
+// second endpoint went silent as the first had, and nothing was tried again.
+func TestTwoSilentEndpointsInARow(t *testing.T) {
+	p := planner(3)
+	p.Submit(start, job(1, 8, 5000, 9000))
+	seen := map[cicadapitch.EndpointID]bool{}
+	for at := cicadapitch.Millis(0); at < 3000; at += 50 {
+		calls, _, _, _ := p.Plan(start.Add(at))
+		for _, c := range calls {
+			seen[c.Endpoint.ID] = true
+		}
+	}
+	require.Len(t, seen, 3)
+}
--- a/deployment/load_test.go
+++ b/deployment/load_test.go
@@ -31,3 +31,21 @@
 		require.Equal(t, s.All.Answered, s.All.FirstToken.Count, name)
 	}
 }
+
+// TestNoRequestWaitsForItsDeadline sends a load that the endpoints bear with
+// ease. A request that is given up on, or that waits in a queue until its 9 s
+// are over, takes far longer than half of them.
+func TestNoRequestWaitsForItsDeadline(t *testing.T) {
+	l := startLocal(t)
+	keyOf := func(id cicadapitch.CustomerID) string { return "sample-key-of-" + string(id) }
+	pipelines := load.PipelinesOf(l.Configuration, true)
+	plan := load.Plan{
+		Rate: 20, Length: cicadapitch.Minute, MaxRequests: 60, Seed: 2,
+		Callers: load.CallersOf(l.Configuration, keyOf), Pipelines: pipelines,
+	}
+	s, err := load.NewGenerator(plan, load.WithSeeds(l.Seeds())).Run(context.Background())
+	require.NoError(t, err)
+	half := pipelines[0].Deadline.Duration().Microseconds() / 2
+	require.Less(t, s.All.Took.Max, half, "answered: %+v", s.All)
+	require.Less(t, s.All.Refused.Max, half, "refused: %+v", s.All)
+}
