gateway: the door counts the waits of late work at later stages

Owners told their waits by priority only; a request that is late at the door will wait as late work.

--- a/batch/planner.go
+++ b/batch/planner.go
@@ -228,6 +228,9 @@
 	return p.waitBehind(now, ahead, p.demand.above(now, priority))
 }
 
+// LateWait estimates the wait of a piece that arrives now and is late already.
+func (p *Planner) LateWait(now cicadapitch.Instant) cicadapitch.Millis { return p.lateWait(now, false) }
+
 // lateWait estimates the wait of a job that is late already. Those that came back
 // go before the others.
 func (p *Planner) lateWait(now cicadapitch.Instant, returned bool) cicadapitch.Millis {
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -26,7 +26,8 @@
 	freePause cicadapitch.Millis = 15
 )
 
-// Waits are the waits for the start of a call by priority.
+// Waits are the waits for the start of a call by priority, and at last that of
+// late work.
 type Waits = []cicadapitch.Millis
 
 // waitLevels is the number of priorities that waits are told for.
@@ -169,10 +170,11 @@
 	for shard, s := range o.planned {
 		s.mu.Lock()
 		if !s.planner.Idle() {
-			w := make(Waits, waitLevels)
+			w := make(Waits, waitLevels, waitLevels+1)
 			for p := range w {
 				w[p] = s.planner.Wait(now, p)
 			}
+			w = append(w, s.planner.LateWait(now))
 			out[shard.Key()] = w
 		}
 		s.mu.Unlock()
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -200,12 +200,17 @@
 func (t *task) runStage(ctx context.Context, stage int, pieces []int, held *holding, zone cicadapitch.ZoneID) stageEnd {
 	s := t.route.Stages[stage]
 	now := t.g.clock.Now()
-	after := t.pathAfter(stage, pieces)
+	first := t.expectedFirst()
+	after := t.pathAfter(stage, pieces, t.waitOf)
+	afterLate := after
+	if now.Add(t.stageTime(s.Service, t.waitOf)+after+first) > t.aim {
+		afterLate = t.pathAfter(stage, pieces, t.lateWaitOf)
+	}
 	c := StageCall{
 		Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
 		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority, Returned: t.returned,
-		DueIn:    t.aim.Sub(now) - after - t.expectedFirst(),
-		ExpireIn: t.firstBy.Sub(now) - after - t.expectedFirst(),
+		DueIn:    t.aim.Sub(now) - after - first,
+		ExpireIn: t.firstBy.Sub(now) - afterLate - first,
 	}
 	if slices.Contains(t.route.Sinks(pieces), stage) {
 		c.MoveBytes = s.ResultBytes * cicadapitch.Bytes(c.Pieces)
@@ -241,14 +246,14 @@
 }
 
 // pathAfter estimates the time of the stages that follow a stage.
-func (t *task) pathAfter(stage int, pieces []int) cicadapitch.Millis {
+func (t *task) pathAfter(stage int, pieces []int, wait func(batch.Shard) cicadapitch.Millis) cicadapitch.Millis {
 	longest := cicadapitch.Millis(0)
 	for j, s := range t.route.Stages {
 		for _, a := range s.After {
 			if a != stage || pieces[j] == 0 {
 				continue
 			}
-			longest = max(longest, t.stageTime(s.Service)+t.pathAfter(j, pieces))
+			longest = max(longest, t.stageTime(s.Service, wait)+t.pathAfter(j, pieces, wait))
 		}
 	}
 	return longest
@@ -256,7 +261,7 @@
 
 // stageTime estimates one stage: its owner's queue, a call that is half full,
 // and transit.
-func (t *task) stageTime(name catalog.ServiceID) cicadapitch.Millis {
+func (t *task) stageTime(name catalog.ServiceID, wait func(batch.Shard) cicadapitch.Millis) cicadapitch.Millis {
 	s := t.view.Catalog.Services[name]
 	if s == nil || s.Batch == nil {
 		return 0
@@ -264,7 +269,7 @@
 	work := s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
 	least := cicadapitch.Millis(-1)
 	for _, shard := range batch.ShardsOf(name, t.view.Endpoints(name)) {
-		if w := t.waitOf(shard); least < 0 || w < least {
+		if w := wait(shard); least < 0 || w < least {
 			least = w
 		}
 	}
@@ -273,11 +278,20 @@
 
 // waitOf returns the wait that the owner of a shard told last.
 func (t *task) waitOf(s batch.Shard) cicadapitch.Millis {
+	w := t.waits[s.Key()]
+	if len(w) < 2 {
+		return 0
+	}
+	return w[min(max(t.priority, 0), len(w)-2)]
+}
+
+// lateWaitOf returns the wait of late work that the owner of a shard told last.
+func (t *task) lateWaitOf(s batch.Shard) cicadapitch.Millis {
 	w := t.waits[s.Key()]
 	if len(w) == 0 {
 		return 0
 	}
-	return w[min(max(t.priority, 0), len(w)-1)]
+	return w[len(w)-1]
 }
 
 const (
