--- a/cmd/cicadapitch/command.go
+++ b/cmd/cicadapitch/command.go
@@ -24,6 +24,7 @@
 		newOrder(),
 		newReport(),
 		newLoad(),
+		newExplain(),
 	}
 }
 
--- /dev/null
+++ b/cmd/cicadapitch/explain.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/story"
+)
+
+func newExplain() command {
+	var file, id string
+	c := newLeaf("explain", "prints the log lines that tell what became of a request",
+		func(_ context.Context, w io.Writer) error {
+			f, err := os.Open(file)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			lines, err := story.Of(f, cicadapitch.RequestID(id))
+			if err != nil {
+				return err
+			}
+			for _, l := range lines {
+				if _, err := fmt.Fprintln(w, l.Text); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	c.sub.String(&file, "l", "log", "file with the logs of all hosts")
+	c.positional(&id, "ID", 1, "the request's id")
+	return c
+}
