--- a/batch/planner.go
+++ b/batch/planner.go
@@ -1,8 +1,6 @@
 package batch
 
 import (
-	"cmp"
-	"fmt"
 	"slices"
 
 	"cicadapitch.example/cicadapitch"
@@ -25,7 +23,7 @@
 	roomUse = 0.95
 	// tightRoom is the part of its room from which an endpoint gives up results
 	// that were fetched.
-	tightRoom = 0.4
+	tightRoom float64 = 0.4
 	// lifeUse is the part of a result's life within which its use has to begin.
 	lifeUse = 0.8
 	// turnover is the part of the room that one of several calls in a row can use.
@@ -38,7 +36,7 @@
 	// roomWait is how long a call that lacks room waits for results to be given up,
 	// if it carries less than fairCall of what the queue would fill.
 	roomWait cicadapitch.Millis = 120
-	fairCall                    = 0.4
+	fairCall float64            = 0.4
 	// newOwner is how long calls of an earlier owner may still run at endpoints.
 	newOwner cicadapitch.Millis = 1200
 	// othersLife is how long room that others took counts as taken: about as long
@@ -51,14 +49,6 @@
 	tick cicadapitch.Millis = 50
 )
 
-type result struct {
-	endpoint cicadapitch.EndpointID
-	bytes    cicadapitch.Bytes
-	expire   cicadapitch.Instant
-	// fetched results were read by their user.
-	fetched bool
-}
-
 // Planner is the state of one stage service at its owner. It is not safe for
 // concurrent use.
 type Planner struct {
@@ -188,91 +178,6 @@
 	p.done = append(p.done, o)
 }
 
-// capacity returns the pieces a millisecond that full calls get through, and
-// when the first endpoint is free.
-func (p *Planner) capacity(now cicadapitch.Instant) (float64, cicadapitch.Millis) {
-	size := p.usualSize()
-	rate, first := 0.0, cicadapitch.Millis(-1)
-	for _, w := range p.workers {
-		if w.gone || w.pause >= maxPause {
-			continue
-		}
-		rate += size / (float64(p.Expected(int(size))) * w.slowness(now))
-		if free := w.freeIn(now, p.spec.Slots); first < 0 || free < first {
-			first = free
-		}
-	}
-	return rate, max(first, 0)
-}
-
-// usualSize returns the pieces of a call that room allows when one call follows
-// the other: results stay for about a call's time after their own call.
-func (p *Planner) usualSize() float64 {
-	size := float64(p.spec.Size)
-	if p.pieceBytes <= 0 {
-		return size
-	}
-	return max(min(size, turnover*float64(p.spec.ResultRoom)/p.pieceBytes), 1)
-}
-
-// Wait estimates how long a piece of the given priority that arrives now waits
-// for the start of its call, given what is before it in the queue and what will
-// overtake it.
-func (p *Planner) Wait(now cicadapitch.Instant, priority int) cicadapitch.Millis {
-	ahead := 0
-	for _, e := range p.jobs {
-		if e.Priority <= priority && !p.late(now, e) {
-			ahead += len(e.waiting)
-		}
-	}
-	return p.waitBehind(now, ahead, p.demand.above(now, priority))
-}
-
-// LateWait estimates the wait of a piece that arrives now and is late already.
-func (p *Planner) LateWait(now cicadapitch.Instant) cicadapitch.Millis { return p.lateWait(now, false) }
-
-// lateWait estimates the wait of a job that is late already. Those that came back
-// go before the others.
-func (p *Planner) lateWait(now cicadapitch.Instant, returned bool) cicadapitch.Millis {
-	ahead := 0
-	for _, e := range p.jobs {
-		if !returned || e.Returned || !p.late(now, e) {
-			ahead += len(e.waiting)
-		}
-	}
-	return p.waitBehind(now, ahead, p.demand.all(now))
-}
-
-// drain estimates when the queue will have drained.
-func (p *Planner) drain(now cicadapitch.Instant) cicadapitch.Millis {
-	return p.waitBehind(now, p.queued(), p.demand.all(now)/2)
-}
-
-func (p *Planner) queued() int {
-	n := 0
-	for _, e := range p.jobs {
-		n += len(e.waiting)
-	}
-	return n
-}
-
-func (p *Planner) waitBehind(now cicadapitch.Instant, ahead int, overtaking float64) cicadapitch.Millis {
-	rate, first := p.capacity(now)
-	if rate == 0 {
-		return maxPause
-	}
-	if ahead < p.spec.Size/2 {
-		return first
-	}
-	return first + cicadapitch.Millis(float64(ahead)/max(rate-overtaking, leastSpare*rate))
-}
-
-// late reports whether a job cannot meet its objective any more. That of a
-// caller who came back counts from before its refusal.
-func (p *Planner) late(now cicadapitch.Instant, e *entry) bool {
-	return e.Returned || now.Add(p.Expected(len(e.waiting))) > e.Due
-}
-
 // Finish takes the end of a call.
 func (p *Planner) Finish(now cicadapitch.Instant, id CallID, results []PieceResult, failure Failure) {
 	w := p.calls[id]
@@ -302,38 +207,14 @@
 			p.again(ref, failure == Broken)
 			continue
 		}
-		p.settle(now, w, f, ref, results[i])
+		p.settle(now, w, ref, results[i])
 	}
 	if slices.ContainsFunc(results, func(r PieceResult) bool { return r.NoRoom }) {
 		p.fullOfOthers(now, w, id)
 	}
 }
 
-// fullOfOthers takes that an endpoint has less room than was thought: it holds
-// results of an earlier owner, or of calls that broke.
-func (p *Planner) fullOfOthers(now cicadapitch.Instant, w *worker, id CallID) {
-	w.until = now.Add(roomPause)
-	unknown := p.spec.ResultRoom - w.used
-	if unknown <= 0 {
-		return
-	}
-	w.used += unknown
-	p.results[fmt.Sprintf("others/%d", id)] = result{endpoint: w.ID, bytes: unknown, expire: now.Add(othersLife)}
-}
-
-// unsettled releases the room of a piece without a result. An endpoint may go on
-// with a call that broke, so its room stays taken for a result's life.
-func (p *Planner) unsettled(now cicadapitch.Instant, w *worker, f *flight, i int, failure Failure) {
-	bytes := f.Pieces[i].Job.ResultBytes
-	if failure == Full {
-		w.used -= bytes
-		return
-	}
-	name := fmt.Sprintf("unknown/%d/%d", f.ID, i)
-	p.results[name] = result{endpoint: w.ID, bytes: bytes, expire: now.Add(p.spec.ResultLife)}
-}
-
-func (p *Planner) settle(now cicadapitch.Instant, w *worker, f *flight, ref PieceRef, r PieceResult) {
+func (p *Planner) settle(now cicadapitch.Instant, w *worker, ref PieceRef, r PieceResult) {
 	if r.Handle == "" {
 		w.used -= ref.Job.ResultBytes
 	} else {
@@ -394,82 +275,6 @@
 	return false
 }
 
-// Locate returns results by the endpoint that holds them, and those that this
-// owner did not order.
-func (p *Planner) Locate(handles []string) (map[cicadapitch.EndpointID][]string, []string) {
-	out := map[cicadapitch.EndpointID][]string{}
-	var unknown []string
-	for _, h := range handles {
-		if r, ok := p.results[h]; !ok {
-			unknown = append(unknown, h)
-		} else if p.workers[r.endpoint] != nil {
-			out[r.endpoint] = append(out[r.endpoint], h)
-		}
-	}
-	return out, unknown
-}
-
-// Fetched takes that results were read by their user. They are given up where
-// their endpoint runs out of room, and kept for a repeat otherwise.
-func (p *Planner) Fetched(handles []string) {
-	for _, h := range handles {
-		if r, ok := p.results[h]; ok {
-			r.fetched = true
-			p.results[h] = r
-		}
-	}
-}
-
-// FetchedBy returns the inputs that a call has fetched, by the shard that
-// holds them. Inputs of jobs with pieces elsewhere or still waiting are left out,
-// and those of calls at slow endpoints, which may have to be repeated.
-func (p *Planner) FetchedBy(id CallID) map[Shard][]string {
-	w := p.calls[id]
-	if w == nil || w.slow >= slowFrom {
-		return nil
-	}
-	f := w.calls[id]
-	pieces := map[JobID]int{}
-	for _, ref := range f.Pieces {
-		pieces[ref.Job.ID]++
-	}
-	out := map[Shard][]string{}
-	for _, ref := range f.Pieces {
-		j := ref.Job
-		if pieces[j.ID] == j.Pieces && len(j.InputShards) == 1 {
-			out[j.InputShards[0]] = append(out[j.InputShards[0]], j.Inputs...)
-			pieces[j.ID] = 0
-		}
-	}
-	return out
-}
-
-// makeRoom lists fetched results at endpoints that run out of room.
-func (p *Planner) makeRoom() {
-	for h, r := range p.results {
-		w := p.workers[r.endpoint]
-		if r.fetched && w != nil && float64(w.used) >= tightRoom*float64(p.spec.ResultRoom) {
-			p.orphans = append(p.orphans, h)
-			r.fetched = false
-			p.results[h] = r
-		}
-	}
-}
-
-// Freed takes that an endpoint has given up results.
-func (p *Planner) Freed(handles []string) {
-	for _, h := range handles {
-		r, ok := p.results[h]
-		if !ok {
-			continue
-		}
-		delete(p.results, h)
-		if w := p.workers[r.endpoint]; w != nil {
-			w.used -= r.bytes
-		}
-	}
-}
-
 // Plan returns what to do now: calls to make, jobs that ended, results to give
 // up, and when to look again at the latest.
 func (p *Planner) Plan(now cicadapitch.Instant) ([]Call, []Outcome, []string, cicadapitch.Millis) {
@@ -562,138 +367,6 @@
 	}
 }
 
-// order lists the waiting jobs: those that can still meet their objective
-// first, by priority and due time, then those of callers who came back, then the
-// other late ones.
-func (p *Planner) order(now cicadapitch.Instant) []*entry {
-	var list []*entry
-	for _, e := range p.jobs {
-		if len(e.waiting) > 0 {
-			list = append(list, e)
-		}
-	}
-	lateness := func(e *entry) int {
-		switch {
-		case e.Returned:
-			return 1
-		case p.late(now, e):
-			return 2
-		}
-		return 0
-	}
-	rank := func(e *entry) cicadapitch.Instant {
-		return e.Due.Add(cicadapitch.Millis(level(e.Priority)) * priorityStep)
-	}
-	slices.SortFunc(list, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(lateness(a), lateness(b)), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
-	})
-	return list
-}
-
-// freeWorkers lists the endpoints that can start a call, the fastest first.
-func (p *Planner) freeWorkers(now cicadapitch.Instant) []*worker {
-	var list []*worker
-	for _, w := range p.workers {
-		if w.free(now, p.spec.Slots) {
-			list = append(list, w)
-		}
-	}
-	slices.SortFunc(list, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.class(now), b.class(now)), cmp.Compare(a.seen, b.seen), cmp.Compare(a.ID, b.ID))
-	})
-	return list
-}
-
-// class groups endpoints of about the same speed.
-func (w *worker) class(now cicadapitch.Instant) int {
-	if w.slowness(now) < slowFrom {
-		return 0
-	}
-	return 1
-}
-
-// fill chooses pieces for one call.
-func (p *Planner) fill(now cicadapitch.Instant, w *worker, order []*entry) []PieceRef {
-	var refs []PieceRef
-	short := false
-	room := cicadapitch.Bytes(roomUse*float64(p.spec.ResultRoom)) - w.used
-	slow := w.slowness(now)
-	for _, e := range order {
-		if len(refs) == p.spec.Size {
-			break
-		}
-		end := now.Add(cicadapitch.Millis(float64(p.Expected(len(refs)+len(e.waiting))) * slow))
-		if slow >= slowFrom && end > e.Due && !p.late(now, e) {
-			continue
-		}
-		if e.MoveBytes >= heavyMove && e.Zone != w.Zone && p.nearSoon(now, e) {
-			continue
-		}
-		for len(e.waiting) > 0 && len(refs) < p.spec.Size && (room >= e.ResultBytes || w.used <= 0 && len(refs) == 0) {
-			refs = append(refs, PieceRef{&e.Job, e.waiting[0]})
-			e.waiting = e.waiting[1:]
-			room -= e.ResultBytes
-		}
-		short = short || len(e.waiting) > 0 && len(refs) < p.spec.Size
-	}
-	if short && p.waitForRoom(now, w, len(refs)) {
-		p.putBack(refs)
-		return nil
-	}
-	return refs
-}
-
-// waitForRoom reports whether an endpoint that lacks room should wait a moment
-// rather than spend a call on few pieces.
-func (p *Planner) waitForRoom(now cicadapitch.Instant, w *worker, pieces int) bool {
-	if float64(pieces) >= fairCall*float64(p.spec.Size) || w.used <= 0 {
-		w.shortSince = 0
-		return false
-	}
-	if w.shortSince == 0 {
-		w.shortSince = now
-	}
-	if now.Sub(w.shortSince) < roomWait {
-		return true
-	}
-	w.shortSince = 0
-	return pieces == 0
-}
-
-func (p *Planner) putBack(refs []PieceRef) {
-	for _, ref := range refs {
-		if e := p.jobs[ref.Job.ID]; e != nil {
-			e.waiting = append(e.waiting, ref.Index)
-		}
-	}
-}
-
-// nearSoon reports whether an endpoint in the job's zone will be free in time.
-func (p *Planner) nearSoon(now cicadapitch.Instant, e *entry) bool {
-	latest := e.Due - cicadapitch.Instant(zoneSlack)
-	for _, w := range p.workers {
-		if w.gone || w.Zone != e.Zone || w.slowness(now) >= slowFrom {
-			continue
-		}
-		if now.Add(w.freeIn(now, p.spec.Slots)+p.Expected(p.spec.Size)) <= latest {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Planner) start(now cicadapitch.Instant, w *worker, refs []PieceRef) Call {
-	p.next++
-	c := Call{ID: p.next, Endpoint: w.Endpoint, Pieces: refs, Expected: p.Expected(len(refs)), Queued: p.queued(), RoomUsed: w.used}
-	for _, ref := range refs {
-		w.used += ref.Job.ResultBytes
-	}
-	w.calls[c.ID] = &flight{Call: c, started: now}
-	w.slow, w.seen = w.slowness(now), now
-	p.calls[c.ID] = w
-	return c
-}
-
 // Endpoint returns an endpoint that the planner knows.
 func (p *Planner) Endpoint(id cicadapitch.EndpointID) (catalog.Endpoint, bool) {
 	w := p.workers[id]
--- a/batch/replay_test.go
+++ b/batch/replay_test.go
@@ -27,84 +27,107 @@
 
 type outcome struct{ jobs, inTime, late, refused, refusedSlowly int }
 
-// replay plays a load on virtual time in steps of a millisecond.
+const (
+	replayLength   = 20 * cicadapitch.Second
+	replayAim      = cicadapitch.Millis(1200)
+	replayPatience = cicadapitch.Millis(5000)
+)
+
+type running struct {
+	call batch.Call
+	end  cicadapitch.Instant
+}
+
+// player plays a load on virtual time.
+type player struct {
+	load load
+	p    *batch.Planner
+	r    *rand.Rand
+	out  outcome
+	busy []running
+	born map[batch.JobID]cicadapitch.Instant
+}
+
+// replay plays a load in steps of a millisecond, with calls of at most size
+// pieces.
 func replay(l load, size int) outcome {
-	const (
-		length   = 20 * cicadapitch.Second
-		aim      = 1200
-		patience = 5000
-	)
 	s := spec()
 	s.Size = size
-	p := batch.NewPlanner(s)
-	p.SetEndpoints(endpoints(4))
-	r := rand.New(rand.NewPCG(l.seed, 1))
-	type running struct {
-		call batch.Call
-		end  cicadapitch.Instant
-	}
-	var (
-		out   outcome
-		busy  []running
-		born  = map[batch.JobID]cicadapitch.Instant{}
-		next  = 1
-		delay = map[cicadapitch.EndpointID]float64{"e0": max(l.slow, 1)}
-	)
-	for at := cicadapitch.Millis(0); at < length+patience; at++ {
-		now := start.Add(at)
-		rate := l.perSecond
+	y := &player{load: l, p: batch.NewPlanner(s), r: rand.New(rand.NewPCG(l.seed, 1)), born: map[batch.JobID]cicadapitch.Instant{}}
+	y.p.SetEndpoints(endpoints(4))
+	for at := cicadapitch.Millis(0); at < replayLength+replayPatience; at++ {
 		burst := at >= l.from && at < l.to
-		if burst {
-			rate *= l.burst
-		}
-		if at < length && r.Float64() < rate/1000 {
-			born[batch.JobID(next)] = now
-			p.Submit(now, batch.Job{
-				ID: batch.JobID(next), Pieces: l.pieces, Key: fmt.Sprint(next), ResultBytes: 1000,
-				Priority: r.IntN(3), Due: now.Add(aim), Expire: now.Add(patience),
-			})
-			next++
-			out.jobs++
+		if at < replayLength {
+			y.arrive(start.Add(at), burst)
 		}
-		var still []running
-		for _, b := range busy {
-			switch {
-			case l.down && burst && b.call.Endpoint.ID == "e0":
-				p.Finish(now, b.call.ID, nil, batch.Broken)
-			case b.end <= now:
-				results := made(b.call)
-				p.Finish(now, b.call.ID, results, batch.None)
-				var handles []string
-				for _, x := range results {
-					handles = append(handles, x.Handle)
-				}
-				p.Freed(handles)
-			default:
-				still = append(still, b)
+		y.end(start.Add(at), burst)
+		y.plan(start.Add(at))
+	}
+	return y.out
+}
+
+func (y *player) arrive(now cicadapitch.Instant, burst bool) {
+	rate := y.load.perSecond
+	if burst {
+		rate *= y.load.burst
+	}
+	if y.r.Float64() >= rate/1000 {
+		return
+	}
+	y.out.jobs++
+	id := batch.JobID(y.out.jobs)
+	y.born[id] = now
+	y.p.Submit(now, batch.Job{
+		ID: id, Pieces: y.load.pieces, Key: fmt.Sprint(id), ResultBytes: 1000,
+		Priority: y.r.IntN(3), Due: now.Add(replayAim), Expire: now.Add(replayPatience),
+	})
+}
+
+// end finishes the calls that are over and frees their results.
+func (y *player) end(now cicadapitch.Instant, burst bool) {
+	var still []running
+	for _, b := range y.busy {
+		switch {
+		case y.load.down && burst && b.call.Endpoint.ID == "e0":
+			y.p.Finish(now, b.call.ID, nil, batch.Broken)
+		case b.end <= now:
+			results := made(b.call)
+			y.p.Finish(now, b.call.ID, results, batch.None)
+			var handles []string
+			for _, x := range results {
+				handles = append(handles, x.Handle)
 			}
+			y.p.Freed(handles)
+		default:
+			still = append(still, b)
 		}
-		busy = still
-		calls, done, _, _ := p.Plan(now)
-		for _, c := range calls {
-			took := float64(c.Expected) * max(delay[c.Endpoint.ID], 1)
-			busy = append(busy, running{c, now.Add(cicadapitch.Millis(took))})
+	}
+	y.busy = still
+}
+
+func (y *player) plan(now cicadapitch.Instant) {
+	calls, done, _, _ := y.p.Plan(now)
+	for _, c := range calls {
+		took := float64(c.Expected)
+		if c.Endpoint.ID == "e0" {
+			took *= max(y.load.slow, 1)
 		}
-		for _, d := range done {
-			took := now.Sub(born[d.Job])
-			switch {
-			case d.Handles == nil:
-				out.refused++
-				if took > aim {
-					out.refusedSlowly++
-				}
-			case took <= aim:
-				out.inTime++
-			default:
-				out.late++
+		y.busy = append(y.busy, running{c, now.Add(cicadapitch.Millis(took))})
+	}
+	for _, d := range done {
+		took := now.Sub(y.born[d.Job])
+		switch {
+		case d.Handles == nil:
+			y.out.refused++
+			if took > replayAim {
+				y.out.refusedSlowly++
 			}
+		case took <= replayAim:
+			y.out.inTime++
+		default:
+			y.out.late++
 		}
 	}
-	return out
 }
 
 // TestBurstOfPieces replays a burst to twice the rate at rest, which full calls
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
@@ -48,7 +47,6 @@
 	gateway  *gateway.Gateway
 	ingress  *platform.Ingress
 	metrics  tally.TestScope
-	stopping sync.Once
 }
 
 // New wires a host. It opens no connection.
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -23,9 +23,11 @@
 	// behindAfter is how long a host waits for a change that another host has
 	// before it asks that host.
 	behindAfter cicadapitch.Millis = 250
-	secretBytes                    = 32
 )
 
+// secretBytes is the length of the deployment's secret.
+const secretBytes = 32
+
 func (m *Mesh) peerAddress() string {
 	return net.JoinHostPort(m.settings.IP, strconv.Itoa(m.settings.PeerPort))
 }
