mesh: twelve watchers in a large fleet; a watch that skips revisions lists again

The store was compacted; watches heard nothing of a change and waited up to 10 s, so that all 88 hosts learned version 17 at 7.9 s instead of 2 s. Long waits were there to spare calls. Changed: in fleets above 16 hosts twelve watch with the short wait, the others take changes with the heartbeats (and watch themselves if they hear fewer than four); an answer without events behind the asked revision makes a host list again; hosts tell each other that the store is away, so that lapsed entries get their time on all of them. Tests: TestAWatchThatSkipsRevisionsListsAgain fails without, passes with; TestALargeFleetTakesChangesFromAFewWatchers.

--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -359,3 +359,16 @@
 		require.Contains(t, body(t, resp), fmt.Sprintf("/look/%d", i))
 	}
 }
+
+func TestALargeFleetTakesChangesFromAFewWatchers(t *testing.T) {
+	s := newSite(t, 20)
+	time.Sleep(time.Second)
+	s.configure(`,{"name":"new","host":"h.example","prefix":"/new/","kind":"safe","timeout_ms":2000,"target_latency_ms":100,"service":"plain","max_attempts":1}`)
+	for i := range s.hosts {
+		require.Eventually(t, func() bool {
+			r := s.request(i, "GET", "/new/a", newID())
+			r.Body.Close()
+			return r.StatusCode == http.StatusOK
+		}, 3*time.Second, 50*time.Millisecond, "host %d", i)
+	}
+}
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -67,7 +67,7 @@
 }
 
 func (m *Mesh) beat() Beat {
-	own, loads, ready := m.waits(), m.loads(), m.Ready()
+	own, loads, ready, watches := m.waits(), m.loads(), m.Ready(), m.watchesStore()
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -77,7 +77,7 @@
 	}
 	return Beat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.At(),
-		Loads: loads, Waits: waits, Down: m.down(now),
+		Loads: loads, Waits: waits, Down: m.down(now), StoreAway: watches && !m.storeUp,
 	}
 }
 
@@ -86,6 +86,9 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	m.hearRumors(now, b)
+	if b.StoreAway {
+		m.awayHeard = now
+	}
 	h := m.heard[b.Incarnation]
 	if h == nil {
 		return
@@ -149,8 +152,8 @@
 	if b.Revision <= at {
 		return
 	}
-	// The change is most likely on its way from the store.
-	if m.clock.Sleep(ctx, behindAfter) != nil {
+	// To a host that watches, the change is most likely on its way.
+	if m.watchesStore() && m.clock.Sleep(ctx, behindAfter) != nil {
 		return
 	}
 	m.syncFrom(ctx, d, h, b.Revision)
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -15,9 +15,6 @@
 	// watchWait is how long a watch waits for a change. A watch that went silent
 	// is noticed soon after it.
 	watchWait cicadapitch.Millis = 2500
-	// watchWaitMost is the longest wait, which large fleets use: heartbeats tell a
-	// host of changes that it missed.
-	watchWaitMost cicadapitch.Millis = 10_000
 	// watchPause gathers changes that come together into one call. It is short
 	// against the time in which a change has to be in force.
 	watchPause cicadapitch.Millis = 150
@@ -51,7 +48,8 @@
 	}
 }
 
-// followOnce lists the store and then watches it until a call fails.
+// followOnce lists the store and then watches it until a call fails. Hosts that
+// need not watch take changes from those that do.
 func (m *Mesh) followOnce(ctx context.Context) error {
 	items, at, err := m.store.List(ctx, "")
 	if err != nil {
@@ -60,22 +58,33 @@
 	m.storeAnswered()
 	m.replace(records(items), at)
 	for {
-		items, next, err := m.store.Watch(ctx, "", at, m.watchWait())
+		if !m.watchesStore() {
+			if err := m.clock.Sleep(ctx, beatInterval); err != nil {
+				return err
+			}
+			continue
+		}
+		at = m.revision()
+		items, next, err := m.store.Watch(ctx, "", at, watchWait)
 		if err != nil {
 			return err
 		}
 		m.storeAnswered()
-		at = max(at, next)
-		m.apply(records(items), at, "store")
+		if len(items) == 0 && next > at {
+			// Changes were made that the watch was not told of.
+			return platform.ErrCompacted
+		}
+		m.apply(records(items), next, "store")
 		if len(items) > 0 && m.clock.Sleep(ctx, watchPause) != nil {
 			return ctx.Err()
 		}
 	}
 }
 
-func (m *Mesh) watchWait() cicadapitch.Millis {
-	hosts := cicadapitch.Millis(len(m.View().Hosts))
-	return min(watchWait*max(1, hosts/neighbours), watchWaitMost)
+func (m *Mesh) revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mirror.At()
 }
 
 func records(items []platform.Item) []fleet.Record {
@@ -173,7 +182,7 @@
 func (m *Mesh) takeEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, from string) {
 	if r.Removed {
 		if m.mayHaveLapsed(now) {
-			m.lapsed[id] = max(m.storeBack, now-cicadapitch.Instant(lapseGrace)).Add(lapseGrace)
+			m.lapsed[id] = max(m.storeBack, m.awayHeard, now-cicadapitch.Instant(lapseGrace)).Add(lapseGrace)
 			return
 		}
 		m.state.RemoveEndpoint(id)
@@ -196,6 +205,9 @@
 // mayHaveLapsed reports whether a vanished entry may have lapsed because its
 // writer could not reach the store.
 func (m *Mesh) mayHaveLapsed(now cicadapitch.Instant) bool {
+	if m.awayHeard > 0 && now.Sub(m.awayHeard) < lapseWindow {
+		return true
+	}
 	return m.storeLost > 0 && (!m.storeUp || now.Sub(m.storeBack) < lapseWindow)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -65,7 +65,9 @@
 	// storeLost is when the store failed last, storeBack when it answered again.
 	storeLost, storeBack cicadapitch.Instant
 	storeUp              bool
-	lease                platform.LeaseID
+	// awayHeard is when another host last said that it does not reach the store.
+	awayHeard cicadapitch.Instant
+	lease     platform.LeaseID
 }
 
 type heardHost struct {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -127,3 +127,16 @@
 	require.NoError(t, err)
 	require.Equal(t, one, two)
 }
+
+// TestAWatchThatSkipsRevisionsListsAgain is day scale-1 of a grown site: watches
+// heard nothing of a change and were answered with a revision behind it.
+func TestAWatchThatSkipsRevisionsListsAgain(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set("servers/a", []byte(fmt.Sprintf(entry, 1, "ready", 1)))
+	m := follow(t, s)
+	soon(t, 3000, func() bool { return endpointsOf(m) == 1 })
+	s.SetHushed(true)
+	s.Set("servers/b", []byte(fmt.Sprintf(entry, 2, "ready", 1)))
+	soon(t, 4000, func() bool { return endpointsOf(m) == 2 })
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -19,6 +19,8 @@
 	Ready bool
 	// Revision is the store's revision up to which the host's copy is complete.
 	Revision int64
+	// StoreAway is true while the host watches the store and does not reach it.
+	StoreAway bool
 	// Loads are the requests that the host has at each engine.
 	Loads map[cicadapitch.EndpointID]int
 	// Waits are the waits of stage services, this host's own and those that it
