--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -117,7 +117,7 @@
 
 // Beats exchanges heartbeats with the other hosts until ctx ends.
 func (m *Mesh) Beats(ctx context.Context) {
-	for m.clock.Sleep(ctx, beatInterval) == nil {
+	for m.nextBeat(ctx) {
 		d := m.Dialer()
 		if d == nil {
 			continue
@@ -131,6 +131,22 @@
 	}
 }
 
+// nextBeat waits for the next heartbeat, which is due at once when the host has
+// begun to leave. It reports false once ctx has ended.
+func (m *Mesh) nextBeat(ctx context.Context) bool {
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	unlink := context.AfterFunc(m.left, cancel)
+	defer unlink()
+	if m.left.Err() != nil && m.toldLeaving {
+		return m.clock.Sleep(ctx, beatInterval) == nil
+	}
+	// An early end is the news that the host leaves, or the end of ctx.
+	_ = m.clock.Sleep(wait, beatInterval)
+	m.toldLeaving = m.left.Err() != nil
+	return ctx.Err() == nil
+}
+
 func (m *Mesh) settle() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -47,7 +47,12 @@
 
 	view    atomic.Pointer[fleet.View]
 	leaving atomic.Bool
-	dialer  atomic.Pointer[peer.Dialer]
+	// left ends when the host begins to leave; toldLeaving is true once heartbeats
+	// have said so. Only Beats uses it.
+	left        context.Context
+	leave       context.CancelFunc
+	toldLeaving bool
+	dialer      atomic.Pointer[peer.Dialer]
 
 	mu     sync.Mutex
 	mirror *fleet.Mirror
@@ -96,6 +101,7 @@
 		rumors: map[string]cicadapitch.Instant{}, told: map[string]heardWaits{},
 		heard: map[string]*heardHost{}, lapsed: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
+	m.left, m.leave = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -134,6 +140,7 @@
 // Leave makes the host unready and ends its entry in the store.
 func (m *Mesh) Leave(ctx context.Context) {
 	m.leaving.Store(true)
+	m.leave()
 	m.mu.Lock()
 	lease := m.lease
 	m.lease = 0
