gateway: silent endpoints are left where the request may be repeated

Cause: a safe request waited for a hanging endpoint until the route's timeout, and a resumable stream until its caller left. Changed: an attempt at a safe request ends after seven tenths of the objective while another may follow; a resumable stream goes on elsewhere after five usual times to a first event or four longest pauses of silence, a second at least. A metrics port that is taken no longer ends the host.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -128,6 +128,10 @@
 		metrics:              mux,
 	} {
 		l, err := net.Listen("tcp", address)
+		if err != nil && address == metrics {
+			h.log.Error().Err(err).Msg("metrics are not served; free the port")
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -20,6 +21,11 @@
 	streamBuffer = 8 << 10
 	// maxEvent bounds an event of a stream that may be resumed.
 	maxEvent = 1 << 20
+	// leastSilence, silentFirsts usual times to a first event and silentGaps longest
+	// pauses are how long an engine may be silent.
+	leastSilence cicadapitch.Millis = 1000
+	silentFirsts                    = 5
+	silentGaps                      = 4
 	// stageReruns bounds how often stages are run again because results were gone.
 	stageReruns = 1
 )
@@ -69,6 +75,10 @@
 	if events.last != "" {
 		resume = events.last
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := t.watchSilence(cancel)
+	defer silence.Stop()
 	reply, err := t.send(ctx, e, in.handles, resume)
 	if err != nil {
 		if !errors.Is(err, errInputGone) {
@@ -85,11 +95,31 @@
 		in.release()
 	}
 	if reply.Status < 300 && t.route.Resumable {
-		return t.passEvents(e, reply, events, first)
+		return t.passEvents(e, reply, events, silence, first)
 	}
 	return t.passStream(e, reply, first)
 }
 
+// watchSilence ends an attempt at an engine that is silent for longer than a
+// resumable stream should wait for it.
+func (t *task) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+	if !t.route.Resumable || t.sent+1 >= t.route.MaxAttempts {
+		return time.NewTimer(t.left().Duration() + time.Hour)
+	}
+	return time.AfterFunc(t.silentAfter(false).Duration(), func() { cancel(errSilent) })
+}
+
+// silentAfter is how long an engine may be silent before another one goes on.
+func (t *task) silentAfter(begun bool) cicadapitch.Millis {
+	if t.sent >= t.route.MaxAttempts {
+		return cicadapitch.Minute
+	}
+	if begun {
+		return max(silentGaps*t.route.GapAim, leastSilence)
+	}
+	return max(silentFirsts*t.expectedFirst(), leastSilence)
+}
+
 func (t *task) learnFirst(took cicadapitch.Millis) {
 	g := t.g
 	g.metrics.Tagged(map[string]string{"Route": t.route.Name}).Histogram("FirstEvent", Buckets).RecordDuration(took.Duration())
@@ -146,11 +176,12 @@
 
 // passEvents passes on whole events only, so that another engine can go on
 // after the last of them.
-func (t *task) passEvents(e fleet.Endpoint, reply *platform.Reply, events *eventReader, first func()) error {
+func (t *task) passEvents(e fleet.Endpoint, reply *platform.Reply, events *eventReader, silence *time.Timer, first func()) error {
 	events.reset()
 	buf := make([]byte, streamBuffer)
 	for begun := false; ; {
 		n, err := reply.Read(buf)
+		silence.Reset(t.silentAfter(true).Duration())
 		if whole := events.add(buf[:n]); len(whole) > 0 || err == io.EOF {
 			if !begun {
 				begun = true
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -29,6 +29,9 @@
 	// inlineAnswer is the largest answer that is read whole before it is passed
 	// on, so that a broken one can be replaced by another attempt.
 	inlineAnswer = 256 << 10
+	// tryPart is the part of the objective after which an idempotent request goes to
+	// another endpoint: what is left suffices for one usual call.
+	tryPart = 0.7
 	// chooseWait is how long a request whose stages are done waits for an engine
 	// that bears one more, looking each choosePause.
 	chooseWait  cicadapitch.Millis = 800
@@ -194,7 +197,9 @@
 		if err != nil {
 			return err
 		}
-		done, err := t.attempt(ctx, e)
+		tryCtx, cancel := t.tryTime(ctx)
+		done, err := t.attempt(tryCtx, e)
+		cancel()
 		if done {
 			return err
 		}
@@ -209,6 +214,15 @@
 	}
 }
 
+// tryTime bounds an attempt at a plain service while another one may follow: an
+// endpoint that is silent for most of the objective is left for another.
+func (t *task) tryTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !t.route.Idempotent() || t.sent+1 >= t.route.MaxAttempts || t.route.Aim <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeoutCause(ctx, cicadapitch.Millis(tryPart*float64(t.route.Aim)).Duration(), errSilent)
+}
+
 // attempt sends the request to one endpoint. It reports whether the request is
 // settled; otherwise the error says why it is not.
 func (t *task) attempt(ctx context.Context, e fleet.Endpoint) (bool, error) {
@@ -267,9 +281,12 @@
 			t.sent++
 			t.mayRun = true
 		}
-		if ctx.Err() == nil {
+		switch {
+		case ctx.Err() == nil:
 			t.failed(e.ID, 1)
 			t.g.endpoints.Forget(e.Address)
+		case errors.Is(context.Cause(ctx), errSilent):
+			t.failed(e.ID, silentWeight)
 		}
 		return nil, err
 	}
@@ -284,6 +301,12 @@
 	return reply, nil
 }
 
+// silentWeight is the weight of a silent endpoint among failures: it may be a
+// single slow call.
+const silentWeight = 0.3
+
+var errSilent = errors.New("the endpoint is silent")
+
 var errInputGone = errors.New("an input is gone")
 
 func (t *task) refusal(reply *platform.Reply, e fleet.Endpoint) error {
