gateway: a failure never goes into a stream that has begun

Cause: found in reading: an engine that answered 500 to the rest of a resumed stream had its answer passed on behind the events that the caller had, and a flag was read by parallel stages while it was written. Test: TestAFailureNeverGoesIntoAStreamThatHasBegun failed before, passes now.

--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -392,3 +392,22 @@
 		require.Equal(t, 6, strings.Count(body(t, r), "data: part"))
 	}
 }
+
+func TestAFailureNeverGoesIntoAStreamThatHasBegun(t *testing.T) {
+	s := newSite(t, 1)
+	s.ends["e1"].SetCut(2)
+	s.ends["e2"].SetCut(2)
+	id := newID()
+	go func() {
+		for s.ran(id) < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		s.ends["e1"].SetFail(true)
+		s.ends["e2"].SetFail(true)
+	}()
+	r := s.request(0, "POST", "/answer/a", id, streamHeaders("0,0")...)
+	b, err := io.ReadAll(r.Body)
+	r.Body.Close()
+	require.Error(t, err)
+	require.NotContains(t, string(b), "failed")
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -94,6 +94,9 @@
 		t.learnFirst(took)
 		in.release()
 	}
+	if t.answer.Begun() && reply.Status >= 300 {
+		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream")
+	}
 	if reply.Status < 300 && t.route.Resumable {
 		return t.passEvents(e, reply, events, silence, first)
 	}
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -50,7 +50,8 @@
 			}
 			started[i] = true
 			running++
-			go func() { ends <- t.runStage(ctx, i, pieces, held, zone) }()
+			returned := t.returned
+			go func() { ends <- t.runStage(ctx, stageStart{i, returned, zone}, pieces, held) }()
 		}
 	}
 	startReady()
@@ -138,7 +139,15 @@
 	}
 }
 
-func (t *task) runStage(ctx context.Context, stage int, pieces []int, held *holding, zone cicadapitch.ZoneID) stageEnd {
+// stageStart is what a stage is begun with.
+type stageStart struct {
+	stage    int
+	returned bool
+	zone     cicadapitch.ZoneID
+}
+
+func (t *task) runStage(ctx context.Context, start stageStart, pieces []int, held *holding) stageEnd {
+	stage, zone := start.stage, start.zone
 	s := t.route.Stages[stage]
 	now := t.g.clock.Now()
 	first := t.expectedFirst()
@@ -149,7 +158,7 @@
 	}
 	c := StageCall{
 		Request: t.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority, Returned: t.returned,
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: t.priority, Returned: start.returned,
 		DueIn:    t.aim.Sub(now) - after - first,
 		ExpireIn: t.firstBy.Sub(now) - afterLate - first,
 	}
