gateway: results of stages that end after their request are given up

Cause: found in reading: results of a stage that ended while another one had failed, or while its request was cancelled, were held until their life was over and took room.

--- a/gateway/holding.go
+++ b/gateway/holding.go
@@ -79,3 +79,13 @@
 		h.free(s)
 	}
 }
+
+// releaseRest gives up the results of stages that still run.
+func (h *holding) releaseRest(ends <-chan stageEnd, running int) {
+	for range running {
+		if end := <-ends; end.err == nil {
+			h.put(end.stage, end.reply.Handles, end.reply.Zone)
+			h.free(end.stage)
+		}
+	}
+}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -129,7 +129,7 @@
 	case out := <-done:
 		return StageReply{Handles: out.Handles, Zone: out.Zone, Lost: out.Lost, Moved: out.Moved, Returned: out.Returned, Reason: out.Reason, RetryAfter: out.RetryAfter}, nil
 	case <-ctx.Done():
-		s.cancel(id)
+		s.cancel(id, done)
 		return StageReply{}, context.Cause(ctx)
 	}
 }
@@ -208,9 +208,15 @@
 	s.plan(now)
 }
 
-func (s *service) cancel(id batch.JobID) {
+// cancel drops a job that nobody waits for, and its results if it has just ended.
+func (s *service) cancel(id batch.JobID, done <-chan batch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	select {
+	case out := <-done:
+		s.giveUp(out.Handles)
+	default:
+	}
 	delete(s.waiting, id)
 	s.planner.Cancel(id)
 	s.plan(s.o.clock.Now())
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -60,8 +60,8 @@
 		running--
 		if end.err != nil {
 			cancel()
-			// The results of stages that still run come back to their owner.
 			held.release()
+			go held.releaseRest(ends, running)
 			return stageResults{}, end.err
 		}
 		t.returned = t.returned || end.reply.Returned
