gateway: a new view and a stage service's timer no longer wait for each other

The mesh holds its lock while it hands a view to the stage services, which take theirs; their timer asked the mesh who owns the service with its own lock held. The ranking of hosts for a cold engine could wait in the same way. Changed: the mesh is asked before a lock of the gateway is taken.

--- /dev/null
+++ b/gateway/lock_test.go
@@ -0,0 +1,92 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/gateway"
+	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+// lockedMesh holds its lock while it hands out a view, as the real one does, and
+// takes it for each question.
+type lockedMesh struct {
+	mu   sync.Mutex
+	view *fleet.View
+}
+
+func (m *lockedMesh) View() *fleet.View                     { return m.view }
+func (m *lockedMesh) Loads() map[cicadapitch.EndpointID]int { return nil }
+func (m *lockedMesh) Waits() map[string]gateway.Waits       { return nil }
+func (m *lockedMesh) HostCount() int                        { return 1 }
+func (m *lockedMesh) IsSelf(fleet.Host) bool                { return true }
+func (m *lockedMesh) Dialer() *peer.Dialer                  { return nil }
+func (m *lockedMesh) OwnersOf(string) []fleet.Host          { return m.Hosts() }
+func (m *lockedMesh) Hosts() []fleet.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return []fleet.Host{{ID: "h"}}
+}
+
+func coldView(t *testing.T) *fleet.View {
+	c, err := platform.DecodeCatalog([]byte(`{"version":1,"routes":[
+	 {"name":"r","host":"h","prefix":"/","kind":"streaming","timeout_ms":300,"service":"engine","stages":[{"service":"stage","after":[]}]}],
+	 "services":[{"name":"engine","cold_per_s":14,"engine":{"slots":1}},{"name":"stage","segments":{"slots":1,"batch":1,"call_ms":1,"handle_s":4}}]}`))
+	require.NoError(t, err)
+	s := fleet.NewState()
+	s.SetCatalog(c)
+	s.SetEndpoint(cicadapitch.NewSystemClock().Now(), catalog.Endpoint{ID: "e", Service: "engine", Address: "127.0.0.1:1", ColdFor: 60_000})
+	return s.View()
+}
+
+// TestViewsAndRequestsDoNotWaitForEachOther is seed 111 of the soak: a new view
+// waited for a stage service whose timer waited for the mesh.
+func TestViewsAndRequestsDoNotWaitForEachOther(t *testing.T) {
+	m := &lockedMesh{view: coldView(t)}
+	g := gateway.New(&platform.Settings{Host: "h", Zone: "z"}, m)
+	stop := time.Now().Add(1500 * time.Millisecond)
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for time.Now().Before(stop) {
+			m.mu.Lock()
+			time.Sleep(100 * time.Microsecond)
+			g.SetView(m.view)
+			m.mu.Unlock()
+		}
+	}()
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; time.Now().Before(stop); n++ {
+				w := httptest.NewRecorder()
+				in := platform.NewIngress(g, cicadapitch.NewSystemClock())
+				r := httptest.NewRequest("POST", "/x", nil).WithContext(context.Background())
+				r.Host = "h"
+				r.Header.Set("Cicadapitch-Request-Id", fmt.Sprintf("%d-%d", i, n))
+				r.Header.Set("Cicadapitch-Chunk-Count", "1")
+				r.Header.Set("Cicadapitch-Chunk-Key", "k")
+				in.ServeHTTP(w, r)
+			}
+		}()
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("requests and views wait for each other")
+	}
+}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -223,13 +223,16 @@
 }
 
 func (s *service) wake() {
+	// The mesh holds its lock while it hands a view to services, so it is asked
+	// before theirs is taken.
+	owns := s.o.owns == nil || s.o.owns(s.shard)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, handles := range s.freeing {
 		delete(s.freeing, id)
 		s.sendFree(id, handles)
 	}
-	if s.o.owns != nil && !s.o.owns(s.shard) {
+	if !owns {
 		s.planner.HandOver()
 	}
 	s.plan(s.o.clock.Now())
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -110,7 +110,7 @@
 	v := g.mesh.View()
 	w := placement.Want{
 		Service: t.service, Session: t.request.Session(), Exclude: t.exclude,
-		Hosts: g.mesh.HostCount(), Zone: zone, Rank: t.rank(),
+		Hosts: g.mesh.HostCount(), Zone: zone,
 	}
 	list := v.Endpoints(t.service.Name)
 	var (
@@ -120,6 +120,9 @@
 	if t.service.Engine != nil {
 		w.Others = g.mesh.Loads()
 	}
+	if t.service.ColdPerSecond > 0 {
+		w.Rank = t.rank()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if t.service.Engine != nil {
@@ -136,13 +139,12 @@
 	return e, nil
 }
 
-// rank returns a function that ranks this host among all hosts for a key.
+// rank returns a function that ranks this host among all hosts for a key. It asks
+// the mesh now, since the function is called with the gateway's lock held, which
+// the mesh takes to hand out a view.
 func (t *task) rank() func(string) int {
-	var hosts []fleet.Host
+	hosts := t.g.mesh.Hosts()
 	return func(key string) int {
-		if hosts == nil {
-			hosts = t.g.mesh.Hosts()
-		}
 		owners := fleet.Rank(key, hosts, func(h fleet.Host) string { return h.Incarnation })
 		return slices.IndexFunc(owners, t.g.mesh.IsSelf)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,6 +56,20 @@
 	return otherwise
 }
 
+// regressions are seeds that failed once.
+var regressions = map[int]string{
+	111: "a new view and a stage service's timer waited for each other's lock; host-2 stood still",
+}
+
+func TestRegressions(t *testing.T) {
+	for seed, cause := range regressions {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Log(cause)
+			play(t, uint64(seed))
+		})
+	}
+}
+
 func TestSoak(t *testing.T) {
 	first := number("SOAK_FIRST", 1)
 	for seed := first; seed < first+number("SOAK_SEEDS", shortSeeds); seed++ {
