--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -24,8 +24,8 @@
 	// leastSilence, silentFirsts usual times to a first event and silentGaps longest
 	// pauses are how long an engine may be silent.
 	leastSilence cicadapitch.Millis = 1000
-	silentFirsts                    = 5
-	silentGaps                      = 4
+	silentFirsts cicadapitch.Millis = 5
+	silentGaps   cicadapitch.Millis = 4
 	// stageReruns bounds how often stages are run again because results were gone.
 	stageReruns = 1
 )
