gateway, batch, mesh: what the last reading found twice or dead

Found in reading the change: the port of a host name was cut off by hand although net and strings do it; who owns a shard was asked in two places in two ways; a result's room was given back in two places; the gateway's zone, a job's arrival time and Mesh.Warm were read by nobody; the secret was drawn twice as long and cut. Behaviour is unchanged.

--- a/batch/job.go
+++ b/batch/job.go
@@ -109,5 +109,4 @@
 	// waiting holds the indices that are in no call.
 	waiting []int
 	tries   int
-	arrived cicadapitch.Instant
 }
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -121,7 +121,7 @@
 	if p.since == 0 {
 		p.since = now
 	}
-	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, arrived: now, zones: map[cicadapitch.ZoneID]int{}}
+	e := &entry{Job: j, handles: make([]string, j.Pieces), left: j.Pieces, zones: map[cicadapitch.ZoneID]int{}}
 	for i := range j.Pieces {
 		e.waiting = append(e.waiting, i)
 	}
@@ -336,10 +336,7 @@
 	}
 	for h, r := range p.results {
 		if now > r.expire {
-			delete(p.results, h)
-			if w := p.workers[r.endpoint]; w != nil {
-				w.used -= r.bytes
-			}
+			p.forget(h, r)
 		}
 	}
 }
--- a/batch/results.go
+++ b/batch/results.go
@@ -103,13 +103,16 @@
 // Freed takes that an endpoint has given up results.
 func (p *Planner) Freed(handles []string) {
 	for _, h := range handles {
-		r, ok := p.results[h]
-		if !ok {
-			continue
-		}
-		delete(p.results, h)
-		if w := p.workers[r.endpoint]; w != nil {
-			w.used -= r.bytes
+		if r, ok := p.results[h]; ok {
+			p.forget(h, r)
 		}
 	}
 }
+
+// forget drops a result and gives its room back.
+func (p *Planner) forget(handle string, r result) {
+	delete(p.results, handle)
+	if w := p.workers[r.endpoint]; w != nil {
+		w.used -= r.bytes
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -38,7 +40,6 @@
 	log       zerolog.Logger
 	metrics   tally.Scope
 	bounds    platform.Bounds
-	zone      cicadapitch.ZoneID
 	owner     *Owner
 	// stopped ends once requests that wait are turned away.
 	stopped context.Context
@@ -67,7 +68,7 @@
 func New(s *platform.Settings, mesh Mesh, opts ...Option) *Gateway {
 	g := &Gateway{
 		mesh: mesh, endpoints: platform.NewEndpoints(), clock: cicadapitch.NewSystemClock(),
-		log: zerolog.Nop(), metrics: tally.NoopScope, bounds: s.Bounds, zone: s.Zone,
+		log: zerolog.Nop(), metrics: tally.NoopScope, bounds: s.Bounds,
 		chooser:    placement.NewChooser(s.Zone, s.Bounds.ColdExcess, s.Bounds.ColdSlack),
 		budgets:    map[catalog.ServiceID]*placement.Budget{},
 		firstEvent: map[string]float64{},
@@ -79,8 +80,8 @@
 	g.owner = newOwner(g.endpoints, g.clock, g.log, g.metrics)
 	g.owner.fetched = g.free
 	g.owner.owns = func(s batch.Shard) bool {
-		owners := mesh.OwnersOf(s.Key())
-		return len(owners) == 0 || mesh.IsSelf(owners[0])
+		_, self := g.ownerOf(s)
+		return self
 	}
 	return g
 }
@@ -223,25 +224,10 @@
 	return b
 }
 
+// hostName returns the host without a port, in lower case as routes hold it.
 func hostName(host string) string {
-	for i := len(host) - 1; i >= 0; i-- {
-		switch c := host[i]; {
-		case c == ':':
-			host = host[:i]
-		case c >= '0' && c <= '9':
-			continue
-		}
-		break
-	}
-	return lower(host)
-}
-
-func lower(s string) string {
-	b := []byte(s)
-	for i, c := range b {
-		if c >= 'A' && c <= 'Z' {
-			b[i] = c + 'a' - 'A'
-		}
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
 	}
-	return string(b)
+	return strings.ToLower(host)
 }
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -138,19 +138,28 @@
 	})
 }
 
+// ownerOf returns the owner of a shard, or that it is this host.
+func (g *Gateway) ownerOf(s batch.Shard) (fleet.Host, bool) {
+	owners := g.mesh.OwnersOf(s.Key())
+	if len(owners) == 0 {
+		return fleet.Host{}, true
+	}
+	return owners[0], g.mesh.IsSelf(owners[0])
+}
+
 // tellOwner tells the owner of a service something that can be lost.
 func (g *Gateway) tellOwner(s batch.Shard, here func(), there func(context.Context, *peer.Dialer, string) error) {
-	owners := g.mesh.OwnersOf(s.Key())
+	owner, self := g.ownerOf(s)
 	d := g.mesh.Dialer()
-	if len(owners) == 0 || d == nil || g.mesh.IsSelf(owners[0]) {
+	if self || d == nil {
 		here()
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout.Duration())
 		defer cancel()
-		if err := there(ctx, d, owners[0].Peers); err != nil {
-			g.log.Warn().Str("Service", s.Key()).Str("Owner", string(owners[0].ID)).Err(err).Msg("owner was not told")
+		if err := there(ctx, d, owner.Peers); err != nil {
+			g.log.Warn().Str("Service", s.Key()).Str("Owner", string(owner.ID)).Err(err).Msg("owner was not told")
 		}
 	}()
 }
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -25,9 +25,6 @@
 	behindAfter cicadapitch.Millis = 250
 )
 
-// secretBytes is the length of the deployment's secret.
-const secretBytes = 32
-
 func (m *Mesh) peerAddress() string {
 	return net.JoinHostPort(m.settings.IP, strconv.Itoa(m.settings.PeerPort))
 }
@@ -40,7 +37,7 @@
 			return items[0].Value, nil
 		}
 		if err == nil {
-			fresh := []byte(newIncarnation() + newIncarnation() + newIncarnation() + newIncarnation())[:secretBytes]
+			fresh := []byte(newIncarnation() + newIncarnation())
 			err = m.store.Create(ctx, secretKey, fresh)
 		}
 		if err != nil && !errors.Is(err, platform.ErrConflict) {
@@ -249,13 +246,3 @@
 	}
 	return nil
 }
-
-// Warm waits until the host can serve, or until ctx ends.
-func (m *Mesh) Warm(ctx context.Context) error {
-	for !m.Ready() {
-		if err := m.clock.Sleep(ctx, 20); err != nil {
-			return err
-		}
-	}
-	return nil
-}
