endpoint: a declined job that is given up leaves its queue

Cause: TestRequestsCauseNoStoreCalls hung or failed beside load. A declined job went back to the queue with its endpoint still set. Withdraw takes a waiting job with an endpoint for one in that endpoint's line, so it stayed in the queue, was started later without anybody to make the call, and held its slot for ever. On an engine or a held endpoint one such job stops all work.

Ruled out: the estimates (printed each 5 s beside load, they were near the real times), leaks of the count of unproven calls on their own, stuck load reports, ejection (a shard of one endpoint is never ejected), flapping claims.

--- a/endpoint/state_test.go
+++ b/endpoint/state_test.go
@@ -253,6 +253,27 @@
 	require.Equal(t, endpoint.Withdrawn, tb.refused[id].Cause)
 }
 
+// A job that an endpoint declined waits again. Given up then, it must leave the
+// queue: started later, it would hold a slot that nobody frees.
+func TestDeclinedJobThatIsWithdrawnNeverStarts(t *testing.T) {
+	tb := newTable(1, 1, 1)
+	tb.now = tb.now.Add(cicadapitch.Second)
+	tb.report(cicadapitch.LoadReport{}, "a")
+	declined := tb.submit(cicadapitch.Minute)
+	require.Len(t, tb.running, 1)
+	tb.submit(cicadapitch.Minute)
+	tb.now = tb.now.Add(10)
+	delete(tb.running, declined)
+	tb.take(tb.state.Finish(tb.now, endpoint.CallEnd{Attempt: declined, Outcome: endpoint.Declined}))
+	require.NotContains(t, tb.running, declined, "the other job goes first")
+	tb.take(tb.state.Withdraw(tb.now, declined))
+	require.Contains(t, tb.refused, declined)
+	tb.finish(100, endpoint.Succeeded)
+	require.Empty(t, tb.running, "the withdrawn job started")
+	last := tb.submit(cicadapitch.Minute)
+	require.Contains(t, tb.running, last, "the slot is free")
+}
+
 func TestEjectionLeavesHalfIn(t *testing.T) {
 	tb := newTable(4, 1, 1)
 	ids := []cicadapitch.EndpointID{"a", "b", "c", "d"}
