platform: the one client of the store; the etcd form goes

Cause: the product's daemon spoke to its store in the etcd form, with a client, a message package and a stand-in of its own, though the platform has one store and one form.

platform.Store now implements cicadapitch.Store (keys, pages, commits, leases, watches by long polls) and serves the daemon, the command line and the hosts on the users' platform. Both stand-ins are one: standin.MemoryStore, served in the platform's form by platform/platformtest. keyvalue/ and its etcd package are gone; the list of hosts moved to platform/. Revisions and leases have the root package's types everywhere.

TestRequestsCauseNoStoreCalls asked for no watch calls under load. A watch is now one call after the other, load or none, so the check compares them with the spans without load, as it does for reads and renewals; lists stay at zero.

--- a/catalog/endpoint.go
+++ b/catalog/endpoint.go
@@ -16,5 +16,5 @@
 	// Started tells the incarnations of one id apart.
 	Started int64
 	// Revision is the store's revision of the entry.
-	Revision int64
+	Revision cicadapitch.StoreRevision
 }
--- a/cmd/cicadapitch/bootstrap.go
+++ b/cmd/cicadapitch/bootstrap.go
@@ -7,7 +7,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/configuration"
-	"cicadapitch.example/cicadapitch/keyvalue"
+	"cicadapitch.example/cicadapitch/platform"
 )
 
 // runBootstrap writes the first configuration of a deployment straight into
@@ -23,7 +23,7 @@
 		ID: "bootstrap", Operator: "bootstrap", At: clock.Now(),
 		Summary: "first configuration from " + file, Whole: cfg,
 	}
-	out, err := configuration.NewApplier(keyvalue.NewStore(store), clock).Apply(ctx, change)
+	out, err := configuration.NewApplier(platform.NewStore(store), clock).Apply(ctx, change)
 	if err != nil {
 		return err
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/platform/platformtest"
 	"cicadapitch.example/cicadapitch/standin"
 )
 
@@ -78,7 +79,7 @@
 			s.Sweep()
 		}
 	}()
-	return standin.NewStoreHandler(s)
+	return platformtest.NewStoreHandler(s)
 }
 
 func engineCommand() *builder {
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -15,9 +15,9 @@
 	"cicadapitch.example/cicadapitch/endpoint"
 	"cicadapitch.example/cicadapitch/entry"
 	"cicadapitch.example/cicadapitch/host"
-	"cicadapitch.example/cicadapitch/keyvalue"
 	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/report"
 	"cicadapitch.example/cicadapitch/settings"
 )
@@ -67,7 +67,7 @@
 
 func newStore(i do.Injector) (cicadapitch.Store, error) {
 	s := do.MustInvoke[*settings.Settings](i)
-	return keyvalue.NewStore(s.Store), nil
+	return platform.NewStore(s.Store), nil
 }
 
 func newFollower(i do.Injector) (*configuration.Follower, error) {
@@ -94,7 +94,7 @@
 		host.WithTransport(pinger{do.MustInvoke[*peer.Dialer](i)}),
 	}
 	if s.HostList != "" {
-		opts = append(opts, host.WithHostList(keyvalue.NewHostList(s.HostList)))
+		opts = append(opts, host.WithHostList(platform.NewHostList(s.HostList)))
 	}
 	return host.New(do.MustInvoke[cicadapitch.Member](i), opts...), nil
 }
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -12,6 +12,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/daemon"
+	"cicadapitch.example/cicadapitch/platform/platformtest"
 	"cicadapitch.example/cicadapitch/questionnaire"
 	"cicadapitch.example/cicadapitch/settings"
 	"cicadapitch.example/cicadapitch/standin"
@@ -75,7 +76,7 @@
 
 func (l *Local) startStore(a *questionnaire.Answers) error {
 	l.Store = standin.NewMemoryStore(l.clock)
-	url, err := l.serveHTTP(standin.NewStoreHandler(l.Store))
+	url, err := l.serveHTTP(platformtest.NewStoreHandler(l.Store))
 	if err != nil {
 		return err
 	}
--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -18,7 +18,7 @@
 type Record struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision cicadapitch.StoreRevision
 	Removed  bool
 }
 
@@ -31,18 +31,18 @@
 type Mirror struct {
 	records map[string]held
 	// at is the revision up to which the copy is complete.
-	at int64
+	at cicadapitch.StoreRevision
 }
 
 // NewMirror returns an empty copy.
 func NewMirror() *Mirror { return &Mirror{records: map[string]held{}} }
 
 // At returns the revision up to which the copy is complete, or 0.
-func (m *Mirror) At() int64 { return m.at }
+func (m *Mirror) At() cicadapitch.StoreRevision { return m.at }
 
 // Apply merges changes that are complete up to at. Records that are not newer
 // than what is held change nothing. It returns those that did.
-func (m *Mirror) Apply(now cicadapitch.Instant, changes []Record, at int64) []Record {
+func (m *Mirror) Apply(now cicadapitch.Instant, changes []Record, at cicadapitch.StoreRevision) []Record {
 	var out []Record
 	for _, r := range changes {
 		if h, ok := m.records[r.Key]; ok && h.Revision >= r.Revision {
@@ -58,7 +58,7 @@
 
 // Replace merges a full listing below prefix, taken at a revision. Keys that it
 // lacks are removed unless they are newer than the listing.
-func (m *Mirror) Replace(now cicadapitch.Instant, prefix string, list []Record, at int64) []Record {
+func (m *Mirror) Replace(now cicadapitch.Instant, prefix string, list []Record, at cicadapitch.StoreRevision) []Record {
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
 		listed[r.Key] = true
@@ -73,7 +73,7 @@
 }
 
 // Since returns the changes after a revision, removals among them.
-func (m *Mirror) Since(revision int64) []Record {
+func (m *Mirror) Since(revision cicadapitch.StoreRevision) []Record {
 	var out []Record
 	for _, h := range m.records {
 		if h.Revision > revision {
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -268,7 +268,7 @@
 		}
 	}
 	s.o.log.Info().Str("Service", s.shard.Key()).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
-		Int64("EntryRevision", c.Endpoint.Revision).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
+		Int64("EntryRevision", int64(c.Endpoint.Revision)).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
 		Int64("ExpectedMs", int64(c.Expected)).Int("Queued", c.Queued).Int64("RoomUsed", int64(c.RoomUsed)).Msg("stage call")
 }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -277,7 +277,7 @@
 		Inputs: inputs, Urgency: t.urgency(), ResumeAfter: resume,
 	})
 	t.g.log.Info().Str("Id", string(t.request.ID)).Str("Endpoint", string(e.ID)).
-		Int64("EntryRevision", e.Revision).Int64("LeftMs", int64(t.left())).Int("Inputs", len(inputs)).Err(err).Msg("sent")
+		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(t.left())).Int("Inputs", len(inputs)).Err(err).Msg("sent")
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			t.sent++
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -38,7 +38,7 @@
 		}
 		if err == nil {
 			fresh := []byte(newIncarnation() + newIncarnation())
-			err = m.store.Create(ctx, secretKey, fresh)
+			_, err = m.store.Commit(ctx, []cicadapitch.Compare{{Key: secretKey}}, []cicadapitch.Put{{Key: secretKey, Value: fresh}})
 		}
 		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			m.storeFailed(err)
@@ -183,7 +183,7 @@
 	}
 }
 
-func (m *Mesh) syncFrom(ctx context.Context, d *peer.Dialer, h fleet.Host, known int64) {
+func (m *Mesh) syncFrom(ctx context.Context, d *peer.Dialer, h fleet.Host, known cicadapitch.StoreRevision) {
 	m.mu.Lock()
 	at := m.mirror.At()
 	m.mu.Unlock()
@@ -192,7 +192,7 @@
 	}
 	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: at})
 	if err != nil {
-		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", at).Err(err).Msg("changes could not be fetched from a host")
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(at)).Err(err).Msg("changes could not be fetched from a host")
 		return
 	}
 	m.apply(r.Records, r.Revision, string(h.ID))
@@ -224,7 +224,7 @@
 	lease := m.lease
 	m.mu.Unlock()
 	if lease != 0 {
-		err := m.store.Keep(ctx, lease)
+		_, err := m.store.Renew(ctx, lease)
 		if !errors.Is(err, platform.ErrNoLease) {
 			return err
 		}
@@ -232,11 +232,12 @@
 	if m.View().Catalog == nil {
 		return nil
 	}
-	lease, err := m.store.Lease(ctx, max(hostLease, m.settings.Store.MinLease))
+	lease, err := m.store.Grant(ctx, max(hostLease, m.settings.Store.MinLease))
 	if err != nil {
 		return err
 	}
-	if err := m.store.Put(ctx, hostPrefix+m.incarnation, value, lease); err != nil {
+	entry := cicadapitch.Put{Key: hostPrefix + m.incarnation, Value: value, Lease: lease}
+	if _, err := m.store.Commit(ctx, nil, []cicadapitch.Put{entry}); err != nil {
 		return err
 	}
 	m.mu.Lock()
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -6,15 +6,14 @@
 	"errors"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A watch that went silent
-	// is noticed soon after it.
-	watchWait cicadapitch.Millis = 2500
 	// watchPause gathers changes that come together into one call. It is short
 	// against the time in which a change has to be in force.
 	watchPause cicadapitch.Millis = 150
@@ -51,12 +50,12 @@
 // followOnce lists the store and then watches it until a call fails. Hosts that
 // need not watch take changes from those that do.
 func (m *Mesh) followOnce(ctx context.Context) error {
-	items, at, err := m.store.List(ctx, "")
+	list, at, err := m.store.List(ctx, "")
 	if err != nil {
 		return err
 	}
 	m.storeAnswered()
-	m.replace(records(items), at)
+	m.replace(listed(list), at)
 	for {
 		if !m.watchesStore() {
 			if err := m.clock.Sleep(ctx, beatInterval); err != nil {
@@ -65,34 +64,38 @@
 			continue
 		}
 		at = m.revision()
-		items, next, err := m.store.Watch(ctx, "", at, watchWait)
+		events, next, err := m.store.Changes(ctx, "", at)
 		if err != nil {
 			return err
 		}
 		m.storeAnswered()
-		if len(items) == 0 && next > at {
+		if len(events) == 0 && next > at {
 			// Changes were made that the watch was not told of.
 			return platform.ErrCompacted
 		}
-		m.apply(records(items), next, "store")
-		if len(items) > 0 && m.clock.Sleep(ctx, watchPause) != nil {
+		m.apply(changed(events), next, "store")
+		if len(events) > 0 && m.clock.Sleep(ctx, watchPause) != nil {
 			return ctx.Err()
 		}
 	}
 }
 
-func (m *Mesh) revision() int64 {
+func (m *Mesh) revision() cicadapitch.StoreRevision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.mirror.At()
 }
 
-func records(items []platform.Item) []fleet.Record {
-	out := make([]fleet.Record, len(items))
-	for i, it := range items {
-		out[i] = fleet.Record(it)
-	}
-	return out
+func listed(pairs []cicadapitch.Pair) []fleet.Record {
+	return lo.Map(pairs, func(p cicadapitch.Pair, _ int) fleet.Record {
+		return fleet.Record{Key: p.Key, Value: p.Value, Revision: p.Revision}
+	})
+}
+
+func changed(events []cicadapitch.WatchEvent) []fleet.Record {
+	return lo.Map(events, func(e cicadapitch.WatchEvent, _ int) fleet.Record {
+		return fleet.Record{Key: e.Pair.Key, Value: e.Pair.Value, Revision: e.Pair.Revision, Removed: e.Deleted}
+	})
 }
 
 func (m *Mesh) storeFailed(err error) {
@@ -100,7 +103,6 @@
 	was := m.storeUp
 	m.storeUp, m.storeLost = false, m.clock.Now()
 	m.mu.Unlock()
-	m.store.Reset()
 	if was {
 		m.log.Warn().Err(err).Msg("store lost")
 	}
@@ -115,18 +117,18 @@
 	at := m.mirror.At()
 	m.mu.Unlock()
 	if !was {
-		m.log.Info().Int64("Revision", at).Msg("store reached")
+		m.log.Info().Int64("Revision", int64(at)).Msg("store reached")
 	}
 }
 
-func (m *Mesh) replace(list []fleet.Record, at int64) {
+func (m *Mesh) replace(list []fleet.Record, at cicadapitch.StoreRevision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	m.take(now, m.mirror.Replace(now, "", list, at), "store")
 }
 
-func (m *Mesh) apply(list []fleet.Record, at int64, from string) {
+func (m *Mesh) apply(list []fleet.Record, at cicadapitch.StoreRevision, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -153,7 +155,7 @@
 	if z, ok := platform.EvacuatedZone(r.Key); ok {
 		m.state.Evacuate(z, !r.Removed)
 		m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
-			Int64("Revision", r.Revision).Str("From", from).Msg("zone")
+			Int64("Revision", int64(r.Revision)).Str("From", from).Msg("zone")
 		return
 	}
 	if id, ok := platform.EndpointOf(r.Key); ok {
@@ -171,11 +173,11 @@
 	}
 	c, err := platform.DecodeCatalog(r.Value)
 	if err != nil {
-		m.log.Error().Err(err).Int64("Revision", r.Revision).Msg("configuration cannot be read and is left out")
+		m.log.Error().Err(err).Int64("Revision", int64(r.Revision)).Msg("configuration cannot be read and is left out")
 		return
 	}
 	ok := m.state.SetCatalog(c)
-	m.log.Info().Int64("Version", c.Version).Int64("Revision", r.Revision).
+	m.log.Info().Int64("Version", c.Version).Int64("Revision", int64(r.Revision)).
 		Str("From", from).Bool("InForce", ok).Msg("configuration")
 }
 
@@ -186,11 +188,11 @@
 			return
 		}
 		m.state.RemoveEndpoint(id)
-		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", r.Revision).Str("From", from).Msg("endpoint gone")
+		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", int64(r.Revision)).Str("From", from).Msg("endpoint gone")
 		return
 	}
 	delete(m.lapsed, id)
-	e, err := platform.DecodeEndpoint(id, platform.Item(r))
+	e, err := platform.DecodeEndpoint(id, r.Value, r.Revision)
 	if err != nil {
 		m.state.RemoveEndpoint(id)
 		m.log.Warn().Str("Endpoint", string(id)).Err(err).Msg("entry is not an endpoint's own and is left out")
@@ -199,7 +201,7 @@
 	m.state.SetEndpoint(now, e)
 	m.log.Info().Str("Endpoint", string(id)).Str("Address", e.Address).Str("Service", string(e.Service)).
 		Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
-		Int64("Revision", r.Revision).Str("From", from).Msg("endpoint")
+		Int64("Revision", int64(r.Revision)).Str("From", from).Msg("endpoint")
 }
 
 // mayHaveLapsed reports whether a vanished entry may have lapsed because its
@@ -229,7 +231,7 @@
 func (m *Mesh) takeHost(r fleet.Record) {
 	if r.Removed {
 		m.state.RemoveHost(r.Key)
-		m.log.Info().Str("Key", r.Key).Int64("Revision", r.Revision).Msg("host gone")
+		m.log.Info().Str("Key", r.Key).Int64("Revision", int64(r.Revision)).Msg("host gone")
 		return
 	}
 	var h hostRecord
@@ -238,5 +240,5 @@
 		return
 	}
 	m.state.SetHost(r.Key, fleet.Host{ID: h.Host, Incarnation: h.Incarnation, Zone: h.Zone, Callers: h.Callers, Peers: h.Peers})
-	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", r.Revision).Msg("host")
+	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", int64(r.Revision)).Msg("host")
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -72,7 +72,7 @@
 	storeUp              bool
 	// awayHeard is when another host last said that it does not reach the store.
 	awayHeard cicadapitch.Instant
-	lease     platform.LeaseID
+	lease     cicadapitch.LeaseID
 }
 
 type heardHost struct {
@@ -94,7 +94,7 @@
 func New(s *platform.Settings, opts ...Option) *Mesh {
 	m := &Mesh{
 		settings: s, clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(),
-		store: platform.NewStore(s.Store.Address), incarnation: newIncarnation(),
+		store: platform.NewStore([]string{s.Store.URL()}), incarnation: newIncarnation(),
 		loads:  func() map[cicadapitch.EndpointID]int { return nil },
 		waits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror: fleet.NewMirror(), state: fleet.NewState(),
@@ -148,7 +148,7 @@
 	if lease == 0 {
 		return
 	}
-	if err := m.store.End(ctx, lease); err != nil {
+	if err := m.store.Revoke(ctx, lease); err != nil {
 		m.log.Warn().Err(err).Msg("the host's entry could not be removed; its lease will end")
 	}
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -18,7 +18,7 @@
 	// Ready hosts take callers.
 	Ready bool
 	// Revision is the store's revision up to which the host's copy is complete.
-	Revision int64
+	Revision cicadapitch.StoreRevision
 	// StoreAway is true while the host watches the store and does not reach it.
 	StoreAway bool
 	// Loads are the requests that the host has at each engine.
@@ -43,11 +43,11 @@
 }
 
 // SyncRequest asks for the changes after a revision.
-type SyncRequest struct{ Since int64 }
+type SyncRequest struct{ Since cicadapitch.StoreRevision }
 
 // SyncReply carries them, complete up to Revision.
 type SyncReply struct {
-	Revision int64
+	Revision cicadapitch.StoreRevision
 	Records  []fleet.Record
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -26,6 +26,7 @@
 
 	mu        sync.Mutex
 	down      bool
+	hushed    bool
 	delay     cicadapitch.Millis
 	lose      int
 	revision  cicadapitch.StoreRevision
--- a/standin/storeoptions.go
+++ b/standin/storeoptions.go
@@ -1,6 +1,10 @@
 package standin
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"golang.org/x/time/rate"
 
 	"cicadapitch.example/cicadapitch"
@@ -40,6 +44,41 @@
 	s.wake()
 }
 
+// SetHushed lets watches hear nothing of changes, though their revision goes on.
+func (s *MemoryStore) SetHushed(hushed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hushed = hushed
+}
+
+// Write makes writes as another client does, whatever the faults.
+func (s *MemoryStore) Write(writes ...cicadapitch.Put) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for _, w := range writes {
+		s.apply(w)
+	}
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *MemoryStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+	s.wake()
+}
+
+// Keys lists the keys below a prefix. It does not count as a call.
+func (s *MemoryStore) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep()
+	keys := slices.Sorted(maps.Keys(s.pairs))
+	return slices.DeleteFunc(keys, func(k string) bool { return !strings.HasPrefix(k, prefix) })
+}
+
 // SetDelay delays every call by m.
 func (s *MemoryStore) SetDelay(m cicadapitch.Millis) {
 	s.mu.Lock()
