batch, gateway: a zone out of service leaves the other zones' owners alone

Cause: whether a stage service has an owner a zone was decided by the endpoints that may get work. Found on the way: pieces that waited in a zone's shard when the zone was taken out waited there until they expired.

Endpoints that may get no work now count for the division. A shard that its service does not have any more hands its untouched jobs back, and their hosts choose another shard.

TestShardsStayWhileAZoneIsOut; TestPiecesLeaveAZoneThatIsTakenOut ended with 503 before and passes now.

--- a/batch/shard.go
+++ b/batch/shard.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -37,27 +39,25 @@
 	return string(s.Service) + "/" + string(s.Zone)
 }
 
-// ShardsOf divides the endpoints of a service.
-func ShardsOf(s catalog.ServiceID, list []fleet.Endpoint) []Shard {
-	zones := map[cicadapitch.ZoneID]int{}
-	var order []cicadapitch.ZoneID
-	for _, e := range list {
-		if zones[e.Zone] == 0 {
-			order = append(order, e.Zone)
+// ShardsOf divides the endpoints of a service that the view shows. Endpoints that
+// may get no work now count for whether it is divided: owners would change twice
+// for a zone that is out of service for a while.
+func ShardsOf(s catalog.ServiceID, v *fleet.View) []Shard {
+	known, total := v.Known(s), 0
+	for _, n := range known {
+		total += n
+		if n < shardLeast {
+			return []Shard{{Service: s}}
 		}
-		zones[e.Zone]++
 	}
-	if len(list) < shardFrom || len(order) < 2 {
+	if total < shardFrom || len(known) < 2 {
 		return []Shard{{Service: s}}
 	}
-	var out []Shard
-	for _, z := range order {
-		if zones[z] < shardLeast {
-			return []Shard{{Service: s}}
-		}
-		out = append(out, Shard{s, z})
+	zones := lo.Uniq(lo.Map(v.Endpoints(s), func(e fleet.Endpoint, _ int) cicadapitch.ZoneID { return e.Zone }))
+	if len(zones) == 0 {
+		return []Shard{{Service: s}}
 	}
-	return out
+	return lo.Map(zones, func(z cicadapitch.ZoneID, _ int) Shard { return Shard{s, z} })
 }
 
 // Holds reports whether an endpoint belongs to the shard.
--- a/batch/shard_test.go
+++ b/batch/shard_test.go
@@ -1,12 +1,15 @@
 package batch_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
 )
 
 // TestQueueInOneZone is a burst of one zone's callers: its shard has a queue while
@@ -31,3 +34,23 @@
 	whole := []batch.Shard{{Service: "s"}}
 	require.Equal(t, whole[0], batch.Nearest(whole, "b", heavy, func(batch.Shard) cicadapitch.Millis { return 0 }))
 }
+
+// TestShardsStayWhileAZoneIsOut takes a zone of a divided service out and back.
+func TestShardsStayWhileAZoneIsOut(t *testing.T) {
+	state := fleet.NewState()
+	for i := range 12 {
+		state.SetEndpoint(start, catalog.Endpoint{
+			ID: cicadapitch.EndpointID(fmt.Sprint(i)), Service: "s", Zone: cicadapitch.ZoneID(fmt.Sprintf("z%d", i%3)),
+		})
+	}
+	shards := func() []batch.Shard { return batch.ShardsOf("s", state.View()) }
+	all := []batch.Shard{{Service: "s", Zone: "z0"}, {Service: "s", Zone: "z1"}, {Service: "s", Zone: "z2"}}
+	require.ElementsMatch(t, all, shards())
+	state.Evacuate("z1", true)
+	require.ElementsMatch(t, []batch.Shard{all[0], all[2]}, shards())
+	state.Evacuate("z1", false)
+	require.ElementsMatch(t, all, shards())
+	state.RemoveEndpoint("0")
+	require.Equal(t, []batch.Shard{{Service: "s"}}, shards(), "eleven endpoints are better filled together")
+	require.Equal(t, []batch.Shard{{Service: "unknown"}}, batch.ShardsOf("unknown", state.View()))
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -18,6 +18,7 @@
 type View struct {
 	Catalog   *catalog.Catalog
 	endpoints map[catalog.ServiceID][]Endpoint
+	known     map[catalog.ServiceID]map[cicadapitch.ZoneID]int
 	Evacuated map[cicadapitch.ZoneID]bool
 	Hosts     []Host
 }
@@ -35,6 +36,10 @@
 // leaving nor in a zone that is out of service.
 func (v *View) Endpoints(s catalog.ServiceID) []Endpoint { return v.endpoints[s] }
 
+// Known returns the number of a service's endpoints by zone, with those that may
+// not get work.
+func (v *View) Known(s catalog.ServiceID) map[cicadapitch.ZoneID]int { return v.known[s] }
+
 // Cold reports whether the endpoint is in a cold start.
 func (e *Endpoint) Cold(now cicadapitch.Instant) bool { return now < e.WarmAt }
 
@@ -93,12 +98,17 @@
 	v := &View{
 		Catalog:   s.catalog,
 		endpoints: map[catalog.ServiceID][]Endpoint{},
+		known:     map[catalog.ServiceID]map[cicadapitch.ZoneID]int{},
 		Evacuated: map[cicadapitch.ZoneID]bool{},
 	}
 	for z := range s.evacuated {
 		v.Evacuated[z] = true
 	}
 	for _, e := range s.endpoints {
+		if v.known[e.Service] == nil {
+			v.known[e.Service] = map[cicadapitch.ZoneID]int{}
+		}
+		v.known[e.Service][e.Zone]++
 		if !e.Leaving && !s.evacuated[e.Zone] {
 			v.endpoints[e.Service] = append(v.endpoints[e.Service], e)
 		}
--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -246,6 +246,34 @@
 	require.LessOrEqual(t, calls, 5)
 }
 
+// TestPiecesLeaveAZoneThatIsTakenOut lets a piece wait for full endpoints of one
+// zone while that is taken out of service, and then for those of the next.
+func TestPiecesLeaveAZoneThatIsTakenOut(t *testing.T) {
+	s := newSite(t, 2)
+	for i := range 12 {
+		id, zone := fmt.Sprintf("a%02d", i), fmt.Sprintf("z%d", 2+i/4)
+		e := platformtest.NewEndpoint(id, "stage")
+		e.SetFull(zone != "z4")
+		entry := e.Entry("ready")
+		entry["zone"] = zone
+		s.ends[id] = e
+		s.store.Set(platformtest.EndpointKey(id), entry)
+	}
+	s.store.Remove(platformtest.EndpointKey("s1"))
+	time.Sleep(500 * time.Millisecond)
+	status := make(chan int, 1)
+	go func() {
+		r := s.send(s.stream(0, "/answer/a", newID(), "1,0"))
+		r.Body.Close()
+		status <- r.StatusCode
+	}()
+	for _, zone := range []string{"z2", "z3"} {
+		time.Sleep(300 * time.Millisecond)
+		s.store.Set(platformtest.EvacuateKey(zone), []byte("{}"))
+	}
+	require.Equal(t, http.StatusOK, <-status)
+}
+
 func TestABrokenStreamGoesOnElsewhereOnlyWhereAllowed(t *testing.T) {
 	s := newSite(t, 1)
 	s.ends["e1"].SetCut(2)
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +62,9 @@
 	waiting map[batch.JobID]chan batch.Outcome
 	timer   *time.Timer
 	freeing map[cicadapitch.EndpointID][]string
-	view    *fleet.View
+	// dissolved is true while the shard is none of its service any more.
+	dissolved bool
+	view      *fleet.View
 }
 
 func newOwner(e *platform.Endpoints, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *Owner {
@@ -191,6 +194,7 @@
 			s.planner.SetSpec(*spec.Batch)
 		}
 	}
+	s.dissolved = !slices.Contains(batch.ShardsOf(s.shard.Service, v), s.shard)
 	var list []catalog.Endpoint
 	for _, e := range v.Endpoints(s.shard.Service) {
 		if s.shard.Holds(e.Endpoint) {
@@ -232,7 +236,7 @@
 		delete(s.freeing, id)
 		s.sendFree(id, handles)
 	}
-	if !owns {
+	if !owns || s.dissolved {
 		s.planner.HandOver()
 	}
 	s.plan(s.o.clock.Now())
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
@@ -65,9 +66,10 @@
 	Key   string
 }
 
-// callOwner runs a stage at the owner of its service. Where that cannot be
-// reached the next host in its order stands in, and at last this one.
-func (t *task) callOwner(ctx context.Context, c StageCall) (StageReply, error) {
+// callOwner runs a stage at the owner of its shard. Where that cannot be reached
+// the next host in its order stands in, and at last this one. If the shard has no
+// endpoints any more, c gets another one.
+func (t *task) callOwner(ctx context.Context, c *StageCall) (StageReply, error) {
 	begin := t.g.clock.Now()
 	due, expire := c.DueIn, c.ExpireIn
 	for tries := 0; ; {
@@ -79,9 +81,9 @@
 			err   error
 		)
 		if self {
-			reply, err = t.g.owner.Run(ctx, c)
+			reply, err = t.g.owner.Run(ctx, *c)
 		} else {
-			reply, err = peer.Call[StageCall, StageReply](ctx, t.g.mesh.Dialer(), h.Peers, callStage, c)
+			reply, err = peer.Call[StageCall, StageReply](ctx, t.g.mesh.Dialer(), h.Peers, callStage, *c)
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -92,6 +94,9 @@
 			if err := t.g.clock.Sleep(ctx, movedPause); err != nil {
 				return reply, err
 			}
+			if !slices.Contains(batch.ShardsOf(c.Shard.Service, t.g.mesh.View()), c.Shard) {
+				c.Shard = t.shardFor(c.Shard.Service, c.Zone, c.MoveBytes)
+			}
 		default:
 			tries++
 			t.g.log.Warn().Str("Id", string(c.Request)).Str("Owner", string(h.ID)).Err(err).Msg("owner of a stage service not reached")
@@ -118,7 +123,7 @@
 		return
 	}
 	// A caller that comes back may be sent to another shard, so all are told.
-	for _, shard := range batch.ShardsOf(t.route.Stages[0].Service, t.view.Endpoints(t.route.Stages[0].Service)) {
+	for _, shard := range batch.ShardsOf(t.route.Stages[0].Service, t.view) {
 		t.g.tellRefusal(RefusedCall{shard, t.request.PieceKey})
 	}
 }
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -179,8 +179,8 @@
 		c.Key = t.request.PieceKey
 	}
 	c.Shard = t.shardFor(s.Service, c.Zone, c.MoveBytes)
+	reply, err := t.callOwner(ctx, &c)
 	held.setShard(stage, c.Shard)
-	reply, err := t.callOwner(ctx, c)
 	took := t.g.clock.Now().Sub(now)
 	t.g.log.Info().Str("Id", string(t.request.ID)).Int("Stage", stage).Str("Service", c.Shard.Key()).
 		Int("Pieces", c.Pieces).Str("Key", c.Key).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
@@ -218,7 +218,7 @@
 	}
 	work := s.Batch.CallTime + cicadapitch.Millis(s.Batch.PieceTime*float64(s.Batch.Size)/2) + transitSlack
 	least := cicadapitch.Millis(-1)
-	for _, shard := range batch.ShardsOf(name, t.view.Endpoints(name)) {
+	for _, shard := range batch.ShardsOf(name, t.view) {
 		if w := wait(shard); least < 0 || w < least {
 			least = w
 		}
@@ -252,6 +252,6 @@
 // shardFor chooses the shard of a service by the waits that its owners tell now.
 func (t *task) shardFor(s catalog.ServiceID, zone cicadapitch.ZoneID, moves cicadapitch.Bytes) batch.Shard {
 	waits := t.g.mesh.Waits()
-	shards := batch.ShardsOf(s, t.g.mesh.View().Endpoints(s))
+	shards := batch.ShardsOf(s, t.g.mesh.View())
 	return batch.Nearest(shards, zone, moves, func(s batch.Shard) cicadapitch.Millis { return t.waitIn(waits, s) })
 }
