house: what no path reaches goes

Options of the public client package stay, as its users set them.

Ruled out: changes of behaviour. The front program links none of what went; the product's packages were tested, formatted and linted.

--- a/administration/client.go
+++ b/administration/client.go
@@ -34,9 +34,6 @@
 // Option changes a Client.
 type Option func(*Client)
 
-// WithHTTPClient sets the HTTP client.
-func WithHTTPClient(h *http.Client) Option { return func(c *Client) { c.http = h } }
-
 // New returns a client. Hosts are base URLs; the first that answers is used.
 func New(hosts []string, key string, opts ...Option) *Client {
 	c := &Client{hosts: hosts, key: key, http: &http.Client{Timeout: callTimeout.Duration()}}
--- a/booking/claims.go
+++ b/booking/claims.go
@@ -45,11 +45,10 @@
 // Claims gives the right to run a caller's idempotency key by one
 // compare-and-swap in the store. It writes no more than its budget.
 type Claims struct {
-	store     cicadapitch.Store
-	clock     cicadapitch.Clock
-	self      Holder
-	retention cicadapitch.Millis
-	limiter   *rate.Limiter
+	store   cicadapitch.Store
+	clock   cicadapitch.Clock
+	self    Holder
+	limiter *rate.Limiter
 
 	mu          sync.Mutex
 	lease       cicadapitch.LeaseID
@@ -65,19 +64,13 @@
 	return func(c *Claims) { c.limiter = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
-// WithClaimRetention sets the span for which a claimed key is remembered.
-func WithClaimRetention(m cicadapitch.Millis) ClaimsOption {
-	return func(c *Claims) { c.retention = m }
-}
-
 // NewClaims returns the claims of an incarnation.
 func NewClaims(store cicadapitch.Store, clock cicadapitch.Clock, self Holder, opts ...ClaimsOption) *Claims {
 	c := &Claims{
-		store:     store,
-		clock:     clock,
-		self:      self,
-		retention: DefaultClaimRetention,
-		limiter:   rate.NewLimiter(DefaultClaimsPerSecond, DefaultClaimsPerSecond),
+		store:   store,
+		clock:   clock,
+		self:    self,
+		limiter: rate.NewLimiter(DefaultClaimsPerSecond, DefaultClaimsPerSecond),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -175,7 +168,7 @@
 	if now < c.pausedUntil {
 		return 0, cicadapitch.NewNotRun("the store gives no answer", pauseMillis)
 	}
-	id, err := c.store.Grant(ctx, c.retention+leasePeriod)
+	id, err := c.store.Grant(ctx, DefaultClaimRetention+leasePeriod)
 	if err != nil {
 		c.pausedUntil = c.clock.Now().Add(pauseMillis)
 		return 0, err
--- a/claim/options.go
+++ b/claim/options.go
@@ -133,10 +133,6 @@
 // Option sets an option of Claims.
 type Option func(*Claims)
 
-// WithPeers lets a host that cannot reach the store ask its peers whether they
-// do.
-func WithPeers(p Peers) Option { return func(c *Claims) { c.peers = p } }
-
 // WithPolicy replaces the standard policy.
 func WithPolicy(p Policy) Option { return func(c *Claims) { c.policy = p } }
 
--- a/configuration/applier.go
+++ b/configuration/applier.go
@@ -8,20 +8,18 @@
 )
 
 const (
-	defaultAttempts = 8
-	defaultRecent   = 64
-	// defaultRetention is how many audit records are kept.
-	defaultRetention = 100_000
-	firstBackoff     = 20 * cicadapitch.Millis(1)
+	maxAttempts   = 8
+	defaultRecent = 64
+	// auditRetention is how many audit records are kept.
+	auditRetention = 100_000
+	firstBackoff   = 20 * cicadapitch.Millis(1)
 )
 
 // Applier writes changes of the configuration to the store.
 type Applier struct {
-	store     cicadapitch.Store
-	clock     cicadapitch.Clock
-	follower  *Follower
-	attempts  int
-	retention cicadapitch.Revision
+	store    cicadapitch.Store
+	clock    cicadapitch.Clock
+	follower *Follower
 }
 
 // ApplierOption sets an option of an Applier.
@@ -32,19 +30,9 @@
 	return func(a *Applier) { a.follower = f }
 }
 
-// WithAttempts bounds the writes that are tried for one change.
-func WithAttempts(n int) ApplierOption {
-	return func(a *Applier) { a.attempts = n }
-}
-
-// WithAuditRetention keeps the audit records of the latest n revisions.
-func WithAuditRetention(n cicadapitch.Revision) ApplierOption {
-	return func(a *Applier) { a.retention = n }
-}
-
 // NewApplier returns an applier.
 func NewApplier(store cicadapitch.Store, clock cicadapitch.Clock, opts ...ApplierOption) *Applier {
-	a := &Applier{store: store, clock: clock, attempts: defaultAttempts, retention: defaultRetention}
+	a := &Applier{store: store, clock: clock}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -60,7 +48,7 @@
 		return Outcome{}, err
 	}
 	run := application{Applier: a, change: c}
-	for n := 1; n <= a.attempts; n++ {
+	for n := 1; n <= maxAttempts; n++ {
 		out, err := run.attempt(ctx)
 		out.Attempts = n
 		if err == nil {
@@ -73,7 +61,7 @@
 			break
 		}
 	}
-	out := Outcome{Result: Overtaken, Attempts: a.attempts}
+	out := Outcome{Result: Overtaken, Attempts: maxAttempts}
 	return run.end(out, errOvertaken("other changes kept coming first"))
 }
 
@@ -208,7 +196,7 @@
 		{Key: KeyHead, Value: head},
 		{Key: auditKey(next.Revision), Value: record},
 	}
-	if old := next.Revision - a.retention; old > 0 {
+	if old := next.Revision - auditRetention; old > 0 {
 		puts = append(puts, cicadapitch.Put{Key: auditKey(old), Delete: true})
 	}
 	_, err = a.store.Commit(ctx, p.conditions, puts)
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -7,8 +7,8 @@
 	"cicadapitch.example/cicadapitch"
 )
 
-// defaultHistory is how many deltas a host keeps for its peers.
-const defaultHistory = 64
+// keptDeltas is how many deltas a host keeps for its peers.
+const keptDeltas = 64
 
 // Follower holds the configuration in force on this host, and the latest
 // changes for peers that fetch them.
@@ -20,29 +20,14 @@
 	mu          sync.Mutex
 	encoded     []byte
 	deltas      []Delta
-	history     int
 	subscribers []func(*cicadapitch.Configuration)
 	since       cicadapitch.Instant
 }
 
 var _ cicadapitch.Configurations = (*Follower)(nil)
 
-// FollowerOption sets an option of a Follower.
-type FollowerOption func(*Follower)
-
-// WithHistory keeps n deltas for peers.
-func WithHistory(n int) FollowerOption {
-	return func(f *Follower) { f.history = n }
-}
-
 // NewFollower returns a follower without a configuration.
-func NewFollower(clock cicadapitch.Clock, opts ...FollowerOption) *Follower {
-	f := &Follower{clock: clock, history: defaultHistory}
-	for _, opt := range opts {
-		opt(f)
-	}
-	return f
-}
+func NewFollower(clock cicadapitch.Clock) *Follower { return &Follower{clock: clock} }
 
 // Current implements cicadapitch.Configurations.
 func (f *Follower) Current() *cicadapitch.Configuration { return f.current.Load() }
@@ -93,7 +78,7 @@
 // lock.
 func (f *Follower) put(cfg *cicadapitch.Configuration, encoded []byte, deltas []Delta) {
 	f.deltas = append(f.deltas, deltas...)
-	f.deltas = f.deltas[max(0, len(f.deltas)-f.history):]
+	f.deltas = f.deltas[max(0, len(f.deltas)-keptDeltas):]
 	f.encoded = encoded
 	f.since = f.clock.Now()
 	f.current.Store(cfg)
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -46,9 +46,6 @@
 // Option changes a Local.
 type Option func(*Local)
 
-// WithLog sets the logger of the daemons.
-func WithLog(log zerolog.Logger) Option { return func(l *Local) { l.log = log } }
-
 // NewLocal reads questionnaire answers and starts the stand-ins of their
 // platform and endpoints. The addresses in the answers are replaced.
 func NewLocal(answers []byte, opts ...Option) (*Local, error) {
@@ -160,9 +157,6 @@
 // daemons itself.
 func (l *Local) Settings() []*settings.Settings { return l.hosts }
 
-// StoreURL returns the base URL of the key-value service.
-func (l *Local) StoreURL() string { return l.storeURL }
-
 // Seeds returns the base URLs of the hosts for callers.
 func (l *Local) Seeds() []string {
 	var urls []string
--- a/driver/options.go
+++ b/driver/options.go
@@ -20,22 +20,6 @@
 	clock       cicadapitch.Clock
 }
 
-// WithDialTimeout bounds the time until a connection stands.
-func WithDialTimeout(m cicadapitch.Millis) Option {
-	return func(o *options) { o.dialTimeout = m }
-}
-
-// WithLoadTimeout bounds the reading of a load report and the giving of an
-// order.
-func WithLoadTimeout(m cicadapitch.Millis) Option {
-	return func(o *options) { o.loadTimeout = m }
-}
-
-// WithMaxOutput bounds the output of one call.
-func WithMaxOutput(n cicadapitch.Bytes) Option {
-	return func(o *options) { o.maxOutput = n }
-}
-
 // WithClock sets the clock that measures the time to the first token.
 func WithClock(c cicadapitch.Clock) Option {
 	return func(o *options) { o.clock = c }
--- a/entry/options.go
+++ b/entry/options.go
@@ -36,14 +36,6 @@
 	return func(s *Server) { s.budget.Set(ratio, limit) }
 }
 
-// WithHedging sets whether slow idempotent attempts get a second one beside
-// them. It is on at first.
-func WithHedging(on bool) Option { return func(s *Server) { s.hedging = on } }
-
-// WithAdmission sets whether requests that cannot meet their deadline are
-// refused early. It is on at first.
-func WithAdmission(on bool) Option { return func(s *Server) { s.admission = on } }
-
 // WithSeed seeds the random numbers of choices and backoff.
 func WithSeed(seed uint64) Option {
 	return func(s *Server) { s.random.source = rand.NewPCG(seed, seed) }
--- a/entry/race.go
+++ b/entry/race.go
@@ -124,7 +124,7 @@
 // almost all do to its end, or to its first chunk where it streams. It returns
 // nil where the attempt may not be hedged.
 func (r *stageRun) slow(ctx context.Context) <-chan struct{} {
-	if !r.s.hedging || !r.stage.Idempotent || r.delivered != "" {
+	if !r.stage.Idempotent || r.delivered != "" {
 		return nil
 	}
 	return r.after(ctx, r.tail())
--- a/entry/run.go
+++ b/entry/run.go
@@ -42,9 +42,6 @@
 		}
 		plan = append(plan, pipeline.Part{Wait: c.Wait, Service: c.Service})
 	}
-	if !s.admission {
-		return nil
-	}
 	if err := s.throttled(rec); err != nil {
 		return err
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -33,8 +33,6 @@
 	claims    Claims
 	metrics   Metrics
 	log       zerolog.Logger
-	hedging   bool
-	admission bool
 	maxInput  cicadapitch.Bytes
 
 	router    *router
@@ -71,8 +69,6 @@
 		claims:         NoClaims{},
 		metrics:        NoMetrics{},
 		log:            zerolog.Nop(),
-		hedging:        true,
-		admission:      true,
 		maxInput:       DefaultMaxInput,
 		router:         newRouter(owners, clock),
 		peers:          &peerCount{members: members},
--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -269,7 +269,7 @@
 	}()
 	for _, zone := range []string{"z2", "z3"} {
 		time.Sleep(300 * time.Millisecond)
-		s.store.Set(platformtest.EvacuateKey(zone), []byte("{}"))
+		s.store.Set(platformtest.EvacuationKey(zone), []byte("{}"))
 	}
 	require.Equal(t, http.StatusOK, <-status)
 }
--- a/host/options.go
+++ b/host/options.go
@@ -33,10 +33,6 @@
 // begin with and hosts that leave.
 func WithHostList(l cicadapitch.HostList) Option { return func(o *options) { o.list = l } }
 
-// WithSeed sets the seed of all random choices. Without it they differ with
-// every process.
-func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
-
 // WithTransport sets what carries the pings.
 func WithTransport(t Transport) Option { return func(o *options) { o.transport = t } }
 
--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -65,12 +65,6 @@
 	}
 }
 
-// Has tells whether the file gives the field.
-func (f *Form) Has(field string) bool {
-	_, ok := f.lines[field]
-	return ok
-}
-
 // Wrong tells whether the field already has a problem.
 func (f *Form) Wrong(field string) bool {
 	return slices.ContainsFunc(f.problems, func(p Problem) bool { return p.Field == field })
--- a/keyhash.go
+++ b/keyhash.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 )
 
@@ -12,8 +11,3 @@
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
 }
-
-// KeyMatches tells in constant time whether key has the hash.
-func KeyMatches(hash, key string) bool {
-	return subtle.ConstantTimeCompare([]byte(hash), []byte(HashKey(key))) == 1
-}
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -34,9 +34,5 @@
 	return func(o *options) { o.interval = max(m, tickInterval) }
 }
 
-// WithRepeat sets how often engines that do not check fencing numbers get their
-// order again, in case a former owner has overridden it.
-func WithRepeat(m cicadapitch.Millis) Option { return func(o *options) { o.repeat = m } }
-
 // WithLog sets the logger.
 func WithLog(log zerolog.Logger) Option { return func(o *options) { o.log = log } }
--- a/standin/storeoptions.go
+++ b/standin/storeoptions.go
@@ -23,11 +23,6 @@
 	return func(s *MemoryStore) { s.writes = newLimiter(perSecond) }
 }
 
-// WithHistory keeps the last n changes for watches that start late.
-func WithHistory(n int) StoreOption {
-	return func(s *MemoryStore) { s.historyLimit = n }
-}
-
 func newLimiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
