--- a/endpoint/dispatch.go
+++ b/endpoint/dispatch.go
@@ -8,6 +8,8 @@
 )
 
 func (s *State) enqueue(j *job) {
+	// A waiting job with an endpoint counts as one in that endpoint's line.
+	j.on = nil
 	j.item = s.queue.Push(customer.Item[*job]{
 		Value:    j,
 		Customer: j.Customer,
--- a/endpoint/state.go
+++ b/endpoint/state.go
@@ -231,7 +231,5 @@
 	}
 	j.Avoid = append(slices.Clip(j.Avoid), b.ID)
 	j.first = 0
-	// A waiting job with an endpoint counts as one in that endpoint's line.
-	j.on = nil
 	s.enqueue(j)
 }
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -71,19 +71,19 @@
 // endpoints any more, c gets another one.
 func (t *task) callOwner(ctx context.Context, c *StageCall) (StageReply, error) {
 	begin := t.g.clock.Now()
-	due, expire := c.DueIn, c.ExpireIn
 	for tries := 0; ; {
 		passed := t.g.clock.Now().Sub(begin)
-		c.DueIn, c.ExpireIn, c.StandIn = due-passed, expire-passed, tries > 0
+		try := *c
+		try.DueIn, try.ExpireIn, try.StandIn = c.DueIn-passed, c.ExpireIn-passed, tries > 0
 		h, self := t.ownerAfter(c.Shard, tries)
 		var (
 			reply StageReply
 			err   error
 		)
 		if self {
-			reply, err = t.g.owner.Run(ctx, *c)
+			reply, err = t.g.owner.Run(ctx, try)
 		} else {
-			reply, err = peer.Call[StageCall, StageReply](ctx, t.g.mesh.Dialer(), h.Peers, callStage, *c)
+			reply, err = peer.Call[StageCall, StageReply](ctx, t.g.mesh.Dialer(), h.Peers, callStage, try)
 		}
 		switch {
 		case ctx.Err() != nil:
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	m.storeAnswered()
-	m.replace(listed(list), at)
+	m.replace(pairRecords(list), at)
 	for {
 		if !m.watchesStore() {
 			if err := m.clock.Sleep(ctx, beatInterval); err != nil {
@@ -73,7 +73,7 @@
 			// Changes were made that the watch was not told of.
 			return platform.ErrCompacted
 		}
-		m.apply(changed(events), next, "store")
+		m.apply(eventRecords(events), next, "store")
 		if len(events) > 0 && m.clock.Sleep(ctx, watchPause) != nil {
 			return ctx.Err()
 		}
@@ -86,13 +86,13 @@
 	return m.mirror.At()
 }
 
-func listed(pairs []cicadapitch.Pair) []fleet.Record {
+func pairRecords(pairs []cicadapitch.Pair) []fleet.Record {
 	return lo.Map(pairs, func(p cicadapitch.Pair, _ int) fleet.Record {
 		return fleet.Record{Key: p.Key, Value: p.Value, Revision: p.Revision}
 	})
 }
 
-func changed(events []cicadapitch.WatchEvent) []fleet.Record {
+func eventRecords(events []cicadapitch.WatchEvent) []fleet.Record {
 	return lo.Map(events, func(e cicadapitch.WatchEvent, _ int) fleet.Record {
 		return fleet.Record{Key: e.Pair.Key, Value: e.Pair.Value, Revision: e.Pair.Revision, Removed: e.Deleted}
 	})
