gateway: log how the end of an answer is recognized and how much was relayed

The logs could not tell an end of connection that was taken for the end of the answer from an answer to another request.

No decision changes.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -231,13 +231,19 @@
 		if err == io.EOF {
 			return nil
 		}
-		if err != nil || len(events.partial) > maxEventBytes {
+		if err == nil && len(events.partial) > maxEventBytes {
+			err = errEventTooLong
+		}
+		if err != nil {
 			p.recordFailure(e.ID, 1)
-			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off")
+			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
 		}
 	}
 }
 
+// errEventTooLong means that an event of a resumable stream exceeds maxEventBytes.
+var errEventTooLong = errors.New("an event is too long")
+
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
 	// partial holds the bytes after the last complete event.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -306,8 +306,7 @@
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
 	})
-	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).
-		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", len(inputs)).Err(err).Msg("sent")
+	p.logSent(e, len(inputs), reply, err)
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
@@ -333,6 +332,16 @@
 	return reply, nil
 }
 
+// logSent logs a call of an endpoint. reply is nil if err is not.
+func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, reply *platform.Reply, err error) {
+	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).
+		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
+	if reply != nil {
+		event.Int("EndpointStatus", reply.Status).Stringer("Framing", reply.Framing)
+	}
+	event.Err(err).Msg("sent")
+}
+
 // silenceFailureWeight is the failure weight of a silent endpoint. It is low, since
 // a single slow call looks the same.
 const silenceFailureWeight = 0.3
@@ -386,7 +395,7 @@
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Histogram("Latency", latencyBuckets).RecordDuration(took.Duration())
 	callerGone := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
 	g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
-		Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
+		Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
 		Bool("CallerGone", callerGone).Int64("TookMs", int64(took)).Err(err).Msg("ended")
 	if err == nil {
 		return
