--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -473,3 +473,27 @@
 	require.Error(t, err)
 	require.NotContains(t, string(b), "failed")
 }
+
+// TestStreamThatEndsInsideAnEventDoesNotLookComplete guards against taking the end of a
+// connection for the end of the answer.
+func TestStreamThatEndsInsideAnEventDoesNotLookComplete(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, e := range []string{"e1", "e2"} {
+		d.endpoints[e].SetCloseDelimited(true)
+		d.endpoints[e].AbortStreamsAfter(2)
+	}
+	for _, path := range []string{"/plan/a", "/answer/a"} {
+		r := d.send(d.newStreamRequest(0, path, newID(), "0,0"))
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		_, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		require.Error(t, err, path)
+	}
+	for _, e := range []string{"e1", "e2"} {
+		d.endpoints[e].AbortStreamsAfter(0)
+	}
+	for _, path := range []string{"/plan/a", "/answer/a"} {
+		r := d.send(d.newStreamRequest(0, path, newID(), "0,0"))
+		require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"), path)
+	}
+}
