--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -225,9 +225,6 @@
 				return nil // the caller has disconnected
 			}
 		}
-		if err == io.EOF && len(events.partial) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
 		if err == io.EOF {
 			return nil
 		}
@@ -246,6 +243,7 @@
 
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
+	scanner platform.EventScanner
 	// partial holds the bytes after the last complete event.
 	partial []byte
 	// lastID is the id of the last complete event that has one.
@@ -253,21 +251,24 @@
 }
 
 // reset drops the incomplete event of an earlier attempt and keeps lastID.
-func (s *eventSplitter) reset() { s.partial = nil }
+func (s *eventSplitter) reset() { s.scanner, s.partial = platform.EventScanner{}, nil }
 
 // add appends bytes of the stream and returns the events that are now complete.
 func (s *eventSplitter) add(b []byte) []byte {
-	s.partial = append(s.partial, b...)
-	end := bytes.LastIndex(s.partial, []byte("\n\n"))
-	if end < 0 {
+	end := s.scanner.Scan(b)
+	if end == 0 {
+		s.partial = append(s.partial, b...)
 		return nil
 	}
-	complete := append([]byte(nil), s.partial[:end+2]...)
-	s.partial = append([]byte(nil), s.partial[end+2:]...)
-	for _, line := range bytes.Split(complete, []byte("\n")) {
+	complete := append(s.partial, b[:end]...)
+	s.partial = append([]byte(nil), b[end:]...)
+	for _, line := range bytes.FieldsFunc(complete, isLineEnd) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.lastID = string(bytes.TrimSpace(id))
 		}
 	}
 	return complete
 }
+
+// isLineEnd reports whether a rune ends a line of an event.
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
