gateway: the caller's answer ends in order only if all of it was written

What a caller would see: a resumed stream that ends after 5 of 6 events and looks complete.

Cause: the header of the first endpoint's answer was relayed with its Content-Length, which does not hold once another endpoint sends a part. The server refused to write beyond it, the relay took that for a caller who had disconnected and returned without an error, and the answer ended as framed.

Evidence: TestResumedStreamIsNotCutAtTheLengthOfItsFirstPart failed on the code before (5 events of 6, no error at the caller).

Change: a resumable answer is sent without a length.

--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -497,3 +497,25 @@
 		require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"), path)
 	}
 }
+
+// TestResumedStreamIsNotCutAtTheLengthOfItsFirstPart guards against a Content-Length
+// that holds for the answer of the first endpoint only.
+func TestResumedStreamIsNotCutAtTheLengthOfItsFirstPart(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, e := range []string{"e1", "e2"} {
+		d.endpoints[e].AbortStreamsAfter(2)
+		d.endpoints[e].SetStreamLength(100) // all events take 132 bytes
+	}
+	id := newID()
+	go func() {
+		for d.runCount(id) < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		for _, e := range []string{"e1", "e2"} {
+			d.endpoints[e].AbortStreamsAfter(0)
+			d.endpoints[e].SetStreamLength(0)
+		}
+	}()
+	r := d.send(d.newStreamRequest(0, "/answer/a", id, "0,0"))
+	require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"))
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -59,7 +59,7 @@
 		err = p.generateOnce(ctx, inputs, &events)
 		inputs.freeAll()
 		switch {
-		case err == nil || ctx.Err() != nil:
+		case err == nil || ctx.Err() != nil || errors.Is(err, errNotRelayed):
 			return err
 		case errors.Is(err, errInputLost) && reruns < maxStageReruns:
 			reruns++
@@ -165,9 +165,8 @@
 }
 
 // relayStream relays a stream to the caller as it arrives. It calls onFirstEvent
-// before it writes the first bytes. It returns nil at the end of the stream or if the
-// caller has disconnected, and an OutcomeUnknown error if the engine's stream breaks
-// off.
+// before it writes the first bytes. It returns an OutcomeUnknown error if the engine's
+// stream breaks off, or one that wraps errNotRelayed.
 func (p *proxiedRequest) relayStream(e fleet.Endpoint, reply *platform.Reply, onFirstEvent func()) error {
 	buf := make([]byte, streamBufferBytes)
 	for begun := false; ; {
@@ -179,8 +178,8 @@
 				p.status = reply.Status
 				p.answer.WriteHeader(reply)
 			}
-			if p.relayChunk(buf[:n]) != nil {
-				return nil // the caller has disconnected
+			if err := p.relayChunk(buf[:n]); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
@@ -193,19 +192,21 @@
 	}
 }
 
-// relayChunk writes and flushes a part of the stream. An error means that the
-// caller has disconnected.
+// relayChunk writes and flushes a part of the stream. Its error wraps errNotRelayed.
 func (p *proxiedRequest) relayChunk(b []byte) error {
-	if _, err := p.answer.Write(b); err != nil {
-		return err
+	_, err := p.answer.Write(b)
+	if err == nil {
+		err = p.answer.Flush()
+	}
+	if err != nil {
+		return notRelayed(err)
 	}
-	return p.answer.Flush()
+	return nil
 }
 
 // relayEvents relays a stream to the caller in complete events only, so that
-// another engine can resume it after the last of them. It returns nil at the end of
-// the stream or if the caller has disconnected, and an OutcomeUnknown error if the
-// engine's stream breaks off.
+// another engine can resume it after the last of them. Its errors are those of
+// relayStream.
 func (p *proxiedRequest) relayEvents(e fleet.Endpoint, reply *platform.Reply, events *eventSplitter, silenceTimer *time.Timer, onFirstEvent func()) error {
 	events.reset()
 	buf := make([]byte, streamBufferBytes)
@@ -219,10 +220,10 @@
 			}
 			if !p.answer.HeaderWritten() {
 				p.status = reply.Status
-				p.answer.WriteHeader(reply)
+				p.answer.WriteResumableHeader(reply)
 			}
-			if p.relayChunk(complete) != nil {
-				return nil // the caller has disconnected
+			if err := p.relayChunk(complete); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -277,7 +278,7 @@
 	p.status = reply.Status
 	p.answer.WriteHeader(reply)
 	if _, err := p.answer.Write(body); err != nil {
-		return true, nil // the caller has disconnected
+		return true, notRelayed(err)
 	}
 	return true, p.relayRest(reply)
 }
@@ -349,6 +350,12 @@
 // errSilent is the cause with which an attempt at a silent endpoint is canceled.
 var errSilent = errors.New("the endpoint is silent")
 
+// errNotRelayed means that the answer could not be written to the caller, which has
+// most likely disconnected.
+var errNotRelayed = errors.New("the answer cannot be written to the caller")
+
+func notRelayed(err error) error { return fmt.Errorf("%w: %w", errNotRelayed, err) }
+
 // errInputLost means that the endpoint no longer holds a stage result that the
 // request needs. The stages have to run again.
 var errInputLost = errors.New("an input is gone")
