--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -519,3 +519,24 @@
 	r := d.send(d.newStreamRequest(0, "/answer/a", id, "0,0"))
 	require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"))
 }
+
+// TestStreamCutForHTTP10CallerDoesNotLookComplete covers callers whose protocol has no
+// chunks, so that only a reset tells them that an answer broke off.
+func TestStreamCutForHTTP10CallerDoesNotLookComplete(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, abortAfter := range []int{2, 0} {
+		d.endpoints["e1"].AbortStreamsAfter(abortAfter)
+		d.endpoints["e2"].AbortStreamsAfter(abortAfter)
+		c, err := net.Dial("tcp", d.hostSettings[0].CallerListen)
+		require.NoError(t, err)
+		r, err := d.newStreamRequest(0, "/plan/a", newID(), "").HTTPRequest()
+		require.NoError(t, err)
+		var text strings.Builder
+		require.NoError(t, r.Write(&text))
+		_, err = io.WriteString(c, strings.Replace(text.String(), "HTTP/1.1", "HTTP/1.0", 1))
+		require.NoError(t, err)
+		_, err = io.ReadAll(c)
+		c.Close()
+		require.Equal(t, abortAfter > 0, err != nil)
+	}
+}
