soak, driver: streams that end with their connection, cut at random

A connection that has lost data is now reset. The soak's checks are unchanged.

Package driver passes a new test on the code as it is: an answer cut anywhere is an error, since a completion needs its last event and a service's answer its closing brace. No change was needed there, nor between hosts, where answers are frames with a final one, nor in package client, which needs the Answer event.

--- a/driver/events_test.go
+++ b/driver/events_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
@@ -33,3 +34,29 @@
 	require.Equal(t, "x", r.Output)
 	require.True(t, ended.Load())
 }
+
+// TestAnswerCutAnywhereIsNotComplete cuts answers that end with their connection. Each
+// has an end of its own: the last event of a stream, the last brace of a service's JSON.
+func TestAnswerCutAnywhereIsNotComplete(t *testing.T) {
+	for path, answer := range map[string]string{
+		"/v1/completions": "data: {\"choices\":[{\"text\":\"x\"}]}\n\ndata: [DONE]",
+		"/call":           `{"Output":"x","Tokens":1}`,
+	} {
+		for n := range len(answer) + 1 {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				assert.Equal(t, path, r.URL.Path)
+				c, _, err := http.NewResponseController(w).Hijack()
+				assert.NoError(t, err)
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n", answer[:n]) // the caller checks what arrives
+				_ = c.Close()
+			}))
+			var d cicadapitch.Driver = driver.NewEngine()
+			if path == "/call" {
+				d = driver.NewService()
+			}
+			_, err := d.Call(context.Background(), cicadapitch.Call{Endpoint: cicadapitch.Endpoint{Address: s.URL}}, nil)
+			s.Close()
+			require.Equal(t, n == len(answer), err == nil, "%q", answer[:n])
+		}
+	}
+}
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -59,11 +59,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		c.Close()
+		closeWithReset(c)
+	}
+}
+
+func closeWithReset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
 	}
+	c.Close()
 }
 
 func (r *relay) accept() {
@@ -88,15 +92,19 @@
 	r.mu.Lock()
 	r.conns[from] = true
 	r.mu.Unlock()
+	dropping := false
 	defer func() {
 		from.Close()
+		if dropping {
+			// TCP never delivers an orderly close after lost data.
+			closeWithReset(to)
+		}
 		to.Close()
 		r.mu.Lock()
 		delete(r.conns, from)
 		r.mu.Unlock()
 	}()
 	buf := make([]byte, 16<<10)
-	dropping := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -84,8 +84,11 @@
 
 // testbed holds the platform and the hosts of one seed.
 type testbed struct {
-	t         *testing.T
-	rng       *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// streamRNG chooses the faults of streams, so that rng chooses the same other faults
+	// with and without them.
+	streamRNG *rand.Rand
 	store     *platformtest.Store
 	endpoints []*platformtest.Endpoint
 	// relays holds the relay to the store and those to the endpoints.
@@ -96,7 +99,7 @@
 }
 
 func newTestbed(t *testing.T, seed uint64) *testbed {
-	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), store: platformtest.NewStore()}
+	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), store: platformtest.NewStore()}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
 	for id, service := range map[string]string{"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine", "s1": "stage", "s2": "stage"} {
@@ -159,6 +162,22 @@
 	}
 }
 
+// injectStreamFault makes an endpoint frame its streams in another way and break them
+// off after some events, or not at all.
+func (s *testbed) injectStreamFault() {
+	e := s.endpoints[s.streamRNG.IntN(len(s.endpoints))]
+	e.SetCloseDelimited(s.streamRNG.IntN(2) == 0)
+	e.AbortStreamsAfter(s.streamRNG.IntN(6))
+}
+
+// endStreamFaults makes all streams complete again.
+func (s *testbed) endStreamFaults() {
+	for _, e := range s.endpoints {
+		e.SetCloseDelimited(false)
+		e.AbortStreamsAfter(0)
+	}
+}
+
 // runSeed runs hosts and callers while it injects random faults, then checks that all
 // hosts recover and that the responses agree with what the endpoints ran.
 func runSeed(t *testing.T, seed uint64) {
@@ -184,9 +203,11 @@
 		t.Log(time.Now().Format("05.000"), name)
 		time.AfterFunc(time.Duration(200+s.rng.IntN(2500))*time.Millisecond, end)
 		ends = append(ends, end)
+		s.injectStreamFault()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
 	wg.Wait()
+	s.endStreamFaults()
 	for _, end := range ends {
 		end()
 	}
