gateway, membership: log software versions and what a request takes up again

The logs could not say whether a host or a caller took such a stream up, nor at which version.

Change: an endpoint's entry is decoded with its Version, a request with Resumes, the request that brought the stream's first event. The line "endpoint" carries the version, the line "sent" the version, and ResumeAfter and Resumes where a stream goes on. No decision changes. An entry without a version stays valid.

--- a/catalog/endpoint.go
+++ b/catalog/endpoint.go
@@ -9,6 +9,8 @@
 	// Address is the ip:port of the endpoint.
 	Address string
 	Zone    cicadapitch.ZoneID
+	// Version is the version of the endpoint's software, or empty if the entry has none.
+	Version cicadapitch.SoftwareVersion
 	Slots   int
 	// Leaving endpoints are draining and get no new work.
 	Leaving bool
--- a/catalog/request.go
+++ b/catalog/request.go
@@ -38,6 +38,9 @@
 	// ResumeAfter is the id of the last event that the caller received, or
 	// empty.
 	ResumeAfter string
+	// Resumes is the id of the request that brought the caller the first event of the
+	// stream, or empty.
+	Resumes cicadapitch.RequestID
 }
 
 // PromptPart is a part of a prompt. Requests whose prompts begin with the same
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -307,7 +307,7 @@
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
 	})
-	p.logSent(e, len(inputs), reply, err)
+	p.logSent(e, len(inputs), resumeAfter, reply, err)
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
@@ -334,9 +334,12 @@
 }
 
 // logSent logs a call of an endpoint. reply is nil if err is not.
-func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, reply *platform.Reply, err error) {
-	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).
+func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, resumeAfter string, reply *platform.Reply, err error) {
+	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
+	if resumeAfter != "" {
+		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
+	}
 	if reply != nil {
 		event.Int("EndpointStatus", reply.Status).Stringer("Framing", reply.Framing)
 	}
--- a/ids.go
+++ b/ids.go
@@ -36,6 +36,9 @@
 // ModelVersion identifies one version of a model.
 type ModelVersion string
 
+// SoftwareVersion identifies the version of an endpoint's software, not of its model.
+type SoftwareVersion string
+
 // AdapterID identifies an adapter that an engine loads in addition to a model.
 type AdapterID string
 
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -217,7 +217,7 @@
 	}
 	m.state.SetEndpoint(now, e)
 	m.log.Info().Str("Endpoint", string(id)).Str("Address", e.Address).Str("Service", string(e.Service)).
-		Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
+		Str("Version", string(e.Version)).Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
 		Int64("Revision", int64(r.Revision)).Str("From", source).Msg("endpoint")
 }
 
