--- /dev/null
+++ b/fronthost/resume_test.go
@@ -0,0 +1,185 @@
+package fronthost_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+// addEngine starts an engine and registers it.
+func (d *deployment) addEngine(id, version string) {
+	e := platformtest.NewEndpoint(id, "engine")
+	e.SetVersion(version)
+	d.endpoints[id] = e
+	d.store.Set(platformtest.EndpointKey(id), e.Entry("ready"))
+}
+
+// setVersion changes the software version of an endpoint.
+func (d *deployment) setVersion(id, version string) {
+	d.endpoints[id].SetVersion(version)
+	d.store.Set(platformtest.EndpointKey(id), d.endpoints[id].Entry("ready"))
+}
+
+// abortStreams makes the streams of all engines break off after n events, or never if n
+// is 0.
+func (d *deployment) abortStreams(n int) {
+	for _, e := range d.endpoints {
+		e.AbortStreamsAfter(n)
+	}
+}
+
+// versionsOf returns the software versions of the endpoints that ran any of the
+// requests.
+func (d *deployment) versionsOf(ids ...string) map[string]bool {
+	versions := map[string]bool{}
+	for _, e := range d.endpoints {
+		for _, id := range ids {
+			if e.RunCounts()[id] > 0 {
+				versions[e.Entry("ready")["version"].(string)] = true
+			}
+		}
+	}
+	return versions
+}
+
+// cutStream sends a request for a resumable stream to host i and reads it until it
+// breaks off. It returns the id of the request.
+func (d *deployment) cutStream(i int) string {
+	id := newID()
+	r := d.send(d.newStreamRequest(i, "/answer/a", id, "0,0"))
+	require.Equal(d.t, http.StatusOK, r.StatusCode)
+	_, err := io.ReadAll(r.Body)
+	r.Body.Close()
+	require.Error(d.t, err)
+	return id
+}
+
+// beginStream sends a request for a resumable stream to host i and leaves after the
+// second event. It returns the id of the request.
+func (d *deployment) beginStream(i int) string {
+	id := newID()
+	r := d.send(d.newStreamRequest(i, "/answer/a", id, "0,0"))
+	defer r.Body.Close()
+	require.Equal(d.t, http.StatusOK, r.StatusCode)
+	events := bufio.NewReader(r.Body)
+	for line := ""; line != "data: part 2\n"; {
+		var err error
+		line, err = events.ReadString('\n')
+		require.NoError(d.t, err)
+	}
+	return id
+}
+
+// takeUp asks host i to go on with a stream after its second event. It returns the id
+// of the new request and the status.
+func (d *deployment) takeUp(i int, resumes string) (string, int) {
+	req := d.newStreamRequest(i, "/answer/a", newID(), "0,0")
+	req.ResumeAfter, req.Resumes = "2", resumes
+	r := d.send(req)
+	defer r.Body.Close()
+	_, err := io.Copy(io.Discard, r.Body)
+	require.NoError(d.t, err)
+	return req.ID, r.StatusCode
+}
+
+// TestBrokenStreamIsNotResumedAtAnotherVersion guards against one answer with events of
+// two software versions.
+func TestBrokenStreamIsNotResumedAtAnotherVersion(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.setVersion("e2", "v2")
+	time.Sleep(200 * time.Millisecond)
+	d.abortStreams(2)
+	for range 6 {
+		require.Len(t, d.versionsOf(d.cutStream(0)), 1)
+	}
+}
+
+// TestBrokenStreamIsResumedAtItsVersion has an engine of each version that breaks streams
+// off and one that does not.
+func TestBrokenStreamIsResumedAtItsVersion(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.abortStreams(2)
+	d.setVersion("e2", "v2")
+	d.addEngine("e3", "v1")
+	d.addEngine("e4", "v2")
+	time.Sleep(200 * time.Millisecond)
+	for range 12 {
+		id := newID()
+		require.Contains(t, readBody(t, d.send(d.newStreamRequest(0, "/answer/a", id, "0,0"))), "data: part 6")
+		require.Len(t, d.versionsOf(id), 1)
+	}
+}
+
+// TestStreamTakenUpAtAnotherHostGoesOnAtItsVersion takes streams of two versions up at
+// the other hosts, also once the host that began them is gone.
+func TestStreamTakenUpAtAnotherHostGoesOnAtItsVersion(t *testing.T) {
+	d := newDeployment(t, 4)
+	d.setVersion("e2", "v2")
+	time.Sleep(200 * time.Millisecond)
+	var begun []string
+	for range 12 {
+		begun = append(begun, d.beginStream(0))
+	}
+	time.Sleep(100 * time.Millisecond) // a record reaches other hosts shortly after the first event
+	for n, id := range begun {
+		if n == len(begun)/2 {
+			d.cancels[0]()
+			<-d.stopped[0]
+		}
+		next, status := d.takeUp(1+n%3, id)
+		require.Equal(t, http.StatusOK, status)
+		require.Len(t, d.versionsOf(id, next), 1, "stream %d", n)
+	}
+}
+
+// TestStreamOfUnknownVersionIsRefused takes up streams that no host knows. They go on
+// only while the service has had a single version for long enough.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	d := newDeployment(t, 2)
+	require.Eventually(t, func() bool {
+		_, status := d.takeUp(0, newID())
+		return status == http.StatusOK
+	}, 12*time.Second, 200*time.Millisecond)
+	d.setVersion("e2", "v2")
+	time.Sleep(200 * time.Millisecond)
+	for i := range 6 {
+		for _, resumes := range []string{"", newID()} {
+			id, status := d.takeUp(i%2, resumes)
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			require.Zero(t, d.runCount(id))
+		}
+	}
+}
+
+// TestStreamOfVanishedVersionIsRefused takes a stream up once no endpoint of its version
+// is left.
+func TestStreamOfVanishedVersionIsRefused(t *testing.T) {
+	d := newDeployment(t, 2)
+	id := d.beginStream(0)
+	for _, e := range []string{"e1", "e2"} {
+		d.store.Remove(platformtest.EndpointKey(e))
+	}
+	d.addEngine("e3", "v2")
+	time.Sleep(200 * time.Millisecond)
+	for i := range 2 {
+		next, status := d.takeUp(i, id)
+		require.Equal(t, http.StatusServiceUnavailable, status, fmt.Sprint("host ", i))
+		require.Zero(t, d.runCount(next))
+	}
+}
+
+// TestCallersThatLeaveAreNoFailureOfTheEngine guards against engines that get no work
+// because callers left in the middle of their streams.
+func TestCallersThatLeaveAreNoFailureOfTheEngine(t *testing.T) {
+	d := newDeployment(t, 1)
+	for range 12 {
+		d.beginStream(0)
+	}
+}
