gateway: a caller that leaves is not a failure of its endpoint

What callers saw: after some callers of a session had left in the middle of their streams, the session's other requests went to another engine, which has to read the shared prompt again.

Cause: when a caller leaves, the call to the endpoint is canceled and the read fails. The relays counted every failed read as a failure of the endpoint, the sending of a request did not.

Evidence: TestCallersThatLeaveAreNoFailureOfTheEngine failed before: 12 streams of one session ran at two engines.

Change: one place (recordBreak) records a broken answer for all three relays, and only if the attempt was not canceled or the endpoint was silent.

Measured: the test passes; the tests of streams and silent endpoints pass.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -111,9 +111,14 @@
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream")
 	}
 	if reply.Status < 300 && p.route.Resumable {
-		return p.relayEvents(e, reply, events, silenceTimer, onFirstEvent)
+		err = p.relayEvents(e, reply, events, silenceTimer, onFirstEvent)
+	} else {
+		err = p.relayStream(e, reply, onFirstEvent)
 	}
-	return p.relayStream(e, reply, onFirstEvent)
+	if err != nil && !errors.Is(err, errNotRelayed) {
+		p.recordBreak(ctx, e.ID)
+	}
+	return err
 }
 
 // startSilenceTimer starts a timer that cancels the attempt with errSilent if the
@@ -186,7 +191,6 @@
 			return nil
 		}
 		if err != nil {
-			p.recordFailure(e.ID, 1)
 			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
 		}
 	}
@@ -233,7 +237,6 @@
 			err = errEventTooLong
 		}
 		if err != nil {
-			p.recordFailure(e.ID, 1)
 			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
 		}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -206,6 +206,15 @@
 	p.g.chooser.Health(id).RecordFailure(p.g.clock.Now(), weight)
 }
 
+// recordBreak records that an answer broke off, unless the attempt was canceled for
+// another reason than the endpoint's silence: the caller has left or the deadline has
+// passed.
+func (p *proxiedRequest) recordBreak(ctx context.Context, id cicadapitch.EndpointID) {
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		p.recordFailure(id, 1)
+	}
+}
+
 // takeRetry reports whether the request may be sent to one more endpoint, and if so,
 // takes the retry from the budget of the service.
 func (p *proxiedRequest) takeRetry() bool {
@@ -265,7 +274,7 @@
 	defer reply.Close()
 	body, err := p.readBuffered(reply)
 	if err != nil {
-		p.recordFailure(e.ID, 1)
+		p.recordBreak(ctx, e.ID)
 		return false, cicadapitch.NewOutcomeUnknown("the answer of " + string(e.ID) + " broke off: " + err.Error())
 	}
 	if reply.Status >= 500 && p.route.Idempotent() && p.attempts < p.route.MaxAttempts {
