gateway: a stream goes on only at the software version that began it

Cause: nothing knew where a stream had begun. A host that resumed a broken stream inside its answer chose any engine, and a host that a caller asked to go on with a stream knew only the number of the last event. The class of fault: a continuation was routed like a new request, without the state that its beginning had fixed.

Evidence: five tests of fronthost failed on the code before, each for its case (two versions in one answer, with and without another engine of the version; taken up at another host, also after the first host is gone; unknown origin; vanished version).

Change: package origin, pure. Before the first event reaches the caller, the host records service and version under the id of the request; three other hosts, the first by rendezvous hashing on the id, get the record in the background. A host that takes a stream up asks six of them, and only endpoints of that version are candidates, also inside one answer. Without a record it goes on only if all hosts that answered have seen one and the same version for as long as the stream can have lasted, and at least one has watched that long; else it is rejected at once with NotRun. No call to the store.

Weighed: a key in the store for each stream (a write for each request; ruled out), choosing the version by a hash of the id (changes with each release), and going on when the host sees one version now (a version can have just vanished).

A property test of random releases, restarts and lost records never resolves a wrong version; without the condition that a host has watched long enough it fails.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 
 	"cicadapitch.example/cicadapitch"
@@ -197,6 +198,11 @@
 // CustomerOf returns the customer with the given API key, or nil.
 func (c *Catalog) CustomerOf(key string) *Customer { return c.customers[key] }
 
+// Allows reports whether the route leads to a service.
+func (r *Route) Allows(s ServiceID) bool {
+	return slices.ContainsFunc(r.TrafficSplit, func(w WeightedService) bool { return w.Service == s })
+}
+
 // ChooseService chooses one of the services in TrafficSplit by weight. point is a
 // random number in [0,1).
 func (r *Route) ChooseService(point float64) ServiceID {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -20,6 +20,9 @@
 	Catalog        *catalog.Catalog
 	endpoints      map[catalog.ServiceID][]Endpoint
 	endpointCounts map[catalog.ServiceID]map[cicadapitch.ZoneID]int
+	// Versions holds the software versions of all endpoints of each service, including
+	// those that may get no work.
+	Versions map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 	// Evacuated holds the zones that are out of service.
 	Evacuated map[cicadapitch.ZoneID]bool
 	// Hosts are sorted by incarnation.
@@ -109,6 +112,7 @@
 		Catalog:        s.catalog,
 		endpoints:      map[catalog.ServiceID][]Endpoint{},
 		endpointCounts: map[catalog.ServiceID]map[cicadapitch.ZoneID]int{},
+		Versions:       map[catalog.ServiceID][]cicadapitch.SoftwareVersion{},
 		Evacuated:      map[cicadapitch.ZoneID]bool{},
 	}
 	for z := range s.evacuated {
@@ -119,6 +123,9 @@
 			v.endpointCounts[e.Service] = map[cicadapitch.ZoneID]int{}
 		}
 		v.endpointCounts[e.Service][e.Zone]++
+		if !slices.Contains(v.Versions[e.Service], e.Version) {
+			v.Versions[e.Service] = append(v.Versions[e.Service], e.Version)
+		}
 		if !e.Leaving && !s.evacuated[e.Zone] {
 			v.endpoints[e.Service] = append(v.endpoints[e.Service], e)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 	metrics    tally.Scope
 	bounds     platform.Bounds
 	shards     *ShardRunners
+	origins    *origins
 	// stopped is canceled by Stop.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -88,6 +89,7 @@
 		chooser:          placement.NewChooser(s.Zone, s.Bounds.ColdExcess, s.Bounds.ColdSlack),
 		retryBudgets:     map[catalog.ServiceID]*placement.RetryBudget{},
 		firstEventMillis: map[string]float64{},
+		origins:          newOrigins(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -116,6 +118,7 @@
 	if v.Catalog == nil {
 		return
 	}
+	g.origins.history.Observe(g.clock.Now(), v.Versions)
 	known := map[cicadapitch.EndpointID]bool{}
 	for s := range v.Catalog.Services {
 		for _, e := range v.Endpoints(s) {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -40,6 +40,9 @@
 // the stream. It retries at other engines where the request allows that. Before each
 // attempt it runs the stages again, since their results have been freed.
 func (p *proxiedRequest) generate(ctx context.Context) error {
+	if err := p.findOrigin(ctx); err != nil {
+		return err
+	}
 	// Peek: no call is counted as running at the likely engine.
 	likelyEngine, err := p.chooseEndpoint(true, "")
 	if err != nil {
@@ -67,7 +70,7 @@
 		case cicadapitch.KindOf(err) == cicadapitch.NotRun && p.attempts == 0 && connectFailures < maxConnectFailures:
 			// No endpoint has received the request.
 			connectFailures++
-		case !p.takeRetry():
+		case !p.hasCandidate() || !p.takeRetry():
 			return err
 		}
 	}
@@ -111,7 +114,10 @@
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream")
 	}
 	if reply.Status < 300 && p.route.Resumable {
-		err = p.relayEvents(e, reply, events, silenceTimer, onFirstEvent)
+		err = p.relayEvents(e, reply, events, silenceTimer, func() {
+			onFirstEvent()
+			p.recordOrigin(e)
+		})
 	} else {
 		err = p.relayStream(e, reply, onFirstEvent)
 	}
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -7,6 +7,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/peer"
 )
 
@@ -202,4 +203,11 @@
 		g.shards.RecordRefusal(c)
 		return struct{}{}, nil
 	})
+	peer.Handle(s, callFindOrigin, func(_ context.Context, q OriginQuery) (origin.Claim, error) {
+		return g.origins.claim(g.clock.Now(), q), nil
+	})
+	peer.Handle(s, callAddOrigins, func(_ context.Context, n OriginNotice) (struct{}, error) {
+		g.addOrigins(n)
+		return struct{}{}, nil
+	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 )
@@ -76,6 +77,8 @@
 	// holds the endpoints that must not be tried again.
 	attempts int
 	exclude  map[cicadapitch.EndpointID]bool
+	// origin is where the stream began, or nil before its first event.
+	origin *origin.Origin
 	// phase is one of phaseWaiting, phaseCommitted and phaseRejected.
 	phase atomic.Int32
 	// mayHaveRun is true once an endpoint may have run the request.
@@ -124,12 +127,11 @@
 func (p *proxiedRequest) chooseEndpoint(peek bool, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
 	g := p.g
 	now := g.clock.Now()
-	v := g.membership.View()
 	criteria := placement.Criteria{
 		Service: p.service, Session: p.request.Session(), Exclude: p.exclude,
 		Hosts: g.membership.HostCount(), Zone: zone,
 	}
-	list := v.Endpoints(p.service.Name)
+	list := p.candidates()
 	var (
 		e  fleet.Endpoint
 		ok bool
@@ -148,7 +150,7 @@
 		e, ok = g.chooser.ChoosePlain(now, list, criteria)
 	}
 	if !ok {
-		return e, cicadapitch.NewNotRun("no endpoint of "+string(p.service.Name)+" can take the request", fullRetryAfter)
+		return e, p.errNoEndpoint()
 	}
 	if !peek {
 		g.chooser.RecordStart(e.ID)
@@ -156,6 +158,15 @@
 	return e, nil
 }
 
+// errNoEndpoint returns the NotRun error of a request that no endpoint can take.
+func (p *proxiedRequest) errNoEndpoint() error {
+	reason := "no endpoint of " + string(p.service.Name)
+	if p.origin != nil {
+		reason += " with software version " + string(p.origin.Version) + ", which began the stream,"
+	}
+	return cicadapitch.NewNotRun(reason+" can take the request", fullRetryAfter)
+}
+
 // hostRank returns a function that returns this host's rank among all hosts for a
 // key, from 0, or -1 if this host is not among them. The function is called with
 // g.mu held, so it must not lock the membership, which calls SetView with its own
@@ -173,7 +184,7 @@
 func (p *proxiedRequest) waitForEndpoint(ctx context.Context, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
 	for waited := cicadapitch.Millis(0); ; waited += endpointPollInterval {
 		e, err := p.chooseEndpoint(false, zone)
-		if err == nil || waited >= maxEndpointWait || len(p.g.membership.View().Endpoints(p.service.Name)) <= len(p.exclude) {
+		if err == nil || waited >= maxEndpointWait || !p.hasCandidate() {
 			return e, err
 		}
 		if p.g.clock.Sleep(ctx, endpointPollInterval) != nil {
--- /dev/null
+++ b/origin/registry.go
@@ -0,0 +1,84 @@
+package origin
+
+import (
+	"sync"
+
+	"github.com/zeebo/xxh3"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	// registryStripes is the number of independently locked parts of a registry.
+	registryStripes = 16
+	// maxStripeRecords bounds the records of one stripe. The oldest are dropped first.
+	maxStripeRecords = 4096
+)
+
+// Registry holds the records of streams. The first record of a request is kept until
+// its lifetime is over. A Registry is safe for concurrent use.
+type Registry struct {
+	stripes [registryStripes]stripe
+}
+
+// stripe is one part of a registry, selected by the hash of the request id.
+type stripe struct {
+	mu      sync.Mutex
+	records map[cicadapitch.RequestID]heldRecord
+	// inserted lists the requests with a record in the order of insertion.
+	inserted []cicadapitch.RequestID
+}
+
+type heldRecord struct {
+	origin    Origin
+	expiresAt cicadapitch.Instant
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	r := &Registry{}
+	for i := range r.stripes {
+		r.stripes[i].records = map[cicadapitch.RequestID]heldRecord{}
+	}
+	return r
+}
+
+func (r *Registry) stripe(id cicadapitch.RequestID) *stripe {
+	return &r.stripes[xxh3.HashString(string(id))%registryStripes]
+}
+
+// Add adds a record unless there is one of the same request.
+func (r *Registry) Add(now cicadapitch.Instant, rec Record) {
+	s := r.stripe(rec.Request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evict(now)
+	if _, ok := s.records[rec.Request]; ok {
+		return
+	}
+	s.records[rec.Request] = heldRecord{rec.Origin, now.Add(rec.Lifetime)}
+	s.inserted = append(s.inserted, rec.Request)
+}
+
+// Find returns the origin of the stream whose first event the request brought, and
+// whether it is known.
+func (r *Registry) Find(now cicadapitch.Instant, id cicadapitch.RequestID) (Origin, bool) {
+	s := r.stripe(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.records[id]
+	return held.origin, ok && now < held.expiresAt
+}
+
+// evict removes the oldest records while they have expired or the stripe is full. The
+// caller holds mu.
+func (s *stripe) evict(now cicadapitch.Instant) {
+	for len(s.inserted) > 0 {
+		oldest := s.inserted[0]
+		if now < s.records[oldest].expiresAt && len(s.inserted) < maxStripeRecords {
+			return
+		}
+		delete(s.records, oldest)
+		s.inserted = s.inserted[1:]
+	}
+}
