soak: callers take broken streams up at engines of two software versions

The soak plays the fault of second1 from now on: engines of v1 and v2 serve side by side, streams break off at random, hosts are killed, stopped, frozen and cut from the store as before, and callers take their broken streams up at random hosts, up to four times.

--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -504,7 +504,7 @@
 	d := newDeployment(t, 1)
 	for _, e := range []string{"e1", "e2"} {
 		d.endpoints[e].AbortStreamsAfter(2)
-		d.endpoints[e].SetStreamLength(100) // all events take 132 bytes
+		d.endpoints[e].SetStreamLength(100) // all events take 180 bytes
 	}
 	id := newID()
 	go func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,8 @@
 	callerCount     = 8
 	// recoveryTimeout bounds the time from the last fault until every host serves.
 	recoveryTimeout = 12 * time.Second
+	// maxTakeUps is how often a caller takes a broken stream up.
+	maxTakeUps = 4
 	// callerTimeout is how long a caller waits for a response.
 	callerTimeout = 5 * time.Second
 )
@@ -102,8 +104,13 @@
 	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), store: platformtest.NewStore()}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
-	for id, service := range map[string]string{"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine", "s1": "stage", "s2": "stage"} {
+	for id, service := range map[string]string{
+		"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine", "e3": "engine", "e4": "engine", "s1": "stage", "s2": "stage",
+	} {
 		e := platformtest.NewEndpoint(id, service)
+		if id == "e3" || id == "e4" {
+			e.SetVersion("v2")
+		}
 		t.Cleanup(e.Close)
 		s.endpoints = append(s.endpoints, e)
 		r := newRelay(t, e.Address())
@@ -240,6 +247,9 @@
 	// wrong describes the responses that are incomplete or belong to other requests.
 	wrong  []string
 	served int
+	// takenUp counts the requests that take a stream up, wentOn those that brought a
+	// further event.
+	takenUp, wentOn int
 }
 
 // update calls f with the mutex held.
@@ -267,7 +277,7 @@
 		require.LessOrEqual(t, ran[id], 1, "request %s may run at most once", id)
 	}
 	require.Positive(t, l.served)
-	t.Logf("served %d, refused %d", l.served, len(l.refused))
+	t.Logf("served %d, refused %d, streams taken up %d, went on %d", l.served, len(l.refused), l.takenUp, l.wentOn)
 }
 
 // caller sends random requests to the hosts of a testbed.
@@ -285,10 +295,49 @@
 	c.sendTo(c.testbed.processes[c.rng.IntN(hostCount)], paths[c.rng.IntN(len(paths))])
 }
 
-// sendTo sends a request to a host and records the result. It returns the status of
-// the response, or 0 if there is none.
+// sendTo sends a request to a host and records the result. It takes a broken stream up
+// at other hosts if the route allows that. It returns the status of the last response, or
+// 0 if there is none.
 func (c *caller) sendTo(p *hostProcess, path string) int {
-	id := fmt.Sprintf("%016x", c.rng.Uint64())
+	id := c.newID()
+	first := c.exchange(p, path, id, part{})
+	if path != "/answer/a" {
+		return first.status
+	}
+	last, events := first, first.text
+	for tries := 0; first.broken && tries < maxTakeUps && (last.broken || last.status != http.StatusOK); tries++ {
+		p := c.testbed.processes[c.rng.IntN(hostCount)]
+		last = c.exchange(p, path, c.newID(), part{events, id})
+		c.results.update(func() {
+			c.results.takenUp++
+			if len(last.text) > len(events) {
+				c.results.wentOn++
+			}
+		})
+		if last.broken {
+			events = last.text
+		}
+	}
+	return last.status
+}
+
+func (c *caller) newID() string { return fmt.Sprintf("%016x", c.rng.Uint64()) }
+
+// part is what a caller has of a stream: its complete events and the request that
+// brought the first one.
+type part struct{ text, resumes string }
+
+// outcome is the outcome of one exchange. text holds the complete events that the caller
+// has, those of earlier exchanges included; broken is true if the stream may go on.
+type outcome struct {
+	status int
+	text   string
+	broken bool
+}
+
+// exchange sends one request, which goes on after the events that the caller has, and
+// records the result.
+func (c *caller) exchange(p *hostProcess, path, id string, has part) outcome {
 	stream := path == "/answer/a" || path == "/plan/a"
 	method := http.MethodPost
 	if path == "/look/a" {
@@ -301,7 +350,10 @@
 		a.Tokens = "100,50"
 	}
 	if path == "/answer/a" {
-		a.Pieces, a.PieceKey = "1,2", id
+		a.Pieces, a.PieceKey, a.Session = "1,2", id, fmt.Sprint(c.rng.IntN(8))
+	}
+	if has.text != "" {
+		a.Resumes, a.ResumeAfter = has.resumes, strconv.Itoa(strings.Count(has.text, "\n\n"))
 	}
 	req, err := a.HTTPRequest()
 	require.NoError(c.testbed.t, err)
@@ -311,12 +363,28 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		time.Sleep(20 * time.Millisecond)
-		return 0
+		return outcome{}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	c.record(id, path, stream, resp, string(text), err)
-	return resp.StatusCode
+	b, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		c.record(id, path, stream, resp, string(b), err)
+		return outcome{status: resp.StatusCode}
+	}
+	text := has.text + string(b)
+	c.record(id, path, stream, resp, text, err)
+	events := completeEvents(text)
+	return outcome{resp.StatusCode, events, err != nil && events != ""}
+}
+
+// completeEvents returns a stream without the event that it ends in, if any.
+func completeEvents(stream string) string {
+	const end = "\n\n"
+	i := strings.LastIndex(stream, end)
+	if i < 0 {
+		return ""
+	}
+	return stream[:i+len(end)]
 }
 
 // record classifies a response and adds it to the results.
@@ -325,6 +393,8 @@
 		switch {
 		case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 			c.results.refused = append(c.results.refused, id)
+		case stream && strings.Contains(text, "event: v1\n") && strings.Contains(text, "event: v2\n"):
+			c.results.wrong = append(c.results.wrong, fmt.Sprintf("%s has events of two versions: %q", id, text))
 		case resp.StatusCode != http.StatusOK || err != nil:
 		case !platformtest.Signed(resp, id), stream && !isCompleteStream(text), !stream && !strings.Contains(text, path):
 			c.results.wrong = append(c.results.wrong, fmt.Sprintf("%s %s: %q %v", id, path, text, resp.Header))
