gateway: ask each host address once for the origin of a stream

Cause: a host that has restarted stays registered as both incarnations until its old lease ends. Both have the same address, so that hosts were asked twice, and the limit of six left the surviving host out.

Change: owners with the same address count once, this host's old incarnation not at all, and up to eight hosts are asked. Settings.PeerAddress takes the place of two copies of the same expression.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -164,7 +164,7 @@
 	dialer := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
 	h.gateway.RegisterHandlers(server)
 	h.membership.EnablePeerCalls(server, dialer)
-	l, err := net.Listen("tcp", net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.PeerPort)))
+	l, err := net.Listen("tcp", h.settings.PeerAddress())
 	if err != nil {
 		h.log.Error().Err(err).Msg("cannot listen for other hosts; they cannot connect to this host")
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,8 @@
 	bounds     platform.Bounds
 	shards     *ShardRunners
 	origins    *origins
+	// peerAddress is the ip:port of this host for other hosts.
+	peerAddress string
 	// stopped is canceled by Stop.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -90,6 +92,7 @@
 		retryBudgets:     map[catalog.ServiceID]*placement.RetryBudget{},
 		firstEventMillis: map[string]float64{},
 		origins:          newOrigins(),
+		peerAddress:      s.PeerAddress(),
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -26,7 +26,7 @@
 	originReplicas = 3
 	// originQueryHosts is the number of other hosts that are asked for a record. It is
 	// larger than originReplicas, since hosts may have come since the record was sent.
-	originQueryHosts = 2 * originReplicas
+	originQueryHosts = 8
 	// originQueryTimeout bounds the query, and so the delay of a stream that is taken up.
 	originQueryTimeout cicadapitch.Millis = 300
 	// originFlushDelay is how long records for the same host are collected.
@@ -97,9 +97,11 @@
 	return pending
 }
 
-// originHosts returns up to n other hosts that hold the record of a stream, or would.
+// originHosts returns up to n other hosts that hold the record of a stream, or would. A
+// host that has restarted can be registered as both incarnations; it counts once.
 func (g *Gateway) originHosts(id cicadapitch.RequestID, n int) []fleet.Host {
-	others := lo.Reject(g.membership.OwnersOf(string(id)), func(h fleet.Host, _ int) bool { return g.membership.IsSelf(h) })
+	owners := lo.UniqBy(g.membership.OwnersOf(string(id)), func(h fleet.Host) string { return h.Peers })
+	others := lo.Reject(owners, func(h fleet.Host, _ int) bool { return h.Peers == g.peerAddress })
 	return others[:min(n, len(others))]
 }
 
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
-	"strconv"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -26,10 +24,6 @@
 	syncDelay cicadapitch.Millis = 250
 )
 
-func (m *Membership) peerAddress() string {
-	return net.JoinHostPort(m.settings.IP, strconv.Itoa(m.settings.PeerPort))
-}
-
 // Secret reads the deployment's secret, 32 hexadecimal digits, from the store, and
 // creates it if there is none. It retries failed store calls until ctx ends; its only
 // error is that of ctx.
@@ -222,7 +216,7 @@
 func (m *Membership) KeepRegistered(ctx context.Context) {
 	value, err := json.Marshal(hostRecord{
 		Host: m.settings.Host, Incarnation: m.incarnation, Zone: m.settings.Zone,
-		Callers: m.settings.CallerListen, Peers: m.peerAddress(),
+		Callers: m.settings.CallerListen, Peers: m.settings.PeerAddress(),
 	})
 	if err != nil {
 		m.log.Error().Err(err).Msg("encoding this host's store entry failed; the host is not registered")
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -243,7 +243,7 @@
 func (m *Membership) self() fleet.Host {
 	return fleet.Host{
 		ID: m.settings.Host, Incarnation: m.incarnation, Zone: m.settings.Zone,
-		Callers: m.settings.CallerListen, Peers: m.peerAddress(),
+		Callers: m.settings.CallerListen, Peers: m.settings.PeerAddress(),
 	}
 }
 
