gateway: streams of plain services go on like those of engines

What a caller would see: it takes a stream of a service without engines up after its second event, and gets the first two again.

Cause: the path of a request was chosen by the service and not by the kind of the route. The path for plain services reads up to 256 KiB before it relays anything, knows no events and drops the number of the caller's last event.

Evidence: TestStreamOfPlainServiceGoesOnAfterTheLastEvent failed on the code before, with all six events after Last-Event-Id 2.

Change: streaming routes take the path of streams whatever their service. A request for which no endpoint is left that it may go to ends before its stages run again.

Measured: the test passes; it also sees two events of each of two attempts, as they arrive, where both break off.

--- a/fronthost/resume_test.go
+++ b/fronthost/resume_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,6 +191,31 @@
 	}
 }
 
+// TestStreamOfPlainServiceGoesOnAfterTheLastEvent guards against a stream that begins anew
+// for a caller who takes it up, where the service has no engines.
+func TestStreamOfPlainServiceGoesOnAfterTheLastEvent(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.setConfiguration(platformtest.PlainStreamRoute)
+	var text string
+	require.Eventually(t, func() bool {
+		req := d.newStreamRequest(0, "/feed/a", newID(), "")
+		req.ResumeAfter = "2"
+		r := d.send(req)
+		b, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		text = string(b)
+		return err == nil && r.StatusCode == http.StatusOK
+	}, 12*time.Second, 200*time.Millisecond)
+	require.NotContains(t, text, "data: part 2\n")
+	require.Contains(t, text, "data: part 3\n")
+	d.abortStreams(2)
+	r := d.send(d.newStreamRequest(0, "/feed/a", newID(), ""))
+	b, err := io.ReadAll(r.Body)
+	r.Body.Close()
+	require.Error(t, err)
+	require.Equal(t, 4, strings.Count(string(b), "data: part"), "two events of each of two attempts")
+}
+
 // TestCallersThatLeaveAreNoFailureOfTheEngine guards against an engine that is avoided
 // because callers left in the middle of their streams. All streams are of one session.
 func TestCallersThatLeaveAreNoFailureOfTheEngine(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -162,7 +162,7 @@
 	remaining := p.deadline.Sub(g.clock.Now())
 	ctx, cancel := context.WithTimeoutCause(ctx, remaining.Duration(), errDeadline)
 	defer cancel()
-	if p.service.Engine != nil {
+	if p.service.Engine != nil || p.route.Kind == catalog.Streaming {
 		err = p.generateUnlessStopping(ctx)
 	} else {
 		err = p.servePlain(ctx)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -36,8 +36,9 @@
 	maxStageReruns = 1
 )
 
-// generate runs the stages of the request, sends it to a model engine and relays
-// the stream. It retries at other engines where the request allows that. Before each
+// generate runs the stages of the request, sends it to a model engine, or to a plain
+// service that streams, and relays the stream. It retries at other endpoints where the
+// request allows that. Before each
 // attempt it runs the stages again, since their results have been freed.
 func (p *proxiedRequest) generate(ctx context.Context) error {
 	if err := p.findOrigin(ctx); err != nil {
@@ -64,13 +65,15 @@
 		switch {
 		case err == nil || ctx.Err() != nil || errors.Is(err, errNotRelayed):
 			return err
+		case !p.hasCandidate():
+			return err
 		case errors.Is(err, errInputLost) && reruns < maxStageReruns:
 			reruns++
 			p.attempts--
 		case cicadapitch.KindOf(err) == cicadapitch.NotRun && p.attempts == 0 && connectFailures < maxConnectFailures:
 			// No endpoint has received the request.
 			connectFailures++
-		case !p.hasCandidate() || !p.takeRetry():
+		case !p.takeRetry():
 			return err
 		}
 	}
