--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -38,8 +38,8 @@
 
 // generate runs the stages of the request, sends it to a model engine, or to a plain
 // service that streams, and relays the stream. It retries at other endpoints where the
-// request allows that. Before each
-// attempt it runs the stages again, since their results have been freed.
+// request allows that. Before each attempt it runs the stages again, since their results
+// have been freed.
 func (p *proxiedRequest) generate(ctx context.Context) error {
 	if err := p.findOrigin(ctx); err != nil {
 		return err
