soak: a link that was reset does not end in order

The relay closes both sides of each connection with a reset, but a forwarder whose side was closed first closed the other one in order before the reset reached it. TCP has no such end, and the host must take it for the end of the answer.

Evidence: TestRelayResetIsNoOrderlyClose failed on the relay before (EOF where the link was reset).

Change: a forwarder passes an orderly close on only if it has read one and lost nothing, else it resets.

--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,14 +94,15 @@
 	r.mu.Lock()
 	r.conns[from] = true
 	r.mu.Unlock()
-	dropping := false
+	// TCP delivers an orderly close only after all data, and never after a reset.
+	dropping, orderly := false, false
 	defer func() {
 		from.Close()
-		if dropping {
-			// TCP never delivers an orderly close after lost data.
+		if orderly && !dropping {
+			to.Close()
+		} else {
 			closeWithReset(to)
 		}
-		to.Close()
 		r.mu.Lock()
 		delete(r.conns, from)
 		r.mu.Unlock()
@@ -108,6 +111,7 @@
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			orderly = err == io.EOF
 			return
 		}
 		r.mu.Lock()
@@ -127,3 +131,41 @@
 		}
 	}
 }
+
+// TestRelayResetIsNoOrderlyClose guards against connections that end in order where the
+// link was reset, which callers must take for the end of a close-delimited answer.
+func TestRelayResetIsNoOrderlyClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = c.Write([]byte("part"))
+				_, _ = io.Copy(io.Discard, c) // ends with the reset
+				c.Close()
+			}()
+		}
+	}()
+	r := newRelay(t, l.Addr().String())
+	for range 200 {
+		var conns []net.Conn
+		for range 4 {
+			c, err := net.Dial("tcp", r.address())
+			require.NoError(t, err)
+			_, err = io.ReadFull(c, make([]byte, len("part")))
+			require.NoError(t, err)
+			conns = append(conns, c)
+		}
+		r.reset()
+		for _, c := range conns {
+			_, err := c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+			c.Close()
+		}
+	}
+}
