gateway: the part of a request in origins of streams stands in resume.go

For a reader: origins.go holds what a host knows and tells others, resume.go what a request that goes on with a stream does with it. Moved, and recordOrigin split into the request's part and shareOrigin; no behaviour changes.

Measured: the tests of streams and versions pass.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"github.com/samber/lo"
@@ -31,8 +30,6 @@
 	originQueryTimeout cicadapitch.Millis = 300
 	// originFlushDelay is how long records for the same host are collected.
 	originFlushDelay cicadapitch.Millis = 20
-	// maxStreamLifetime bounds the time for which a stream may be taken up.
-	maxStreamLifetime = 10 * cicadapitch.Minute
 )
 
 // OriginQuery asks a host where a stream began.
@@ -105,15 +102,9 @@
 	return others[:min(n, len(others))]
 }
 
-// recordOrigin records where the stream began, here and at other hosts in the background.
-// The caller must not have got an event yet.
-func (p *proxiedRequest) recordOrigin(e fleet.Endpoint) {
-	if p.origin != nil {
-		return
-	}
-	p.origin = &origin.Origin{Service: p.service.Name, Version: e.Version}
-	rec := origin.Record{Request: p.request.ID, Origin: *p.origin, Lifetime: p.streamLifetime()}
-	g := p.g
+// shareOrigin adds a record of a stream that this host has begun, and sends it to other
+// hosts in the background.
+func (g *Gateway) shareOrigin(rec origin.Record) {
 	g.origins.registry.Add(g.clock.Now(), rec)
 	addresses := lo.Map(g.originHosts(rec.Request, originReplicas), func(h fleet.Host, _ int) string { return h.Peers })
 	if g.membership.Dialer() != nil && g.origins.enqueue(rec, addresses) {
@@ -148,36 +139,6 @@
 	}
 }
 
-// findOrigin finds out where the stream that the caller takes up began, and makes the
-// request go on only there. It does nothing for other requests. The error is NotRun if
-// the origin is unknown or its service is not one of the route any more.
-func (p *proxiedRequest) findOrigin(ctx context.Context) error {
-	if !p.route.Resumable || p.request.ResumeAfter == "" {
-		return nil
-	}
-	start := p.g.clock.Now()
-	query := OriginQuery{p.request.Resumes, p.service.Name, p.streamLifetime()}
-	claims := []origin.Claim{p.g.origins.claim(start, query)}
-	if !claims[0].Recorded {
-		claims = append(claims, p.g.queryOrigin(ctx, query, p.request.ID)...)
-	}
-	o, source := origin.Resolve(p.service.Name, claims)
-	service := p.view.Catalog.Services[o.Service]
-	allowed := service != nil && p.route.Allows(o.Service)
-	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Resumes", string(p.request.Resumes)).
-		Stringer("Source", source).Str("Service", string(o.Service)).Str("Version", string(o.Version)).Bool("Allowed", allowed).
-		Int("Claims", len(claims)).Int64("TookMs", int64(p.g.clock.Now().Sub(start))).Msg("origin")
-	p.g.metrics.Tagged(map[string]string{"Source": source.String()}).Counter("StreamsTakenUp").Inc(1)
-	switch {
-	case source == origin.Unknown:
-		return cicadapitch.NewNotRun("it is not known which software version began the stream", fullRetryAfter)
-	case !allowed:
-		return cicadapitch.NewNotRun("the route does not lead to service "+string(o.Service)+" any more, which began the stream", fullRetryAfter)
-	}
-	p.origin, p.service = &o, service
-	return nil
-}
-
 // queryOrigin asks other hosts for their claims on a stream, in parallel, and returns
 // those that came in time, up to the first with a record. id spreads queries that name
 // no stream.
@@ -219,27 +180,3 @@
 	}
 	return claims
 }
-
-// streamLifetime returns how long after its beginning the stream may be taken up.
-func (p *proxiedRequest) streamLifetime() cicadapitch.Millis {
-	if p.route.Timeout <= 0 {
-		return maxStreamLifetime
-	}
-	return min(max(p.route.Timeout, p.request.Timeout), maxStreamLifetime)
-}
-
-// candidates returns the endpoints of the service that the request may go to: those of
-// the version that began the stream, once it has begun.
-func (p *proxiedRequest) candidates() []fleet.Endpoint {
-	list := p.g.membership.View().Endpoints(p.service.Name)
-	if p.origin == nil {
-		return list
-	}
-	return lo.Filter(list, func(e fleet.Endpoint, _ int) bool { return e.Version == p.origin.Version })
-}
-
-// hasCandidate reports whether there is an endpoint that the request may go to and has
-// not been sent to.
-func (p *proxiedRequest) hasCandidate() bool {
-	return slices.ContainsFunc(p.candidates(), func(e fleet.Endpoint) bool { return !p.exclude[e.ID] })
-}
