origin: one bound on the lifetime of streams; tests use abortStreams

The history of versions and the request's part each had a constant of ten minutes that had to agree for an unknown stream to be judged rightly; origin.MaxLifetime takes the place of both. Assertions are unchanged.

--- a/fronthost/streamend_test.go
+++ b/fronthost/streamend_test.go
@@ -17,8 +17,8 @@
 	d := newDeployment(t, 1)
 	for _, e := range []string{"e1", "e2"} {
 		d.endpoints[e].SetCloseDelimited(true)
-		d.endpoints[e].AbortStreamsAfter(2)
 	}
+	d.abortStreams(2)
 	for _, path := range []string{"/plan/a", "/answer/a"} {
 		r := d.send(d.newStreamRequest(0, path, newID(), "0,0"))
 		require.Equal(t, http.StatusOK, r.StatusCode)
@@ -26,9 +26,7 @@
 		r.Body.Close()
 		require.Error(t, err, path)
 	}
-	for _, e := range []string{"e1", "e2"} {
-		d.endpoints[e].AbortStreamsAfter(0)
-	}
+	d.abortStreams(0)
 	for _, path := range []string{"/plan/a", "/answer/a"} {
 		r := d.send(d.newStreamRequest(0, path, newID(), "0,0"))
 		require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"), path)
@@ -62,8 +60,7 @@
 func TestStreamCutForHTTP10CallerDoesNotLookComplete(t *testing.T) {
 	d := newDeployment(t, 1)
 	for _, abortAfter := range []int{2, 0} {
-		d.endpoints["e1"].AbortStreamsAfter(abortAfter)
-		d.endpoints["e2"].AbortStreamsAfter(abortAfter)
+		d.abortStreams(abortAfter)
 		c, err := net.Dial("tcp", d.hostSettings[0].CallerListen)
 		require.NoError(t, err)
 		r, err := d.newStreamRequest(0, "/plan/a", newID(), "").HTTPRequest()
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -11,9 +11,6 @@
 	"cicadapitch.example/cicadapitch/origin"
 )
 
-// maxStreamLifetime bounds the time for which a stream may be taken up.
-const maxStreamLifetime = 10 * cicadapitch.Minute
-
 // findOrigin finds out where the stream that the caller takes up began, and makes the
 // request go on only there. It does nothing for other requests. The error is NotRun if
 // the origin is unknown or its service is not one of the route any more.
@@ -58,9 +55,9 @@
 // streamLifetime returns how long after its beginning the stream may be taken up.
 func (p *proxiedRequest) streamLifetime() cicadapitch.Millis {
 	if p.route.Timeout <= 0 {
-		return maxStreamLifetime
+		return origin.MaxLifetime
 	}
-	return min(max(p.route.Timeout, p.request.Timeout), maxStreamLifetime)
+	return min(max(p.route.Timeout, p.request.Timeout), origin.MaxLifetime)
 }
 
 // candidates returns the endpoints of the service that the request may go to: those of
--- a/origin/history.go
+++ b/origin/history.go
@@ -7,12 +7,8 @@
 	"cicadapitch.example/cicadapitch/catalog"
 )
 
-// historyLength is how long a version that has vanished is remembered. No stream lives
-// longer.
-const historyLength = 10 * cicadapitch.Minute
-
-// History knows the software versions that the endpoints of each service have had. It
-// is safe for concurrent use.
+// History knows the software versions that the endpoints of each service have had in the
+// last MaxLifetime. It is safe for concurrent use.
 type History struct {
 	mu sync.Mutex
 	// began is when the first versions were observed, or 0.
@@ -40,7 +36,7 @@
 	h.touch(now)
 	for s, versions := range h.versions {
 		for v, at := range versions {
-			if now.Sub(at) > historyLength {
+			if now.Sub(at) > MaxLifetime {
 				delete(versions, v)
 			}
 		}
@@ -75,5 +71,5 @@
 			seen = append(seen, v)
 		}
 	}
-	return seen, h.began > 0 && now.Sub(h.began) >= min(window, historyLength)
+	return seen, h.began > 0 && now.Sub(h.began) >= min(window, MaxLifetime)
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -5,6 +5,9 @@
 	"cicadapitch.example/cicadapitch/catalog"
 )
 
+// MaxLifetime bounds the time for which a stream may be taken up after its beginning.
+const MaxLifetime = 10 * cicadapitch.Minute
+
 // Origin is where a stream began.
 type Origin struct {
 	Service catalog.ServiceID
