--- a/catalog/request.go
+++ b/catalog/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 )
 
@@ -59,3 +61,12 @@
 	}
 	return ""
 }
+
+// SharedParts returns the ids of all parts of the prompt except the last, which belongs
+// to the request alone.
+func (r *Request) SharedParts() []string {
+	if len(r.Prompt) < 2 {
+		return nil
+	}
+	return lo.Map(r.Prompt[:len(r.Prompt)-1], func(part PromptPart, _ int) string { return part.ID })
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	bounds     platform.Bounds
 	shards     *ShardRunners
 	origins    *origins
+	endChecks  *endChecks
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
 	// stopped is canceled by Stop.
@@ -92,6 +93,7 @@
 		retryBudgets:     map[catalog.ServiceID]*placement.RetryBudget{},
 		firstEventMillis: map[string]float64{},
 		origins:          newOrigins(),
+		endChecks:        newEndChecks(),
 		peerAddress:      s.PeerAddress(),
 	}
 	for _, opt := range opts {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -102,6 +102,9 @@
 		if !errors.Is(err, errInputLost) {
 			p.exclude[e.ID] = true
 		}
+		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
+			p.checkEndpoint(ctx, e, start)
+		}
 		return err
 	}
 	defer reply.Close()
@@ -126,10 +129,21 @@
 	}
 	if err != nil && !errors.Is(err, errNotRelayed) {
 		p.recordBreak(ctx, e.ID)
+		p.checkEndpoint(ctx, e, start)
 	}
 	return err
 }
 
+// checkEndpoint starts a check whether the endpoint at which the answer broke off has
+// ended, unless the attempt was canceled.
+func (p *proxiedRequest) checkEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
+	parts := p.request.SharedParts()
+	if ctx.Err() != nil || len(parts) == 0 {
+		return
+	}
+	p.g.checkEnd(e, brokenRun{p.request.ID, parts, sentAt, p.g.clock.Now()})
+}
+
 // startSilenceTimer starts a timer that cancels the attempt with errSilent if the
 // engine sends nothing for the silence timeout. The timer has no effect if the
 // stream cannot be resumed at another engine.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -357,6 +357,9 @@
 func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, resumeAfter string, reply *platform.Reply, err error) {
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
+	if parts := p.request.SharedParts(); len(parts) > 0 {
+		event.Strs("Parts", parts[:min(len(parts), maxLoggedParts)])
+	}
 	if resumeAfter != "" {
 		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
 	}
@@ -366,6 +369,9 @@
 	event.Err(err).Msg("sent")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
 // silenceFailureWeight is the failure weight of a silent endpoint. It is low, since
 // a single slow call looks the same.
 const silenceFailureWeight = 0.3
