gateway, membership: quarantine prompt parts that crash endpoints

Cause: each host took a broken answer for a failure of the endpoint alone. Nothing tied the crashes of different endpoints to what their requests shared, and no host told another, so each new request and each repeat with the part was sent to the next endpoint. Class: a belief that all hosts must heed was not formed, and would have been one host's only.

Change: a host whose answer breaks off checks whether the endpoint refuses connections. If so, the shared parts of the prompt become suspects, at all hosts at once and again with heartbeats. Only crashes of runs that were sent after the crash before count, so endpoints that are lost together count once; an answer that outlives its beginning clears its parts. While a part is suspected, its owner among the hosts grants one request at a time. After three independent crashes it is quarantined: requests with it are rejected at once as not run, also before a retry, with Retry-After of a minute. The store keeps quarantined parts for hosts that start; their owner writes them once the store is reachable. Memory: 1,024 suspects, a quarantine ends after an hour.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -20,6 +20,7 @@
 	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/quarantine"
 )
 
 const (
@@ -59,6 +60,7 @@
 	do.ProvideValue(injector, log)
 	do.ProvideValue[cicadapitch.Clock](injector, clock)
 	do.ProvideValue(injector, tally.NewTestScope("", nil))
+	do.ProvideValue(injector, quarantine.NewLedger())
 	do.Provide(injector, newMembership)
 	do.Provide(injector, newGateway)
 	g, err := do.Invoke[*gateway.Gateway](injector)
@@ -76,6 +78,7 @@
 func newMembership(i do.Injector) (*membership.Membership, error) {
 	return membership.New(do.MustInvoke[*platform.Settings](i),
 		membership.WithLog(do.MustInvoke[zerolog.Logger](i)),
+		membership.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
 		membership.WithClock(do.MustInvoke[cicadapitch.Clock](i))), nil
 }
 
@@ -83,6 +86,7 @@
 	m := do.MustInvoke[*membership.Membership](i)
 	g := gateway.New(do.MustInvoke[*platform.Settings](i), m,
 		gateway.WithLog(do.MustInvoke[zerolog.Logger](i)),
+		gateway.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
 		gateway.WithClock(do.MustInvoke[cicadapitch.Clock](i)),
 		gateway.WithMetrics(do.MustInvoke[tally.TestScope](i)))
 	m.OnView(g.SetView)
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -18,7 +18,6 @@
 
 // brokenRun is a run of a request whose answer broke off.
 type brokenRun struct {
-	request cicadapitch.RequestID
 	// parts are the shared parts of the request's prompt.
 	parts []string
 	// sentAt is when the request was sent, brokenAt when its answer broke off.
@@ -83,11 +82,12 @@
 	return check.done
 }
 
-// recordEndCheck logs and counts the result of a check.
+// recordEndCheck logs and counts the result of a check, and records a crash.
 func (g *Gateway) recordEndCheck(e fleet.Endpoint, runs []brokenRun, ended bool) {
 	g.log.Info().Str("Endpoint", string(e.ID)).Int64("EntryRevision", int64(e.Revision)).
 		Int("BrokenAnswers", len(runs)).Bool("Ended", ended).Msg("endpoint check")
 	if ended {
 		g.metrics.Tagged(map[string]string{"Service": string(e.Service)}).Counter("EndpointsEnded").Inc(1)
+		g.recordCrash(e, runs)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/quarantine"
 )
 
 // Membership provides the gateway with the state of the deployment and with
@@ -56,6 +57,8 @@
 	shards     *ShardRunners
 	origins    *origins
 	endChecks  *endChecks
+	quarantine *quarantine.Ledger
+	trials     *quarantine.Trials
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
 	// stopped is canceled by Stop.
@@ -84,6 +87,10 @@
 // WithClock sets the clock. The default is the system clock.
 func WithClock(c cicadapitch.Clock) Option { return func(g *Gateway) { g.clock = c } }
 
+// WithQuarantine sets the ledger of parts that crash endpoints, which the host shares with
+// others. The default is a ledger of the gateway's own.
+func WithQuarantine(l *quarantine.Ledger) Option { return func(g *Gateway) { g.quarantine = l } }
+
 // New returns a gateway for the host with settings s.
 func New(s *platform.Settings, membership Membership, opts ...Option) *Gateway {
 	g := &Gateway{
@@ -94,11 +101,14 @@
 		firstEventMillis: map[string]float64{},
 		origins:          newOrigins(),
 		endChecks:        newEndChecks(),
+		quarantine:       quarantine.NewLedger(),
+		trials:           quarantine.NewTrials(),
 		peerAddress:      s.PeerAddress(),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.quarantine.OnChange(g.logQuarantine)
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	g.shards = newShardRunners(g.endpoints, g.clock, g.log, g.metrics)
 	g.shards.onFetched = g.freeResults
@@ -212,7 +222,7 @@
 	if route == nil {
 		return nil, cicadapitch.NewError(cicadapitch.NotFound, "no route matches", "check the host and the path")
 	}
-	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority}
+	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority, sharedParts: r.SharedParts()}
 	if v.Catalog.HasCustomers() && !route.Anonymous {
 		c := v.Catalog.CustomerOf(r.Key)
 		if c == nil {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -41,6 +41,9 @@
 // request allows that. Before each attempt it runs the stages again, since their results
 // have been freed.
 func (p *proxiedRequest) generate(ctx context.Context) error {
+	if err := p.rejectQuarantined(); err != nil {
+		return err
+	}
 	if err := p.findOrigin(ctx); err != nil {
 		return err
 	}
@@ -63,7 +66,7 @@
 		err = p.generateOnce(ctx, inputs, &events)
 		inputs.freeAll()
 		switch {
-		case err == nil || ctx.Err() != nil || errors.Is(err, errNotRelayed):
+		case err == nil || ctx.Err() != nil || errors.Is(err, errNotRelayed) || errors.Is(err, errQuarantined) || errors.Is(err, errSuspected):
 			return err
 		case !p.hasCandidate():
 			return err
@@ -88,6 +91,10 @@
 		return err
 	}
 	defer p.recordCallEnd(e.ID)
+	if err := p.awaitTrial(ctx); err != nil {
+		return err
+	}
+	defer p.endTrial()
 	start := p.g.clock.Now()
 	resumeAfter := p.request.ResumeAfter
 	if events.lastID != "" {
@@ -137,11 +144,10 @@
 // checkEndpoint starts a check whether the endpoint at which the answer broke off has
 // ended, unless the attempt was canceled.
 func (p *proxiedRequest) checkEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
-	parts := p.request.SharedParts()
-	if ctx.Err() != nil || len(parts) == 0 {
+	if ctx.Err() != nil || len(p.sharedParts) == 0 {
 		return
 	}
-	p.g.checkEnd(e, brokenRun{p.request.ID, parts, sentAt, p.g.clock.Now()})
+	p.endCheck = p.g.checkEnd(e, brokenRun{p.sharedParts, sentAt, p.g.clock.Now()})
 }
 
 // startSilenceTimer starts a timer that cancels the attempt with errSilent if the
@@ -197,6 +203,7 @@
 // stream breaks off, or one that wraps errNotRelayed.
 func (p *proxiedRequest) relayStream(e fleet.Endpoint, reply *platform.Reply, onFirstEvent func()) error {
 	buf := make([]byte, streamBufferBytes)
+	proof := p.newAnswerProof(reply)
 	for begun := false; ; {
 		n, err := reply.Read(buf)
 		if n > 0 || err == io.EOF && !begun {
@@ -210,6 +217,7 @@
 				return err
 			}
 		}
+		proof.add(n, err)
 		if err == io.EOF {
 			return nil
 		}
@@ -237,6 +245,7 @@
 func (p *proxiedRequest) relayEvents(e fleet.Endpoint, reply *platform.Reply, events *eventSplitter, silenceTimer *time.Timer, onFirstEvent func()) error {
 	events.reset()
 	buf := make([]byte, streamBufferBytes)
+	proof := p.newAnswerProof(reply)
 	for begun := false; ; {
 		n, err := reply.Read(buf)
 		silenceTimer.Reset(p.silenceTimeout(true).Duration())
@@ -253,6 +262,7 @@
 				return err
 			}
 		}
+		proof.add(n, err)
 		if err == io.EOF {
 			return nil
 		}
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -206,6 +206,13 @@
 	peer.Handle(s, callFindOrigin, func(_ context.Context, q OriginQuery) (origin.Claim, error) {
 		return g.origins.claim(g.clock.Now(), q), nil
 	})
+	peer.Handle(s, callTrial, func(_ context.Context, c TrialCall) (TrialReply, error) {
+		return g.grantTrial(c), nil
+	})
+	peer.Handle(s, callSuspects, func(_ context.Context, n SuspectNotice) (struct{}, error) {
+		g.addSuspects(n)
+		return struct{}{}, nil
+	})
 	peer.Handle(s, callAddOrigins, func(_ context.Context, n OriginNotice) (struct{}, error) {
 		g.addOrigins(n)
 		return struct{}{}, nil
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"io"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/quarantine"
+)
+
+// Names of the calls on suspected parts of prompts, as sent on the wire.
+const (
+	callTrial    = "trial"
+	callSuspects = "suspects"
+)
+
+const (
+	// answerProofTime is how long after its first event a stream has outlived the beginning
+	// of its answer.
+	answerProofTime cicadapitch.Millis = 500
+	// maxTrialWait is how long a request waits for the trial of a suspected part, in polls
+	// trialPollInterval apart.
+	maxTrialWait      cicadapitch.Millis = 800
+	trialPollInterval cicadapitch.Millis = 50
+	// trialCallTimeout bounds the call of the owner of a suspected part.
+	trialCallTimeout cicadapitch.Millis = 300
+	// maxTrialOwners is the number of hosts that are asked for a trial until one answers.
+	maxTrialOwners = 2
+	// quarantineRetryAfter is the retry delay for callers whose prompts have a quarantined
+	// part. No retry helps until the quarantine ends.
+	quarantineRetryAfter = cicadapitch.Minute
+)
+
+var (
+	// errQuarantined rejects requests with a quarantined part.
+	errQuarantined = cicadapitch.NewNotRun("a part of the prompt has crashed endpoints", quarantineRetryAfter)
+	// errSuspected rejects requests with a suspected part that did not get a trial in time.
+	errSuspected = cicadapitch.NewNotRun("a part of the prompt may crash endpoints and is being tried", fullRetryAfter)
+)
+
+// TrialCall asks the owner of a suspected part whether a request with it may be sent.
+type TrialCall struct {
+	Part    string
+	Request cicadapitch.RequestID
+}
+
+// TrialReply is the answer to a TrialCall.
+type TrialReply struct {
+	Granted bool
+	// Reports says what the owner knows of the part.
+	Reports []quarantine.Report
+}
+
+// SuspectNotice tells other hosts of suspected parts, and that a request has ended its
+// trial, if it had one.
+type SuspectNotice struct {
+	Request cicadapitch.RequestID
+	Reports []quarantine.Report
+}
+
+// trialKey is the key by which hosts own a suspected part.
+func trialKey(part string) string { return "trial/" + part }
+
+// rejectQuarantined returns errQuarantined if the prompt has a quarantined part.
+func (p *proxiedRequest) rejectQuarantined() error {
+	part, state := p.g.quarantine.Check(p.g.clock.Now(), p.sharedParts)
+	if state != quarantine.Quarantined {
+		return nil
+	}
+	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Msg("prompt quarantined")
+	p.g.metrics.Counter("PromptsQuarantined").Inc(1)
+	return errQuarantined
+}
+
+// awaitTrial returns once the request may be sent as far as the parts of its prompt are
+// concerned. The error is errQuarantined, errSuspected or the cause of ctx.
+func (p *proxiedRequest) awaitTrial(ctx context.Context) error {
+	if p.endCheck != nil {
+		// The request's own crash is known once the check is done.
+		select {
+		case <-p.endCheck:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	for waited := cicadapitch.Millis(0); ; waited += trialPollInterval {
+		part, state := p.g.quarantine.Check(p.g.clock.Now(), p.sharedParts)
+		switch {
+		case state == quarantine.Clear:
+			return nil
+		case state == quarantine.Quarantined:
+			return p.rejectQuarantined()
+		case p.g.beginTrial(ctx, part, p.request.ID):
+			p.trial = part
+			p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Int64("WaitedMs", int64(waited)).Msg("trial of a suspected part")
+			return nil
+		case waited >= maxTrialWait:
+			p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Int64("WaitedMs", int64(waited)).Msg("no trial of a suspected part")
+			return errSuspected
+		}
+		if err := p.g.clock.Sleep(ctx, trialPollInterval); err != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// beginTrial asks the owner of a suspected part for its trial. If none of the first
+// maxTrialOwners hosts answers, this host decides for itself.
+func (g *Gateway) beginTrial(ctx context.Context, part string, id cicadapitch.RequestID) bool {
+	owners := g.membership.OwnersOf(trialKey(part))
+	dialer := g.membership.Dialer()
+	for _, h := range owners[:min(len(owners), maxTrialOwners)] {
+		if dialer == nil || g.membership.IsSelf(h) {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, trialCallTimeout.Duration())
+		reply, err := peer.Call[TrialCall, TrialReply](callCtx, dialer, h.Peers, callTrial, TrialCall{part, id})
+		cancel()
+		if err == nil {
+			g.quarantine.Merge(g.clock.Now(), reply.Reports)
+			return reply.Granted
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		g.log.Warn().Str("Host", string(h.ID)).Str("Part", part).Err(err).Msg("asking for the trial of a suspected part failed")
+	}
+	return g.grantTrial(TrialCall{part, id}).Granted
+}
+
+// grantTrial decides on a trial as the owner of the part.
+func (g *Gateway) grantTrial(c TrialCall) TrialReply {
+	now := g.clock.Now()
+	granted := g.quarantine.AllowsTrial(now, c.Part) && g.trials.Begin(now, c.Part, c.Request)
+	return TrialReply{Granted: granted, Reports: g.quarantine.Reports(now, c.Part)}
+}
+
+// endTrial tells the owner of the part that the request's trial has ended, once it is
+// known whether the endpoint has ended too.
+func (p *proxiedRequest) endTrial() {
+	part := p.trial
+	if part == "" {
+		return
+	}
+	p.trial = ""
+	g, id, check := p.g, p.request.ID, p.endCheck
+	owner := g.membership.OwnersOf(trialKey(part))[0]
+	go func() {
+		if check != nil {
+			<-check
+		}
+		g.notifySuspects(owner, SuspectNotice{id, g.quarantine.Reports(g.clock.Now(), part)})
+	}()
+}
+
+// recordAnswer clears the parts of the prompt, since an answer to it has outlived its
+// beginning.
+func (p *proxiedRequest) recordAnswer() {
+	p.g.quarantine.RecordAnswer(p.g.clock.Now(), p.sharedParts)
+	p.endTrial()
+}
+
+// recordCrash records that an endpoint ended under the runs, and tells all hosts.
+func (g *Gateway) recordCrash(e fleet.Endpoint, runs []brokenRun) {
+	now := g.clock.Now()
+	changed := map[string]bool{}
+	for _, run := range runs {
+		g.quarantine.RecordCrash(now, run.parts, quarantine.Crash{SentAt: run.sentAt, EndedAt: run.brokenAt})
+		for _, part := range run.parts {
+			changed[part] = true
+		}
+	}
+	var parts []string
+	for part := range changed {
+		parts = append(parts, part)
+	}
+	notice := SuspectNotice{Reports: g.quarantine.Reports(now, parts...)}
+	g.log.Info().Str("Endpoint", string(e.ID)).Int("Suspects", len(notice.Reports)).Msg("parts of prompts suspected")
+	for _, h := range g.membership.Hosts() {
+		if !g.membership.IsSelf(h) {
+			go g.notifySuspects(h, notice)
+		}
+	}
+}
+
+// notifySuspects sends a notice to a host, which may be this one. A failure is logged and
+// not retried: heartbeats repeat the reports, and trials end by themselves.
+func (g *Gateway) notifySuspects(h fleet.Host, n SuspectNotice) {
+	dialer := g.membership.Dialer()
+	if dialer == nil || g.membership.IsSelf(h) {
+		g.addSuspects(n)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout.Duration())
+	defer cancel()
+	if _, err := peer.Call[SuspectNotice, struct{}](ctx, dialer, h.Peers, callSuspects, n); err != nil {
+		g.log.Warn().Str("Host", string(h.ID)).Int("Suspects", len(n.Reports)).Err(err).Msg("telling a host of suspected parts failed")
+	}
+}
+
+// addSuspects applies a notice.
+func (g *Gateway) addSuspects(n SuspectNotice) {
+	g.quarantine.Merge(g.clock.Now(), n.Reports)
+	if n.Request != "" {
+		g.trials.End(n.Request)
+	}
+}
+
+// logQuarantine logs a change of a part's quarantine.
+func (g *Gateway) logQuarantine(c quarantine.Change) {
+	g.log.Warn().Str("Part", c.Part).Stringer("State", c.State).Int("Crashes", c.Crashes).Msg("quarantine")
+	g.metrics.Tagged(map[string]string{"State": c.State.String()}).Counter("Quarantines").Inc(1)
+}
+
+// answerProof finds out whether an answer outlives its beginning.
+type answerProof struct {
+	request *proxiedRequest
+	// counts is true for successful answers.
+	counts bool
+	// beganAt is when the first bytes came, or 0.
+	beganAt cicadapitch.Instant
+}
+
+func (p *proxiedRequest) newAnswerProof(reply *platform.Reply) answerProof {
+	return answerProof{request: p, counts: reply.Status < 300 && len(p.sharedParts) > 0}
+}
+
+// add adds the result of a read of the answer.
+func (a *answerProof) add(n int, err error) {
+	if !a.counts || n == 0 && err == nil {
+		return
+	}
+	now := a.request.g.clock.Now()
+	switch {
+	case err == io.EOF || err == nil && a.beganAt > 0 && now.Sub(a.beganAt) >= answerProofTime:
+		a.request.recordAnswer()
+	case a.beganAt == 0:
+		a.beganAt = now
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -86,6 +86,13 @@
 	// queueWaits are the queue waits by shard key that the owners had reported before
 	// the stages started.
 	queueWaits map[string]QueueWaits
+	// sharedParts are the ids of the prompt's parts but for the last.
+	sharedParts []string
+	// endCheck, if set, is closed once it is known whether the endpoint of the last broken
+	// answer has ended.
+	endCheck <-chan struct{}
+	// trial is the suspected part whose trial the request has, or empty.
+	trial string
 	// refusedBefore is true if the caller is retrying after a refusal.
 	refusedBefore bool
 	// status is the HTTP status that was relayed to the caller, or 0.
@@ -357,8 +364,8 @@
 func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, resumeAfter string, reply *platform.Reply, err error) {
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
-	if parts := p.request.SharedParts(); len(parts) > 0 {
-		event.Strs("Parts", parts[:min(len(parts), maxLoggedParts)])
+	if len(p.sharedParts) > 0 {
+		event.Strs("Parts", p.sharedParts[:min(len(p.sharedParts), maxLoggedParts)])
 	}
 	if resumeAfter != "" {
 		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
@@ -440,7 +447,7 @@
 		p.answer.Abort()
 	}
 	final := p.finalError(ctx, err)
-	if cicadapitch.KindOf(final) == cicadapitch.NotRun {
+	if cicadapitch.KindOf(final) == cicadapitch.NotRun && !errors.Is(err, errQuarantined) {
 		p.reportRefusal()
 	}
 	p.answer.WriteError(final)
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -74,6 +74,7 @@
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(),
 		Loads: loads, Waits: waits, Down: m.downReports(now), StoreAway: watches && !m.storeUp,
+		Suspects: m.quarantine.Reports(now),
 	}
 }
 
@@ -83,6 +84,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
+	m.quarantine.Merge(now, hb.Suspects)
 	m.mergeReports(now, hb)
 	if hb.StoreAway {
 		m.peerOutageAt = now
@@ -123,6 +125,7 @@
 			continue
 		}
 		m.removeOverdueEndpoints()
+		m.storeQuarantine(ctx)
 		targets := heartbeatTargets(m.incarnation, m.View().Hosts)
 		m.setMonitored(targets)
 		for _, h := range targets {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -15,6 +15,7 @@
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/quarantine"
 )
 
 const (
@@ -50,6 +51,7 @@
 	engineLoads func() map[cicadapitch.EndpointID]int
 	queueWaits  func() map[string][]cicadapitch.Millis
 	onView      []func(*fleet.View)
+	quarantine  *quarantine.Ledger
 
 	view    atomic.Pointer[fleet.View]
 	leaving atomic.Bool
@@ -88,6 +90,10 @@
 	peerOutageAt cicadapitch.Instant
 	// lease is the lease of this host's entry in the store, 0 while it has none.
 	lease cicadapitch.LeaseID
+	// storedQuarantine holds the quarantined parts in the store, by key.
+	storedQuarantine map[string]string
+	// storingQuarantine is true while a change of them is being written.
+	storingQuarantine bool
 }
 
 // peerState holds the last heartbeat of another host and the times that belong to it.
@@ -109,6 +115,10 @@
 // WithClock sets the clock. The default is the system clock.
 func WithClock(c cicadapitch.Clock) Option { return func(m *Membership) { m.clock = c } }
 
+// WithQuarantine sets the ledger of parts of prompts that crash endpoints, which heartbeats
+// and the store carry to other hosts. The default is an empty one.
+func WithQuarantine(l *quarantine.Ledger) Option { return func(m *Membership) { m.quarantine = l } }
+
 // New returns a Membership with an empty view. It makes no call to the store.
 func New(s *platform.Settings, opts ...Option) *Membership {
 	m := &Membership{
@@ -118,6 +128,7 @@
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
 		downAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
+		quarantine: quarantine.NewLedger(), storedQuarantine: map[string]string{},
 		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	m.leaveCtx, m.cancelLeaveCtx = context.WithCancel(context.Background())
--- a/membership/message.go
+++ b/membership/message.go
@@ -3,6 +3,7 @@
 import (
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/quarantine"
 )
 
 // Names of the calls between hosts, as sent on the wire.
@@ -30,6 +31,8 @@
 	// Down lists the hosts that the sender found unavailable or that were reported to
 	// it as unavailable.
 	Down []DownReport
+	// Suspects reports on parts of prompts that may crash endpoints.
+	Suspects []quarantine.Report
 }
 
 // AgedWaits holds the queue waits of a shard, as gateway.QueueWaits, and how long ago
@@ -54,6 +57,14 @@
 	Records  []fleet.Record
 }
 
+// quarantineRecord is the value of the store's key of a quarantined part.
+type quarantineRecord struct {
+	Part string
+	// QuarantinedAt is in milliseconds since the Unix epoch by the clock of the host that
+	// wrote it.
+	QuarantinedAt cicadapitch.Instant
+}
+
 // hostRecord is the value of a host's entry in the store.
 type hostRecord struct {
 	Host        cicadapitch.HostID
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -177,6 +177,9 @@
 	if strings.HasPrefix(r.Key, hostKeyPrefix) {
 		m.applyHost(r)
 	}
+	if strings.HasPrefix(r.Key, quarantineKeyPrefix) {
+		m.applyQuarantine(now, r)
+	}
 }
 
 // applyCatalog puts a configuration in force unless a later version is in force. The
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,230 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/samber/lo"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	// maxSuspects bounds the parts that a ledger holds.
+	maxSuspects = 1024
+	// maxReports bounds the reports that a host sends at once.
+	maxReports = 64
+)
+
+// Change is a part that was quarantined, or is no longer.
+type Change struct {
+	Part  string
+	State State
+	// Crashes is the number of independent crashes that are known.
+	Crashes int
+}
+
+// Ledger holds what this host knows of parts that crash endpoints. It is safe for
+// concurrent use.
+type Ledger struct {
+	// size is the number of suspects, so that requests need no lock while there are none.
+	size atomic.Int32
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	suspects map[string]*suspect
+	onChange func(Change)
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{suspects: map[string]*suspect{}} }
+
+// OnChange registers a function that is called with each change. It runs with the lock
+// of the ledger held, so it must not block or call the ledger.
+func (l *Ledger) OnChange(f func(Change)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onChange = f
+}
+
+// RecordCrash records that the endpoint of a request with the given shared parts crashed.
+// Once a part has crashed enough endpoints, it is quarantined: the one with the most
+// independent crashes, and of several the last one, which the fewest sound requests share.
+// A request with a part that is quarantined already says nothing of its other parts.
+func (l *Ledger) RecordCrash(now cicadapitch.Instant, parts []string, c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, state := l.worst(now, parts); state == Quarantined {
+		return
+	}
+	for _, part := range parts {
+		l.change(now, part, func(s *suspect) { s.addCrashes([]Crash{c}) })
+	}
+	part, _ := l.worst(now, parts)
+	if s := l.suspects[part]; s != nil && len(s.crashes) >= crashesToQuarantine {
+		l.change(now, part, func(s *suspect) { s.quarantinedAt = now })
+	}
+}
+
+// RecordAnswer records that a run with the given shared parts outlived the beginning of
+// its answer, which clears all of them.
+func (l *Ledger) RecordAnswer(now cicadapitch.Instant, parts []string) {
+	if l.size.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range parts {
+		if s := l.suspects[part]; s != nil && s.state() != Clear {
+			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
+		}
+	}
+}
+
+// Check returns the worst state of the given parts, and the part that is in it: that with
+// the most crashes, and of several the last one. The part is empty if all are clear.
+func (l *Ledger) Check(now cicadapitch.Instant, parts []string) (string, State) {
+	if l.size.Load() == 0 {
+		return "", Clear
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.worst(now, parts)
+}
+
+// worst is Check with the lock held.
+func (l *Ledger) worst(now cicadapitch.Instant, parts []string) (string, State) {
+	worst, state, crashes := "", Clear, 0
+	for _, part := range parts {
+		s := l.suspects[part]
+		if s == nil || s.expired(now) {
+			continue
+		}
+		if st := s.state(); st > state || st == state && st != Clear && len(s.crashes) >= crashes {
+			worst, state, crashes = part, st, len(s.crashes)
+		}
+	}
+	return worst, state
+}
+
+// AllowsTrial reports whether a request with a part may be sent to find out whether it
+// crashes its endpoint, so that the crash would count as independent.
+func (l *Ledger) AllowsTrial(now cicadapitch.Instant, part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[part]
+	return s == nil || s.state() != Quarantined && now >= s.lastCrash().Add(relaySlack)
+}
+
+// Quarantined returns when each quarantined part was quarantined.
+func (l *Ledger) Quarantined(now cicadapitch.Instant) map[string]cicadapitch.Instant {
+	out := map[string]cicadapitch.Instant{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for part, s := range l.suspects {
+		if s.state() == Quarantined && !s.expired(now) {
+			out[part] = s.quarantinedAt
+		}
+	}
+	return out
+}
+
+// Reports returns reports of the suspects with the given parts, or of all if there are
+// none, at most maxReports: the worst ones, then those that changed last.
+func (l *Ledger) Reports(now cicadapitch.Instant, parts ...string) []Report {
+	if l.size.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	if len(parts) == 0 {
+		for part := range l.suspects {
+			parts = append(parts, part)
+		}
+	}
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return l.suspects[part] == nil })
+	slices.SortFunc(parts, func(a, b string) int { return l.suspects[b].compare(l.suspects[a]) })
+	var out []Report
+	for _, part := range parts[:min(len(parts), maxReports)] {
+		out = append(out, l.suspects[part].report(now, part))
+	}
+	return out
+}
+
+// compare orders suspects by how much they matter.
+func (s *suspect) compare(other *suspect) int {
+	return cmp.Or(cmp.Compare(s.state(), other.state()), cmp.Compare(len(s.crashes), len(other.crashes)), cmp.Compare(s.changedAt, other.changedAt))
+}
+
+// Merge adds the reports of another host.
+func (l *Ledger) Merge(now cicadapitch.Instant, reports []Report) {
+	if len(reports) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range reports {
+		l.merge(now, r)
+	}
+}
+
+// merge adds one report. The caller holds mu.
+func (l *Ledger) merge(now cicadapitch.Instant, r Report) {
+	answeredAt, quarantinedAt := instant(now, r.AnsweredAgo), instant(now, r.QuarantinedAgo)
+	if quarantinedAt > 0 && now.Sub(quarantinedAt) >= term || l.suspects[r.Part] == nil && quarantinedAt == 0 && len(r.Crashes) == 0 {
+		return
+	}
+	l.change(now, r.Part, func(s *suspect) {
+		s.addAnswer(answeredAt)
+		s.addCrashes(lo.Map(r.Crashes, func(c CrashReport, _ int) Crash {
+			return Crash{instant(now, c.SentAgo), instant(now, c.EndedAgo)}
+		}))
+		if s.quarantinedAt == 0 && quarantinedAt > s.clearedUntil() {
+			s.quarantinedAt = quarantinedAt
+		}
+	})
+}
+
+// change applies f to the suspect for a part, which it creates if needed, and tells
+// onChange if the part was quarantined or is no longer. The caller holds mu.
+func (l *Ledger) change(now cicadapitch.Instant, part string, f func(*suspect)) {
+	s := l.suspects[part]
+	if s == nil {
+		l.prune(now)
+		s = &suspect{}
+		l.suspects[part] = s
+		l.size.Store(int32(len(l.suspects)))
+	}
+	before, crashes := s.state(), len(s.crashes)
+	f(s)
+	after := s.state()
+	if after != before || len(s.crashes) != crashes {
+		s.changedAt = now
+	}
+	if after != before && (before == Quarantined || after == Quarantined) && l.onChange != nil {
+		l.onChange(Change{part, after, len(s.crashes)})
+	}
+}
+
+// prune removes the expired suspects, and while there is no room for another one, the one
+// that matters least. The caller holds mu.
+func (l *Ledger) prune(now cicadapitch.Instant) {
+	for part, s := range l.suspects {
+		if s.expired(now) {
+			delete(l.suspects, part)
+		}
+	}
+	for len(l.suspects) >= maxSuspects {
+		least := ""
+		for part, s := range l.suspects {
+			if least == "" || s.compare(l.suspects[least]) < 0 {
+				least = part
+			}
+		}
+		delete(l.suspects, least)
+	}
+	l.size.Store(int32(len(l.suspects)))
+}
--- /dev/null
+++ b/quarantine/ledger_test.go
@@ -0,0 +1,127 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/quarantine"
+)
+
+const start cicadapitch.Instant = 1_000_000
+
+// crash records a run that is sent and crashes its endpoint 50 ms later, at the instant
+// after start.
+func crash(l *quarantine.Ledger, at cicadapitch.Millis, parts ...string) {
+	now := start.Add(at)
+	l.RecordCrash(now, parts, quarantine.Crash{SentAt: now.Add(-50), EndedAt: now})
+}
+
+func stateOf(l *quarantine.Ledger, at cicadapitch.Millis, parts ...string) quarantine.State {
+	_, state := l.Check(start.Add(at), parts)
+	return state
+}
+
+func TestPartIsQuarantinedAfterIndependentCrashes(t *testing.T) {
+	l := quarantine.NewLedger()
+	require.Equal(t, quarantine.Clear, stateOf(l, 0, "bad"))
+	for i := range 3 {
+		require.NotEqual(t, quarantine.Quarantined, stateOf(l, 0, "bad"))
+		crash(l, cicadapitch.Millis(i)*1000, "first", fmt.Sprint("session", i), "bad", fmt.Sprint("other", i))
+		l.RecordAnswer(start.Add(cicadapitch.Millis(i)*1000+200), []string{"first"})
+	}
+	part, state := l.Check(start.Add(3000), []string{"first", "bad", "new"})
+	require.Equal(t, quarantine.Quarantined, state)
+	require.Equal(t, "bad", part)
+	for i := range 3 {
+		require.NotEqual(t, quarantine.Quarantined, stateOf(l, 3000, "first", fmt.Sprint("session", i)))
+	}
+}
+
+// TestEndpointsLostTogetherCountOnce ends many runs with one part at the same moment, as
+// the loss of a zone does, also where the hosts see it at slightly different times.
+func TestEndpointsLostTogetherCountOnce(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 20 {
+		now := start.Add(cicadapitch.Millis(1000 + 5*i))
+		l.RecordCrash(now, []string{"hot"}, quarantine.Crash{SentAt: start.Add(cicadapitch.Millis(45 * i)), EndedAt: now})
+	}
+	require.Equal(t, quarantine.Suspected, stateOf(l, 1200, "hot"))
+	l.RecordAnswer(start.Add(1300), []string{"hot"})
+	require.Equal(t, quarantine.Clear, stateOf(l, 1300, "hot"))
+}
+
+// TestOfPartsThatCrashTogetherTheLastIsQuarantined guards against the rejection of all
+// requests of a session, or with a first part, for another part of some of them.
+func TestOfPartsThatCrashTogetherTheLastIsQuarantined(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 4 {
+		crash(l, cicadapitch.Millis(i)*1000, "first", "session", "bad")
+	}
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 4000, "bad"))
+	require.Equal(t, quarantine.Suspected, stateOf(l, 4000, "first", "session"))
+	crash(l, 5000, "first", "session")
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 5000, "session"), "the session crashes an endpoint without the other part")
+}
+
+func TestAnswerEndsAQuarantine(t *testing.T) {
+	l, other := quarantine.NewLedger(), quarantine.NewLedger()
+	for i := range 3 {
+		crash(l, cicadapitch.Millis(i)*1000, "part")
+	}
+	other.Merge(start.Add(2100), l.Reports(start.Add(2100)))
+	require.Equal(t, quarantine.Quarantined, stateOf(other, 2100, "part"))
+	l.RecordAnswer(start.Add(3000), []string{"part"})
+	require.Equal(t, quarantine.Clear, stateOf(l, 3000, "part"))
+	// A report of a host that has not heard of the answer must not undo it.
+	l.Merge(start.Add(3100), other.Reports(start.Add(3100)))
+	other.Merge(start.Add(3100), l.Reports(start.Add(3100)))
+	require.Equal(t, quarantine.Clear, stateOf(l, 3100, "part"))
+	require.Equal(t, quarantine.Clear, stateOf(other, 3100, "part"))
+}
+
+// TestRelayedCrashCountsOnce relays one crash between two hosts, each time 40 ms later.
+func TestRelayedCrashCountsOnce(t *testing.T) {
+	a, b := quarantine.NewLedger(), quarantine.NewLedger()
+	crash(a, 0, "part")
+	for i := range 20 {
+		at := cicadapitch.Millis(i) * 400
+		b.Merge(start.Add(at+40), a.Reports(start.Add(at)))
+		a.Merge(start.Add(at+80), b.Reports(start.Add(at+40)))
+	}
+	for _, l := range []*quarantine.Ledger{a, b} {
+		require.Len(t, l.Reports(start.Add(9000))[0].Crashes, 1)
+	}
+}
+
+func TestQuarantineEndsAndMemoryIsBounded(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 3 {
+		crash(l, cicadapitch.Millis(i)*1000, "bad")
+	}
+	for i := range 5000 {
+		crash(l, cicadapitch.Millis(4000+i), fmt.Sprint(i))
+	}
+	require.LessOrEqual(t, len(l.Reports(start.Add(9000))), 64)
+	known := 0
+	for i := range 5000 {
+		if stateOf(l, 9000, fmt.Sprint(i)) != quarantine.Clear {
+			known++
+		}
+	}
+	require.Less(t, known, 1024)
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 9000, "bad"), "other suspects do not displace it")
+	require.Equal(t, quarantine.Clear, stateOf(l, 61*cicadapitch.Minute, "bad"))
+}
+
+func TestOneTrialAtATime(t *testing.T) {
+	trials := quarantine.NewTrials()
+	require.True(t, trials.Begin(start, "part", "a"))
+	require.False(t, trials.Begin(start.Add(100), "part", "b"))
+	require.True(t, trials.Begin(start.Add(100), "other", "b"))
+	trials.End("a")
+	require.True(t, trials.Begin(start.Add(200), "part", "c"))
+	require.True(t, trials.Begin(start.Add(200).Add(3*cicadapitch.Second), "part", "d"), "a trial whose end is not reported ends by itself")
+}
