--- a/gateway/request.go
+++ b/gateway/request.go
@@ -372,6 +372,9 @@
 	}
 	if reply != nil {
 		event.Int("EndpointStatus", reply.Status).Stringer("Framing", reply.Framing)
+		if reply.RateLimit.Named {
+			event.Float64("RateLimit", reply.RateLimit.PerSecond)
+		}
 	}
 	event.Err(err).Msg("sent")
 }
