placement, batch, membership: keep the rate limits that endpoints name

Cause: nothing read the limit, so such an endpoint was chosen like any other. Class: what one endpoint tells one host binds all of them, and no such belief was kept or passed on.

Change: each answer of an endpoint, stage calls included, says whether it names a limit (platform). placement.RateLimits keeps it by endpoint and process; it is ended by an answer without one to a later call; heartbeats carry it to all hosts. As at cold endpoints only a few hosts, the first in the rendezvous order for the endpoint, share nine tenths of the limit, each without a burst. The planner of a stage service starts calls and frees results at 0.45 of the limit each. The debt of a token bucket is bounded, so that plain services can get a limit late.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -58,6 +58,11 @@
 	// removed is set when the endpoint is no longer in the view but still runs
 	// calls.
 	removed bool
+	// callRate is the calls a second that the endpoint may get by the limit that it has
+	// named, or 0 if it has none. A negative rate allows none.
+	callRate float64
+	// lastStart is when the last call started.
+	lastStart cicadapitch.Instant
 	// memoryWaitSince is when the endpoint began to wait for result memory to be
 	// freed, or 0 if it does not wait.
 	memoryWaitSince cicadapitch.Instant
@@ -82,13 +87,24 @@
 
 // canStart reports whether the endpoint can start a call now.
 func (s *endpointState) canStart(now cicadapitch.Instant, slots int) bool {
-	return !s.removed && len(s.calls) < slots && now >= s.backoffUntil
+	return !s.removed && len(s.calls) < slots && now >= s.backoffUntil && s.limitWait(now) <= 0
+}
+
+// limitWait returns the time until the limit that the endpoint has named allows a call.
+func (s *endpointState) limitWait(now cicadapitch.Instant) cicadapitch.Millis {
+	switch {
+	case s.callRate < 0:
+		return maxBackoff
+	case s.callRate == 0 || s.lastStart == 0:
+		return 0
+	}
+	return s.lastStart.Add(cicadapitch.Millis(float64(cicadapitch.Second) / s.callRate)).Sub(now)
 }
 
 // timeUntilFree estimates the time until the endpoint can start a call. If no slot
 // is free, that is the time until the last of its running calls is expected to end.
 func (s *endpointState) timeUntilFree(now cicadapitch.Instant, slots int) cicadapitch.Millis {
-	wait := max(s.backoffUntil.Sub(now), 0)
+	wait := max(s.backoffUntil.Sub(now), s.limitWait(now), 0)
 	if len(s.calls) < slots {
 		return wait
 	}
--- a/batch/estimate.go
+++ b/batch/estimate.go
@@ -12,7 +12,11 @@
 		if s.removed || s.backoff >= maxBackoff {
 			continue
 		}
-		rate += size / (float64(p.ExpectedDuration(int(size))) * s.currentSlowdown(now))
+		endpointRate := size / (float64(p.ExpectedDuration(int(size))) * s.currentSlowdown(now))
+		if s.callRate != 0 {
+			endpointRate = min(endpointRate, size*max(s.callRate, 0)/float64(cicadapitch.Second))
+		}
+		rate += endpointRate
 		if free := s.timeUntilFree(now, p.spec.Slots); untilFree < 0 || free < untilFree {
 			untilFree = free
 		}
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -148,6 +148,7 @@
 		s.resultMemoryUsed += ref.Job.ResultBytes
 	}
 	s.calls[c.ID] = &inFlightCall{Call: c, started: now}
+	s.lastStart = now
 	s.slowdown, s.slowdownAt = s.currentSlowdown(now), now
 	p.calls[c.ID] = s
 	return c
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -126,6 +126,36 @@
 	}
 }
 
+// limitCallShare is the share of the limit that an endpoint has named which the calls of a
+// planner use. The calls that free results use as much.
+const limitCallShare = 0.45
+
+// SetRateLimits sets the calls a second that endpoints take, those that free results
+// included. rateOf returns false for an endpoint without a limit.
+func (p *Planner) SetRateLimits(rateOf func(catalog.Endpoint) (float64, bool)) {
+	for _, s := range p.endpoints {
+		limit, limited := rateOf(s.Endpoint)
+		switch {
+		case !limited:
+			s.callRate = 0
+		case limit <= 0:
+			s.callRate = -1
+		default:
+			s.callRate = limitCallShare * limit
+		}
+	}
+}
+
+// FreeInterval returns the least time between two calls that free results at an endpoint,
+// by the limit that it has named. It returns false if the endpoint takes none.
+func (p *Planner) FreeInterval(id cicadapitch.EndpointID) (cicadapitch.Millis, bool) {
+	s := p.endpoints[id]
+	if s == nil || s.callRate == 0 {
+		return 0, true
+	}
+	return cicadapitch.Millis(float64(cicadapitch.Second) / s.callRate), s.callRate > 0
+}
+
 // ExpectedDuration returns the expected duration of a call with n pieces.
 func (p *Planner) ExpectedDuration(n int) cicadapitch.Millis {
 	return p.spec.CallTime + cicadapitch.Millis(float64(n)*p.spec.PieceTime)
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -283,3 +283,32 @@
 	}
 	require.Len(t, seen, 3)
 }
+
+// TestPlannerKeepsTheRateLimitOfAnEndpoint counts the calls of an endpoint that takes two
+// calls a second, half of which are left for those that free results. The other endpoint
+// takes the rest of the work.
+func TestPlannerKeepsTheRateLimitOfAnEndpoint(t *testing.T) {
+	p := planner(2)
+	p.SetRateLimits(func(e catalog.Endpoint) (float64, bool) { return 2, e.ID == "e0" })
+	calls := map[cicadapitch.EndpointID]int{}
+	for at := cicadapitch.Millis(0); at < 8000; at += 20 {
+		now := start.Add(at)
+		if at%100 == 0 {
+			p.Submit(now, job(int(at)+1, 1, at+1000, at+3000))
+		}
+		started, _, _, _ := p.Plan(now)
+		for _, c := range started {
+			calls[c.Endpoint.ID]++
+			p.FinishCall(now.Add(10), c.ID, resultsOf(c), batch.NoFailure)
+		}
+	}
+	require.LessOrEqual(t, calls["e0"], 9)
+	require.Positive(t, calls["e0"])
+	require.Greater(t, calls["e1"], 60)
+	interval, ok := p.FreeInterval("e0")
+	require.True(t, ok)
+	require.Greater(t, interval, cicadapitch.Second)
+	p.SetRateLimits(func(e catalog.Endpoint) (float64, bool) { return 0, e.ID == "e0" })
+	_, ok = p.FreeInterval("e0")
+	require.False(t, ok)
+}
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -19,6 +19,7 @@
 	"cicadapitch.example/cicadapitch/gateway"
 	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/quarantine"
 )
@@ -61,6 +62,7 @@
 	do.ProvideValue[cicadapitch.Clock](injector, clock)
 	do.ProvideValue(injector, tally.NewTestScope("", nil))
 	do.ProvideValue(injector, quarantine.NewLedger())
+	do.ProvideValue(injector, placement.NewRateLimits())
 	do.Provide(injector, newMembership)
 	do.Provide(injector, newGateway)
 	g, err := do.Invoke[*gateway.Gateway](injector)
@@ -79,6 +81,7 @@
 	return membership.New(do.MustInvoke[*platform.Settings](i),
 		membership.WithLog(do.MustInvoke[zerolog.Logger](i)),
 		membership.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
+		membership.WithRateLimits(do.MustInvoke[*placement.RateLimits](i)),
 		membership.WithClock(do.MustInvoke[cicadapitch.Clock](i))), nil
 }
 
@@ -87,6 +90,7 @@
 	g := gateway.New(do.MustInvoke[*platform.Settings](i), m,
 		gateway.WithLog(do.MustInvoke[zerolog.Logger](i)),
 		gateway.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
+		gateway.WithRateLimits(do.MustInvoke[*placement.RateLimits](i)),
 		gateway.WithClock(do.MustInvoke[cicadapitch.Clock](i)),
 		gateway.WithMetrics(do.MustInvoke[tally.TestScope](i)))
 	m.OnView(g.SetView)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -59,6 +60,7 @@
 	endChecks  *endChecks
 	quarantine *quarantine.Ledger
 	trials     *quarantine.Trials
+	limits     *placement.RateLimits
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
 	// stopped is canceled by Stop.
@@ -91,10 +93,14 @@
 // others. The default is a ledger of the gateway's own.
 func WithQuarantine(l *quarantine.Ledger) Option { return func(g *Gateway) { g.quarantine = l } }
 
+// WithRateLimits sets the limits that endpoints have named, which the host shares with
+// others. The default is none but those named to the gateway.
+func WithRateLimits(l *placement.RateLimits) Option { return func(g *Gateway) { g.limits = l } }
+
 // New returns a gateway for the host with settings s.
 func New(s *platform.Settings, membership Membership, opts ...Option) *Gateway {
 	g := &Gateway{
-		membership: membership, endpoints: platform.NewEndpointClient(), clock: cicadapitch.NewSystemClock(),
+		membership: membership, clock: cicadapitch.NewSystemClock(),
 		log: zerolog.Nop(), metrics: tally.NoopScope, bounds: s.Bounds,
 		chooser:          placement.NewChooser(s.Zone, s.Bounds.ColdExcess, s.Bounds.ColdSlack),
 		retryBudgets:     map[catalog.ServiceID]*placement.RetryBudget{},
@@ -103,14 +109,18 @@
 		endChecks:        newEndChecks(),
 		quarantine:       quarantine.NewLedger(),
 		trials:           quarantine.NewTrials(),
+		limits:           placement.NewRateLimits(),
 		peerAddress:      s.PeerAddress(),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit))
+	g.chooser.SetRateLimits(g.limits)
+	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
 	g.stopped, g.stop = context.WithCancel(context.Background())
-	g.shards = newShardRunners(g.endpoints, g.clock, g.log, g.metrics)
+	g.shards = newShardRunners(g.endpoints, g.limits, g.clock, g.log, g.metrics)
 	g.shards.onFetched = g.freeResults
 	g.shards.owns = func(s batch.Shard) bool {
 		_, self := g.ownerOf(s)
@@ -143,6 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.chooser.Retain(func(id cicadapitch.EndpointID) bool { return known[id] })
+	g.limits.Retain(g.clock.Now(), func(id cicadapitch.EndpointID) bool { return known[id] })
 }
 
 // Loads returns this host's running calls by endpoint.
@@ -257,6 +268,22 @@
 	a.WriteError(err)
 }
 
+// recordRateLimit records what an answer says of its endpoint's rate limit.
+func (g *Gateway) recordRateLimit(e catalog.Endpoint, took cicadapitch.Millis, limit platform.RateLimit) {
+	if limit.Invalid != "" {
+		g.log.Warn().Str("Endpoint", string(e.ID)).Str("Limit", limit.Invalid).Msg("invalid rate limit of an endpoint ignored")
+		return
+	}
+	now := g.clock.Now()
+	g.limits.Record(now, now.Add(-took), e, limit.Named, limit.PerSecond)
+}
+
+// logRateLimit logs a change of an endpoint's rate limit.
+func (g *Gateway) logRateLimit(id cicadapitch.EndpointID, limit placement.RateLimit) {
+	g.log.Info().Str("Endpoint", string(id)).Bool("Limited", limit.Limited).Float64("PerSecond", limit.PerSecond).Msg("rate limit")
+	g.metrics.Tagged(map[string]string{"Limited": strconv.FormatBool(limit.Limited)}).Counter("RateLimits").Inc(1)
+}
+
 // retryBudget returns the retry budget of a service. The caller holds mu.
 func (g *Gateway) retryBudget(s catalog.ServiceID) *placement.RetryBudget {
 	b := g.retryBudgets[s]
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -146,7 +146,7 @@
 	if p.service.Engine != nil {
 		criteria.OtherLoads = g.membership.Loads()
 	}
-	if p.service.ColdPerSecond > 0 {
+	if p.service.ColdPerSecond > 0 || g.limits.Any() {
 		criteria.Rank = p.hostRank()
 	}
 	g.mu.Lock()
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
@@ -46,6 +48,8 @@
 	log       zerolog.Logger
 	metrics   tally.Scope
 
+	// limits holds the limits that endpoints have named.
+	limits *placement.RateLimits
 	// owns reports whether this host is the current owner of a shard.
 	owns func(batch.Shard) bool
 	// onFetched, if set, is called with the inputs that a call has fetched, once for
@@ -74,14 +78,16 @@
 	// pendingFree holds the handles of the results to free, by endpoint, until the
 	// timer fires.
 	pendingFree map[cicadapitch.EndpointID][]string
+	// freedAt is when results were last freed at an endpoint.
+	freedAt map[cicadapitch.EndpointID]cicadapitch.Instant
 	// obsolete is true while the service is no longer divided into this shard.
 	obsolete bool
 	view     *fleet.View
 }
 
-func newShardRunners(e *platform.EndpointClient, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *ShardRunners {
+func newShardRunners(e *platform.EndpointClient, limits *placement.RateLimits, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *ShardRunners {
 	return &ShardRunners{
-		endpoints: e, clock: clock, log: log, metrics: metrics,
+		endpoints: e, limits: limits, clock: clock, log: log, metrics: metrics,
 		runners: map[batch.Shard]*shardRunner{},
 	}
 }
@@ -118,6 +124,7 @@
 		shards: s, shard: shard, planner: batch.NewPlanner(*spec.Batch),
 		waiters:     map[batch.JobID]chan batch.Outcome{},
 		pendingFree: map[cicadapitch.EndpointID][]string{},
+		freedAt:     map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	r.timer = time.AfterFunc(time.Hour, r.onTimer)
 	r.setView(s.view)
@@ -258,10 +265,7 @@
 	owns := r.shards.owns == nil || r.shards.owns(r.shard)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, handles := range r.pendingFree {
-		delete(r.pendingFree, id)
-		r.sendFree(id, handles)
-	}
+	r.sendPendingFrees(r.shards.clock.Now())
 	if !owns || r.obsolete {
 		r.planner.HandOver()
 	}
@@ -271,6 +275,7 @@
 // applyPlan runs the planner and executes its commands: it delivers outcomes,
 // starts calls, queues frees and resets the timer. The caller holds mu.
 func (r *shardRunner) applyPlan(now cicadapitch.Instant) {
+	r.planner.SetRateLimits(r.shards.limits.Of)
 	calls, outcomes, toFree, delay := r.planner.Plan(now)
 	for _, out := range outcomes {
 		if ch := r.waiters[out.Job]; ch != nil {
@@ -388,6 +393,27 @@
 	return "", false
 }
 
+// sendPendingFrees frees the pending results at the endpoints whose rate limits allow a
+// call now. The others keep theirs until one does; results expire by themselves. The
+// caller holds mu.
+func (r *shardRunner) sendPendingFrees(now cicadapitch.Instant) {
+	for id, handles := range r.pendingFree {
+		interval, ok := r.planner.FreeInterval(id)
+		switch {
+		case !ok:
+			delete(r.pendingFree, id)
+		case now.Sub(r.freedAt[id]) >= interval:
+			delete(r.pendingFree, id)
+			r.freedAt[id] = now
+			r.sendFree(id, handles)
+		}
+	}
+	maps.DeleteFunc(r.freedAt, func(id cicadapitch.EndpointID, _ cicadapitch.Instant) bool {
+		_, known := r.planner.Endpoint(id)
+		return !known
+	})
+}
+
 // sendFree frees results at their endpoint in the background. It does nothing if the
 // planner no longer has the endpoint. The caller holds mu.
 func (r *shardRunner) sendFree(id cicadapitch.EndpointID, handles []string) {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -74,7 +74,7 @@
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(),
 		Loads: loads, Waits: waits, Down: m.downReports(now), StoreAway: watches && !m.storeUp,
-		Suspects: m.quarantine.Reports(now),
+		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
 }
 
@@ -85,6 +85,7 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	m.quarantine.Merge(now, hb.Suspects)
+	m.limits.Merge(now, hb.Limits)
 	m.mergeReports(now, hb)
 	if hb.StoreAway {
 		m.peerOutageAt = now
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -14,6 +14,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/quarantine"
 )
@@ -52,6 +53,7 @@
 	queueWaits  func() map[string][]cicadapitch.Millis
 	onView      []func(*fleet.View)
 	quarantine  *quarantine.Ledger
+	limits      *placement.RateLimits
 
 	view    atomic.Pointer[fleet.View]
 	leaving atomic.Bool
@@ -119,6 +121,10 @@
 // and the store carry to other hosts. The default is an empty one.
 func WithQuarantine(l *quarantine.Ledger) Option { return func(m *Membership) { m.quarantine = l } }
 
+// WithRateLimits sets the limits that endpoints have named, which heartbeats carry to other
+// hosts. The default is none.
+func WithRateLimits(l *placement.RateLimits) Option { return func(m *Membership) { m.limits = l } }
+
 // New returns a Membership with an empty view. It makes no call to the store.
 func New(s *platform.Settings, opts ...Option) *Membership {
 	m := &Membership{
@@ -128,7 +134,7 @@
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
 		downAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
-		quarantine: quarantine.NewLedger(), storedQuarantine: map[string]string{},
+		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	m.leaveCtx, m.cancelLeaveCtx = context.WithCancel(context.Background())
--- a/membership/message.go
+++ b/membership/message.go
@@ -3,6 +3,7 @@
 import (
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/quarantine"
 )
 
@@ -33,6 +34,8 @@
 	Down []DownReport
 	// Suspects reports on parts of prompts that may crash endpoints.
 	Suspects []quarantine.Report
+	// Limits reports the rate limits that endpoints have named.
+	Limits []placement.RateLimitReport
 }
 
 // AgedWaits holds the queue waits of a shard, as gateway.QueueWaits, and how long ago
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -23,6 +23,11 @@
 	// endpoint, per call per second of Service.ColdPerSecond. With more hosts, the
 	// share of each would be too small to be useful.
 	coldHostsPerCallPerSecond = 0.6
+	// limitRateShare is the share of the limit that an endpoint has named which all hosts
+	// together use, and limitHostsPerCallPerSecond the number of hosts that may send it
+	// calls, per call per second of the limit.
+	limitRateShare             = 0.9
+	limitHostsPerCallPerSecond = 0.6
 	// warmBurst is the number of calls that a host may start at once at a warm
 	// endpoint.
 	warmBurst = 3
@@ -46,6 +51,7 @@
 	coldRateFactor float64
 	coldExtraCalls float64
 	health         map[cicadapitch.EndpointID]*Health
+	limits         *RateLimits
 }
 
 // NewChooser returns a chooser for a host in the given zone. In any second, a cold
@@ -53,9 +59,15 @@
 // keeps warm endpoints within that limit too, since they may turn cold without
 // notice.
 func NewChooser(zone cicadapitch.ZoneID, rateFactor, extraCalls float64) *Chooser {
-	return &Chooser{zone: zone, coldRateFactor: rateFactor, coldExtraCalls: extraCalls, health: map[cicadapitch.EndpointID]*Health{}}
+	return &Chooser{
+		zone: zone, coldRateFactor: rateFactor, coldExtraCalls: extraCalls,
+		health: map[cicadapitch.EndpointID]*Health{}, limits: NewRateLimits(),
+	}
 }
 
+// SetRateLimits makes the chooser keep to the limits that endpoints have named.
+func (c *Chooser) SetRateLimits(l *RateLimits) { c.limits = l }
+
 // Health returns the health record of an endpoint, and creates it if there is
 // none.
 func (c *Chooser) Health(id cicadapitch.EndpointID) *Health {
@@ -182,22 +194,37 @@
 // Only a limited number of hosts may call a cold endpoint, each without a burst, so
 // that all hosts together stay within Service.ColdPerSecond in any second. An
 // endpoint may turn cold without notice, so a warm one has a rate limit too, with a
-// burst for callers of one session that arrive together.
+// burst for callers of one session that arrive together. A limit that the endpoint has
+// named is shared in the same way.
 func (c *Chooser) allowed(now cicadapitch.Instant, e fleet.Endpoint, criteria Criteria) bool {
-	coldRate := criteria.Service.ColdPerSecond
-	if coldRate <= 0 {
-		return true
-	}
-	h := c.Health(e.ID)
+	rate, burst := math.Inf(1), float64(warmBurst)
 	hosts := float64(max(criteria.Hosts, 1))
-	if !e.Cold(now) {
-		return h.allowed(now, max((coldRate*c.coldRateFactor+c.coldExtraCalls)/hosts, minWarmRate), warmBurst)
+	coldRate := criteria.Service.ColdPerSecond
+	switch {
+	case coldRate > 0 && e.Cold(now):
+		senders, ok := sendersOf(e, coldRate*coldHostsPerCallPerSecond, criteria)
+		if !ok {
+			return false
+		}
+		rate, burst = coldRateShare*coldRate/senders, 1
+	case coldRate > 0:
+		rate = max((coldRate*c.coldRateFactor+c.coldExtraCalls)/hosts, minWarmRate)
 	}
-	senders := min(hosts, max(math.Floor(coldRate*coldHostsPerCallPerSecond), 1))
-	if criteria.Rank != nil && criteria.Rank(string(e.ID)) >= int(senders) {
-		return false
+	if limit, ok := c.limits.Of(e.Endpoint); ok {
+		senders, ok := sendersOf(e, limit*limitHostsPerCallPerSecond, criteria)
+		if !ok || limit == 0 {
+			return false
+		}
+		rate, burst = min(rate, limitRateShare*limit/senders), 1
 	}
-	return h.allowed(now, coldRateShare*coldRate/senders, 1)
+	return math.IsInf(rate, 1) || c.Health(e.ID).allowed(now, rate, burst)
+}
+
+// sendersOf returns how many hosts share a small rate of calls at an endpoint, and whether
+// this host is one of them. wanted is the number of hosts for which the rate suffices.
+func sendersOf(e fleet.Endpoint, wanted float64, criteria Criteria) (float64, bool) {
+	senders := min(float64(max(criteria.Hosts, 1)), max(math.Floor(wanted), 1))
+	return senders, criteria.Rank == nil || criteria.Rank(string(e.ID)) < int(senders)
 }
 
 // ChoosePlain chooses the endpoint of a plain service with the lowest score: its
--- a/placement/health.go
+++ b/placement/health.go
@@ -91,4 +91,6 @@
 	h.refilledAt = now
 }
 
-func (h *Health) takeToken() { h.tokens-- }
+// takeToken takes a token. Without a rate limit there may be none; the debt is bounded, so
+// that it does not outlast the beginning of one.
+func (h *Health) takeToken() { h.tokens = max(h.tokens-1, -1) }
--- /dev/null
+++ b/placement/ratelimits.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+)
+
+const (
+	// limitRelaySlack is the error of an instant that was relayed between hosts as an age.
+	limitRelaySlack cicadapitch.Millis = 150
+	// liftedMemory is how long it is remembered that an endpoint has lifted its limit, so
+	// that older reports do not restore it.
+	liftedMemory = 10 * cicadapitch.Second
+)
+
+// RateLimit is the limit that an endpoint has named, for the calls of all hosts together.
+type RateLimit struct {
+	// Started identifies the process of the endpoint, as in its entry.
+	Started int64
+	// Limited is false if the endpoint names no limit any more.
+	Limited bool
+	// PerSecond is the number of calls a second.
+	PerSecond float64
+	// answeredAt is when the answer came that says so.
+	answeredAt cicadapitch.Instant
+}
+
+// RateLimitReport is what a host tells others of the limit of an endpoint.
+type RateLimitReport struct {
+	Endpoint  cicadapitch.EndpointID
+	Started   int64
+	Limited   bool
+	PerSecond float64
+	// AnsweredAgo is the age of the answer that said so.
+	AnsweredAgo cicadapitch.Millis
+}
+
+// RateLimits holds the limits that endpoints have named, to this host or to others. It is
+// safe for concurrent use.
+type RateLimits struct {
+	// current is an immutable copy of limits, or nil if there are none.
+	current atomic.Pointer[map[cicadapitch.EndpointID]RateLimit]
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	limits   map[cicadapitch.EndpointID]RateLimit
+	onChange func(cicadapitch.EndpointID, RateLimit)
+}
+
+// NewRateLimits returns RateLimits without any.
+func NewRateLimits() *RateLimits {
+	return &RateLimits{limits: map[cicadapitch.EndpointID]RateLimit{}}
+}
+
+// OnChange registers a function that is called with each limit that changes. It runs with
+// the lock held, so it must not block or call l.
+func (l *RateLimits) OnChange(f func(cicadapitch.EndpointID, RateLimit)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onChange = f
+}
+
+// Record records what an answer of an endpoint to a call that was sent at sentAt says of
+// its limit. An answer without a limit lifts the one before it only if it belongs to a
+// later call.
+func (l *RateLimits) Record(now, sentAt cicadapitch.Instant, e catalog.Endpoint, limited bool, perSecond float64) {
+	if !limited && l.current.Load() == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.limits[e.ID]
+	if !limited && (!ok || known.Started != e.Started || known.answeredAt > sentAt) {
+		return
+	}
+	l.set(now, e.ID, RateLimit{e.Started, limited, perSecond, now})
+}
+
+// Merge adds the reports of another host that are newer than what is known. Where answers
+// came at about the same time, a limit goes before none.
+func (l *RateLimits) Merge(now cicadapitch.Instant, reports []RateLimitReport) {
+	if len(reports) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range reports {
+		answeredAt := now.Add(-r.AnsweredAgo)
+		known, ok := l.limits[r.Endpoint]
+		newer := answeredAt > known.answeredAt.Add(limitRelaySlack)
+		if r.Limited && (!known.Limited || known.Started != r.Started) {
+			newer = answeredAt > known.answeredAt
+		}
+		if newer && (ok || r.Limited) {
+			l.set(now, r.Endpoint, RateLimit{r.Started, r.Limited, r.PerSecond, answeredAt})
+		}
+	}
+}
+
+// set stores the limit of an endpoint. The caller holds mu.
+func (l *RateLimits) set(now cicadapitch.Instant, id cicadapitch.EndpointID, limit RateLimit) {
+	known := l.limits[id]
+	l.limits[id] = limit
+	if known.Started == limit.Started && known.Limited == limit.Limited && known.PerSecond == limit.PerSecond {
+		return
+	}
+	l.publish(now)
+	if l.onChange != nil {
+		l.onChange(id, limit)
+	}
+}
+
+// publish forgets limits that were lifted long ago and updates current. The caller holds
+// mu.
+func (l *RateLimits) publish(now cicadapitch.Instant) {
+	maps.DeleteFunc(l.limits, func(_ cicadapitch.EndpointID, limit RateLimit) bool {
+		return !limit.Limited && now.Sub(limit.answeredAt) >= liftedMemory
+	})
+	if len(l.limits) == 0 {
+		l.current.Store(nil)
+		return
+	}
+	current := maps.Clone(l.limits)
+	l.current.Store(&current)
+}
+
+// Retain forgets the limits of the endpoints for which known returns false. They are
+// bounded by the endpoints of the deployment with it.
+func (l *RateLimits) Retain(now cicadapitch.Instant, known func(cicadapitch.EndpointID) bool) {
+	if l.current.Load() == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.limits, func(id cicadapitch.EndpointID, _ RateLimit) bool { return !known(id) })
+	l.publish(now)
+}
+
+// Reports returns reports of all limits.
+func (l *RateLimits) Reports(now cicadapitch.Instant) []RateLimitReport {
+	if l.current.Load() == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []RateLimitReport
+	for id, limit := range l.limits {
+		out = append(out, RateLimitReport{id, limit.Started, limit.Limited, limit.PerSecond, max(now.Sub(limit.answeredAt), 0)})
+	}
+	return out
+}
+
+// Any reports whether an endpoint may have a limit.
+func (l *RateLimits) Any() bool { return l.current.Load() != nil }
+
+// Of returns the calls a second that an endpoint takes from all hosts together, and
+// whether it has named a limit.
+func (l *RateLimits) Of(e catalog.Endpoint) (float64, bool) {
+	current := l.current.Load()
+	if current == nil {
+		return 0, false
+	}
+	limit, ok := (*current)[e.ID]
+	return limit.PerSecond, ok && limit.Limited && limit.Started == e.Started
+}
