placement: a host that leaves is no further sender at cold endpoints

Cause: a host that leaves is not among the hosts any more and has the rank -1, which passed the test for the few hosts that share a cold endpoint's rate, now also that of a limited one.

Change: a negative rank is not among the senders. The test failed before. placement's simulation gets a method in place of a function of eight arguments.

Result: tests of placement pass with -race.

--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -114,7 +114,8 @@
 	// Hosts is the number of hosts that may send work.
 	Hosts int
 	// Rank returns the position of this host among all hosts in the rendezvous
-	// order for a key. If it is nil, this host may send to every cold endpoint.
+	// order for a key, or -1 if it is not among them. If it is nil, this host may send
+	// to every cold or limited endpoint.
 	Rank func(key string) int
 	// OtherLoads holds the other hosts' running calls by endpoint.
 	OtherLoads map[cicadapitch.EndpointID]int
@@ -224,7 +225,11 @@
 // this host is one of them. wanted is the number of hosts for which the rate suffices.
 func sendersOf(e fleet.Endpoint, wanted float64, criteria Criteria) (float64, bool) {
 	senders := min(float64(max(criteria.Hosts, 1)), max(math.Floor(wanted), 1))
-	return senders, criteria.Rank == nil || criteria.Rank(string(e.ID)) < int(senders)
+	if criteria.Rank == nil {
+		return senders, true
+	}
+	rank := criteria.Rank(string(e.ID))
+	return senders, rank >= 0 && rank < int(senders)
 }
 
 // ChoosePlain chooses the endpoint of a plain service with the lowest score: its
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -151,3 +151,21 @@
 	require.Greater(t, retries, 30)
 	require.LessOrEqual(t, float64(retries), 0.2*hosts*100+52)
 }
+
+// TestLeavingHostSendsNoneToEndpointsWithAFewSenders guards against a further sender at a
+// cold or limited endpoint: a host that leaves has no rank among the others any more.
+func TestLeavingHostSendsNoneToEndpointsWithAFewSenders(t *testing.T) {
+	criteria := placement.Criteria{Service: engines, Session: "s", Hosts: 6, Rank: func(string) int { return -1 }}
+	cold := endpoints(1)
+	cold[0].WarmAt = start.Add(60_000)
+	_, ok := chooser().ChooseEngine(start, cold, criteria)
+	require.False(t, ok)
+	limits := placement.NewRateLimits()
+	limits.Record(start, start, cold[0].Endpoint, true, 1)
+	limited := chooser()
+	limited.SetRateLimits(limits)
+	_, ok = limited.ChooseEngine(start, endpoints(1), criteria)
+	require.False(t, ok)
+	_, ok = chooser().ChooseEngine(start, endpoints(1), criteria)
+	require.True(t, ok, "warm endpoints have no such senders")
+}
--- a/placement/ratelimits_test.go
+++ b/placement/ratelimits_test.go
@@ -61,11 +61,10 @@
 						}
 					}
 					for i, h := range hosts {
-						choose(h, i, n, service, e, now, limit, func() {
-							if at >= contactTime && now >= h.disturbedAt.Add(contactTime) {
-								counted = append(counted, now)
-							}
-						})
+						criteria := placement.Criteria{Service: service, Session: "s", Hosts: n, Rank: func(string) int { return i }}
+						if h.send(now, e, criteria, limit) && at >= contactTime && now >= h.disturbedAt.Add(contactTime) {
+							counted = append(counted, now)
+						}
 						if (at/20+cicadapitch.Millis(i))%20 == 0 {
 							exchange(rng, hosts, h, now)
 						}
@@ -89,21 +88,20 @@
 	}
 }
 
-// choose lets the host with rank i of n send a call to the endpoint if it may, and record
-// the limit in the answer.
-func choose(h *limitHost, i, n int, service *catalog.Service, e fleet.Endpoint, now cicadapitch.Instant, limit float64, sent func()) {
-	criteria := placement.Criteria{Service: service, Session: "s", Hosts: n, Rank: func(string) int { return i }}
+// send sends a call to the endpoint if the host may, records the limit in the answer, and
+// reports whether it did so.
+func (h *limitHost) send(now cicadapitch.Instant, e fleet.Endpoint, criteria placement.Criteria, limit float64) bool {
 	choose := h.chooser.ChoosePlain
-	if service.Engine != nil {
+	if criteria.Service.Engine != nil {
 		choose = h.chooser.ChooseEngine
 	}
 	if _, ok := choose(now, []fleet.Endpoint{e}, criteria); !ok {
-		return
+		return false
 	}
 	h.chooser.RecordStart(e.ID)
 	h.chooser.RecordEnd(e.ID)
-	sent()
 	h.limits.Record(now, now.Add(-50), e.Endpoint, true, limit)
+	return true
 }
 
 // exchange sends heartbeats of a host to up to 12 others and back.
