driver: bytes after the last event do not hold an answer back

What callers could see: an engine that goes on sending after its last event held the complete answer until the call's timeout, and the stage ran out of time.

Cause: the rest of the response was read to its end, bounded by size only. Found while the product's own driver was searched for reads without a bound; heads and bodies are bounded there (new test, passes on the code before).

Change: the connection is closed half a second after the last event. The test of it failed before (no answer within 1 s); passes.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -173,3 +175,59 @@
 		}
 	})
 }
+
+// TestBytesAfterTheLastEventDoNotHoldTheAnswer lets an engine go on sending after its last
+// event. The answer must be returned at once and the connection closed.
+func TestBytesAfterTheLastEventDoNotHoldTheAnswer(t *testing.T) {
+	closed := make(chan struct{})
+	c := newCall(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		defer close(closed)
+		io.WriteString(w, "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n")
+		for {
+			if _, err := io.WriteString(w, ":\n"); err != nil {
+				return
+			}
+			if http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}))
+	c.Timeout = 3 * cicadapitch.Second
+	start := time.Now()
+	r, err := driver.NewEngine().Call(context.Background(), c, nil)
+	require.NoError(t, err)
+	require.Equal(t, "a", r.Output)
+	require.Less(t, time.Since(start), time.Second)
+	<-closed
+}
+
+// TestAnswersWithoutEndFailWithinBounds lets endpoints send a head or a body without end.
+func TestAnswersWithoutEndFailWithinBounds(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Filler: ", "HTTP/1.1 200 OK\r\n\r\ndata: ", "HTTP/1.1 503 Service Unavailable\r\n\r\n"} {
+		written := make(chan int64, 2)
+		c := newCall(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			n, err := io.WriteString(conn, head)
+			total := int64(n)
+			for filler := []byte(strings.Repeat("x", 4096)); err == nil; {
+				n, err = conn.Write(filler)
+				total += int64(n)
+			}
+			written <- total
+		}))
+		c.Timeout = 5 * cicadapitch.Second
+		for _, d := range []cicadapitch.Driver{driver.NewEngine(), driver.NewService()} {
+			start := time.Now()
+			_, err := d.Call(context.Background(), c, nil)
+			require.Equal(t, cicadapitch.OutcomeUnknown, cicadapitch.KindOf(err))
+			require.Less(t, time.Since(start), 2*time.Second)
+			require.Less(t, <-written, int64(3*driver.DefaultMaxOutput))
+		}
+	}
+}
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"time"
 
 	"cicadapitch.example/cicadapitch"
 )
@@ -53,13 +54,26 @@
 	}
 	defer resp.Body.Close()
 	g := completionCollector{clock: e.opts.clock, start: start, sink: sink}
-	err = g.read(io.LimitReader(resp.Body, int64(e.opts.maxOutput)))
-	if err != nil {
+	limited := io.LimitReader(resp.Body, int64(e.opts.maxOutput))
+	if err := g.read(limited); err != nil {
 		return g.result(), outcomeUnknown(c.Endpoint, err.Error())
 	}
+	awaitEnd(limited, cancel)
 	return g.result(), nil
 }
 
+// endTimeout is how long a response may go on after its last event.
+const endTimeout = 500 * cicadapitch.Millis(1)
+
+// awaitEnd reads a response to its end after its last event. The endpoint counts the call
+// as running until it ends the response, and the slot is free only then. After endTimeout
+// awaitEnd cancels the call, which closes the connection.
+func awaitEnd(r io.Reader, cancel context.CancelFunc) {
+	timer := time.AfterFunc(endTimeout.Duration(), cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, r) // the answer is complete already
+}
+
 // completionCollector collects the text of a completion stream and passes each
 // part on to sink, which may be nil.
 type completionCollector struct {
--- a/driver/events.go
+++ b/driver/events.go
@@ -31,7 +31,7 @@
 
 // ReadCompletion reads the server-sent events of a completion from r and calls
 // sink with the text of each chunk that has any. It returns nil only after the
-// final [DONE] event, and an error if the stream ends before it, holds a
+// final [DONE] event, after which it reads no further, and an error if the stream ends before it, holds a
 // malformed chunk or reports an error of the engine.
 func ReadCompletion(r io.Reader, sink func(text string)) error {
 	lines := bufio.NewScanner(r)
@@ -43,10 +43,6 @@
 		}
 		data = bytes.TrimSpace(data)
 		if string(data) == doneEvent {
-			// The endpoint counts the call as running until it ends the
-			// response, shortly after the last event. The slot is free
-			// only then, so read to the end.
-			_, _ = io.Copy(io.Discard, r)
 			return nil
 		}
 		if err := handleChunk(data, sink); err != nil {
