--- a/gateway/request.go
+++ b/gateway/request.go
@@ -31,8 +31,7 @@
 	// charged to the retry budget, while no endpoint has received the request.
 	maxConnectFailures = 3
 	// maxBufferedBytes is the number of bytes of an answer that are read before any
-	// is relayed, so that another attempt can replace an answer that breaks off. It also
-	// limits how much of a refusal is read and discarded.
+	// is relayed, so that another attempt can replace an answer that breaks off.
 	maxBufferedBytes = 256 << 10
 	// attemptTimeoutFraction is the share of the latency objective after which an
 	// attempt of an idempotent request times out. The rest suffices for a typical call
@@ -351,8 +350,7 @@
 	}
 	p.attempts++
 	if err := p.checkReply(reply, e); err != nil {
-		// Read the body, up to maxBufferedBytes, so that the connection can be reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply, maxBufferedBytes))
+		reply.Discard()
 		reply.Close()
 		return nil, err
 	}
