entry, driver: a plain stage whose answer broke off is not resumed

Cause: the output of a plain service arrives as one chunk before its result. If the shard's owner died or was cut off in between, the entry host kept the chunk as the part to go on after, and the service, which knows no resuming, answered whole again: the stage's output was passed on twice in a row, and the next stages worked on that. Of a stage that streams, the caller got the part again.

Ruled out: answers that are matched to another request. Chunks and results are checked by attempt id (TestDroppedChunksAreCounted).

Change: only stages of engine pools resume; the driver of plain services rejects a call that resumes as not run; a stream of a plain service that reached the caller is not repeated.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -231,3 +231,14 @@
 		}
 	}
 }
+
+// TestServiceRejectsACallThatResumes guards against an output that is joined to a part of
+// itself: a plain service answers whole.
+func TestServiceRejectsACallThatResumes(t *testing.T) {
+	service := standin.NewService(clock, standin.WithBookings())
+	c := newCall(t, service)
+	c.Resume = "a part"
+	_, err := driver.NewService().Call(context.Background(), c, nil)
+	require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+	require.Empty(t, service.Bookings())
+}
--- a/driver/service.go
+++ b/driver/service.go
@@ -34,6 +34,9 @@
 func (s *Service) Call(ctx context.Context, c cicadapitch.Call, sink func(text string)) (cicadapitch.CallResult, error) {
 	ctx, cancel := withTimeout(ctx, c.Timeout)
 	defer cancel()
+	if c.Resume != "" {
+		return cicadapitch.CallResult{}, cicadapitch.NewNotRun("a plain service cannot go on after a part of its output", defaultRetryAfter)
+	}
 	start := s.opts.clock.Now()
 	resp, err := s.post(ctx, c, "/call", serviceCall{Input: c.Input, Prefix: c.Prefix})
 	if err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -176,16 +176,27 @@
 	return res, nil
 }
 
+// resumable reports whether another endpoint can go on after a part of the stage's output.
+// A plain service answers whole.
+func (r *stageRun) resumable() bool {
+	pool, ok := r.request.cfg.Pool(r.stage.Pool)
+	return ok && pool.Kind == cicadapitch.Engine && r.stage.Idempotent
+}
+
 // handleFailure keeps the text of a failed attempt, so that the next attempt
 // resumes after it, and corrects the request's counts of attempts. Further
 // attempts avoid the shard, unless the failure is a redirect that can be followed.
 func (r *stageRun) handleFailure(a *sentAttempt, err error) {
 	kind := cicadapitch.KindOf(err)
 	text, n := a.chunks.close()
-	if whole := a.attempt.Resume + text; r.stage.Idempotent && len(whole) > len(r.resumeText) {
+	if whole := a.attempt.Resume + text; r.resumable() && len(whole) > len(r.resumeText) {
 		r.resumeText = whole
 		r.resumeChunks = a.chunksBefore + n
 	}
+	if n > 0 && !r.resumable() && r.streaming.Load() == a {
+		// The caller has a part that another attempt would send again.
+		r.streamCorrupt = true
+	}
 	if kind != cicadapitch.Redirected || r.redirectUnusable(err) {
 		r.avoid = append(r.avoid, a.attempt.Shard)
 	}
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -198,3 +198,43 @@
 		entry.DropDuplicate: 2, entry.DropWrongAttempt: 2, entry.DropLate: 1,
 	}, metrics.drops)
 }
+
+// TestBrokenAnswerOfAServiceIsNotResumed loses the result of a plain service after its
+// output arrived as a chunk. The service answers whole once more, so a stage that went on
+// after the chunk would pass its output on twice, and the answer would be one to another
+// prompt.
+func TestBrokenAnswerOfAServiceIsNotResumed(t *testing.T) {
+	u := &unreliableTransport{inOrder: true}
+	f := newFixture()
+	f.runner = newFakeRunner(func(ctx context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
+		if a.ID.Stage == "generate" {
+			return u.run(ctx, a, sink)
+		}
+		require.Empty(t, a.Resume)
+		res := resultOf(a)
+		sink(cicadapitch.Chunk{Attempt: a.ID, Text: res.Output})
+		if a.ID.Number == 1 {
+			return cicadapitch.StageResult{}, true, cicadapitch.NewOutcomeUnknown("the owner was killed")
+		}
+		return res, true, nil
+	})
+	a, err := f.newServer().Serve(context.Background(), cicadapitch.Request{Customer: "club", Pipeline: "draft", Input: "x"}, nil)
+	require.NoError(t, err)
+	require.Equal(t, strings.Join(words("encode(x)"), ""), a.Output)
+}
+
+// TestBrokenStreamOfAServiceIsNotRepeated breaks a stream of a plain service off after its
+// caller got a part. Another attempt would send the caller that part again.
+func TestBrokenStreamOfAServiceIsNotRepeated(t *testing.T) {
+	f := newFixture()
+	f.cfg.Pipelines[0].Stages[0].Streams = true
+	f.runner = newFakeRunner(func(_ context.Context, a cicadapitch.Attempt, sink func(cicadapitch.Chunk)) (cicadapitch.StageResult, bool, error) {
+		sink(cicadapitch.Chunk{Attempt: a.ID, Text: "part"})
+		return cicadapitch.StageResult{}, true, cicadapitch.NewOutcomeUnknown("the owner was killed")
+	})
+	var text strings.Builder
+	_, err := f.newServer().Serve(context.Background(), cicadapitch.Request{Customer: "club", Pipeline: "draft", Input: "x"},
+		func(c cicadapitch.Chunk) { text.WriteString(c.Text) })
+	require.Error(t, err)
+	require.Equal(t, "part", text.String())
+}
