endpoint, daemon: quarantine prefixes that crash engines in the product's own form

Change: an attempt whose call broke off makes its owner check whether the engine's address refuses connections, before a further attempt can start. Its prefix becomes a suspect at all hosts (Endpoint.Suspects, repeated twice a second while there are suspects), one attempt with it runs at a time at an owner, and after three independent crashes attempts with it are rejected as invalid, so that entry hosts do not repeat them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,7 @@
 	orders     *order.Service
 	peerServer *peer.Server
 	dialer     *peer.Dialer
+	suspects   *suspectSharer
 
 	// acceptsCallers is set once this host is Ready and either every shard has an
 	// owner or allShardsOwnedTimeout has passed. It stays true, also while the
@@ -96,6 +97,7 @@
 	d.owner = do.MustInvoke[*endpoint.Owner](d.injector)
 	d.peerServer = do.MustInvoke[*peer.Server](d.injector)
 	d.dialer = do.MustInvoke[*peer.Dialer](d.injector)
+	d.suspects = do.MustInvoke[*suspectSharer](d.injector)
 	return nil
 }
 
@@ -149,6 +151,7 @@
 	serveConfiguration(d.peerServer, d.follower)
 	serveAttempts(d.peerServer, d.self, d.owner)
 	serveForwardedRequests(d.peerServer, d.self, d.entry)
+	d.suspects.serve(d.peerServer)
 }
 
 // startRoles starts the background loops of the roles, which run until ctx ends.
@@ -160,6 +163,7 @@
 	d.owner.Start(ctx)
 	go func() { _ = d.syncer.Run(ctx) }()
 	go d.updateMemberPeriodically(ctx)
+	go d.suspects.run(ctx)
 	go func() { _ = do.MustInvoke[*rollout.Rollout](d.injector).Run(ctx) }()
 }
 
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,6 +18,7 @@
 	"cicadapitch.example/cicadapitch/order"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/quarantine"
 	"cicadapitch.example/cicadapitch/report"
 	"cicadapitch.example/cicadapitch/settings"
 )
@@ -37,6 +38,7 @@
 	do.Provide(i, newGroup)
 	do.Provide(i, newSyncer)
 	do.Provide(i, newClaimManager)
+	do.Provide(i, newSuspectSharer)
 	do.Provide(i, newOwner)
 	do.Provide(i, newMinter)
 	do.Provide(i, newPrometheusReporter)
@@ -134,14 +136,26 @@
 	), nil
 }
 
+func newSuspectSharer(i do.Injector) (*suspectSharer, error) {
+	group := do.MustInvoke[*host.Group](i)
+	s := &suspectSharer{
+		ledger: quarantine.NewLedger(),
+		others: func() []cicadapitch.Member { return otherReadyHosts(group) },
+		dialer: do.MustInvoke[*peer.Dialer](i), clock: clockOf(i), log: logOf(i),
+	}
+	s.ledger.OnChange(s.logChange)
+	return s, nil
+}
+
 func newOwner(i do.Injector) (*endpoint.Owner, error) {
 	claims := do.MustInvoke[*claim.Manager](i)
 	drivers := map[cicadapitch.PoolKind]cicadapitch.Driver{
 		cicadapitch.Service: driver.NewService(driver.WithClock(clockOf(i))),
 		cicadapitch.Engine:  driver.NewEngine(driver.WithClock(clockOf(i))),
 	}
+	sharer := do.MustInvoke[*suspectSharer](i)
 	owner := endpoint.NewOwner(do.MustInvoke[*configuration.Follower](i), drivers, claims.Holds,
-		clockOf(i), endpoint.WithLog(logOf(i)))
+		clockOf(i), endpoint.WithLog(logOf(i)), endpoint.WithQuarantine(sharer.ledger, sharer.tell))
 	claims.OnGain(owner.AddShard)
 	claims.OnLoss(owner.RemoveShard)
 	return owner, nil
--- a/driver/transport.go
+++ b/driver/transport.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"cicadapitch.example/cicadapitch"
@@ -198,6 +201,21 @@
 	return report, nil
 }
 
+// Ended reports whether the endpoint's process has ended: its address refuses connections.
+// It reports false if the connection attempt has no result in time.
+func (t transport) Ended(ctx context.Context, e cicadapitch.Endpoint) bool {
+	u, err := url.Parse(e.Address)
+	if err != nil {
+		return false
+	}
+	d := net.Dialer{Timeout: t.opts.dialTimeout.Duration()}
+	c, err := d.DialContext(ctx, "tcp", u.Host)
+	if err == nil {
+		c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // loadError returns the error of a load report that could not be read.
 func loadError(e cicadapitch.Endpoint, reason string) error {
 	return cicadapitch.NewError(cicadapitch.Unavailable, "load of endpoint "+string(e.ID)+": "+reason, "go on with the last report")
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/quarantine"
 )
 
 // Owner runs attempts on the endpoints of the shards that this host owns. It is
@@ -19,6 +20,7 @@
 	policy         Policy
 	log            zerolog.Logger
 	ledger         *ledger
+	prefixes       *prefixGuard
 
 	mu       sync.RWMutex
 	shards   map[cicadapitch.ShardID]*shard
@@ -47,8 +49,11 @@
 		policy:         StandardPolicy(),
 		log:            zerolog.Nop(),
 		ledger:         newLedger(30*cicadapitch.Second, 5*cicadapitch.Minute),
-		shards:         make(map[cicadapitch.ShardID]*shard),
-		attemptEnded:   make(chan struct{}, 1),
+		prefixes: &prefixGuard{
+			ledger: quarantine.NewLedger(), trials: quarantine.NewTrials(), tell: func([]quarantine.Report) {},
+		},
+		shards:       make(map[cicadapitch.ShardID]*shard),
+		attemptEnded: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(o)
--- /dev/null
+++ b/endpoint/quarantine.go
@@ -0,0 +1,88 @@
+package endpoint
+
+import (
+	"context"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/quarantine"
+)
+
+const (
+	// endCheckDelay is the time from a broken call to the check whether its endpoint has
+	// ended, endCheckTimeout the bound on the check.
+	endCheckDelay   cicadapitch.Millis = 30
+	endCheckTimeout cicadapitch.Millis = 500
+	// answerProofTime is how long after its first text a call has outlived the beginning of
+	// its answer.
+	answerProofTime cicadapitch.Millis = 500
+	// trialRetryAfter is the retry delay for attempts with a suspected prefix while another
+	// one is being tried.
+	trialRetryAfter cicadapitch.Millis = 250
+)
+
+// endChecker is implemented by drivers that can tell whether an endpoint has ended.
+type endChecker interface {
+	// Ended reports whether the endpoint's process has ended. It reports false if that
+	// does not show in time.
+	Ended(ctx context.Context, e cicadapitch.Endpoint) bool
+}
+
+// prefixGuard keeps attempts away from endpoints that their prefix would crash. All hosts
+// share the ledger's reports; trials are granted by the owner of the shard.
+type prefixGuard struct {
+	ledger *quarantine.Ledger
+	trials *quarantine.Trials
+	// tell sends reports to all other hosts, in the background.
+	tell func([]quarantine.Report)
+}
+
+// admit returns an Invalid error if the attempt's prefix is quarantined, and a NotRun
+// error if it is suspected and another attempt with it is being tried.
+func (g *prefixGuard) admit(now cicadapitch.Instant, a cicadapitch.Attempt) error {
+	if a.Prefix == "" {
+		return nil
+	}
+	_, state := g.ledger.Check(now, []string{a.Prefix})
+	switch {
+	case state == quarantine.Quarantined:
+		return cicadapitch.NewError(cicadapitch.Invalid, "the prefix of the prompt has crashed endpoints", "change the prompt")
+	case state == quarantine.Suspected && !(g.ledger.AllowsTrial(now, a.Prefix) && g.trials.Begin(now, a.Prefix, a.ID.Request)):
+		return cicadapitch.NewNotRun("the prefix of the prompt may crash endpoints and is being tried", trialRetryAfter)
+	}
+	return nil
+}
+
+// recordAnswer clears the attempt's prefix.
+func (g *prefixGuard) recordAnswer(now cicadapitch.Instant, a cicadapitch.Attempt) {
+	if a.Prefix != "" {
+		g.ledger.RecordAnswer(now, []string{a.Prefix})
+	}
+}
+
+// endTrial ends the trial of an attempt. If its call broke off because the endpoint has
+// ended, endTrial records that first, before a further attempt can start.
+func (r *run) endTrial(ctx context.Context, driver cicadapitch.Driver, e cicadapitch.Endpoint, sentAt cicadapitch.Instant, outcome CallOutcome) {
+	o, a := r.owner, r.attempt
+	if a.Prefix == "" {
+		return
+	}
+	defer o.prefixes.trials.End(a.ID.Request)
+	checker, ok := driver.(endChecker)
+	if outcome != Broken || !ok {
+		return
+	}
+	endedAt := o.clock.Now()
+	if o.clock.Sleep(ctx, endCheckDelay) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout.Duration())
+	defer cancel()
+	ended := checker.Ended(ctx, e)
+	o.log.Info().Str("Request", string(a.ID.Request)).Str("Endpoint", string(e.ID)).Str("Prefix", a.Prefix).Bool("Ended", ended).Msg("endpoint check")
+	if !ended {
+		return
+	}
+	now := o.clock.Now()
+	o.prefixes.ledger.RecordCrash(now, []string{a.Prefix}, quarantine.Crash{SentAt: sentAt, EndedAt: endedAt})
+	o.prefixes.tell(o.prefixes.ledger.Reports(now, a.Prefix))
+}
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -148,16 +148,31 @@
 	if !owned || fencing != s.fencing {
 		return cicadapitch.StageResult{}, Unstarted, redirectedError("another host took the shard over")
 	}
+	if err := o.prefixes.admit(o.clock.Now(), r.attempt); err != nil {
+		return cicadapitch.StageResult{}, Unstarted, err
+	}
 	o.ledger.markRunning(r.attempt.ID)
 	startedAt := o.clock.Now()
+	var firstTextAt cicadapitch.Instant
 	onText := func(text string) {
-		s.progress(o.clock.Now(), r.attempt.ID)
+		now := o.clock.Now()
+		s.progress(now, r.attempt.ID)
 		r.chunks.send(text)
+		if firstTextAt == 0 {
+			firstTextAt = now
+		}
+		if now.Sub(firstTextAt) >= answerProofTime {
+			o.prefixes.recordAnswer(now, r.attempt)
+		}
 	}
 	res, err := r.callWithRepeats(callCtx, driver, r.newCall(c, pool, fencing, remaining), pool.RecognisesRepeats, onText)
 	if err != nil {
-		return cicadapitch.StageResult{}, callOutcome(callCtx, err), r.callError(callCtx, err)
+		outcome := callOutcome(callCtx, err)
+		r.endTrial(callCtx, driver, c.Endpoint, startedAt, outcome)
+		return cicadapitch.StageResult{}, outcome, r.callError(callCtx, err)
 	}
+	o.prefixes.recordAnswer(o.clock.Now(), r.attempt)
+	r.endTrial(callCtx, driver, c.Endpoint, startedAt, Succeeded)
 	served := o.clock.Now().Sub(startedAt)
 	return cicadapitch.StageResult{
 		Attempt:  r.attempt.ID,
