--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -18,14 +18,15 @@
 const suspectsMessage = "Endpoint.Suspects"
 
 const (
-	// suspectsInterval is the pause between two exchanges of reports, each with up to
-	// suspectsFanout other hosts.
+	// suspectsInterval is the pause between two exchanges of reports.
 	suspectsInterval cicadapitch.Millis = 500
-	suspectsFanout                      = 8
 	// suspectsTimeout bounds one exchange.
 	suspectsTimeout cicadapitch.Millis = 1000
 )
 
+// suspectsFanout bounds the hosts with which a host exchanges reports at a time.
+const suspectsFanout = 8
+
 // suspectsNotice carries reports in both directions.
 type suspectsNotice struct{ Reports []quarantine.Report }
 
