--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -83,6 +83,14 @@
 		return
 	}
 	now := o.clock.Now()
-	o.prefixes.ledger.RecordCrash(now, []string{a.Prefix}, quarantine.Crash{SentAt: sentAt, EndedAt: endedAt})
-	o.prefixes.tell(o.prefixes.ledger.Reports(now, a.Prefix))
+	g := o.prefixes
+	g.ledger.RecordCrash(now, []string{a.Prefix}, quarantine.Crash{Endpoint: e.ID, SentAt: sentAt, EndedAt: endedAt})
+	g.tell(g.ledger.Reports(now, a.Prefix))
+	go func() {
+		// Sleep cannot fail with this context.
+		_ = o.clock.Sleep(context.Background(), quarantine.JudgeDelay)
+		if now := o.clock.Now(); g.ledger.Judge(now, []string{a.Prefix}) {
+			g.tell(g.ledger.Reports(now, a.Prefix))
+		}
+	}()
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/peer"
@@ -166,19 +168,28 @@
 // recordCrash records that an endpoint ended under the runs, and tells all hosts.
 func (g *Gateway) recordCrash(e fleet.Endpoint, runs []brokenRun) {
 	now := g.clock.Now()
-	changed := map[string]bool{}
 	for _, run := range runs {
-		g.quarantine.RecordCrash(now, run.parts, quarantine.Crash{SentAt: run.sentAt, EndedAt: run.brokenAt})
-		for _, part := range run.parts {
-			changed[part] = true
-		}
-	}
-	var parts []string
-	for part := range changed {
-		parts = append(parts, part)
+		g.quarantine.RecordCrash(now, run.parts, quarantine.Crash{Endpoint: e.ID, SentAt: run.sentAt, EndedAt: run.brokenAt})
 	}
-	notice := SuspectNotice{Reports: g.quarantine.Reports(now, parts...)}
-	g.log.Info().Str("Endpoint", string(e.ID)).Int("Suspects", len(notice.Reports)).Msg("parts of prompts suspected")
+	parts := lo.Uniq(lo.FlatMap(runs, func(run brokenRun, _ int) []string { return run.parts }))
+	g.log.Info().Str("Endpoint", string(e.ID)).Int("Parts", len(parts)).Msg("parts of prompts suspected")
+	g.tellSuspects(g.quarantine.Reports(now, parts...))
+	go func() {
+		// Sleep cannot fail with this context.
+		_ = g.clock.Sleep(context.Background(), quarantine.JudgeDelay)
+		now, changed := g.clock.Now(), false
+		for _, run := range runs {
+			changed = g.quarantine.Judge(now, run.parts) || changed
+		}
+		if changed {
+			g.tellSuspects(g.quarantine.Reports(now, parts...))
+		}
+	}()
+}
+
+// tellSuspects sends reports to all other hosts in the background.
+func (g *Gateway) tellSuspects(reports []quarantine.Report) {
+	notice := SuspectNotice{Reports: reports}
 	for _, h := range g.membership.Hosts() {
 		if !g.membership.IsSelf(h) {
 			go g.notifySuspects(h, notice)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -22,7 +22,7 @@
 type Change struct {
 	Part  string
 	State State
-	// Crashes is the number of independent crashes that are known.
+	// Crashes is the number of crashes that are known.
 	Crashes int
 }
 
@@ -49,22 +49,67 @@
 	l.onChange = f
 }
 
+// JudgeDelay is the time from RecordCrash until Judge, in which the reports of other hosts
+// on the same crash arrive.
+const JudgeDelay cicadapitch.Millis = 100
+
 // RecordCrash records that the endpoint of a request with the given shared parts crashed.
-// Once a part has crashed enough endpoints, it is quarantined: the one with the most
-// independent crashes, and of several the last one, which the fewest sound requests share.
-// A request with a part that is quarantined already says nothing of its other parts.
+// A request with a part that is quarantined already says nothing of its other parts, but
+// explains the crash for requests that ran beside it.
 func (l *Ledger) RecordCrash(now cicadapitch.Instant, parts []string, c Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, state := l.worst(now, parts); state == Quarantined {
+	if part, state := l.worst(now, parts); state == Quarantined {
+		l.change(now, part, func(s *suspect) { s.addCrashes(c) })
+		l.clearExplained(now, part)
 		return
 	}
 	for _, part := range parts {
-		l.change(now, part, func(s *suspect) { s.addCrashes([]Crash{c}) })
+		l.change(now, part, func(s *suspect) { s.addCrashes(c) })
+	}
+}
+
+// Judge quarantines one of the shared parts of a request whose endpoint crashed, if it has
+// crashed enough endpoints, and reports whether it did. That is the part with the most
+// independent crashes, and of several the last one, which the fewest sound requests share.
+// A part is spared while one in other requests explains its crashes and more: requests with
+// both ran side by side.
+func (l *Ledger) Judge(now cicadapitch.Instant, parts []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	part, state := l.worst(now, parts)
+	if state != Suspected {
+		return false
+	}
+	s := l.suspects[part]
+	crashes := len(s.independent())
+	if crashes < crashesToQuarantine || crashes < ambiguousCrashes && l.hasOtherExplanation(s, parts) {
+		return false
 	}
-	part, _ := l.worst(now, parts)
-	if s := l.suspects[part]; s != nil && len(s.crashes) >= crashesToQuarantine {
-		l.change(now, part, func(s *suspect) { s.quarantinedAt = now })
+	l.change(now, part, func(s *suspect) { s.quarantinedAt = now })
+	l.clearExplained(now, part)
+	return true
+}
+
+// hasOtherExplanation reports whether a part that is not among the given ones explains the
+// crashes of a suspect. The caller holds mu.
+func (l *Ledger) hasOtherExplanation(s *suspect, parts []string) bool {
+	for other, o := range l.suspects {
+		if !slices.Contains(parts, other) && o.explains(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// clearExplained clears the parts whose crashes a quarantined part explains, as an answer
+// would. The caller holds mu.
+func (l *Ledger) clearExplained(now cicadapitch.Instant, quarantined string) {
+	q := l.suspects[quarantined]
+	for part, s := range l.suspects {
+		if part != quarantined && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
+			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
+		}
 	}
 }
 
@@ -102,8 +147,9 @@
 		if s == nil || s.expired(now) {
 			continue
 		}
-		if st := s.state(); st > state || st == state && st != Clear && len(s.crashes) >= crashes {
-			worst, state, crashes = part, st, len(s.crashes)
+		n := len(s.independent())
+		if st := s.state(); st > state || st == state && st != Clear && n >= crashes {
+			worst, state, crashes = part, st, n
 		}
 	}
 	return worst, state
@@ -180,12 +226,15 @@
 	l.change(now, r.Part, func(s *suspect) {
 		s.addAnswer(answeredAt)
 		s.addCrashes(lo.Map(r.Crashes, func(c CrashReport, _ int) Crash {
-			return Crash{instant(now, c.SentAgo), instant(now, c.EndedAgo)}
-		}))
+			return Crash{c.Endpoint, instant(now, c.SentAgo), instant(now, c.EndedAgo)}
+		})...)
 		if s.quarantinedAt == 0 && quarantinedAt > s.clearedUntil() {
 			s.quarantinedAt = quarantinedAt
 		}
 	})
+	if quarantinedAt > 0 && len(r.Crashes) > 0 {
+		l.clearExplained(now, r.Part)
+	}
 }
 
 // change applies f to the suspect for a part, which it creates if needed, and tells
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -9,7 +9,7 @@
 // hosts differ.
 type Report struct {
 	Part string
-	// Crashes are independent crashes, the oldest first.
+	// Crashes holds one run for each endpoint process that ended.
 	Crashes []CrashReport
 	// AnsweredAgo is when a request with the part was last answered, QuarantinedAgo when
 	// the part was quarantined, or Never.
@@ -17,7 +17,10 @@
 }
 
 // CrashReport is a Crash with ages.
-type CrashReport struct{ SentAgo, EndedAgo cicadapitch.Millis }
+type CrashReport struct {
+	Endpoint          cicadapitch.EndpointID
+	SentAgo, EndedAgo cicadapitch.Millis
+}
 
 // age returns the age of an instant, or Never for 0.
 func age(now, at cicadapitch.Instant) cicadapitch.Millis {
@@ -38,7 +41,7 @@
 func (s *suspect) report(now cicadapitch.Instant, part string) Report {
 	r := Report{Part: part, AnsweredAgo: age(now, s.answeredAt), QuarantinedAgo: age(now, s.quarantinedAt)}
 	for _, c := range s.crashes {
-		r.Crashes = append(r.Crashes, CrashReport{age(now, c.SentAt), age(now, c.EndedAt)})
+		r.Crashes = append(r.Crashes, CrashReport{c.Endpoint, age(now, c.SentAt), age(now, c.EndedAt)})
 	}
 	return r
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -9,10 +9,11 @@
 
 const (
 	// crashesToQuarantine is the number of independent crashes after which a part is
-	// quarantined.
+	// quarantined, ambiguousCrashes the number if another part explains them too.
 	crashesToQuarantine = 3
-	// maxCrashes bounds the crashes of a part that are kept.
-	maxCrashes = 2 * crashesToQuarantine
+	ambiguousCrashes    = 5
+	// maxCrashes bounds the crashes of a part that are kept, the latest ones.
+	maxCrashes = 8
 	// relaySlack is the error of an instant that was relayed between hosts as an age. It
 	// counts in favor of a part: parts that crash endpoints are in no answer at all.
 	relaySlack cicadapitch.Millis = 150
@@ -24,12 +25,20 @@
 )
 
 // Crash is the run of a request that ended with its endpoint.
-type Crash struct{ SentAt, EndedAt cicadapitch.Instant }
+type Crash struct {
+	Endpoint        cicadapitch.EndpointID
+	SentAt, EndedAt cicadapitch.Instant
+}
+
+// same reports whether two runs ended with the same process, as far as their times show.
+func (c Crash) same(other Crash) bool {
+	d := c.EndedAt.Sub(other.EndedAt)
+	return c.Endpoint == other.Endpoint && max(d, -d) <= 2*relaySlack
+}
 
 // suspect is a part that was in the prompt of a crashed run.
 type suspect struct {
-	// crashes are independent: each run was sent after the run before it had ended, so
-	// that endpoints which are lost together count once.
+	// crashes holds one run for each endpoint process that ended, in the order of the ends.
 	crashes []Crash
 	// answeredAt is when a run with the part last outlived the beginning of its answer.
 	answeredAt cicadapitch.Instant
@@ -65,20 +74,39 @@
 	return s.answeredAt.Add(relaySlack)
 }
 
-// addCrashes adds crashes that are newer than the last answer, and keeps as many
-// independent ones as there are. It reports whether their number changed.
-func (s *suspect) addCrashes(added []Crash) bool {
-	before := len(s.crashes)
-	all := append(slices.Clone(s.crashes), added...)
-	slices.SortStableFunc(all, func(a, b Crash) int { return cmp.Compare(a.EndedAt, b.EndedAt) })
-	s.crashes = s.crashes[:0:0]
-	for _, c := range all {
-		independent := len(s.crashes) == 0 || c.SentAt >= s.lastCrash().Add(relaySlack)
-		if c.EndedAt > s.clearedUntil() && independent && len(s.crashes) < maxCrashes {
+// addCrashes adds crashes, and drops those that are not newer than the last answer.
+func (s *suspect) addCrashes(added ...Crash) {
+	for _, c := range added {
+		if !slices.ContainsFunc(s.crashes, c.same) {
 			s.crashes = append(s.crashes, c)
 		}
 	}
-	return len(s.crashes) != before
+	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return c.EndedAt <= s.clearedUntil() })
+	slices.SortStableFunc(s.crashes, func(a, b Crash) int { return cmp.Compare(a.EndedAt, b.EndedAt) })
+	s.crashes = s.crashes[max(len(s.crashes)-maxCrashes, 0):]
+}
+
+// independent returns the independent crashes: each run was sent after the run before it
+// had ended, so that endpoints which are lost together count once.
+func (s *suspect) independent() []Crash {
+	var out []Crash
+	for _, c := range s.crashes {
+		if len(out) == 0 || c.SentAt >= out[len(out)-1].EndedAt.Add(relaySlack) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// explains reports whether the other part was in a run at each endpoint process that ended
+// under this one, and at more besides.
+func (s *suspect) explains(other *suspect) bool {
+	return len(s.crashes) > len(other.crashes) && s.covers(other.independent())
+}
+
+// covers reports whether a run with the part ended with each of the same processes.
+func (s *suspect) covers(crashes []Crash) bool {
+	return !slices.ContainsFunc(crashes, func(c Crash) bool { return !slices.ContainsFunc(s.crashes, c.same) })
 }
 
 // addAnswer clears the crashes before an answer, and the quarantine.
@@ -87,7 +115,7 @@
 		return
 	}
 	s.answeredAt = at
-	s.addCrashes(nil)
+	s.addCrashes()
 	if s.clearedUntil() >= s.quarantinedAt {
 		s.quarantinedAt = 0
 	}
--- /dev/null
+++ b/soak/bounds_test.go
@@ -0,0 +1,79 @@
+package soak_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+const (
+	// badPart is the part of prompts that crashes engines for badDowntime. Requests to
+	// badPath, which the callers send to the route of streams that may not be resumed, have
+	// it; one request in badShare is one.
+	badPart     = "bad"
+	badDowntime = 400 * time.Millisecond
+	badPath     = "/bad"
+	badShare    = 12
+	// contactTime is the time without disturbance after which the bounds hold: maxBadLate
+	// requests with badPart reach engines after five have crashed, and an endpoint with a
+	// rate limit gets in limitWindow limitFactor times what it allows and limitExtra more.
+	contactTime = 3 * time.Second
+	maxBadLate  = 3
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// requireBounds sends requests to all hosts, which have recovered, while an engine names a
+// rate limit and some requests have a part that crashes engines, and checks the bounds.
+func (s *testbed) requireBounds(results *resultLog, seed uint64) {
+	const limit = 1
+	crashes := 0
+	for _, e := range s.endpoints {
+		crashes += len(e.Crashes())
+	}
+	time.Sleep(contactTime)
+	limited := s.endpoints[slices.IndexFunc(s.endpoints, func(e *platformtest.Endpoint) bool { return e.Service == "engine" })]
+	limited.SetRateLimit(limit)
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, p := range s.processes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &caller{testbed: s, results: results, rng: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
+			for time.Since(start) < contactTime+limitWindow {
+				c.sendTo(p, "/plan/a")
+				c.sendTo(p, badPath)
+			}
+		}()
+	}
+	wg.Wait()
+	limited.SetRateLimit(-1)
+	if crashes >= 5 {
+		late := 0
+		for _, e := range s.endpoints {
+			late += countAfter(e.PartArrivals(badPart), start)
+		}
+		require.LessOrEqual(s.t, late, maxBadLate, "requests with a part that has crashed %d endpoints", crashes)
+	}
+	allowed := int(limitFactor*limitWindow.Seconds()*limit) + limitExtra
+	require.LessOrEqual(s.t, countAfter(limited.Arrivals(), start.Add(contactTime)), allowed, "calls of %s with a limit of %d a second", limited.ID, limit)
+	s.t.Logf("endpoints crashed %d times", crashes)
+}
+
+// countAfter counts the times after t.
+func countAfter(times []time.Time, t time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
