quarantine: spare parts that were in answers lately

Its logs show the part 'aa', which is in all prompts, quarantined alone: four engines went down again and again, the bad requests that ended them had been sent before the crash before, the sound ones after it, so that three crashes were independent for 'aa' and fewer for the bad part.

Cause: independence was counted by part, and a part that is in all requests can have no other part in more of its crashes.

Change: the ledger remembers for a minute which parts were in answers (8,192 parts at most). Such a part is quarantined after five crashes only, and a part that was in no answer explains the crashes of one that was, within one request too.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -233,6 +233,8 @@
 	counts bool
 	// beganAt is when the first bytes came, or 0.
 	beganAt cicadapitch.Instant
+	// given is true once the answer was recorded.
+	given bool
 }
 
 func (p *proxiedRequest) newAnswerProof(reply *platform.Reply) answerProof {
@@ -246,7 +248,9 @@
 	}
 	now := a.request.g.clock.Now()
 	switch {
+	case a.given && !a.request.g.quarantine.Suspects():
 	case err == io.EOF || err == nil && a.beganAt > 0 && now.Sub(a.beganAt) >= answerProofTime:
+		a.given = true
 		a.request.recordAnswer()
 	case a.beganAt == 0:
 		a.beganAt = now
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -35,11 +35,15 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	suspects map[string]*suspect
+	// answered holds when parts were last in an answer here, suspects or not.
+	answered map[string]cicadapitch.Instant
 	onChange func(Change)
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{suspects: map[string]*suspect{}} }
+func NewLedger() *Ledger {
+	return &Ledger{suspects: map[string]*suspect{}, answered: map[string]cicadapitch.Instant{}}
+}
 
 // OnChange registers a function that is called with each change. It runs with the lock
 // of the ledger held, so it must not block or call the ledger.
@@ -72,18 +76,17 @@
 // Judge quarantines one of the shared parts of a request whose endpoint crashed, if it has
 // crashed enough endpoints, and reports whether it did. That is the part with the most
 // independent crashes, and of several the last one, which the fewest sound requests share.
-// A part is spared while one in other requests explains its crashes and more: requests with
-// both ran side by side.
+// A part is spared while it was in answers lately or another one explains its crashes:
+// requests with both ran side by side, or all requests have the part.
 func (l *Ledger) Judge(now cicadapitch.Instant, parts []string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	part, state := l.worst(now, parts)
-	if state != Suspected {
+	if _, state := l.worst(now, parts); state != Suspected {
 		return false
 	}
-	s := l.suspects[part]
-	crashes := len(s.independent())
-	if crashes < crashesToQuarantine || crashes < ambiguousCrashes && l.hasOtherExplanation(s, parts) {
+	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(l.suspects[part]) })
+	part, _ := l.worst(now, guilty)
+	if part == "" {
 		return false
 	}
 	l.change(now, part, func(s *suspect) { s.quarantinedAt = now })
@@ -91,15 +94,19 @@
 	return true
 }
 
-// hasOtherExplanation reports whether a part that is not among the given ones explains the
-// crashes of a suspect. The caller holds mu.
-func (l *Ledger) hasOtherExplanation(s *suspect, parts []string) bool {
-	for other, o := range l.suspects {
-		if !slices.Contains(parts, other) && o.explains(s) {
-			return true
-		}
+// guilty reports whether the crashes of a suspect, which may be nil, suffice to quarantine
+// it. The caller holds mu.
+func (l *Ledger) guilty(s *suspect) bool {
+	if s == nil {
+		return false
+	}
+	switch crashes := len(s.independent()); {
+	case crashes >= ambiguousCrashes:
+		return true
+	case crashes < crashesToQuarantine || s.answeredAt > 0:
+		return false
 	}
-	return false
+	return !lo.SomeBy(lo.Values(l.suspects), func(o *suspect) bool { return o != s && o.explains(s) })
 }
 
 // clearExplained clears the parts whose crashes a quarantined part explains, as an answer
@@ -116,18 +123,22 @@
 // RecordAnswer records that a run with the given shared parts outlived the beginning of
 // its answer, which clears all of them.
 func (l *Ledger) RecordAnswer(now cicadapitch.Instant, parts []string) {
-	if l.size.Load() == 0 {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.answered)+len(parts) > maxAnswered {
+		clear(l.answered)
+	}
 	for _, part := range parts {
+		l.answered[part] = now
 		if s := l.suspects[part]; s != nil && s.state() != Clear {
 			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
 		}
 	}
 }
 
+// Suspects reports whether there may be any suspects.
+func (l *Ledger) Suspects() bool { return l.size.Load() > 0 }
+
 // Check returns the worst state of the given parts, and the part that is in it: that with
 // the most crashes, and of several the last one. The part is empty if all are clear.
 func (l *Ledger) Check(now cicadapitch.Instant, parts []string) (string, State) {
@@ -244,6 +255,9 @@
 	if s == nil {
 		l.prune(now)
 		s = &suspect{}
+		if at, ok := l.answered[part]; ok && now.Sub(at) < answerMemory {
+			s.answeredAt = at
+		}
 		l.suspects[part] = s
 		l.size.Store(int32(len(l.suspects)))
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -9,7 +9,8 @@
 
 const (
 	// crashesToQuarantine is the number of independent crashes after which a part is
-	// quarantined, ambiguousCrashes the number if another part explains them too.
+	// quarantined, ambiguousCrashes the number if another part explains them too or the
+	// part was in answers lately.
 	crashesToQuarantine = 3
 	ambiguousCrashes    = 5
 	// maxCrashes bounds the crashes of a part that are kept, the latest ones.
@@ -19,9 +20,13 @@
 	relaySlack cicadapitch.Millis = 150
 	// term is how long a part stays quarantined.
 	term = 60 * cicadapitch.Minute
-	// answerMemory is how long a cleared suspect is kept, so that reports of its older
+	// clearedMemory is how long a cleared suspect is kept, so that reports of its older
 	// crashes do not make it a suspect again.
-	answerMemory = 10 * cicadapitch.Second
+	clearedMemory = 10 * cicadapitch.Second
+	// answerMemory is how long it is remembered that a part was in an answer, and
+	// maxAnswered the number of parts for which it is.
+	answerMemory = cicadapitch.Minute
+	maxAnswered  = 8192
 )
 
 // Crash is the run of a request that ended with its endpoint.
@@ -98,10 +103,12 @@
 	return out
 }
 
-// explains reports whether the other part was in a run at each endpoint process that ended
-// under this one, and at more besides.
+// explains reports whether this part is the better explanation of the independent crashes
+// of another one: it was in runs at each of these processes, and at more besides, or it has
+// not been in an answer, as the other has.
 func (s *suspect) explains(other *suspect) bool {
-	return len(s.crashes) > len(other.crashes) && s.covers(other.independent())
+	better := len(s.crashes) > len(other.crashes) || s.answeredAt == 0 && other.answeredAt > 0
+	return better && s.covers(other.independent())
 }
 
 // covers reports whether a run with the part ended with each of the same processes.
@@ -129,5 +136,5 @@
 	case Suspected:
 		return false
 	}
-	return now.Sub(s.answeredAt) >= answerMemory
+	return now.Sub(s.answeredAt) >= clearedMemory
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,6 +66,7 @@
 // reproduce the timing of a run.
 var regressions = map[int]string{
 	111: "deadlock of host-2: the update to a new fleet.View and the timer of a stage service waited for each other's lock",
+	822: "a part of all prompts was quarantined: more crashes were independent for it than for the bad part that caused them",
 }
 
 func TestRegressions(t *testing.T) {
