quarantine: bounded keys of parts

For a reader of the diff: callers choose the ids of parts, which a header's limit alone bounded, so that 1,024 suspects could have taken tens of MB and filled heartbeats.

Change: ids of more than 64 bytes are kept by their hash, in the ledger, on the wire and in the store. Ids of the platform's requests are shorter.

Result: TestKeysOfPartsAreShort; tests of quarantine, endpoint and gateway pass.

--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -36,17 +36,22 @@
 	tell func([]quarantine.Report)
 }
 
-// admit returns an Invalid error if the attempt's prefix is quarantined, and a NotRun
-// error if it is suspected and another attempt with it is being tried.
-func (g *prefixGuard) admit(now cicadapitch.Instant, a cicadapitch.Attempt) error {
+// prefixKeys returns the key of the attempt's prefix, or none if it has no prefix.
+func prefixKeys(a cicadapitch.Attempt) []string {
 	if a.Prefix == "" {
 		return nil
 	}
-	_, state := g.ledger.Check(now, []string{a.Prefix})
+	return []string{quarantine.Key(a.Prefix)}
+}
+
+// admit returns an Invalid error if the attempt's prefix is quarantined, and a NotRun
+// error if it is suspected and another attempt with it is being tried.
+func (g *prefixGuard) admit(now cicadapitch.Instant, a cicadapitch.Attempt) error {
+	key, state := g.ledger.Check(now, prefixKeys(a))
 	switch {
 	case state == quarantine.Quarantined:
 		return cicadapitch.NewError(cicadapitch.Invalid, "the prefix of the prompt has crashed endpoints", "change the prompt")
-	case state == quarantine.Suspected && !(g.ledger.AllowsTrial(now, a.Prefix) && g.trials.Begin(now, a.Prefix, a.ID.Request)):
+	case state == quarantine.Suspected && !(g.ledger.AllowsTrial(now, key) && g.trials.Begin(now, key, a.ID.Request)):
 		return cicadapitch.NewNotRun("the prefix of the prompt may crash endpoints and is being tried", trialRetryAfter)
 	}
 	return nil
@@ -54,16 +59,15 @@
 
 // recordAnswer clears the attempt's prefix.
 func (g *prefixGuard) recordAnswer(now cicadapitch.Instant, a cicadapitch.Attempt) {
-	if a.Prefix != "" {
-		g.ledger.RecordAnswer(now, []string{a.Prefix})
-	}
+	g.ledger.RecordAnswer(now, prefixKeys(a))
 }
 
 // endTrial ends the trial of an attempt. If its call broke off because the endpoint has
 // ended, endTrial records that first, before a further attempt can start.
 func (r *run) endTrial(ctx context.Context, driver cicadapitch.Driver, e cicadapitch.Endpoint, sentAt cicadapitch.Instant, outcome CallOutcome) {
 	o, a := r.owner, r.attempt
-	if a.Prefix == "" {
+	keys := prefixKeys(a)
+	if len(keys) == 0 {
 		return
 	}
 	defer o.prefixes.trials.End(a.ID.Request)
@@ -84,13 +88,13 @@
 	}
 	now := o.clock.Now()
 	g := o.prefixes
-	g.ledger.RecordCrash(now, []string{a.Prefix}, quarantine.Crash{Endpoint: e.ID, SentAt: sentAt, EndedAt: endedAt})
-	g.tell(g.ledger.Reports(now, a.Prefix))
+	g.ledger.RecordCrash(now, keys, quarantine.Crash{Endpoint: e.ID, SentAt: sentAt, EndedAt: endedAt})
+	g.tell(g.ledger.Reports(now, keys...))
 	go func() {
 		// Sleep cannot fail with this context.
 		_ = o.clock.Sleep(context.Background(), quarantine.JudgeDelay)
-		if now := o.clock.Now(); g.ledger.Judge(now, []string{a.Prefix}) {
-			g.tell(g.ledger.Reports(now, a.Prefix))
+		if now := o.clock.Now(); g.ledger.Judge(now, keys) {
+			g.tell(g.ledger.Reports(now, keys...))
 		}
 	}()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,7 +233,10 @@
 	if route == nil {
 		return nil, cicadapitch.NewError(cicadapitch.NotFound, "no route matches", "check the host and the path")
 	}
-	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority, sharedParts: r.SharedParts()}
+	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority}
+	for _, part := range r.SharedParts() {
+		p.sharedParts = append(p.sharedParts, quarantine.Key(part))
+	}
 	if v.Catalog.HasCustomers() && !route.Anonymous {
 		c := v.Catalog.CustomerOf(r.Key)
 		if c == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -85,7 +85,7 @@
 	// queueWaits are the queue waits by shard key that the owners had reported before
 	// the stages started.
 	queueWaits map[string]QueueWaits
-	// sharedParts are the ids of the prompt's parts but for the last.
+	// sharedParts are the keys of the prompt's parts but for the last, as in the quarantine.
 	sharedParts []string
 	// endCheck, if set, is closed once it is known whether the endpoint of the last broken
 	// answer has ended.
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -151,6 +152,15 @@
 	require.Equal(t, quarantine.Clear, stateOf(l, 61*cicadapitch.Minute, "bad"))
 }
 
+// TestKeysOfPartsAreShort guards against callers who fill the memory with long ids.
+func TestKeysOfPartsAreShort(t *testing.T) {
+	long := strings.Repeat("x", 1<<16)
+	require.Equal(t, "5c1e07a2", quarantine.Key("5c1e07a2"))
+	require.LessOrEqual(t, len(quarantine.Key(long)), 64)
+	require.Equal(t, quarantine.Key(long), quarantine.Key(long))
+	require.NotEqual(t, quarantine.Key(long), quarantine.Key(long+"x"))
+}
+
 func TestOneTrialAtATime(t *testing.T) {
 	trials := quarantine.NewTrials()
 	require.True(t, trials.Begin(start, "part", "a"))
