placement, platform: an endpoint that says that it leaves gets no new calls

Change: the word of an answer is kept with the limits, for that process, and carried by heartbeats; no later answer, older report or returning entry ends it, only a new process. It is remembered for a minute after the entry is gone.

Evidence: TestEndpointThatSaysThatItLeavesGetsNoNewCalls failed before (a call 2.1 s later, with the store away for a while and a host that joins); passes.

Not proved: an entry that the store's older copy brings back after a minute.

--- /dev/null
+++ b/fronthost/leaving_test.go
@@ -0,0 +1,47 @@
+package fronthost_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+// drainTime is how long after its word that it leaves an endpoint may get new requests.
+const drainTime = 2 * time.Second
+
+// TestEndpointThatSaysThatItLeavesGetsNoNewCalls guards against hosts that go by the store
+// alone, which hears of it late or not at all. Half of the hosts join afterwards.
+func TestEndpointThatSaysThatItLeavesGetsNoNewCalls(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.addEngines(2)
+	e := platformtest.NewEndpoint("s2", "stage")
+	d.endpoints["s2"] = e
+	d.store.Set(platformtest.EndpointKey("s2"), e.Entry("ready"))
+	stop := make(chan struct{})
+	d.askRepeatedly(30*time.Millisecond, stop, func() string { return prompt(newID()) })
+	d.lookRepeatedly(3, 30*time.Millisecond, stop)
+	time.Sleep(500 * time.Millisecond)
+	d.store.SetDown(true)
+	leaving := []string{"e1", "p1"}
+	for _, id := range leaving {
+		d.endpoints[id].SetLeavingAnswers(true)
+	}
+	since := time.Now()
+	time.Sleep(2 * time.Second)
+	d.store.SetDown(false)
+	joined := d.joinHosts(1)
+	time.Sleep(time.Second)
+	for range 20 {
+		require.True(t, d.ask(joined, "/plan/a", prompt(newID())))
+		time.Sleep(60 * time.Millisecond)
+	}
+	close(stop)
+	for _, id := range leaving {
+		for _, at := range d.endpoints[id].Arrivals() {
+			require.Less(t, at.Sub(since), drainTime, "a call of %s", id)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -278,12 +278,17 @@
 		return
 	}
 	now := g.clock.Now()
+	if limit.Leaving {
+		g.limits.RecordLeaving(now, e)
+		return
+	}
 	g.limits.Record(now, now.Add(-took), e, limit.Named, limit.PerSecond)
 }
 
 // logRateLimit logs a change of an endpoint's rate limit.
 func (g *Gateway) logRateLimit(id cicadapitch.EndpointID, limit placement.RateLimit) {
-	g.log.Info().Str("Endpoint", string(id)).Bool("Limited", limit.Limited).Float64("PerSecond", limit.PerSecond).Msg("rate limit")
+	g.log.Info().Str("Endpoint", string(id)).Bool("Leaving", limit.Leaving).Bool("Limited", limit.Limited).
+		Float64("PerSecond", limit.PerSecond).Msg("rate limit")
 	g.metrics.Tagged(map[string]string{"Limited": strconv.FormatBool(limit.Limited)}).Counter("RateLimits").Inc(1)
 }
 
--- a/placement/ratelimits.go
+++ b/placement/ratelimits.go
@@ -15,12 +15,18 @@
 	// liftedMemory is how long it is remembered that an endpoint has lifted its limit, so
 	// that older reports do not restore it.
 	liftedMemory = 10 * cicadapitch.Second
+	// leavingMemory is how long it is remembered that an endpoint leaves once its entry is
+	// gone.
+	leavingMemory = cicadapitch.Minute
 )
 
 // RateLimit is the limit that an endpoint has named, for the calls of all hosts together.
 type RateLimit struct {
 	// Started identifies the process of the endpoint, as in its entry.
 	Started int64
+	// Leaving is true once the process has said that it is about to end. It takes no further
+	// calls.
+	Leaving bool
 	// Limited is false if the endpoint names no limit any more.
 	Limited bool
 	// PerSecond is the number of calls a second.
@@ -33,6 +39,7 @@
 type RateLimitReport struct {
 	Endpoint  cicadapitch.EndpointID
 	Started   int64
+	Leaving   bool
 	Limited   bool
 	PerSecond float64
 	// AnsweredAgo is the age of the answer that said so.
@@ -74,10 +81,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.limits[e.ID]
+	if ok && known.Leaving && known.Started == e.Started {
+		return
+	}
 	if !limited && (!ok || known.Started != e.Started || known.answeredAt > sentAt) {
 		return
 	}
-	l.set(now, e.ID, RateLimit{e.Started, limited, perSecond, now})
+	l.set(now, e.ID, RateLimit{Started: e.Started, Limited: limited, PerSecond: perSecond, answeredAt: now})
+}
+
+// RecordLeaving records that an endpoint said in an answer that it leaves.
+func (l *RateLimits) RecordLeaving(now cicadapitch.Instant, e catalog.Endpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(now, e.ID, RateLimit{Started: e.Started, Leaving: true, answeredAt: now})
 }
 
 // Merge adds the reports of another host that are newer than what is known. Where answers
@@ -91,12 +108,16 @@
 	for _, r := range reports {
 		answeredAt := now.Add(-r.AnsweredAgo)
 		known, ok := l.limits[r.Endpoint]
+		sameProcess := ok && known.Started == r.Started
+		if sameProcess && known.Leaving {
+			continue
+		}
 		newer := answeredAt > known.answeredAt.Add(limitRelaySlack)
 		if r.Limited && (!known.Limited || known.Started != r.Started) {
 			newer = answeredAt > known.answeredAt
 		}
-		if newer && (ok || r.Limited) {
-			l.set(now, r.Endpoint, RateLimit{r.Started, r.Limited, r.PerSecond, answeredAt})
+		if r.Leaving && (sameProcess || newer) || newer && (ok || r.Limited) {
+			l.set(now, r.Endpoint, RateLimit{r.Started, r.Leaving, r.Limited, r.PerSecond, answeredAt})
 		}
 	}
 }
@@ -105,7 +126,7 @@
 func (l *RateLimits) set(now cicadapitch.Instant, id cicadapitch.EndpointID, limit RateLimit) {
 	known := l.limits[id]
 	l.limits[id] = limit
-	if known.Started == limit.Started && known.Limited == limit.Limited && known.PerSecond == limit.PerSecond {
+	if known.Started == limit.Started && known.Leaving == limit.Leaving && known.Limited == limit.Limited && known.PerSecond == limit.PerSecond {
 		return
 	}
 	l.publish(now)
@@ -118,7 +139,7 @@
 // mu.
 func (l *RateLimits) publish(now cicadapitch.Instant) {
 	maps.DeleteFunc(l.limits, func(_ cicadapitch.EndpointID, limit RateLimit) bool {
-		return !limit.Limited && now.Sub(limit.answeredAt) >= liftedMemory
+		return !limit.Limited && !limit.Leaving && now.Sub(limit.answeredAt) >= liftedMemory
 	})
 	if len(l.limits) == 0 {
 		l.current.Store(nil)
@@ -128,15 +149,18 @@
 	l.current.Store(&current)
 }
 
-// Retain forgets the limits of the endpoints for which known returns false. They are
-// bounded by the endpoints of the deployment with it.
+// Retain forgets the limits of the endpoints for which known returns false, so that they are
+// bounded by the endpoints of the deployment. That an endpoint leaves is remembered for
+// leavingMemory after it said so, since an older entry of it may come back.
 func (l *RateLimits) Retain(now cicadapitch.Instant, known func(cicadapitch.EndpointID) bool) {
 	if l.current.Load() == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.limits, func(id cicadapitch.EndpointID, _ RateLimit) bool { return !known(id) })
+	maps.DeleteFunc(l.limits, func(id cicadapitch.EndpointID, limit RateLimit) bool {
+		return !known(id) && (!limit.Leaving || now.Sub(limit.answeredAt) >= leavingMemory)
+	})
 	l.publish(now)
 }
 
@@ -149,7 +173,7 @@
 	defer l.mu.Unlock()
 	var out []RateLimitReport
 	for id, limit := range l.limits {
-		out = append(out, RateLimitReport{id, limit.Started, limit.Limited, limit.PerSecond, max(now.Sub(limit.answeredAt), 0)})
+		out = append(out, RateLimitReport{id, limit.Started, limit.Leaving, limit.Limited, limit.PerSecond, max(now.Sub(limit.answeredAt), 0)})
 	}
 	return out
 }
@@ -158,12 +182,12 @@
 func (l *RateLimits) Any() bool { return l.current.Load() != nil }
 
 // Of returns the calls a second that an endpoint takes from all hosts together, and
-// whether it has named a limit.
+// whether it has named a limit. An endpoint that leaves takes none.
 func (l *RateLimits) Of(e catalog.Endpoint) (float64, bool) {
 	current := l.current.Load()
 	if current == nil {
 		return 0, false
 	}
 	limit, ok := (*current)[e.ID]
-	return limit.PerSecond, ok && limit.Limited && limit.Started == e.Started
+	return limit.PerSecond, ok && (limit.Limited || limit.Leaving) && limit.Started == e.Started
 }
