placement, batch: leave an endpoint alone for as long as its refusal asks

Change: the pause is kept by the host that was refused, for engines, plain services and stage endpoints; work goes to others at once. Results are not freed meanwhile.

Not built: health probes do not exist here; the platform's service without endpoints that may take calls is answered per host, not over all hosts.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -61,6 +61,8 @@
 	// callRate is the calls a second that the endpoint may get by the limit that it has
 	// named, or 0 if it has none. A negative rate allows none.
 	callRate float64
+	// pausedUntil is when the endpoint takes calls of this host again, by its own word.
+	pausedUntil cicadapitch.Instant
 	// lastStart is when the last call started.
 	lastStart cicadapitch.Instant
 	// memoryWaitSince is when the endpoint began to wait for result memory to be
@@ -90,9 +92,12 @@
 	return !s.removed && len(s.calls) < slots && now >= s.backoffUntil && s.limitWait(now) <= 0
 }
 
-// limitWait returns the time until the limit that the endpoint has named allows a call.
+// limitWait returns the time until the endpoint takes a call, by the limit that it has named
+// and the pause that it asked for.
 func (s *endpointState) limitWait(now cicadapitch.Instant) cicadapitch.Millis {
 	switch {
+	case now < s.pausedUntil:
+		return s.pausedUntil.Sub(now)
 	case s.callRate < 0:
 		return maxBackoff
 	case s.callRate == 0 || s.lastStart == 0:
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -146,6 +146,19 @@
 	}
 }
 
+// Pause keeps calls away from an endpoint that refused one until an instant.
+func (p *Planner) Pause(id cicadapitch.EndpointID, until cicadapitch.Instant) {
+	if s := p.endpoints[id]; s != nil {
+		s.pausedUntil = max(s.pausedUntil, until)
+	}
+}
+
+// Paused reports whether an endpoint takes no calls of this host now.
+func (p *Planner) Paused(now cicadapitch.Instant, id cicadapitch.EndpointID) bool {
+	s := p.endpoints[id]
+	return s != nil && now < s.pausedUntil
+}
+
 // FreeInterval returns the least time between two calls that free results at an endpoint,
 // by the limit that it has named. It returns false if the endpoint takes none.
 func (p *Planner) FreeInterval(id cicadapitch.EndpointID) (cicadapitch.Millis, bool) {
--- a/fronthost/leaving_test.go
+++ b/fronthost/leaving_test.go
@@ -45,3 +45,42 @@
 		}
 	}
 }
+
+// TestEndpointIsLeftAloneForAsLongAsItAsks lets a full endpoint ask for a pause. At most two
+// further calls of each host may reach it from half a second after its answer until the end
+// of the pause.
+func TestEndpointIsLeftAloneForAsLongAsItAsks(t *testing.T) {
+	const hosts = 2
+	d := newDeployment(t, hosts)
+	e := platformtest.NewEndpoint("s2", "stage")
+	d.endpoints["s2"] = e
+	d.store.Set(platformtest.EndpointKey("s2"), e.Entry("ready"))
+	time.Sleep(300 * time.Millisecond)
+	paused := []string{"p1", "e1", "s1"}
+	for _, id := range paused {
+		d.endpoints[id].SetFull(true)
+		d.endpoints[id].SetRetryAfter("2.5")
+	}
+	start := time.Now()
+	for n := 0; time.Since(start) < 2300*time.Millisecond; n++ {
+		go d.ask(n%hosts, "/plan/a", prompt(newID()))
+		go func() {
+			if r, err := d.trySend(d.newRequest(n%hosts, "GET", "/look/a", newID())); err == nil {
+				r.Body.Close()
+			}
+			if r, err := d.trySend(d.newStreamRequest(n%hosts, "/answer/a", newID(), "1,1")); err == nil {
+				r.Body.Close()
+			}
+		}()
+		time.Sleep(25 * time.Millisecond)
+	}
+	for _, id := range paused {
+		late := 0
+		for _, at := range d.endpoints[id].Arrivals() {
+			if at.Sub(start) > 700*time.Millisecond {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, 2*hosts, id)
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -170,7 +170,13 @@
 	if p.origin != nil {
 		reason += " with software version " + string(p.origin.Version) + ", which began the stream,"
 	}
-	return cicadapitch.NewNotRun(reason+" can take the request", fullRetryAfter)
+	return cicadapitch.NewNotRun(reason+" can take the request", max(p.shortestPause(), fullRetryAfter))
+}
+
+// shortestPause returns the time until the first endpoint takes requests of this host again,
+// or 0 if one of them has not refused any for a time. The caller holds g.mu.
+func (p *proxiedRequest) shortestPause() cicadapitch.Millis {
+	return p.g.chooser.ShortestPause(p.g.clock.Now(), p.candidates())
 }
 
 // hostRank returns a function that returns this host's rank among all hosts for a
@@ -190,7 +196,7 @@
 func (p *proxiedRequest) waitForEndpoint(ctx context.Context, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
 	for waited := cicadapitch.Millis(0); ; waited += endpointPollInterval {
 		e, err := p.chooseEndpoint(false, zone)
-		if err == nil || waited >= maxEndpointWait || !p.hasCandidate() {
+		if err == nil || waited >= maxEndpointWait || !p.hasCandidate() || cicadapitch.AsError(err).RetryAfter > maxEndpointWait {
 			return e, err
 		}
 		if p.g.clock.Sleep(ctx, endpointPollInterval) != nil {
@@ -407,6 +413,7 @@
 		if reply.InputMissing() {
 			return errInputLost
 		}
+		p.pause(e, reply.RetryAfter)
 		return cicadapitch.NewNotRun(string(e.ID)+" refused the request", fullRetryAfter)
 	case reply.UnconfirmedRefusal():
 		p.mayHaveRun = true
@@ -420,6 +427,17 @@
 	return nil
 }
 
+// pause keeps this host's requests away from an endpoint that asked for it.
+func (p *proxiedRequest) pause(e fleet.Endpoint, after cicadapitch.Millis) {
+	if after <= 0 {
+		return
+	}
+	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Int64("PauseMs", int64(after)).Msg("endpoint asks for a pause")
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	p.g.chooser.Health(e.ID).Pause(p.g.clock.Now().Add(after))
+}
+
 // urgency returns the urgency that is sent to an engine: the request's priority,
 // limited to 0 to 9, or -1 for plain services.
 func (p *proxiedRequest) urgency() int {
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -348,6 +348,9 @@
 	defer r.mu.Unlock()
 	now := r.shards.clock.Now()
 	r.planner.FinishCall(now, c.ID, pieceResults, failure)
+	if failure == batch.CallRefused {
+		r.planner.Pause(c.Endpoint.ID, now.Add(cicadapitch.AsError(err).RetryAfter))
+	}
 	r.applyPlan(now)
 }
 
@@ -402,6 +405,7 @@
 		switch {
 		case !ok:
 			delete(r.pendingFree, id)
+		case r.planner.Paused(now, id):
 		case now.Sub(r.freedAt[id]) >= interval:
 			delete(r.pendingFree, id)
 			r.freedAt[id] = now
@@ -425,6 +429,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout.Duration())
 		defer cancel()
 		if err := r.shards.endpoints.FreeResults(ctx, e, handles); err != nil {
+			if cause := cicadapitch.AsError(err); cause != nil && cause.Kind == cicadapitch.NotRun {
+				r.mu.Lock()
+				r.planner.Pause(id, r.shards.clock.Now().Add(cause.RetryAfter))
+				r.mu.Unlock()
+			}
 			r.shards.log.Warn().Str("Endpoint", string(id)).Int("Results", len(handles)).Err(err).
 				Msg("freeing stage results at the endpoint failed; they expire by themselves")
 			return
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -176,7 +178,7 @@
 	var healthy, ejected []fleet.Endpoint
 	for _, e := range list {
 		h := c.Health(e.ID)
-		if criteria.Exclude[e.ID] || !c.allowed(now, e, criteria) {
+		if criteria.Exclude[e.ID] || now < h.pausedUntil || !c.allowed(now, e, criteria) {
 			continue
 		}
 		if h.Ejected(now) {
@@ -191,6 +193,18 @@
 	return healthy
 }
 
+// ShortestPause returns the time until the first of the endpoints takes calls of this host
+// again, or 0 if one of them has not refused any for a time.
+func (c *Chooser) ShortestPause(now cicadapitch.Instant, list []fleet.Endpoint) cicadapitch.Millis {
+	if len(list) == 0 {
+		return 0
+	}
+	pauses := lo.Map(list, func(e fleet.Endpoint, _ int) cicadapitch.Millis {
+		return max(c.Health(e.ID).pausedUntil.Sub(now), 0)
+	})
+	return lo.Min(pauses)
+}
+
 // allowed reports whether this host's rate limit permits a call at an endpoint now.
 // Only a limited number of hosts may call a cold endpoint, each without a burst, so
 // that all hosts together stay within Service.ColdPerSecond in any second. An
--- a/placement/health.go
+++ b/placement/health.go
@@ -33,8 +33,13 @@
 	// of refilledAt.
 	tokens     float64
 	refilledAt cicadapitch.Instant
+	// pausedUntil is when the endpoint takes calls of this host again, by its own word.
+	pausedUntil cicadapitch.Instant
 }
 
+// Pause keeps this host's calls away from the endpoint until an instant.
+func (h *Health) Pause(until cicadapitch.Instant) { h.pausedUntil = max(h.pausedUntil, until) }
+
 // decay returns the factor by which a value has decayed since updatedAt.
 func (h *Health) decay(now cicadapitch.Instant, timeConstant cicadapitch.Millis) float64 {
 	return math.Exp(-float64(max(now.Sub(h.updatedAt), 0)) / float64(timeConstant))
--- a/placement/leaving_test.go
+++ b/placement/leaving_test.go
@@ -32,3 +32,22 @@
 	a.Retain(start.Add(2*cicadapitch.Minute), func(cicadapitch.EndpointID) bool { return false })
 	require.Empty(t, a.Reports(start.Add(2*cicadapitch.Minute)))
 }
+
+func TestPausedEndpointsAreNotChosen(t *testing.T) {
+	c := chooser()
+	criteria := placement.Criteria{Service: &catalog.Service{Name: "booking"}, Hosts: 1}
+	list := endpoints(2)
+	c.Health(list[0].ID).Pause(start.Add(1000))
+	for range 5 {
+		e, ok := c.ChoosePlain(start, list, criteria)
+		require.True(t, ok)
+		require.Equal(t, list[1].ID, e.ID)
+	}
+	require.Zero(t, c.ShortestPause(start, list))
+	c.Health(list[1].ID).Pause(start.Add(400))
+	_, ok := c.ChoosePlain(start, list, criteria)
+	require.False(t, ok)
+	require.Equal(t, cicadapitch.Millis(400), c.ShortestPause(start, list))
+	_, ok = c.ChoosePlain(start.Add(400), list, criteria)
+	require.True(t, ok)
+}
