quarantine: old suspects leave the heartbeats

Cause: after the crash of a quarter of the engines hundreds of parts stay suspected, and each heartbeat of 68 hosts to twelve others carried 64 of them.

Change: a part with a single crash is reported unasked for two seconds after its last change; parts with more crashes and quarantined ones always. The owner of a trial still answers with what it knows.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -16,6 +16,9 @@
 	maxSuspects = 1024
 	// maxReports bounds the reports that a host sends at once.
 	maxReports = 64
+	// reportTime is how long after its last change a part with a single crash is reported
+	// unasked. Many parts are in one crash; those that crash more are always reported.
+	reportTime = 2 * cicadapitch.Second
 )
 
 // Change is a part that was quarantined, or is no longer.
@@ -188,8 +191,9 @@
 	return out
 }
 
-// Reports returns reports of the suspects with the given parts, or of all if there are
-// none, at most maxReports: the worst ones, then those that changed last.
+// Reports returns reports of the suspects with the given parts, or of those that others
+// have to know if there are none, at most maxReports: the worst ones, then those that
+// changed last.
 func (l *Ledger) Reports(now cicadapitch.Instant, parts ...string) []Report {
 	if l.size.Load() == 0 {
 		return nil
@@ -198,8 +202,13 @@
 	defer l.mu.Unlock()
 	l.prune(now)
 	if len(parts) == 0 {
-		for part := range l.suspects {
-			parts = append(parts, part)
+		for part, s := range l.suspects {
+			if s.state() == Quarantined || len(s.crashes) > 1 || now.Sub(s.changedAt) < reportTime {
+				parts = append(parts, part)
+			}
+		}
+		if len(parts) == 0 {
+			return nil
 		}
 	}
 	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return l.suspects[part] == nil })
