--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -207,11 +208,17 @@
 	if revision >= target {
 		return
 	}
+	start := m.clock.Now()
 	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision})
+	took := m.clock.Now().Sub(start)
 	if err != nil {
-		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Err(err).Msg("fetching store changes from a host failed")
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(took)).Err(err).Msg("fetching store changes from a host failed")
 		return
 	}
+	if i := slices.IndexFunc(r.Records, func(r fleet.Record) bool { return platform.IsCatalogKey(r.Key) }); i >= 0 {
+		m.log.Info().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("Revision", int64(r.Revision)).
+			Int("Bytes", len(r.Records[i].Value)).Int64("TookMs", int64(took)).Msg("configuration fetched from a host")
+	}
 	m.applyChanges(r.Records, r.Revision, string(h.ID))
 }
 
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -188,6 +188,7 @@
 	if r.Removed {
 		return
 	}
+	start := m.clock.Now()
 	c, err := platform.DecodeCatalog(r.Value)
 	if err != nil {
 		m.log.Error().Err(err).Int64("Revision", int64(r.Revision)).Msg("invalid configuration in the store ignored; the previous one stays in force")
@@ -195,7 +196,8 @@
 	}
 	ok := m.state.SetCatalog(c)
 	m.log.Info().Int64("Version", c.Version).Int64("Revision", int64(r.Revision)).
-		Str("From", source).Bool("InForce", ok).Msg("configuration")
+		Str("From", source).Bool("InForce", ok).Int("Bytes", len(r.Value)).
+		Int64("DecodeMs", int64(m.clock.Now().Sub(start))).Msg("configuration")
 }
 
 // applyEndpoint applies a change of an endpoint's entry. If the entry may have
