bench/propagation: how long a configuration takes to reach all hosts, and a failing test

Stores and dialers take a function that opens their connections, for the simulated links. No change of behaviour.

--- /dev/null
+++ b/bench/propagation/case.go
@@ -0,0 +1,43 @@
+package propagation
+
+import (
+	"fmt"
+	"strings"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// Case describes a fleet and the changes that it gets.
+type Case struct {
+	// Hosts is the size of the fleet.
+	Hosts int
+	// Routes is the number of routes of the first configuration, Added how many each change
+	// adds.
+	Routes, Added int
+	// Changes is the number of changes, Gap the time between them.
+	Changes int
+	Gap     cicadapitch.Millis
+	// LinkMbps is the bandwidth of the link of each host in megabits per second.
+	LinkMbps float64
+	// Traffic is the share of each link that other calls between hosts use.
+	Traffic float64
+}
+
+// String returns the parameters of the case.
+func (c Case) String() string {
+	return fmt.Sprintf("%d hosts, %d routes, %d changes of %d routes every %d ms, %g Mbit/s, traffic %g",
+		c.Hosts, c.Routes, c.Changes, c.Added, c.Gap, c.LinkMbps, c.Traffic)
+}
+
+// routes returns the JSON of the routes with the numbers from first to end, each after a
+// comma.
+func routes(first, end int) string {
+	var b strings.Builder
+	for i := first; i < end; i++ {
+		// The names have as much randomness as those of operators.
+		fmt.Fprintf(&b, `,{"name":"r-%s","host":"h%d.example","prefix":"/%s/","kind":"safe","timeout_ms":2000,`+
+			`"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"stages":[],"anonymous":false,`+
+			`"session_affinity":false,"stream_resume":false}`, name(2*i), i%7, name(2*i+1))
+	}
+	return b.String()
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -125,6 +125,9 @@
 // hosts. The default is none.
 func WithRateLimits(l *placement.RateLimits) Option { return func(m *Membership) { m.limits = l } }
 
+// WithStore sets the client of the store. The default is one of the store in the settings.
+func WithStore(s *platform.Store) Option { return func(m *Membership) { m.store = s } }
+
 // New returns a Membership with an empty view. It makes no call to the store.
 func New(s *platform.Settings, opts ...Option) *Membership {
 	m := &Membership{
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 
@@ -45,7 +44,7 @@
 	o := newOptions(opts)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	transport := &http.Transport{
-		DialContext:       (&net.Dialer{KeepAliveConfig: keepAliveConfig}).DialContext,
+		DialContext:       o.dialContext,
 		DisableKeepAlives: true,
 	}
 	return &Dialer{
--- a/peer/options.go
+++ b/peer/options.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"context"
+	"net"
+
 	"github.com/rs/zerolog"
 
 	"cicadapitch.example/cicadapitch"
@@ -35,6 +38,7 @@
 	probeAfterIdle    cicadapitch.Millis
 	maxCalls          int
 	maxHandshakes     int
+	dialContext       func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Option configures a Server or a Dialer.
@@ -52,6 +56,7 @@
 		probeAfterIdle:    defaultProbeAfterIdle,
 		maxCalls:          defaultMaxCalls,
 		maxHandshakes:     defaultMaxHandshakes,
+		dialContext:       (&net.Dialer{KeepAliveConfig: keepAliveConfig}).DialContext,
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -102,3 +107,9 @@
 // WithMaxHandshakes sets how many handshakes a Server performs concurrently. The
 // default is 256.
 func WithMaxHandshakes(n int) Option { return func(o *options) { o.maxHandshakes = n } }
+
+// WithDialContext sets the function with which a Dialer opens connections. A Server
+// ignores this option.
+func WithDialContext(f func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.dialContext = f }
+}
