catalog: versions share what did not change; changes between them

Diff gives the change from one version to another, Apply applies it at the cost of what it sets and removes, and a checksum that is updated with each entry tells whether the result is the sender's.

Tests: random chains of changes give the catalog that they were made from; the change of two routes among 4,000 has the size of two routes; the longest prefix wins.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,11 +18,17 @@
 	Services map[ServiceID]*Service
 	Limits   Limits
 	// customers maps each API key to its customer.
-	customers map[string]*Customer
-	// routes maps each host name to its routes, longest path prefix first.
-	routes map[string][]*Route
+	customers table[string, *Customer]
+	routes    table[RouteKey, *Route]
+	// longestPrefix is at least the length of the longest path prefix.
+	longestPrefix int
+	// digest is the checksum of the contents, see Change.Digest.
+	digest uint64
 }
 
+// RouteKey identifies a route: its host name and path prefix.
+type RouteKey struct{ Host, Prefix string }
+
 // Limits are the limits on a caller's HTTP request and connection. A size of 0
 // means no limit, a timeout of 0 the default of the server.
 type Limits struct {
@@ -136,67 +142,37 @@
 	KVCapacityTokens cicadapitch.Tokens
 }
 
-// Builder assembles a catalog. It must not be used after Catalog.
-type Builder struct{ c *Catalog }
-
-// NewBuilder returns a builder for a catalog with the given version.
-func NewBuilder(version int64, limits Limits) *Builder {
-	return &Builder{c: &Catalog{
-		Version:   version,
-		Limits:    limits,
-		Services:  map[ServiceID]*Service{},
-		customers: map[string]*Customer{},
-		routes:    map[string][]*Route{},
-	}}
-}
-
-// AddService adds a service.
-func (b *Builder) AddService(s *Service) { b.c.Services[s.Name] = s }
-
-// AddCustomer adds a customer with its API keys.
-func (b *Builder) AddCustomer(c *Customer, keys ...string) {
-	for _, k := range keys {
-		b.c.customers[k] = c
-	}
-}
-
-// AddRoute adds a route and keeps the routes of its host sorted by the length of
-// the prefix, longest first.
-func (b *Builder) AddRoute(r *Route) {
-	list := b.c.routes[r.Host]
-	at := len(list)
-	for i, other := range list {
-		if len(r.Prefix) > len(other.Prefix) {
-			at = i
-			break
-		}
-	}
-	list = append(list, nil)
-	copy(list[at+1:], list[at:])
-	list[at] = r
-	b.c.routes[r.Host] = list
-}
-
-// Catalog returns the finished catalog.
-func (b *Builder) Catalog() *Catalog { return b.c }
+// Key returns the key of the route.
+func (r *Route) Key() RouteKey { return RouteKey{r.Host, r.Prefix} }
 
 // Match returns the route of host with the longest prefix that matches path, or
 // nil if none matches. host must be in lower case and without a port.
 func (c *Catalog) Match(host, path string) *Route {
-	for _, r := range c.routes[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+	path = path[:min(len(path), c.longestPrefix)]
+	for {
+		i := strings.LastIndexByte(path, '/')
+		if i < 0 {
+			return nil
+		}
+		if r, ok := c.routes.get(RouteKey{host, path[:i+1]}); ok {
 			return r
 		}
+		path = path[:i]
 	}
-	return nil
 }
 
+// Routes returns the number of routes.
+func (c *Catalog) Routes() int { return c.routes.size }
+
 // HasCustomers reports whether any customer has an API key. If so, a request needs
 // an API key unless its route is anonymous.
-func (c *Catalog) HasCustomers() bool { return len(c.customers) > 0 }
+func (c *Catalog) HasCustomers() bool { return c.customers.size > 0 }
 
 // CustomerOf returns the customer with the given API key, or nil.
-func (c *Catalog) CustomerOf(key string) *Customer { return c.customers[key] }
+func (c *Catalog) CustomerOf(key string) *Customer {
+	customer, _ := c.customers.get(key)
+	return customer
+}
 
 // Allows reports whether the route leads to a service.
 func (r *Route) Allows(s ServiceID) bool {
