membership: hosts pass on changes of the configuration instead of the whole

Callers got 404 on routes that had been added, and requests went where an older configuration leads, seconds after the store had acknowledged a later one (config-25).

Cause: the configuration was one record among those that hosts fetch from others. Each heartbeat that showed a later revision started a fetch of its own, so up to 24 copies of the whole value shared a link of 10 Mbit/s with heartbeats and stage calls; a fetch that had not ended after one second began anew, and so nobody got it.

Change: a host that follows the store turns a new configuration into the change from the one before, and tells its neighbours. A host that is behind fetches the change to the latest version from one holder at a time, in compressed CBOR, and passes it on as it came. Without a holder it reads the store. Heartbeats carry version and age, so that a missed notice delays a change by one heartbeat. Hosts of earlier builds still get the whole.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -209,6 +209,13 @@
 	h.version = max(h.version, v.Catalog.Version)
 }
 
+// serves reports whether the host has the route with a number in force.
+func (h *host) serves(route int) bool {
+	c := h.membership.View().Catalog
+	host, path := routeKey(route)
+	return c != nil && c.Match(host, path+"x") != nil
+}
+
 // inForce returns how long after at the version came into force on each host, and false if
 // a host does not have it yet.
 func (f *Fleet) inForce(version int64, at time.Time) ([]cicadapitch.Millis, bool) {
--- a/bench/propagation/result.go
+++ b/bench/propagation/result.go
@@ -32,6 +32,8 @@
 	Bytes              cicadapitch.Bytes
 	Processor          time.Duration
 	StoreCalls         float64
+	// Unserved is the number of hosts without a route that the last change added.
+	Unserved int
 	// Regressed is true if a host put an older version in force after a newer one.
 	Regressed bool
 }
@@ -76,6 +78,9 @@
 		h.mu.Lock()
 		r.Regressed = r.Regressed || h.regressed
 		h.mu.Unlock()
+		if !h.serves(f.routes - 1) {
+			r.Unserved++
+		}
 	}
 	return r, nil
 }
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -82,6 +82,7 @@
 		membership.WithLog(do.MustInvoke[zerolog.Logger](i)),
 		membership.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
 		membership.WithRateLimits(do.MustInvoke[*placement.RateLimits](i)),
+		membership.WithMetrics(do.MustInvoke[tally.TestScope](i)),
 		membership.WithClock(do.MustInvoke[cicadapitch.Clock](i))), nil
 }
 
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -54,18 +54,36 @@
 		m.receiveHeartbeat(hb)
 		return m.newHeartbeat(), nil
 	})
-	peer.Handle(s, callSync, func(_ context.Context, r SyncRequest) (SyncReply, error) {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		return SyncReply{Revision: m.mirror.Revision(), Records: m.mirror.ChangesSince(r.Since)}, nil
+	peer.Handle(s, callSync, m.serveSync)
+	peer.Handle(s, callCatalogChange, m.serveChange)
+	peer.Handle(s, callCatalogNotice, func(_ context.Context, n CatalogNotice) (struct{}, error) {
+		m.learnCatalog(n.Head, n.Peers)
+		return struct{}{}, nil
 	})
 	m.dialer.Store(d)
 }
 
+// serveSync answers a SyncRequest. A host of an earlier build gets the configuration with
+// the records, or an error if this host knows it only by changes.
+func (m *Membership) serveSync(_ context.Context, r SyncRequest) (SyncReply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reply := SyncReply{Revision: m.mirror.Revision(), Records: m.mirror.ChangesSince(r.Since)}
+	if r.WithoutCatalog || m.catalogRevision <= r.Since {
+		return reply, nil
+	}
+	if m.catalogRecord.Revision < m.catalogRevision {
+		return SyncReply{}, cicadapitch.NewError(cicadapitch.Unavailable, "this host has the configuration in another form", "ask another host or the store")
+	}
+	reply.Records = append(reply.Records, m.catalogRecord)
+	return reply, nil
+}
+
 // newHeartbeat returns this host's current heartbeat. The caller must not hold mu.
 func (m *Membership) newHeartbeat() Heartbeat {
 	ownWaits, loads, ready, watches := m.queueWaits(), m.engineLoads(), m.Ready(), m.shouldWatchStore()
 	now := m.clock.Now()
+	head := m.catalogHead(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	waits := m.freshWaits(now)
@@ -74,7 +92,7 @@
 	}
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(),
-		Loads: loads, Waits: waits, Down: m.downReports(now), StoreAway: watches && !m.storeUp,
+		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), StoreAway: watches && !m.storeUp,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
 }
@@ -82,6 +100,10 @@
 // receiveHeartbeat records a heartbeat. It merges the sender's reports on other hosts
 // and shards even if the sender is not registered.
 func (m *Membership) receiveHeartbeat(hb Heartbeat) {
+	i := slices.IndexFunc(m.View().Hosts, func(h fleet.Host) bool { return h.Incarnation == hb.Incarnation })
+	if i >= 0 {
+		m.learnCatalog(hb.Catalog, m.View().Hosts[i].Peers)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -127,6 +149,8 @@
 			continue
 		}
 		m.removeOverdueEndpoints()
+		m.startCatchUp()
+		m.logStale()
 		m.storeQuarantine(ctx)
 		targets := heartbeatTargets(m.incarnation, m.View().Hosts)
 		m.setMonitored(targets)
@@ -209,16 +233,11 @@
 		return
 	}
 	start := m.clock.Now()
-	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision})
-	took := m.clock.Now().Sub(start)
+	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision, WithoutCatalog: true})
 	if err != nil {
-		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(took)).Err(err).Msg("fetching store changes from a host failed")
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
 		return
 	}
-	if i := slices.IndexFunc(r.Records, func(r fleet.Record) bool { return platform.IsCatalogKey(r.Key) }); i >= 0 {
-		m.log.Info().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("Revision", int64(r.Revision)).
-			Int("Bytes", len(r.Records[i].Value)).Int64("TookMs", int64(took)).Msg("configuration fetched from a host")
-	}
 	m.applyChanges(r.Records, r.Revision, string(h.ID))
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -8,8 +8,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -54,22 +56,34 @@
 	onView      []func(*fleet.View)
 	quarantine  *quarantine.Ledger
 	limits      *placement.RateLimits
-
-	view    atomic.Pointer[fleet.View]
-	leaving atomic.Bool
+	metrics     tally.Scope
+
+	view atomic.Pointer[fleet.View]
+	// lag tracks the versions of the configuration, history makes changes between them.
+	// catchingUp is true while changes are fetched.
+	lag        fleet.Lag
+	history    catalogHistory
+	catchingUp atomic.Bool
+	leaving    atomic.Bool
 	// leaveCtx is canceled when the host begins to leave. leaveAnnounced is true once
 	// RunHeartbeats has begun to send heartbeats that say so. Only RunHeartbeats uses
 	// leaveAnnounced, so it needs no lock.
 	leaveCtx       context.Context
 	cancelLeaveCtx context.CancelFunc
 	leaveAnnounced bool
-	dialer         atomic.Pointer[peer.Dialer]
+	// loggedStale is true if the log says that the configuration is stale.
+	loggedStale bool
+	dialer      atomic.Pointer[peer.Dialer]
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// mirror is a copy of the store's records. state is decoded from them.
 	mirror *fleet.Mirror
 	state  *fleet.State
+	// catalogRevision is the store's revision of the configuration in force. catalogRecord is
+	// the latest configuration that came as a whole; it may be older.
+	catalogRevision cicadapitch.StoreRevision
+	catalogRecord   fleet.Record
 	// peers holds the last heartbeat of each registered host, by incarnation.
 	peers map[string]*peerState
 	// monitored holds the incarnations of the hosts that get heartbeats from this
@@ -128,11 +142,21 @@
 // WithStore sets the client of the store. The default is one of the store in the settings.
 func WithStore(s *platform.Store) Option { return func(m *Membership) { m.store = s } }
 
+// WithMetrics sets the scope for metrics. The default discards them.
+func WithMetrics(s tally.Scope) Option { return func(m *Membership) { m.metrics = s } }
+
+// catalogAgeBuckets are the bounds of the histogram of the age at which configurations come
+// into force.
+var catalogAgeBuckets = tally.DurationBuckets{
+	50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+}
+
 // New returns a Membership with an empty view. It makes no call to the store.
 func New(s *platform.Settings, opts ...Option) *Membership {
 	m := &Membership{
 		settings: s, clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(),
-		store: platform.NewStore([]string{s.Store.URL()}), incarnation: randomID(),
+		store: platform.NewStore([]string{s.Store.URL()}), incarnation: randomID(), metrics: tally.NoopScope,
 		engineLoads: func() map[cicadapitch.EndpointID]int { return nil },
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
@@ -178,9 +202,11 @@
 // another one.
 func (m *Membership) Incarnation() string { return m.incarnation }
 
-// Ready implements platform.Directory. A host is ready once it has a
-// configuration and until it begins to leave.
-func (m *Membership) Ready() bool { return m.View().Catalog != nil && !m.leaving.Load() }
+// Ready implements platform.Directory. A host is ready once it has a configuration, while
+// that is not stale, and until it begins to leave.
+func (m *Membership) Ready() bool {
+	return m.View().Catalog != nil && !m.CatalogLag().Stale && !m.leaving.Load()
+}
 
 // Leave makes the host unready and revokes the lease of its store entry. If that
 // fails, the entry expires with its lease. ctx bounds the store call.
--- a/membership/message.go
+++ b/membership/message.go
@@ -9,8 +9,10 @@
 
 // Names of the calls between hosts, as sent on the wire.
 const (
-	callHeartbeat = "beat"
-	callSync      = "sync"
+	callHeartbeat     = "beat"
+	callSync          = "sync"
+	callCatalogNotice = "catalog"
+	callCatalogChange = "catalogchange"
 )
 
 // Heartbeat carries the sender's state and its reports on other hosts and on shards.
@@ -22,6 +24,8 @@
 	Ready bool
 	// Revision is the store revision up to which the sender's mirror is complete.
 	Revision cicadapitch.StoreRevision
+	// Catalog describes the configuration that the sender has in force.
+	Catalog CatalogHead
 	// StoreAway is true while the sender should watch the store but cannot reach it.
 	StoreAway bool
 	// Loads is the number of requests that the sender has at each engine.
@@ -51,8 +55,40 @@
 	Age         cicadapitch.Millis
 }
 
+// CatalogHead describes the configuration that a host has in force.
+type CatalogHead struct {
+	// Version is 0 if the host has none.
+	Version int64
+	// Revision is the store's revision of the configuration.
+	Revision cicadapitch.StoreRevision
+	// Age is how long ago a host first knew the version.
+	Age cicadapitch.Millis
+}
+
+// CatalogNotice tells of a configuration that the host at Peers has put in force.
+type CatalogNotice struct {
+	Peers string
+	Head  CatalogHead
+}
+
+// CatalogRequest asks for the change from a version of the configuration to the one in
+// force.
+type CatalogRequest struct{ Version int64 }
+
+// CatalogReply carries the change in compressed CBOR. It starts from no configuration if
+// the host does not know the requested version.
+type CatalogReply struct {
+	Head   CatalogHead
+	Change []byte
+}
+
 // SyncRequest asks for the store changes after the revision Since.
-type SyncRequest struct{ Since cicadapitch.StoreRevision }
+type SyncRequest struct {
+	Since cicadapitch.StoreRevision
+	// WithoutCatalog is true if the sender fetches configurations by CatalogRequest. Hosts
+	// of earlier builds do not.
+	WithoutCatalog bool
+}
 
 // SyncReply carries the requested changes, complete up to Revision.
 type SyncReply struct {
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -128,6 +128,7 @@
 
 // applyListing merges a full listing of the store, taken at the given revision.
 func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) {
+	list = m.applyCatalogs(list, "store")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -137,6 +138,7 @@
 // applyChanges merges changes that are complete up to the given revision. source names
 // their origin in the log: "store" or a host's id.
 func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, source string) {
+	changes = m.applyCatalogs(changes, source)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -160,10 +162,6 @@
 // applyRecord applies one record to the state, depending on its key. The caller
 // holds mu.
 func (m *Membership) applyRecord(now cicadapitch.Instant, r fleet.Record, source string) {
-	if platform.IsCatalogKey(r.Key) {
-		m.applyCatalog(r, source)
-		return
-	}
 	if z, ok := platform.EvacuatedZoneFromKey(r.Key); ok {
 		m.state.SetEvacuated(z, !r.Removed)
 		m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
@@ -182,24 +180,6 @@
 	}
 }
 
-// applyCatalog puts a configuration in force unless a later version is in force. The
-// removal of the configuration changes nothing. The caller holds mu.
-func (m *Membership) applyCatalog(r fleet.Record, source string) {
-	if r.Removed {
-		return
-	}
-	start := m.clock.Now()
-	c, err := platform.DecodeCatalog(r.Value)
-	if err != nil {
-		m.log.Error().Err(err).Int64("Revision", int64(r.Revision)).Msg("invalid configuration in the store ignored; the previous one stays in force")
-		return
-	}
-	ok := m.state.SetCatalog(c)
-	m.log.Info().Int64("Version", c.Version).Int64("Revision", int64(r.Revision)).
-		Str("From", source).Bool("InForce", ok).Int("Bytes", len(r.Value)).
-		Int64("DecodeMs", int64(m.clock.Now().Sub(start))).Msg("configuration")
-}
-
 // applyEndpoint applies a change of an endpoint's entry. If the entry may have
 // expired only because the store was unreachable, the endpoint stays until
 // reregisterGrace is over. The caller holds mu.
