gateway: a host that is behind does not answer for a later configuration

A host that had heard of a later configuration answered 404 and 401 for routes and keys that this one adds. Callers do not repeat after those.

It now answers 503 with a short Retry-After, which is true, since nothing has run. The lines of refused requests name both versions and the age.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,8 @@
 type Membership interface {
 	// View returns the current configuration and endpoints.
 	View() *fleet.View
+	// CatalogLag returns how far this host's configuration is behind.
+	CatalogLag() fleet.CatalogLag
 	// Loads returns the estimated running calls of the other hosts by engine.
 	Loads() map[cicadapitch.EndpointID]int
 	// Waits returns the most recently reported queue waits, by shard key, including
@@ -229,7 +231,14 @@
 	if v.Catalog == nil {
 		return nil, cicadapitch.NewNotRun("the host has no configuration yet", notReadyRetryAfter)
 	}
+	lag := g.membership.CatalogLag()
+	if lag.Stale {
+		return nil, errBehind
+	}
 	route := v.Catalog.Match(normalizeHost(r.Host), r.Path)
+	if route == nil && lag.Latest > 0 {
+		return nil, errBehind
+	}
 	if route == nil {
 		return nil, cicadapitch.NewError(cicadapitch.NotFound, "no route matches", "check the host and the path")
 	}
@@ -239,6 +248,9 @@
 	}
 	if v.Catalog.HasCustomers() && !route.Anonymous {
 		c := v.Catalog.CustomerOf(r.Key)
+		if c == nil && lag.Latest > 0 {
+			return nil, errBehind
+		}
 		if c == nil {
 			return nil, cicadapitch.NewError(cicadapitch.Denied, "the key is unknown", "use a key of a customer")
 		}
@@ -263,10 +275,17 @@
 // started and has no configuration yet.
 const notReadyRetryAfter cicadapitch.Millis = 300
 
+// errBehind rejects requests that a later configuration, which this host has heard of and
+// does not have yet, may allow or route elsewhere.
+var errBehind = cicadapitch.NewNotRun("the host's configuration is behind", notReadyRetryAfter)
+
 // refuse logs and counts a request that was not admitted, and answers it with err.
 func (g *Gateway) refuse(r *catalog.Request, a *platform.ResponseWriter, err error) {
-	g.log.Info().Str("Id", string(r.ID)).Str("Host", r.Host).Str("Path", r.Path).
-		Err(err).Msg("refused")
+	event := g.log.Info().Str("Id", string(r.ID)).Str("Host", r.Host).Str("Path", r.Path)
+	if lag := g.membership.CatalogLag(); lag.Latest > 0 {
+		event = event.Int64("Config", lag.Version).Int64("Latest", lag.Latest).Int64("BehindMs", int64(lag.Age))
+	}
+	event.Err(err).Msg("refused")
 	g.metrics.Tagged(map[string]string{"Kind": cicadapitch.KindOf(err).String()}).Counter("Refusals").Inc(1)
 	a.WriteError(err)
 }
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -24,9 +24,11 @@
 type lockedMembership struct {
 	mu   sync.Mutex
 	view *fleet.View
+	lag  fleet.CatalogLag
 }
 
 func (m *lockedMembership) View() *fleet.View                     { return m.view }
+func (m *lockedMembership) CatalogLag() fleet.CatalogLag          { return m.lag }
 func (m *lockedMembership) Loads() map[cicadapitch.EndpointID]int { return nil }
 func (m *lockedMembership) Waits() map[string]gateway.QueueWaits  { return nil }
 func (m *lockedMembership) HostCount() int                        { return 1 }
