membership: heartbeats and changes do not wait behind requests

Heartbeats, sync requests and changes of the configuration shared one connection to each host with the calls for requests.

The calls of the membership have a dialer, and so connections, of their own.

TestChangesDoNotWaitBehindRequests (4 MB of responses queued on a link of 4 Mbit/s): with one dialer for both the change is not in force on the other host after 2 s; with two it is.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -150,8 +150,9 @@
 	}
 	server := peer.NewServer(secret)
 	dialer := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
+	control := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
 	peer.Handle(server, callTraffic, func(context.Context, []byte) (struct{}, error) { return struct{}{}, nil })
-	h.membership.EnablePeerCalls(server, dialer)
+	h.membership.EnablePeerCalls(server, dialer, control)
 	if c.Traffic > 0 {
 		h.running.Go(func() { h.sendTraffic(ctx, dialer, c.Traffic*c.LinkMbps*1e6/8) })
 	}
@@ -164,6 +165,7 @@
 		// The hosts stop at once; their calls may fail.
 		_ = server.Close(closed)
 		_ = dialer.Close(closed)
+		_ = control.Close(closed)
 		_ = s.Close()
 	})
 	_ = s.Serve(l)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,7 @@
 
 func main() {
 	seeds, caseName, fleet, variant, sweep := 3, "", "", "", false
+	changes, traffic := false, 0.0
 	flaggy.SetName("bench")
 	flaggy.SetDescription("Simulates fleets under load on virtual time and prints the results.")
 	flaggy.Int(&seeds, "s", "seeds", "number of seeds for each row")
@@ -20,7 +21,13 @@
 	flaggy.String(&fleet, "f", "fleet", "run only this fleet: Verbund or Cwrt (default both), or Letter (one case, standard variant, one seed)")
 	flaggy.String(&variant, "v", "variant", "run only this variant")
 	flaggy.Bool(&sweep, "w", "weights", "run all cases at several weights between cost and attainment, instead of the variants; not for Letter")
+	flaggy.Bool(&changes, "p", "propagation", "measure how long changes of the configuration take to reach all hosts, on real time, instead of the cases")
+	flaggy.Float64(&traffic, "t", "traffic", "share of each host's link that other calls use, with --propagation")
 	flaggy.Parse()
+	if changes {
+		exitOnError(printPropagation(traffic))
+		return
+	}
 	if sweep {
 		exitOnError(printWeightSweep(fleet, seeds))
 		return
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -170,9 +170,10 @@
 		return // ctx has ended
 	}
 	server := peer.NewServer(secret, peer.WithLog(h.log))
-	dialer := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
+	calls := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
+	control := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
 	h.gateway.RegisterHandlers(server)
-	h.membership.EnablePeerCalls(server, dialer)
+	h.membership.EnablePeerCalls(server, calls, control)
 	l, err := net.Listen("tcp", h.settings.PeerAddress())
 	if err != nil {
 		h.log.Error().Err(err).Msg("cannot listen for other hosts; they cannot connect to this host")
--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -119,7 +119,7 @@
 // announceCatalog tells the hosts that get heartbeats from this one of its configuration, in
 // the background. A failed notice is not repeated, since heartbeats follow.
 func (m *Membership) announceCatalog() {
-	d := m.Dialer()
+	d := m.control.Load()
 	hosts := m.View().Hosts
 	if d == nil || len(hosts) <= maxHostsAllWatching {
 		return
@@ -145,7 +145,7 @@
 // startCatchUp starts catchUp in the background if this host is behind and catchUp does not
 // run.
 func (m *Membership) startCatchUp() {
-	if latest, _ := m.lag.Behind(m.clock.Now()); latest == 0 || m.Dialer() == nil {
+	if latest, _ := m.lag.Behind(m.clock.Now()); latest == 0 || m.control.Load() == nil {
 		return
 	}
 	if m.catchingUp.CompareAndSwap(false, true) {
@@ -200,7 +200,7 @@
 		r.Version = before.Version
 	}
 	start := m.clock.Now()
-	reply, err := peer.Call[CatalogRequest, CatalogReply](ctx, m.Dialer(), address, callCatalogChange, r)
+	reply, err := peer.Call[CatalogRequest, CatalogReply](ctx, m.control.Load(), address, callCatalogChange, r)
 	if err != nil {
 		return err
 	}
--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -18,6 +18,9 @@
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
+// fastMbps is the bandwidth of a link that delays nothing.
+const fastMbps = 10_000
+
 // nextPeerIP gives each host of the tests an address of its own.
 var nextPeerIP atomic.Int32
 
@@ -36,8 +39,14 @@
 	}
 }
 
-// startPeerHost starts a host that follows the store at the given address.
+// startPeerHost starts a host that follows the store at the given address and has a fast
+// link.
 func startPeerHost(t *testing.T, store string) *peerHost {
+	return startLinkedHost(t, store, platformtest.NewLink(fastMbps))
+}
+
+// startLinkedHost starts a host whose connections to other hosts use a link.
+func startLinkedHost(t *testing.T, store string, link *platformtest.Link) *peerHost {
 	h := &peerHost{settings: newPeerSettings(store)}
 	h.Membership = membership.New(h.settings)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -53,20 +62,24 @@
 	})
 	secret, err := h.Secret(ctx)
 	require.NoError(t, err)
-	server, dialer := peer.NewServer(secret), peer.NewDialer(h.settings.Host, secret)
-	h.EnablePeerCalls(server, dialer)
-	servePeers(t, h.settings.PeerAddress(), server)
+	server := peer.NewServer(secret)
+	peer.Handle(server, "request", func(_ context.Context, n int) ([]byte, error) { return make([]byte, n), nil })
+	newDialer := func() *peer.Dialer {
+		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(link.DialContext))
+	}
+	h.EnablePeerCalls(server, newDialer(), newDialer())
+	servePeers(t, h.settings.PeerAddress(), server, link)
 	return h
 }
 
-// servePeers serves calls of other hosts until the test ends.
-func servePeers(t *testing.T, address string, s *peer.Server) {
+// servePeers serves calls of other hosts over a link until the test ends.
+func servePeers(t *testing.T, address string, s *peer.Server, link *platformtest.Link) {
 	l, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(link.Listener(l)) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -112,7 +125,7 @@
 		}
 		return membership.CatalogReply{}, cicadapitch.NewError(cicadapitch.Unavailable, "not now", "later")
 	})
-	servePeers(t, settings.PeerAddress(), server)
+	servePeers(t, settings.PeerAddress(), server, platformtest.NewLink(fastMbps))
 	s.Set("hosts/fake", map[string]string{"Host": "fake", "Incarnation": "fake", "Zone": "z", "Callers": settings.CallerListen, "Peers": settings.PeerAddress()})
 	return f
 }
@@ -194,3 +207,27 @@
 	s.Set(platformtest.ConfigKey, platformtest.Config(7, "", 14))
 	eventually(t, 2000, func() bool { return h.CatalogLag().Latest == 0 && h.Ready() })
 }
+
+// TestChangesDoNotWaitBehindRequests queues responses that take a slow link several seconds,
+// and checks that heartbeats and a change still reach the other host.
+func TestChangesDoNotWaitBehindRequests(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set(platformtest.ConfigKey, platformtest.Config(1, "", 14))
+	gate := platformtest.NewGate(s.Address())
+	defer gate.Close()
+	busy, other := startLinkedHost(t, s.Address(), platformtest.NewLink(4)), startPeerHost(t, gate.Address())
+	eventually(t, 5000, func() bool { return len(busy.Hosts()) == 2 && len(other.Hosts()) == 2 })
+	gate.Shut()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 8 {
+		go func() {
+			_, _ = peer.Call[int, []byte](ctx, other.Dialer(), busy.settings.PeerAddress(), "request", 500_000)
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.Set(platformtest.ConfigKey, platformtest.Config(4, platformtest.ExtraRoute, 14))
+	eventually(t, 2000, func() bool { return version(other.Membership) == 4 })
+	require.Len(t, other.Hosts(), 2)
+}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -47,9 +47,10 @@
 	}
 }
 
-// EnablePeerCalls registers the handlers for heartbeats and sync requests at s, and
-// makes d the dialer for calls to other hosts.
-func (m *Membership) EnablePeerCalls(s *peer.Server, d *peer.Dialer) {
+// EnablePeerCalls registers the handlers for heartbeats, sync requests and changes of the
+// configuration at s. Dialer returns calls from then on. control makes the calls of m, over
+// connections of its own, so that they do not wait behind those for requests.
+func (m *Membership) EnablePeerCalls(s *peer.Server, calls, control *peer.Dialer) {
 	peer.Handle(s, callHeartbeat, func(_ context.Context, hb Heartbeat) (Heartbeat, error) {
 		m.receiveHeartbeat(hb)
 		return m.newHeartbeat(), nil
@@ -60,7 +61,8 @@
 		m.learnCatalog(n.Head, n.Peers)
 		return struct{}{}, nil
 	})
-	m.dialer.Store(d)
+	m.control.Store(control)
+	m.dialer.Store(calls)
 }
 
 // serveSync answers a SyncRequest. A host of an earlier build gets the configuration with
@@ -144,7 +146,7 @@
 // until EnablePeerCalls has been called.
 func (m *Membership) RunHeartbeats(ctx context.Context) {
 	for m.awaitNextHeartbeat(ctx) {
-		d := m.Dialer()
+		d := m.control.Load()
 		if d == nil {
 			continue
 		}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -73,7 +73,8 @@
 	leaveAnnounced bool
 	// loggedStale is true if the log says that the configuration is stale.
 	loggedStale bool
-	dialer      atomic.Pointer[peer.Dialer]
+	// dialer makes the calls for requests, control those of this Membership.
+	dialer, control atomic.Pointer[peer.Dialer]
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -194,7 +195,7 @@
 // View returns the current view.
 func (m *Membership) View() *fleet.View { return m.view.Load() }
 
-// Dialer returns the dialer for calls to other hosts, or nil before
+// Dialer returns the dialer for calls for requests to other hosts, or nil before
 // EnablePeerCalls.
 func (m *Membership) Dialer() *peer.Dialer { return m.dialer.Load() }
 
