--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -56,6 +56,8 @@
 	c     Case
 	store *platformtest.Store
 	hosts []*host
+	// subnet is the third number of the hosts' addresses.
+	subnet int32
 	// version is the version of the last configuration and routes the number of its routes.
 	version int64
 	routes  int
@@ -67,16 +69,11 @@
 // Start starts a fleet and waits until all hosts have the first configuration and know each
 // other. The caller must call Close.
 func Start(c Case) (*Fleet, error) {
-	f := &Fleet{c: c, store: platformtest.NewStore(), routes: c.Routes}
+	f := &Fleet{c: c, store: platformtest.NewStore(), routes: c.Routes, subnet: nextSubnet.Add(1)}
 	f.write(1)
-	subnet := nextSubnet.Add(1)
-	for i := range c.Hosts {
-		h, err := f.startHost(fmt.Sprintf("127.79.%d.%d", subnet, i+1), i)
-		if err != nil {
-			f.Close()
-			return nil, err
-		}
-		f.hosts = append(f.hosts, h)
+	if err := f.startHosts(); err != nil {
+		f.Close()
+		return nil, err
 	}
 	for _, h := range f.hosts {
 		if !waitFor(30*cicadapitch.Second, func() bool {
@@ -90,6 +87,29 @@
 	return f, nil
 }
 
+// startHosts starts all hosts at once.
+func (f *Fleet) startHosts() error {
+	f.hosts = nil
+	for i := range f.c.Hosts {
+		h, err := f.startHost(fmt.Sprintf("127.79.%d.%d", f.subnet, i+1), i)
+		if err != nil {
+			return err
+		}
+		f.hosts = append(f.hosts, h)
+	}
+	return nil
+}
+
+// stopHosts ends all hosts without notice.
+func (f *Fleet) stopHosts() {
+	for _, h := range f.hosts {
+		h.cancel()
+	}
+	for _, h := range f.hosts {
+		h.running.Wait()
+	}
+}
+
 func waitFor(timeout cicadapitch.Millis, done func() bool) bool {
 	for end := time.Now().Add(timeout.Duration()); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if done() {
@@ -101,12 +121,7 @@
 
 // Close stops all hosts and the store.
 func (f *Fleet) Close() {
-	for _, h := range f.hosts {
-		h.cancel()
-	}
-	for _, h := range f.hosts {
-		h.running.Wait()
-	}
+	f.stopHosts()
 	f.store.Close()
 }
 
@@ -234,8 +249,9 @@
 	return took, true
 }
 
-// usage returns the bytes that all hosts have sent and received and their store calls.
-func (f *Fleet) usage() (bytes cicadapitch.Bytes, calls int64) {
+// usage returns the bytes that all hosts have sent and received and their reads and watches
+// of the store.
+func (f *Fleet) usage() (bytes cicadapitch.Bytes, reads int64) {
 	bytes = lo.SumBy(f.hosts, func(h *host) cicadapitch.Bytes { return h.link.Sent() + h.link.Received() })
-	return bytes, f.store.Calls().Total()
+	return bytes, f.store.Calls().Reads()
 }
--- a/bench/propagation/propagation_test.go
+++ b/bench/propagation/propagation_test.go
@@ -13,6 +13,10 @@
 // on every host.
 const maxPropagation = 3 * cicadapitch.Second
 
+// maxRecovery is the time after the return of all hosts within which a quarter of the
+// requests has to be served.
+const maxRecovery = 15 * cicadapitch.Second
+
 // requireInTime runs a case and checks that its changes are in force in time on all hosts,
 // with their routes, and that no host goes back.
 func requireInTime(t *testing.T, c propagation.Case) {
@@ -22,6 +26,7 @@
 	require.LessOrEqual(t, r.Worst, maxPropagation, c)
 	require.False(t, r.Regressed, c)
 	require.Zero(t, r.Unserved, c)
+	require.LessOrEqual(t, r.Quarter, maxRecovery, c)
 }
 
 // TestChangesReachASmallerFleet is small enough for the race detector.
--- a/bench/propagation/result.go
+++ b/bench/propagation/result.go
@@ -7,6 +7,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
 
 	"cicadapitch.example/cicadapitch"
@@ -15,9 +16,8 @@
 const (
 	// maxWait bounds the time that a change may take.
 	maxWait = 60 * cicadapitch.Second
-	// settleTime is how long the fleet is measured before the first change and after the
-	// last one.
-	settleTime = 2 * cicadapitch.Second
+	// idleTime is how long the fleet is measured before the first change.
+	idleTime = 4 * cicadapitch.Second
 )
 
 // Result is the measurement of a case. Costs are per change, over all hosts and the
@@ -31,7 +31,10 @@
 	ConfigurationBytes cicadapitch.Bytes
 	Bytes              cicadapitch.Bytes
 	Processor          time.Duration
-	StoreCalls         float64
+	StoreReads         float64
+	// Quarter and NineTenths are the times after the restart of all hosts at once until a
+	// quarter and nine tenths of them are ready and serve the routes of the last change.
+	Quarter, NineTenths cicadapitch.Millis
 	// Unserved is the number of hosts without a route that the last change added.
 	Unserved int
 	// Regressed is true if a host put an older version in force after a newer one.
@@ -45,7 +48,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	idle := f.measure(func() { time.Sleep(settleTime.Duration()) })
+	idle := f.measure(func() { time.Sleep(idleTime.Duration()) })
 	var (
 		at   []time.Time
 		took []cicadapitch.Millis
@@ -72,7 +75,7 @@
 		Case: c, P50: took[len(took)/2], P99: took[len(took)*99/100], Worst: took[len(took)-1],
 		ConfigurationBytes: cicadapitch.Bytes(len(routes(0, f.routes))),
 		Bytes:              cost.bytes / cicadapitch.Bytes(c.Changes), Processor: cost.processor / time.Duration(c.Changes),
-		StoreCalls: cost.storeCalls / float64(c.Changes),
+		StoreReads: cost.storeReads / float64(c.Changes),
 	}
 	for _, h := range f.hosts {
 		h.mu.Lock()
@@ -82,7 +85,31 @@
 			r.Unserved++
 		}
 	}
-	return r, nil
+	r.Quarter, r.NineTenths, err = f.recover()
+	return r, err
+}
+
+// recover restarts all hosts at once and returns the times until a quarter and nine tenths
+// of them serve the last route.
+func (f *Fleet) recover() (quarter, nineTenths cicadapitch.Millis, err error) {
+	f.stopHosts()
+	start := time.Now()
+	if err := f.startHosts(); err != nil {
+		return 0, 0, err
+	}
+	await := func(share float64) (cicadapitch.Millis, bool) {
+		ok := waitFor(maxWait, func() bool {
+			serving := lo.CountBy(f.hosts, func(h *host) bool { return h.membership.Ready() && h.serves(f.routes-1) })
+			return float64(serving) >= share*float64(len(f.hosts))
+		})
+		return cicadapitch.Millis(time.Since(start).Milliseconds()), ok
+	}
+	quarter, _ = await(0.25)
+	nineTenths, ok := await(0.9)
+	if !ok {
+		return 0, 0, cicadapitch.NewError(cicadapitch.DeadlineExceeded, "the hosts did not serve again after their restart", "see the logs of the hosts")
+	}
+	return quarter, nineTenths, nil
 }
 
 // usage is what a fleet has used within a time.
@@ -90,17 +117,17 @@
 	elapsed    time.Duration
 	bytes      cicadapitch.Bytes
 	processor  time.Duration
-	storeCalls float64
+	storeReads float64
 }
 
 // measure returns what the fleet uses while do runs.
 func (f *Fleet) measure(do func()) usage {
 	start, processor := time.Now(), processorTime()
-	bytes, calls := f.usage()
+	bytes, reads := f.usage()
 	do()
 	u := usage{elapsed: time.Since(start), processor: processorTime() - processor}
-	bytesAfter, callsAfter := f.usage()
-	u.bytes, u.storeCalls = bytesAfter-bytes, float64(callsAfter-calls)
+	bytesAfter, readsAfter := f.usage()
+	u.bytes, u.storeReads = bytesAfter-bytes, float64(readsAfter-reads)
 	return u
 }
 
@@ -109,7 +136,7 @@
 	x := float64(u.elapsed) / float64(idle.elapsed)
 	u.bytes -= cicadapitch.Bytes(x * float64(idle.bytes))
 	u.processor -= time.Duration(x * float64(idle.processor))
-	u.storeCalls -= x * idle.storeCalls
+	u.storeReads -= x * idle.storeReads
 }
 
 // processorTime returns the processor time that the process has used.
@@ -122,11 +149,11 @@
 // WriteTable prints results as a table.
 func WriteTable(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "hosts\troutes\tadded\tchanges\tgap ms\tMbit/s\ttraffic\tKB whole\tp50 ms\tp99 ms\tworst ms\tKB/change\tcpu ms/change\tcalls/change\tregressed\t")
+	fmt.Fprintln(t, "hosts\troutes\tadded\tchanges\tgap ms\tMbit/s\ttraffic\tKB whole\tp50 ms\tp99 ms\tworst ms\tKB/change\tcpu ms/change\treads/change\t1/4 ms\t9/10 ms\tregressed\t")
 	for _, r := range results {
 		c := r.Case
-		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%g\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%t\t\n", c.Hosts, c.Routes, c.Added, c.Changes, c.Gap,
-			c.LinkMbps, c.Traffic, r.ConfigurationBytes/1000, r.P50, r.P99, r.Worst, r.Bytes/1000, r.Processor.Milliseconds(), r.StoreCalls, r.Regressed)
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%g\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%t\t\n", c.Hosts, c.Routes, c.Added, c.Changes, c.Gap,
+			c.LinkMbps, c.Traffic, r.ConfigurationBytes/1000, r.P50, r.P99, r.Worst, r.Bytes/1000, r.Processor.Milliseconds(), r.StoreReads, r.Quarter, r.NineTenths, r.Regressed)
 	}
 	return cicadapitch.Wrap(t.Flush())
 }
