--- a/catalog/request.go
+++ b/catalog/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/samber/lo"
 
@@ -70,3 +71,13 @@
 	}
 	return lo.Map(r.Prompt[:len(r.Prompt)-1], func(part PromptPart, _ int) string { return part.ID })
 }
+
+// PromptIDs returns the ids of all parts of the prompt, each after a comma.
+func (r *Request) PromptIDs() string {
+	var b strings.Builder
+	for _, part := range r.Prompt {
+		b.WriteByte(',')
+		b.WriteString(part.ID)
+	}
+	return b.String()
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -87,6 +87,8 @@
 	queueWaits map[string]QueueWaits
 	// sharedParts are the keys of the prompt's parts but for the last, as in the quarantine.
 	sharedParts []string
+	// key is the key of the request as a whole, as in the quarantine.
+	key string
 	// endCheck, if set, is closed once it is known whether the endpoint of the last broken
 	// answer has ended.
 	endCheck <-chan struct{}
@@ -371,6 +373,7 @@
 	if len(p.sharedParts) > 0 {
 		event.Strs("Parts", p.sharedParts[:min(len(p.sharedParts), maxLoggedParts)])
 	}
+	event.Str("Key", p.key)
 	if resumeAfter != "" {
 		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
 	}
