--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,6 @@
 	for _, part := range r.SharedParts() {
 		p.sharedParts = append(p.sharedParts, quarantine.Key(part))
 	}
-	p.key = quarantine.RequestKey(r.Body, r.Method, r.Host, r.Target, r.Key, r.PromptIDs())
 	if v.Catalog.HasCustomers() && !route.Anonymous {
 		c := v.Catalog.CustomerOf(r.Key)
 		if c == nil && lag.Latest > 0 {
@@ -260,6 +259,7 @@
 			p.priority = c.Priority
 		}
 	}
+	p.key = quarantine.RequestKey(r.Body, r.Method, r.Host, r.Target, string(p.customer), r.PromptIDs())
 	name := route.ChooseService(rand.Float64())
 	p.service = v.Catalog.Services[name]
 	if p.service == nil {
--- a/quarantine/key_test.go
+++ b/quarantine/key_test.go
@@ -12,8 +12,12 @@
 func TestRequestKeysTellRequestsApart(t *testing.T) {
 	keys := map[string]bool{}
 	for _, c := range [][]string{
-		{"GET", "/a", "caller", ""}, {"POST", "/a", "caller", ""}, {"GET", "/a", "other", ""}, {"GET", "/b", "caller", ""},
-		{"GET", "/a", "caller", "x"}, {"GET", "/ac", "aller", ""},
+		{"GET", "/a", "caller", ""},
+		{"POST", "/a", "caller", ""},
+		{"GET", "/a", "other", ""},
+		{"GET", "/b", "caller", ""},
+		{"GET", "/a", "caller", "x"},
+		{"GET", "/ac", "aller", ""},
 	} {
 		key := quarantine.RequestKey([]byte(c[3]), c[0], c[1], c[2])
 		require.Equal(t, key, quarantine.RequestKey([]byte(c[3]), c[0], c[1], c[2]))
