quarantine, gateway: quarantine whole requests that crash endpoints

Cause: the quarantine knew parts of prompts, and plain requests have none; a broken answer of a plain service was a failure of the endpoint alone.

Change: a request as a whole is one more key beside the parts of its prompt: a hash of method, host, path, customer, body and prompt. Plain requests are checked before they are sent, wait for a trial while they are suspected, and start the check whether the endpoint has ended when their answer breaks off. Crashes of a whole request need no exemption by other suspects, since a sound one that ran beside is in answers; it does not explain those of parts either. Suspects are forgotten an hour after their last crash. Memory stays bounded as before.

--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -18,7 +18,7 @@
 
 // brokenRun is a run of a request whose answer broke off.
 type brokenRun struct {
-	// parts are the shared parts of the request's prompt.
+	// parts are the keys of the request in the quarantine.
 	parts []string
 	// sentAt is when the request was sent, brokenAt when its answer broke off.
 	sentAt, brokenAt cicadapitch.Instant
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,7 +244,7 @@
 	}
 	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority}
 	for _, part := range r.SharedParts() {
-		p.sharedParts = append(p.sharedParts, quarantine.Key(part))
+		p.keys = append(p.keys, quarantine.Key(part))
 	}
 	if v.Catalog.HasCustomers() && !route.Anonymous {
 		c := v.Catalog.CustomerOf(r.Key)
@@ -259,7 +259,7 @@
 			p.priority = c.Priority
 		}
 	}
-	p.key = quarantine.RequestKey(r.Body, r.Method, r.Host, r.Target, string(p.customer), r.PromptIDs())
+	p.keys = append(p.keys, quarantine.RequestKey(r.Body, r.Method, r.Host, r.Target, string(p.customer), r.PromptIDs()))
 	name := route.ChooseService(rand.Float64())
 	p.service = v.Catalog.Services[name]
 	if p.service == nil {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -144,10 +144,10 @@
 // checkEndpoint starts a check whether the endpoint at which the answer broke off has
 // ended, unless the attempt was canceled.
 func (p *proxiedRequest) checkEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
-	if ctx.Err() != nil || len(p.sharedParts) == 0 {
+	if ctx.Err() != nil {
 		return
 	}
-	p.endCheck = p.g.checkEnd(e, brokenRun{p.sharedParts, sentAt, p.g.clock.Now()})
+	p.endCheck = p.g.checkEnd(e, brokenRun{p.keys, sentAt, p.g.clock.Now()})
 }
 
 // startSilenceTimer starts a timer that cancels the attempt with errSilent if the
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -37,10 +37,11 @@
 )
 
 var (
-	// errQuarantined rejects requests with a quarantined part.
-	errQuarantined = cicadapitch.NewNotRun("a part of the prompt has crashed endpoints", quarantineRetryAfter)
-	// errSuspected rejects requests with a suspected part that did not get a trial in time.
-	errSuspected = cicadapitch.NewNotRun("a part of the prompt may crash endpoints and is being tried", fullRetryAfter)
+	// errQuarantined rejects requests that are quarantined or have a quarantined part.
+	errQuarantined = cicadapitch.NewNotRun("the request or a part of its prompt has crashed endpoints", quarantineRetryAfter)
+	// errSuspected rejects requests that are suspected, or have a suspected part, and did not
+	// get a trial in time.
+	errSuspected = cicadapitch.NewNotRun("the request or a part of its prompt may crash endpoints and is being tried", fullRetryAfter)
 )
 
 // TrialCall asks the owner of a suspected part whether a request with it may be sent.
@@ -66,19 +67,19 @@
 // trialKey is the key by which hosts own a suspected part.
 func trialKey(part string) string { return "trial/" + part }
 
-// rejectQuarantined returns errQuarantined if the prompt has a quarantined part.
+// rejectQuarantined returns errQuarantined if the request is quarantined or its prompt has a
+// quarantined part.
 func (p *proxiedRequest) rejectQuarantined() error {
-	part, state := p.g.quarantine.Check(p.g.clock.Now(), p.sharedParts)
+	part, state := p.g.quarantine.Check(p.g.clock.Now(), p.keys)
 	if state != quarantine.Quarantined {
 		return nil
 	}
-	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Msg("prompt quarantined")
+	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Msg("request quarantined")
 	p.g.metrics.Counter("PromptsQuarantined").Inc(1)
 	return errQuarantined
 }
 
-// awaitTrial returns once the request may be sent as far as the parts of its prompt are
-// concerned. The error is errQuarantined, errSuspected or the cause of ctx.
+// awaitTrial returns once the request may be sent as far as the quarantine is concerned. The error is errQuarantined, errSuspected or the cause of ctx.
 func (p *proxiedRequest) awaitTrial(ctx context.Context) error {
 	if p.endCheck != nil {
 		// The request's own crash is known once the check is done.
@@ -89,7 +90,7 @@
 		}
 	}
 	for waited := cicadapitch.Millis(0); ; waited += trialPollInterval {
-		part, state := p.g.quarantine.Check(p.g.clock.Now(), p.sharedParts)
+		part, state := p.g.quarantine.Check(p.g.clock.Now(), p.keys)
 		switch {
 		case state == quarantine.Clear:
 			return nil
@@ -158,10 +159,10 @@
 	}()
 }
 
-// recordAnswer clears the parts of the prompt, since an answer to it has outlived its
-// beginning.
+// recordAnswer clears the request and the parts of its prompt, since an answer has outlived
+// its beginning.
 func (p *proxiedRequest) recordAnswer() {
-	p.g.quarantine.RecordAnswer(p.g.clock.Now(), p.sharedParts)
+	p.g.quarantine.RecordAnswer(p.g.clock.Now(), p.keys)
 	p.endTrial()
 }
 
@@ -172,7 +173,7 @@
 		g.quarantine.RecordCrash(now, run.parts, quarantine.Crash{Endpoint: e.ID, SentAt: run.sentAt, EndedAt: run.brokenAt})
 	}
 	parts := lo.Uniq(lo.FlatMap(runs, func(run brokenRun, _ int) []string { return run.parts }))
-	g.log.Info().Str("Endpoint", string(e.ID)).Int("Parts", len(parts)).Msg("parts of prompts suspected")
+	g.log.Info().Str("Endpoint", string(e.ID)).Int("Parts", len(parts)).Msg("requests suspected")
 	g.tellSuspects(g.quarantine.Reports(now, parts...))
 	go func() {
 		// Sleep cannot fail with this context.
@@ -238,7 +239,7 @@
 }
 
 func (p *proxiedRequest) newAnswerProof(reply *platform.Reply) answerProof {
-	return answerProof{request: p, counts: reply.Status < 300 && len(p.sharedParts) > 0}
+	return answerProof{request: p, counts: reply.Status < 300}
 }
 
 // add adds the result of a read of the answer.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -85,10 +85,9 @@
 	// queueWaits are the queue waits by shard key that the owners had reported before
 	// the stages started.
 	queueWaits map[string]QueueWaits
-	// sharedParts are the keys of the prompt's parts but for the last, as in the quarantine.
-	sharedParts []string
-	// key is the key of the request as a whole, as in the quarantine.
-	key string
+	// keys are the keys of the request in the quarantine: those of the prompt's parts but for
+	// the last, and that of the request as a whole.
+	keys []string
 	// endCheck, if set, is closed once it is known whether the endpoint of the last broken
 	// answer has ended.
 	endCheck <-chan struct{}
@@ -254,14 +253,22 @@
 // servePlain serves a request of a plain service. It retries at other endpoints
 // where the request allows that.
 func (p *proxiedRequest) servePlain(ctx context.Context) error {
+	if err := p.rejectQuarantined(); err != nil {
+		return err
+	}
 	for connectFailures := 0; ; {
 		e, err := p.chooseEndpoint(false, "")
 		if err != nil {
 			return err
 		}
+		if err := p.awaitTrial(ctx); err != nil {
+			p.recordCallEnd(e.ID)
+			return err
+		}
 		attemptCtx, cancel := p.attemptContext(ctx)
 		done, err := p.attemptPlain(attemptCtx, e)
 		cancel()
+		p.endTrial()
 		if done {
 			return err
 		}
@@ -294,14 +301,19 @@
 	start := p.g.clock.Now()
 	reply, err := p.send(ctx, e, nil, "")
 	if err != nil {
+		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
+			p.checkPlainEndpoint(ctx, e, start)
+		}
 		return false, err
 	}
 	defer reply.Close()
 	body, err := p.readBuffered(reply)
 	if err != nil {
 		p.recordBreak(ctx, e.ID)
+		p.checkPlainEndpoint(ctx, e, start)
 		return false, cicadapitch.NewOutcomeUnknown("the answer of " + string(e.ID) + " broke off: " + err.Error())
 	}
+	p.recordAnswer()
 	if reply.Status >= 500 && p.route.Idempotent() && p.attempts < p.route.MaxAttempts {
 		p.recordFailure(e.ID, 0)
 		return false, cicadapitch.NewOutcomeUnknown(string(e.ID) + " failed")
@@ -317,6 +329,15 @@
 	return true, p.relayRest(reply)
 }
 
+// checkPlainEndpoint starts a check like checkEndpoint. A further attempt waits for it only
+// if this one was a trial.
+func (p *proxiedRequest) checkPlainEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
+	p.checkEndpoint(ctx, e, sentAt)
+	if p.trial == "" {
+		p.endCheck = nil
+	}
+}
+
 // readBuffered reads up to maxBufferedBytes bytes of a body.
 func (p *proxiedRequest) readBuffered(reply *platform.Reply) ([]byte, error) {
 	return io.ReadAll(io.LimitReader(reply, maxBufferedBytes))
@@ -370,10 +391,11 @@
 func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, resumeAfter string, reply *platform.Reply, err error) {
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
-	if len(p.sharedParts) > 0 {
-		event.Strs("Parts", p.sharedParts[:min(len(p.sharedParts), maxLoggedParts)])
+	parts, key := p.keys[:len(p.keys)-1], p.keys[len(p.keys)-1]
+	if len(parts) > 0 {
+		event.Strs("Parts", parts[:min(len(parts), maxLoggedParts)])
 	}
-	event.Str("Key", p.key)
+	event.Str("Key", key)
 	if resumeAfter != "" {
 		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
 	}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -44,6 +44,8 @@
 	crashes        []cicadapitch.Instant
 	// arrivals holds the arrivals of bad requests and the host that sent each.
 	arrivals []simArrival
+	// badKeys and soundKeys return the keys of a bad and of a sound request with an id.
+	badKeys, soundKeys func(id cicadapitch.RequestID) []string
 	// sound counts the sound requests and those of them that were held back.
 	sound, heldBack int
 	nextRequest     int
@@ -133,7 +135,7 @@
 
 func (f *simFleet) sendBad(h *simHost) {
 	id := f.newRequest()
-	parts := []string{"first", "bad", "own" + string(id)}
+	parts := f.badKeys(id)
 	held := f.heldBack
 	f.try(h, parts, id, 0, func() {
 		sentAt := f.now
@@ -158,7 +160,7 @@
 
 func (f *simFleet) sendSound(h *simHost) {
 	id := f.newRequest()
-	parts := []string{"first", "sound" + string(id)}
+	parts := f.soundKeys(id)
 	f.sound++
 	f.try(h, parts, id, 0, func() {
 		f.after(f.between(300, 1200), func() {
@@ -240,14 +242,17 @@
 	}
 }
 
-// TestFleetKeepsTheBoundThroughDisturbances checks over random series of cuts, restarts
-// and outages that at most maxLateArrivals requests with a part that crashes endpoints
-// arrive later than contactTime after the fifth crash, sent by hosts that were not
-// disturbed for as long, and that sound requests with the same first part are sent.
-func TestFleetKeepsTheBoundThroughDisturbances(t *testing.T) {
+// requireBound runs simulations of fleets over random series of cuts, restarts and outages. It
+// checks that at most maxLateArrivals bad requests arrive later than contactTime after the
+// given number of crashes, sent by hosts that were not disturbed for as long, and that sound
+// requests are sent.
+func requireBound(t *testing.T, crashes int, badKeys, soundKeys func(cicadapitch.RequestID) []string) {
 	for hosts, seeds := range map[int]uint64{2: 12, 8: 12, 40: 2} {
 		for seed := range seeds {
-			f := &simFleet{rng: rand.New(rand.NewPCG(seed, uint64(hosts))), now: start, stored: map[string]cicadapitch.Instant{}}
+			f := &simFleet{
+				rng: rand.New(rand.NewPCG(seed, uint64(hosts))), now: start, stored: map[string]cicadapitch.Instant{},
+				badKeys: badKeys, soundKeys: soundKeys,
+			}
 			for range hosts {
 				h := &simHost{}
 				f.restart(h)
@@ -255,10 +260,10 @@
 			}
 			f.run([]cicadapitch.Millis{50, 300, 1000}[seed%3])
 			require.Greater(t, len(f.crashes), 2)
-			if len(f.crashes) >= 5 {
+			if len(f.crashes) >= crashes {
 				late := 0
 				for _, a := range f.arrivals {
-					if a.at > f.crashes[4].Add(contactTime) && a.at > a.host.disturbedAt.Add(contactTime) {
+					if a.at > f.crashes[crashes-1].Add(contactTime) && a.at > a.host.disturbedAt.Add(contactTime) {
 						late++
 					}
 				}
@@ -268,3 +273,21 @@
 		}
 	}
 }
+
+// TestFleetKeepsTheBoundThroughDisturbances covers a part of prompts that crashes endpoints,
+// while sound requests have the same first part.
+func TestFleetKeepsTheBoundThroughDisturbances(t *testing.T) {
+	requireBound(t, 5,
+		func(id cicadapitch.RequestID) []string { return []string{"first", "bad", "own" + string(id)} },
+		func(id cicadapitch.RequestID) []string { return []string{"first", "sound" + string(id)} })
+}
+
+// TestFleetKeepsTheBoundForRepeatedRequests covers a whole request that crashes endpoints when
+// it is repeated, while sound requests are repeated too.
+func TestFleetKeepsTheBoundForRepeatedRequests(t *testing.T) {
+	requireBound(t, 3,
+		func(cicadapitch.RequestID) []string { return []string{quarantine.RequestKey(nil, "bad")} },
+		func(id cicadapitch.RequestID) []string {
+			return []string{quarantine.RequestKey(nil, "sound", string(id[len(id)-1:]))}
+		})
+}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -87,7 +87,7 @@
 	if _, state := l.worst(now, parts); state != Suspected {
 		return false
 	}
-	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(l.suspects[part]) })
+	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(part) })
 	part, _ := l.worst(now, guilty)
 	if part == "" {
 		return false
@@ -97,9 +97,12 @@
 	return true
 }
 
-// guilty reports whether the crashes of a suspect, which may be nil, suffice to quarantine
-// it. The caller holds mu.
-func (l *Ledger) guilty(s *suspect) bool {
+// guilty reports whether the crashes of a part, which need not be a suspect, suffice to
+// quarantine it. Nothing else explains those of a whole request: parts of its prompt would
+// have crashed others, and a sound one that ran beside a bad one is in answers. The caller
+// holds mu.
+func (l *Ledger) guilty(part string) bool {
+	s := l.suspects[part]
 	if s == nil {
 		return false
 	}
@@ -109,15 +112,20 @@
 	case crashes < crashesToQuarantine || s.answeredAt > 0:
 		return false
 	}
-	return !lo.SomeBy(lo.Values(l.suspects), func(o *suspect) bool { return o != s && o.explains(s) })
+	return isRequestKey(part) || !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
+		return !isRequestKey(o.Key) && o.Value != s && o.Value.explains(s)
+	})
 }
 
 // clearExplained clears the parts whose crashes a quarantined part explains, as an answer
-// would. The caller holds mu.
+// would. Whole requests neither explain crashes nor are they explained. The caller holds mu.
 func (l *Ledger) clearExplained(now cicadapitch.Instant, quarantined string) {
+	if isRequestKey(quarantined) {
+		return
+	}
 	q := l.suspects[quarantined]
 	for part, s := range l.suspects {
-		if part != quarantined && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
+		if part != quarantined && !isRequestKey(part) && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
 			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
 		}
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -18,7 +18,7 @@
 	// relaySlack is the error of an instant that was relayed between hosts as an age. It
 	// counts in favor of a part: parts that crash endpoints are in no answer at all.
 	relaySlack cicadapitch.Millis = 150
-	// term is how long a part stays quarantined.
+	// term is how long a part stays quarantined, and suspected after its last crash.
 	term = 60 * cicadapitch.Minute
 	// clearedMemory is how long a cleared suspect is kept, so that reports of its older
 	// crashes do not make it a suspect again.
@@ -134,7 +134,7 @@
 	case Quarantined:
 		return now.Sub(s.quarantinedAt) >= term
 	case Suspected:
-		return false
+		return now.Sub(s.changedAt) >= term
 	}
 	return now.Sub(s.answeredAt) >= clearedMemory
 }
