quarantine: crashes of an endpoint that is back at once count separately

Traced with the crashes at each judgement: two crashes of one endpoint within 300 ms were taken for the end of one process although the second run had been sent after the first had ended, so more crashes were needed.

Runs of which one was sent after the other had ended did not end with the same process.

--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -14,8 +14,8 @@
 	"cicadapitch.example/cicadapitch/quarantine"
 )
 
-// crashingDriver is a driver of engines that end under calls with the prefix "bad". They
-// are back when the call has returned.
+// crashingDriver is a driver of engines that end under calls with the prefix or the input
+// "bad". They are back when the call has returned.
 type crashingDriver struct {
 	*fakeDriver
 	crashes *atomic.Int32
@@ -24,7 +24,7 @@
 func newCrashingDriver(crashes *atomic.Int32) crashingDriver {
 	d := crashingDriver{newFakeDriver(), crashes}
 	d.answer = func(_ context.Context, c cicadapitch.Call, sink func(string)) (cicadapitch.CallResult, error) {
-		if c.Prefix == "bad" {
+		if c.Prefix == "bad" || c.Input == "bad" {
 			crashes.Add(1)
 			return cicadapitch.CallResult{}, cicadapitch.NewOutcomeUnknown("the connection was reset")
 		}
@@ -40,6 +40,18 @@
 // TestPrefixThatCrashesEnginesIsQuarantinedAtAllOwners guards against owners of shards that
 // each let a prefix crash their endpoints, attempt after attempt.
 func TestPrefixThatCrashesEnginesIsQuarantinedAtAllOwners(t *testing.T) {
+	requireQuarantined(t, func(a *cicadapitch.Attempt) { a.Prefix = "bad" }, func(a *cicadapitch.Attempt) { a.Prefix = "sound" })
+}
+
+// TestRequestThatCrashesEnginesIsQuarantinedAtAllOwners is the same for repeats of a request
+// without a prefix, beside others of the customer.
+func TestRequestThatCrashesEnginesIsQuarantinedAtAllOwners(t *testing.T) {
+	requireQuarantined(t, func(a *cicadapitch.Attempt) { a.Input = "bad" }, func(a *cicadapitch.Attempt) { a.Input = "sound" })
+}
+
+// requireQuarantined runs bad attempts, which crash endpoints, and sound ones at several
+// owners in turn.
+func requireQuarantined(t *testing.T, bad, sound func(*cicadapitch.Attempt)) {
 	const owners = 4
 	clock := cicadapitch.NewSystemClock()
 	var crashes atomic.Int32
@@ -65,11 +77,12 @@
 	var last error
 	for n := range 40 {
 		a := testAttempt(fmt.Sprint("bad", n))
-		a.Prefix, a.Idempotent = "bad", true
+		a.Idempotent = true
+		bad(&a)
 		_, last = all[n%owners].Run(t.Context(), a, func(cicadapitch.Chunk) {})
-		sound := testAttempt(fmt.Sprint("sound", n))
-		sound.Prefix = "sound"
-		_, err := all[n%owners].Run(t.Context(), sound, func(cicadapitch.Chunk) {})
+		b := testAttempt(fmt.Sprint("sound", n))
+		sound(&b)
+		_, err := all[n%owners].Run(t.Context(), b, func(cicadapitch.Chunk) {})
 		require.NoError(t, err)
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -42,6 +42,17 @@
 	}
 }
 
+// TestQuickRestartsCountSeparately guards against crashes of an endpoint that is back at once
+// being taken for one: each run is sent after the one before has ended.
+func TestQuickRestartsCountSeparately(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 3 {
+		require.NotEqual(t, quarantine.Quarantined, stateOf(l, 1000, "bad"))
+		crash(l, cicadapitch.Millis(i)*220, "bad")
+	}
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 1000, "bad"))
+}
+
 // TestEndpointsLostTogetherCountOnce ends many runs with one part at the same moment, as
 // the loss of a zone does, also where the hosts see it at slightly different times.
 func TestEndpointsLostTogetherCountOnce(t *testing.T) {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -38,9 +38,12 @@
 // same reports whether two runs ended with the same process, as far as their times show.
 func (c Crash) same(other Crash) bool {
 	d := c.EndedAt.Sub(other.EndedAt)
-	return c.Endpoint == other.Endpoint && max(d, -d) <= 2*relaySlack
+	return c.Endpoint == other.Endpoint && max(d, -d) <= 2*relaySlack && !c.after(other) && !other.after(c)
 }
 
+// after reports whether the run was sent after another one had ended.
+func (c Crash) after(other Crash) bool { return c.SentAt >= other.EndedAt.Add(relaySlack) }
+
 // suspect is a part that was in the prompt of a crashed run.
 type suspect struct {
 	// crashes holds one run for each endpoint process that ended, in the order of the ends.
@@ -96,7 +99,7 @@
 func (s *suspect) independent() []Crash {
 	var out []Crash
 	for _, c := range s.crashes {
-		if len(out) == 0 || c.SentAt >= out[len(out)-1].EndedAt.Add(relaySlack) {
+		if len(out) == 0 || c.after(out[len(out)-1]) {
 			out = append(out, c)
 		}
 	}
