endpoint: quarantine whole requests in the product's own form too

The owner of a shard knew only prefixes of prompts. Repeats of a request without a prefix, or with one that others share, crashed endpoint after endpoint: 40 of 40 attempts at four owners (TestRequestThatCrashesEnginesIsQuarantinedAtAllOwners, allowed 5; it now passes).

The request as a whole (input, customer, pipeline, pool, prefix) is one more key of the same ledger.

--- a/endpoint/options.go
+++ b/endpoint/options.go
@@ -20,7 +20,7 @@
 // with others, and the function that tells them of new crashes. It must not block. The
 // default is a ledger of the owner's own.
 func WithQuarantine(l *quarantine.Ledger, tell func([]quarantine.Report)) Option {
-	return func(o *Owner) { o.prefixes.ledger, o.prefixes.tell = l, tell }
+	return func(o *Owner) { o.guard.ledger, o.guard.tell = l, tell }
 }
 
 // WithRetention sets how long the result and the id of a completed attempt are
--- a/endpoint/owner.go
+++ b/endpoint/owner.go
@@ -20,7 +20,7 @@
 	policy         Policy
 	log            zerolog.Logger
 	ledger         *ledger
-	prefixes       *prefixGuard
+	guard          *crashGuard
 
 	mu       sync.RWMutex
 	shards   map[cicadapitch.ShardID]*shard
@@ -49,7 +49,7 @@
 		policy:         StandardPolicy(),
 		log:            zerolog.Nop(),
 		ledger:         newLedger(30*cicadapitch.Second, 5*cicadapitch.Minute),
-		prefixes: &prefixGuard{
+		guard: &crashGuard{
 			ledger: quarantine.NewLedger(), trials: quarantine.NewTrials(), tell: func([]quarantine.Report) {},
 		},
 		shards:       make(map[cicadapitch.ShardID]*shard),
--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -27,50 +27,49 @@
 	Ended(ctx context.Context, e cicadapitch.Endpoint) bool
 }
 
-// prefixGuard keeps attempts away from endpoints that their prefix would crash. All hosts
-// share the ledger's reports; trials are granted by the owner of the shard.
-type prefixGuard struct {
+// crashGuard keeps attempts away from endpoints that they or their prefix would crash. All
+// hosts share the ledger's reports; trials are granted by the owner of the shard.
+type crashGuard struct {
 	ledger *quarantine.Ledger
 	trials *quarantine.Trials
 	// tell sends reports to all other hosts, in the background.
 	tell func([]quarantine.Report)
 }
 
-// prefixKeys returns the key of the attempt's prefix, or none if it has no prefix.
-func prefixKeys(a cicadapitch.Attempt) []string {
+// attemptKeys returns the key of the attempt's prefix, if it has one, and that of the request
+// as a whole.
+func attemptKeys(a cicadapitch.Attempt) []string {
+	key := quarantine.RequestKey([]byte(a.Input), string(a.Customer), string(a.Pipeline), string(a.Pool), a.Prefix)
 	if a.Prefix == "" {
-		return nil
+		return []string{key}
 	}
-	return []string{quarantine.Key(a.Prefix)}
+	return []string{quarantine.Key(a.Prefix), key}
 }
 
-// admit returns an Invalid error if the attempt's prefix is quarantined, and a NotRun
+// admit returns an Invalid error if the attempt or its prefix is quarantined, and a NotRun
 // error if it is suspected and another attempt with it is being tried.
-func (g *prefixGuard) admit(now cicadapitch.Instant, a cicadapitch.Attempt) error {
-	key, state := g.ledger.Check(now, prefixKeys(a))
+func (g *crashGuard) admit(now cicadapitch.Instant, a cicadapitch.Attempt) error {
+	key, state := g.ledger.Check(now, attemptKeys(a))
 	switch {
 	case state == quarantine.Quarantined:
-		return cicadapitch.NewError(cicadapitch.Invalid, "the prefix of the prompt has crashed endpoints", "change the prompt")
+		return cicadapitch.NewError(cicadapitch.Invalid, "the request or the prefix of its prompt has crashed endpoints", "change the request")
 	case state == quarantine.Suspected && !(g.ledger.AllowsTrial(now, key) && g.trials.Begin(now, key, a.ID.Request)):
-		return cicadapitch.NewNotRun("the prefix of the prompt may crash endpoints and is being tried", trialRetryAfter)
+		return cicadapitch.NewNotRun("the request or the prefix of its prompt may crash endpoints and is being tried", trialRetryAfter)
 	}
 	return nil
 }
 
-// recordAnswer clears the attempt's prefix.
-func (g *prefixGuard) recordAnswer(now cicadapitch.Instant, a cicadapitch.Attempt) {
-	g.ledger.RecordAnswer(now, prefixKeys(a))
+// recordAnswer clears the attempt and its prefix.
+func (g *crashGuard) recordAnswer(now cicadapitch.Instant, a cicadapitch.Attempt) {
+	g.ledger.RecordAnswer(now, attemptKeys(a))
 }
 
 // endTrial ends the trial of an attempt. If its call broke off because the endpoint has
 // ended, endTrial records that first, before a further attempt can start.
 func (r *run) endTrial(ctx context.Context, driver cicadapitch.Driver, e cicadapitch.Endpoint, sentAt cicadapitch.Instant, outcome CallOutcome) {
 	o, a := r.owner, r.attempt
-	keys := prefixKeys(a)
-	if len(keys) == 0 {
-		return
-	}
-	defer o.prefixes.trials.End(a.ID.Request)
+	keys := attemptKeys(a)
+	defer o.guard.trials.End(a.ID.Request)
 	checker, ok := driver.(endChecker)
 	if outcome != Broken || !ok {
 		return
@@ -87,7 +86,7 @@
 		return
 	}
 	now := o.clock.Now()
-	g := o.prefixes
+	g := o.guard
 	g.ledger.RecordCrash(now, keys, quarantine.Crash{Endpoint: e.ID, SentAt: sentAt, EndedAt: endedAt})
 	g.tell(g.ledger.Reports(now, keys...))
 	go func() {
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -148,7 +148,7 @@
 	if !owned || fencing != s.fencing {
 		return cicadapitch.StageResult{}, Unstarted, redirectedError("another host took the shard over")
 	}
-	if err := o.prefixes.admit(o.clock.Now(), r.attempt); err != nil {
+	if err := o.guard.admit(o.clock.Now(), r.attempt); err != nil {
 		return cicadapitch.StageResult{}, Unstarted, err
 	}
 	o.ledger.markRunning(r.attempt.ID)
@@ -162,7 +162,7 @@
 			firstTextAt = now
 		}
 		if now.Sub(firstTextAt) >= answerProofTime {
-			o.prefixes.recordAnswer(now, r.attempt)
+			o.guard.recordAnswer(now, r.attempt)
 		}
 	}
 	res, err := r.callWithRepeats(callCtx, driver, r.newCall(c, pool, fencing, remaining), pool.RecognisesRepeats, onText)
@@ -171,7 +171,7 @@
 		r.endTrial(callCtx, driver, c.Endpoint, startedAt, outcome)
 		return cicadapitch.StageResult{}, outcome, r.callError(callCtx, err)
 	}
-	o.prefixes.recordAnswer(o.clock.Now(), r.attempt)
+	o.guard.recordAnswer(o.clock.Now(), r.attempt)
 	r.endTrial(callCtx, driver, c.Endpoint, startedAt, Succeeded)
 	served := o.clock.Now().Sub(startedAt)
 	return cicadapitch.StageResult{
