membership: use one view for a heartbeat

A host could crash with an index out of range when a heartbeat arrived while hosts were being removed: the sender was looked up in one view and its address read from a later, shorter one.

--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -74,8 +74,9 @@
 		return
 	}
 	// The result shares with the catalog in force what did not change.
-	change := catalog.Diff(m.View().Catalog, c)
-	if next, err := change.Apply(m.View().Catalog); err == nil {
+	before := m.View().Catalog
+	change := catalog.Diff(before, c)
+	if next, err := change.Apply(before); err == nil {
 		c = next
 	}
 	m.adoptCatalog(c, catalogSource{from: source, revision: r.Revision, bytes: len(r.Value), decodeTook: m.clock.Now().Sub(start)})
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -102,9 +102,10 @@
 // receiveHeartbeat records a heartbeat. It merges the sender's reports on other hosts
 // and shards even if the sender is not registered.
 func (m *Membership) receiveHeartbeat(hb Heartbeat) {
-	i := slices.IndexFunc(m.View().Hosts, func(h fleet.Host) bool { return h.Incarnation == hb.Incarnation })
-	if i >= 0 {
-		m.learnCatalog(hb.Catalog, m.View().Hosts[i].Peers)
+	// Another view may be published meanwhile.
+	hosts := m.View().Hosts
+	if i := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.Incarnation == hb.Incarnation }); i >= 0 {
+		m.learnCatalog(hb.Catalog, hosts[i].Peers)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
