membership: six hosts of a large fleet follow the store

The whole configuration is read from the store by each host that follows it; with twelve of them a change of one route among 2,800 moved 10.9 MB in a fleet of 68 hosts on links of 10 Mbit/s, and all twelve decoded it.

Six hosts follow the store. While one of them says that it cannot reach the store, the eighteen highest ranked ones do.

--- a/bench/propagation/case.go
+++ b/bench/propagation/case.go
@@ -21,12 +21,15 @@
 	LinkMbps float64
 	// Traffic is the share of each link that other calls between hosts use.
 	Traffic float64
+	// Refused is the share of hosts that the store refuses from just before the first change
+	// on.
+	Refused float64
 }
 
 // String returns the parameters of the case.
 func (c Case) String() string {
-	return fmt.Sprintf("%d hosts, %d routes, %d changes of %d routes every %d ms, %g Mbit/s, traffic %g",
-		c.Hosts, c.Routes, c.Changes, c.Added, c.Gap, c.LinkMbps, c.Traffic)
+	return fmt.Sprintf("%d hosts, %d routes, %d changes of %d routes every %d ms, %g Mbit/s, traffic %g, refused %g",
+		c.Hosts, c.Routes, c.Changes, c.Added, c.Gap, c.LinkMbps, c.Traffic, c.Refused)
 }
 
 // routes returns the JSON of the routes with the numbers from first to end, each after a
--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -40,8 +40,10 @@
 	settings   *platform.Settings
 	membership *membership.Membership
 	link       *platformtest.Link
-	cancel     context.CancelFunc
-	running    sync.WaitGroup
+	// gate is in front of the store.
+	gate    *platformtest.Gate
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 
 	mu sync.Mutex
 	// inForceAt holds when each version came into force.
@@ -107,6 +109,14 @@
 	}
 	for _, h := range f.hosts {
 		h.running.Wait()
+		h.gate.Close()
+	}
+}
+
+// refuse makes the store refuse a share of the hosts, chosen at random.
+func (f *Fleet) refuse(share float64) {
+	for _, i := range rand.Perm(len(f.hosts))[:int(share*float64(len(f.hosts)))] {
+		f.hosts[i].gate.Shut()
 	}
 }
 
@@ -138,10 +148,10 @@
 			PeerPort: peerPort, CallerListen: ip + ":8001",
 			Store: platform.StoreSettings{Address: f.store.Address(), MinLease: 1000},
 		},
-		link: platformtest.NewLink(f.c.LinkMbps), inForceAt: map[int64]time.Time{},
+		link: platformtest.NewLink(f.c.LinkMbps), gate: platformtest.NewGate(f.store.Address()), inForceAt: map[int64]time.Time{},
 	}
 	h.membership = membership.New(h.settings, membership.WithStore(
-		platform.NewStore([]string{f.store.URL()}, platform.WithDialContext(h.link.DialContext))))
+		platform.NewStore([]string{"http://" + h.gate.Address()}, platform.WithDialContext(h.link.DialContext))))
 	h.membership.OnView(h.recordView)
 	l, err := net.Listen("tcp", h.settings.PeerAddress())
 	if err != nil {
--- a/bench/propagation/fullsize_test.go
+++ b/bench/propagation/fullsize_test.go
@@ -17,3 +17,9 @@
 		requireInTime(t, propagation.Case{Hosts: hosts, Routes: 40, Added: 1400, Changes: 2, Gap: cicadapitch.Second, LinkMbps: 10, Traffic: 0.3})
 	}
 }
+
+// TestChangesReachAllHostsWhileTheStoreRefusesSome covers a store that refuses a third of the
+// hosts, those that follow it among them.
+func TestChangesReachAllHostsWhileTheStoreRefusesSome(t *testing.T) {
+	requireInTime(t, propagation.Case{Hosts: 68, Routes: 1400, Added: 1, Changes: 4, Gap: cicadapitch.Second, LinkMbps: 10, Traffic: 0.2, Refused: 0.35})
+}
--- a/bench/propagation/result.go
+++ b/bench/propagation/result.go
@@ -53,6 +53,7 @@
 		at   []time.Time
 		took []cicadapitch.Millis
 	)
+	f.refuse(c.Refused)
 	cost := f.measure(func() {
 		for range c.Changes {
 			f.routes += c.Added
--- a/membership/storewatchers.go
+++ b/membership/storewatchers.go
@@ -7,8 +7,10 @@
 	maxHostsAllWatching = 16
 	// storeWatcherCount is how many hosts of a larger fleet watch the store. The others
 	// fetch its changes from them when a heartbeat shows a later revision, so that
-	// the number of store calls does not grow with the fleet.
-	storeWatcherCount = 12
+	// the number of store calls and of copies of large values does not grow with the fleet.
+	// spareWatcherCount is how many do while watchers report that they cannot reach it.
+	storeWatcherCount = 6
+	spareWatcherCount = 18
 	// minRecentPeers is the number of other hosts with a recent heartbeat below
 	// which a host watches the store itself.
 	minRecentPeers = 4
@@ -17,15 +19,19 @@
 )
 
 // shouldWatchStore reports whether this host has to watch the store itself: in a small
-// fleet, with few recent heartbeats, or as one of the storeWatcherCount highest ranked
-// hosts. The caller must not hold mu.
+// fleet, with few recent heartbeats, or as one of the highest ranked hosts. The caller must
+// not hold mu.
 func (m *Membership) shouldWatchStore() bool {
 	v := m.View()
 	if len(v.Hosts) <= maxHostsAllWatching || m.countRecentPeers() < minRecentPeers {
 		return true
 	}
+	watchers := storeWatcherCount
+	if m.outageReported() {
+		watchers = spareWatcherCount
+	}
 	ranked := fleet.Rank(watcherRankKey, m.Hosts(), func(h fleet.Host) string { return h.Incarnation })
-	for _, h := range ranked[:min(storeWatcherCount, len(ranked))] {
+	for _, h := range ranked[:min(watchers, len(ranked))] {
 		if h.Incarnation == m.incarnation {
 			return true
 		}
@@ -33,6 +39,14 @@
 	return false
 }
 
+// outageReported reports whether a host that has to watch the store said lately that it
+// cannot reach it.
+func (m *Membership) outageReported() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peerOutageAt > 0 && m.clock.Now().Sub(m.peerOutageAt) < outageWindow
+}
+
 // countRecentPeers counts the other hosts with a heartbeat within livenessTimeout.
 func (m *Membership) countRecentPeers() int {
 	now := m.clock.Now()
