soak: many routes, and requests that crash plain endpoints when they are repeated

Each configuration of the soak has 400 routes that nobody uses and one that only it has; after recovery every host must serve that of the last version and answer 404 on that of the one before. One request in 24 crashes the plain endpoint that runs it and is always the same in path, caller and body; after three crashes at most three more may reach endpoints once all hosts have recovered.

--- a/soak/bounds_test.go
+++ b/soak/bounds_test.go
@@ -19,8 +19,13 @@
 	badDowntime = 400 * time.Millisecond
 	badPath     = "/bad"
 	badShare    = 12
+	// badBody is the body of the plain request that crashes endpoints. Callers repeat it at
+	// badRequestPath, as often as requests to badPath.
+	badBody        = "the request that crashes"
+	badRequestPath = "/bad-request"
 	// contactTime is the time without disturbance after which the bounds hold: maxBadLate
-	// requests with badPart reach engines after five have crashed, and an endpoint with a
+	// requests with badPart reach engines after five have crashed, as many with badBody plain
+	// endpoints after three have, and an endpoint with a
 	// rate limit gets in limitWindow limitFactor times what it allows and limitExtra more.
 	contactTime = 3 * time.Second
 	maxBadLate  = 3
@@ -33,9 +38,9 @@
 // rate limit and some requests have a part that crashes engines, and checks the bounds.
 func (s *testbed) requireBounds(results *resultLog, seed uint64) {
 	const limit = 1
-	crashes := 0
+	crashes := map[string]int{}
 	for _, e := range s.endpoints {
-		crashes += len(e.Crashes())
+		crashes[e.Service] += len(e.Crashes())
 	}
 	time.Sleep(contactTime)
 	limited := s.endpoints[slices.IndexFunc(s.endpoints, func(e *platformtest.Endpoint) bool { return e.Service == "engine" })]
@@ -50,21 +55,26 @@
 			for time.Since(start) < contactTime+limitWindow {
 				c.sendTo(p, "/plan/a")
 				c.sendTo(p, badPath)
+				c.sendTo(p, badRequestPath)
 			}
 		}()
 	}
 	wg.Wait()
 	limited.SetRateLimit(-1)
-	if crashes >= 5 {
-		late := 0
-		for _, e := range s.endpoints {
-			late += countAfter(e.PartArrivals(badPart), start)
-		}
-		require.LessOrEqual(s.t, late, maxBadLate, "requests with a part that has crashed %d endpoints", crashes)
+	latePart, lateBody := 0, 0
+	for _, e := range s.endpoints {
+		latePart += countAfter(e.PartArrivals(badPart), start)
+		lateBody += countAfter(e.BodyArrivals(badBody), start)
+	}
+	if n := crashes["engine"]; n >= 5 {
+		require.LessOrEqual(s.t, latePart, maxBadLate, "requests with a part that has crashed %d endpoints", n)
+	}
+	if n := crashes["plain"]; n >= 3 {
+		require.LessOrEqual(s.t, lateBody, maxBadLate, "repeats of a request that has crashed %d endpoints", n)
 	}
 	allowed := int(limitFactor*limitWindow.Seconds()*limit) + limitExtra
 	require.LessOrEqual(s.t, countAfter(limited.Arrivals(), start.Add(contactTime)), allowed, "calls of %s with a limit of %d a second", limited.ID, limit)
-	s.t.Logf("endpoints crashed %d times", crashes)
+	s.t.Logf("crashes of endpoints: %v", crashes)
 }
 
 // countAfter counts the times after t.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,8 @@
 	recoveryTimeout = 12 * time.Second
 	// maxTakeUps is how often a caller takes a broken stream up.
 	maxTakeUps = 4
+	// routeCount is the number of routes that no caller uses.
+	routeCount = 400
 	// callerTimeout is how long a caller waits for a response.
 	callerTimeout = 5 * time.Second
 )
@@ -119,6 +121,7 @@
 		e.Advertise(r.address)
 		e.OnCrash(r.setDown)
 		e.CrashOn(badPart, badDowntime)
+		e.CrashOnBodies(badDowntime, badBody)
 		s.store.Set(platformtest.EndpointKey(id), e.Entry("ready"))
 	}
 	s.configure()
@@ -133,12 +136,21 @@
 	return s
 }
 
-// configure writes a new version of the configuration to the store.
+// configure writes a new version of the configuration to the store. It has many routes, and
+// one that only this version has.
 func (s *testbed) configure() {
 	s.version += 2
-	s.store.Set(platformtest.ConfigKey, platformtest.Config(s.version, "", 50))
+	var routes strings.Builder
+	for i := range routeCount {
+		routes.WriteString(platformtest.Route(fmt.Sprintf("/r%d/", i)))
+	}
+	routes.WriteString(platformtest.Route(addedPrefix(s.version)))
+	s.store.Set(platformtest.ConfigKey, platformtest.Config(s.version, routes.String(), 50))
 }
 
+// addedPrefix returns the prefix of the route that only a version of the configuration has.
+func addedPrefix(version int) string { return fmt.Sprintf("/added%d/", version) }
+
 // injectFault starts a random fault and returns its name and a function that ends it.
 // The function may be called more than once.
 func (s *testbed) injectFault() (name string, end func()) {
@@ -230,14 +242,18 @@
 }
 
 // requireAllServe fails the test if a host does not serve every kind of request in
-// time.
+// time, or still has a route of the version before the current one.
 func (s *testbed) requireAllServe(results *resultLog) {
+	added, removed := addedPrefix(s.version)+"a", addedPrefix(s.version-2)+"a"
 	for _, p := range s.processes {
-		for _, path := range []string{"/book/a", "/look/a", "/answer/a", "/plan/a"} {
+		for path, want := range map[string]int{
+			"/book/a": http.StatusOK, "/look/a": http.StatusOK, "/answer/a": http.StatusOK, "/plan/a": http.StatusOK,
+			added: http.StatusOK, removed: http.StatusNotFound,
+		} {
 			require.Eventually(s.t, func() bool {
 				c := &caller{testbed: s, results: results, rng: s.rng}
-				return c.sendTo(p, path) == http.StatusOK
-			}, recoveryTimeout, 100*time.Millisecond, "%s does not serve %s", p.name, path)
+				return c.sendTo(p, path) == want
+			}, recoveryTimeout, 100*time.Millisecond, "%s does not answer %s with %d", p.name, path, want)
 		}
 	}
 }
@@ -297,7 +313,7 @@
 func (c *caller) send() {
 	paths := []string{"/book/a", "/look/a", "/answer/a", "/plan/a"}
 	if c.rng.IntN(badShare) == 0 {
-		paths = []string{badPath}
+		paths = []string{badPath, badRequestPath}
 	}
 	c.sendTo(c.testbed.processes[c.rng.IntN(hostCount)], paths[c.rng.IntN(len(paths))])
 }
@@ -359,6 +375,9 @@
 	if path == "/answer/a" {
 		a.Pieces, a.PieceKey, a.Session = "1,2", id, fmt.Sprint(c.rng.IntN(8))
 	}
+	if path == badRequestPath {
+		a.Path, a.Body = "/look/bad", strings.NewReader(badBody)
+	}
 	if path == badPath {
 		a.Path, a.Prompt = "/plan/a", "aa,"+badPart+","+id+",cc"
 	}
