--- a/fronthost/quarantine_test.go
+++ b/fronthost/quarantine_test.go
@@ -74,15 +74,24 @@
 // askRepeatedly calls ask for random prompts at all hosts in turn, once in each interval,
 // until stop is closed.
 func (d *deployment) askRepeatedly(interval time.Duration, stop <-chan struct{}, newPrompt func() string) {
+	d.repeat(interval, 1, stop, func(address string) { d.askAt(address, "/plan/a", newPrompt()) })
+}
+
+// repeat calls send n times at once with the addresses of the present hosts in turn, once in
+// each interval, until stop is closed.
+func (d *deployment) repeat(interval time.Duration, n int, stop <-chan struct{}, send func(address string)) {
 	addresses := lo.Map(d.hostSettings, func(s *platform.Settings, _ int) string { return s.CallerListen })
 	go func() {
-		for n := 0; ; n++ {
+		for next := 0; ; {
 			select {
 			case <-stop:
 				return
 			case <-time.After(interval):
 			}
-			go d.askAt(addresses[n%len(addresses)], "/plan/a", newPrompt())
+			for range n {
+				go send(addresses[next%len(addresses)])
+				next++
+			}
 		}
 	}()
 }
--- a/fronthost/requestquarantine_test.go
+++ b/fronthost/requestquarantine_test.go
@@ -64,23 +64,7 @@
 // postRepeatedly sends the same request to n hosts at once, others in turn, once in each
 // interval until stop is closed.
 func (d *deployment) postRepeatedly(interval time.Duration, n int, stop <-chan struct{}, path, body string) {
-	var addresses []string
-	for _, s := range d.hostSettings {
-		addresses = append(addresses, s.CallerListen)
-	}
-	go func() {
-		for next := 0; ; {
-			select {
-			case <-stop:
-				return
-			case <-time.After(interval):
-			}
-			for range n {
-				go d.post(addresses[next%len(addresses)], path, body)
-				next++
-			}
-		}
-	}()
+	d.repeat(interval, n, stop, func(address string) { d.post(address, path, body) })
 }
 
 // lateRequests returns how many requests with a bad body reached endpoints later than
