gateway: tell only the owner of a request that it crashed an endpoint once

Cause: each crash of an engine made all requests that were running there suspects, and every host that saw an answer break told all 67 others of up to 64 of them, and again with the heartbeats of two seconds.

A whole request with a single known crash is now told to its owner alone, a message of some 150 bytes; the owner tells all hosts, and judges, once it knows of several. Heartbeats carry those that crashed more than once.

TestHeartbeatsDoNotCarryRequestsThatCrashedOnce covers the heartbeats; the tests of the bound still pass.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -62,6 +62,9 @@
 type SuspectNotice struct {
 	Request cicadapitch.RequestID
 	Reports []quarantine.Report
+	// Gather asks the owner of a whole request to tell all hosts once it knows of several
+	// crashes.
+	Gather bool
 }
 
 // trialKey is the key by which hosts own a suspected part.
@@ -155,7 +158,7 @@
 		if check != nil {
 			<-check
 		}
-		g.notifySuspects(owner, SuspectNotice{id, g.quarantine.Reports(g.clock.Now(), part)})
+		g.notifySuspects(owner, SuspectNotice{Request: id, Reports: g.quarantine.Reports(g.clock.Now(), part)})
 	}()
 }
 
@@ -166,15 +169,21 @@
 	p.endTrial()
 }
 
-// recordCrash records that an endpoint ended under the runs, and tells all hosts.
+// recordCrash records that an endpoint ended under the runs. It tells all hosts of the parts of
+// their prompts, and of whole requests that have crashed endpoints before. Of other whole
+// requests it tells only the owner of each, who gathers the crashes that several hosts see.
 func (g *Gateway) recordCrash(e fleet.Endpoint, runs []brokenRun) {
 	now := g.clock.Now()
 	for _, run := range runs {
 		g.quarantine.RecordCrash(now, run.parts, quarantine.Crash{Endpoint: e.ID, SentAt: run.sentAt, EndedAt: run.brokenAt})
 	}
-	parts := lo.Uniq(lo.FlatMap(runs, func(run brokenRun, _ int) []string { return run.parts }))
-	g.log.Info().Str("Endpoint", string(e.ID)).Int("Parts", len(parts)).Msg("requests suspected")
-	g.tellSuspects(g.quarantine.Reports(now, parts...))
+	keys := lo.Uniq(lo.FlatMap(runs, func(run brokenRun, _ int) []string { return run.parts }))
+	g.log.Info().Str("Endpoint", string(e.ID)).Int("Parts", len(keys)).Msg("requests suspected")
+	first, known := lo.FilterReject(keys, g.crashedOnce)
+	for _, key := range first {
+		go g.gatherCrashes(key)
+	}
+	g.tellSuspects(now, known)
 	go func() {
 		// Sleep cannot fail with this context.
 		_ = g.clock.Sleep(context.Background(), quarantine.JudgeDelay)
@@ -183,14 +192,35 @@
 			changed = g.quarantine.Judge(now, run.parts) || changed
 		}
 		if changed {
-			g.tellSuspects(g.quarantine.Reports(now, parts...))
+			g.tellSuspects(now, lo.Reject(keys, g.crashedOnce))
 		}
 	}()
 }
 
-// tellSuspects sends reports to all other hosts in the background.
-func (g *Gateway) tellSuspects(reports []quarantine.Report) {
-	notice := SuspectNotice{Reports: reports}
+// crashedOnce reports whether a key is that of a whole request of which at most one crash is
+// known. Few of these ever come again.
+func (g *Gateway) crashedOnce(key string, _ int) bool {
+	return quarantine.IsRequestKey(key) && g.quarantine.Crashes(key) < 2
+}
+
+// gatherCrashes tells the owner of a whole request of its crash, or the host that replaces the
+// owner.
+func (g *Gateway) gatherCrashes(key string) {
+	owners := g.membership.OwnersOf(trialKey(key))
+	notice := SuspectNotice{Reports: g.quarantine.Reports(g.clock.Now(), key), Gather: true}
+	for _, h := range owners[:min(len(owners), maxTrialOwners)] {
+		if g.notifySuspects(h, notice) {
+			return
+		}
+	}
+}
+
+// tellSuspects sends reports on the keys to all other hosts in the background.
+func (g *Gateway) tellSuspects(now cicadapitch.Instant, keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	notice := SuspectNotice{Reports: g.quarantine.Reports(now, keys...)}
 	for _, h := range g.membership.Hosts() {
 		if !g.membership.IsSelf(h) {
 			go g.notifySuspects(h, notice)
@@ -198,24 +228,34 @@
 	}
 }
 
-// notifySuspects sends a notice to a host, which may be this one. A failure is logged and
-// not retried: heartbeats repeat the reports, and trials end by themselves.
-func (g *Gateway) notifySuspects(h fleet.Host, n SuspectNotice) {
+// notifySuspects sends a notice to a host, which may be this one, and reports whether the host
+// has it. A failure is logged and not retried: heartbeats repeat the reports, and trials end by
+// themselves.
+func (g *Gateway) notifySuspects(h fleet.Host, n SuspectNotice) bool {
 	dialer := g.membership.Dialer()
 	if dialer == nil || g.membership.IsSelf(h) {
 		g.addSuspects(n)
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout.Duration())
 	defer cancel()
 	if _, err := peer.Call[SuspectNotice, struct{}](ctx, dialer, h.Peers, callSuspects, n); err != nil {
 		g.log.Warn().Str("Host", string(h.ID)).Int("Suspects", len(n.Reports)).Err(err).Msg("telling a host of suspected parts failed")
+		return false
 	}
+	return true
 }
 
 // addSuspects applies a notice.
 func (g *Gateway) addSuspects(n SuspectNotice) {
-	g.quarantine.Merge(g.clock.Now(), n.Reports)
+	now := g.clock.Now()
+	g.quarantine.Merge(now, n.Reports)
+	for _, r := range n.Reports {
+		if n.Gather && g.quarantine.Crashes(r.Part) > 1 {
+			g.quarantine.Judge(now, []string{r.Part})
+			g.tellSuspects(now, []string{r.Part})
+		}
+	}
 	if n.Request != "" {
 		g.trials.End(n.Request)
 	}
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -17,7 +17,7 @@
 // Key returns the key under which a part is kept: its id, or the hash of a long one or of one
 // that looks like the key of a whole request.
 func Key(id string) string {
-	if len(id) <= maxKeyBytes && !isRequestKey(id) {
+	if len(id) <= maxKeyBytes && !IsRequestKey(id) {
 		return id
 	}
 	h := xxh3.HashString128(id)
@@ -40,4 +40,5 @@
 	return fmt.Sprintf("%s%016x%016x", requestKeyPrefix, sum.Hi, sum.Lo)
 }
 
-func isRequestKey(key string) bool { return strings.HasPrefix(key, requestKeyPrefix) }
+// IsRequestKey reports whether a key is that of a whole request.
+func IsRequestKey(key string) bool { return strings.HasPrefix(key, requestKeyPrefix) }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -17,7 +17,8 @@
 	// maxReports bounds the reports that a host sends at once.
 	maxReports = 64
 	// reportTime is how long after its last change a part with a single crash is reported
-	// unasked. Many parts are in one crash; those that crash more are always reported.
+	// unasked. Many parts are in one crash; those that crash more are always reported. A
+	// whole request with a single crash is not, since few ever come again.
 	reportTime = 2 * cicadapitch.Second
 )
 
@@ -112,20 +113,20 @@
 	case crashes < crashesToQuarantine || s.answeredAt > 0:
 		return false
 	}
-	return isRequestKey(part) || !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
-		return !isRequestKey(o.Key) && o.Value != s && o.Value.explains(s)
+	return IsRequestKey(part) || !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
+		return !IsRequestKey(o.Key) && o.Value != s && o.Value.explains(s)
 	})
 }
 
 // clearExplained clears the parts whose crashes a quarantined part explains, as an answer
 // would. Whole requests neither explain crashes nor are they explained. The caller holds mu.
 func (l *Ledger) clearExplained(now cicadapitch.Instant, quarantined string) {
-	if isRequestKey(quarantined) {
+	if IsRequestKey(quarantined) {
 		return
 	}
 	q := l.suspects[quarantined]
 	for part, s := range l.suspects {
-		if part != quarantined && !isRequestKey(part) && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
+		if part != quarantined && !IsRequestKey(part) && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
 			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
 		}
 	}
@@ -186,6 +187,16 @@
 	return s == nil || s.state() != Quarantined && now >= s.lastCrash().Add(relaySlack)
 }
 
+// Crashes returns the number of crashes that are known of a part.
+func (l *Ledger) Crashes(part string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.suspects[part]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
+}
+
 // Quarantined returns when each quarantined part was quarantined.
 func (l *Ledger) Quarantined(now cicadapitch.Instant) map[string]cicadapitch.Instant {
 	out := map[string]cicadapitch.Instant{}
@@ -211,7 +222,7 @@
 	l.prune(now)
 	if len(parts) == 0 {
 		for part, s := range l.suspects {
-			if s.state() == Quarantined || len(s.crashes) > 1 || now.Sub(s.changedAt) < reportTime {
+			if s.state() == Quarantined || len(s.crashes) > 1 || !IsRequestKey(part) && now.Sub(s.changedAt) < reportTime {
 				parts = append(parts, part)
 			}
 		}
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -53,6 +53,23 @@
 	require.Equal(t, quarantine.Quarantined, stateOf(l, 1000, "bad"))
 }
 
+// TestHeartbeatsDoNotCarryRequestsThatCrashedOnce guards against reports on all requests that
+// were running when endpoints crashed, of which few ever come again.
+func TestHeartbeatsDoNotCarryRequestsThatCrashedOnce(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 40 {
+		crash(l, 0, quarantine.RequestKey(nil, fmt.Sprint("sound", i)))
+	}
+	repeated := quarantine.RequestKey(nil, "repeated")
+	crash(l, 0, repeated)
+	require.Empty(t, l.Reports(start.Add(10)))
+	crash(l, 1000, repeated)
+	reports := l.Reports(start.Add(1010))
+	require.Len(t, reports, 1)
+	require.Equal(t, repeated, reports[0].Part)
+	require.Equal(t, 2, l.Crashes(repeated))
+}
+
 // TestEndpointsLostTogetherCountOnce ends many runs with one part at the same moment, as
 // the loss of a zone does, also where the hosts see it at slightly different times.
 func TestEndpointsLostTogetherCountOnce(t *testing.T) {
