quarantine: of parts with the same crashes the later one in the prompt is to blame

Cause: the bad part and the first one had the same crashes. Judged with the bad run's prompt the last part is to blame; but the first run that was judged on this host was a sound one with the first part alone.

The position in the prompt is kept with a suspect and reported. Of parts with the same crashes the later one explains those of the earlier one, whoever is judged first. TestSoundRunsAreJudgedAfterABadOneBesideThem failed before.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -72,8 +72,8 @@
 		l.clearExplained(now, part)
 		return
 	}
-	for _, part := range parts {
-		l.change(now, part, func(s *suspect) { s.addCrashes(c) })
+	for i, part := range parts {
+		l.change(now, part, func(s *suspect) { s.addCrashes(c); s.position = max(s.position, i) })
 	}
 }
 
@@ -264,6 +264,7 @@
 	}
 	l.change(now, r.Part, func(s *suspect) {
 		s.addAnswer(answeredAt)
+		s.position = max(s.position, r.Position)
 		s.addCrashes(lo.Map(r.Crashes, func(c CrashReport, _ int) Crash {
 			return Crash{c.Endpoint, instant(now, c.SentAgo), instant(now, c.EndedAgo)}
 		})...)
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -130,6 +130,30 @@
 	}
 }
 
+// TestSoundRunsAreJudgedAfterABadOneBesideThem lets a sound run with the first part of all
+// prompts be judged before the bad one that ended with the same endpoints. No answer has come
+// yet, so that both parts have the same crashes.
+func TestSoundRunsAreJudgedAfterABadOneBesideThem(t *testing.T) {
+	l := quarantine.NewLedger()
+	sound, bad := []string{"first", "session"}, []string{"first", "bad"}
+	for i := range 3 {
+		now := start.Add(cicadapitch.Millis(i) * 1000)
+		c := quarantine.Crash{Endpoint: "e", SentAt: now.Add(-50), EndedAt: now}
+		sound[1] = fmt.Sprint("session", i)
+		l.RecordCrash(now, sound, c)
+		l.RecordCrash(now, bad, c)
+		l.Judge(now, sound)
+		require.NotEqual(t, quarantine.Quarantined, stateOf(l, cicadapitch.Millis(i)*1000, "first"))
+		l.Judge(now, bad)
+	}
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 2000, "bad"))
+	require.NotEqual(t, quarantine.Quarantined, stateOf(l, 2000, "first", "session1"))
+	other := quarantine.NewLedger()
+	other.Merge(start.Add(2010), l.Reports(start.Add(2010)))
+	require.Equal(t, quarantine.Quarantined, stateOf(other, 2010, "bad"))
+	require.NotEqual(t, quarantine.Quarantined, stateOf(other, 2010, "first"))
+}
+
 func TestAnswerEndsAQuarantine(t *testing.T) {
 	l, other := quarantine.NewLedger(), quarantine.NewLedger()
 	for i := range 3 {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,6 +14,8 @@
 	// AnsweredAgo is when a request with the part was last answered, QuarantinedAgo when
 	// the part was quarantined, or Never.
 	AnsweredAgo, QuarantinedAgo cicadapitch.Millis
+	// Position is the highest position of the part among the shared parts of a crashed run.
+	Position int
 }
 
 // CrashReport is a Crash with ages.
@@ -39,7 +41,7 @@
 }
 
 func (s *suspect) report(now cicadapitch.Instant, part string) Report {
-	r := Report{Part: part, AnsweredAgo: age(now, s.answeredAt), QuarantinedAgo: age(now, s.quarantinedAt)}
+	r := Report{Part: part, AnsweredAgo: age(now, s.answeredAt), QuarantinedAgo: age(now, s.quarantinedAt), Position: s.position}
 	for _, c := range s.crashes {
 		r.Crashes = append(r.Crashes, CrashReport{c.Endpoint, age(now, c.SentAt), age(now, c.EndedAt)})
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -54,6 +54,8 @@
 	quarantinedAt cicadapitch.Instant
 	// changedAt is when the suspect last changed here.
 	changedAt cicadapitch.Instant
+	// position is the highest position of the part among the shared parts of a crashed run.
+	position int
 }
 
 func (s *suspect) state() State {
@@ -108,9 +110,11 @@
 
 // explains reports whether this part is the better explanation of the independent crashes
 // of another one: it was in runs at each of these processes, and at more besides, or it has
-// not been in an answer, as the other has.
+// not been in an answer, as the other has, or it comes later in prompts, so that fewer sound
+// ones share it.
 func (s *suspect) explains(other *suspect) bool {
-	better := len(s.crashes) > len(other.crashes) || s.answeredAt == 0 && other.answeredAt > 0
+	better := len(s.crashes) > len(other.crashes) || s.answeredAt == 0 && other.answeredAt > 0 ||
+		len(s.crashes) == len(other.crashes) && s.position > other.position
 	return better && s.covers(other.independent())
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,8 +67,9 @@
 // regressions maps seeds that failed once to the cause of the failure. A seed does not
 // reproduce the timing of a run.
 var regressions = map[int]string{
-	111: "deadlock of host-2: the update to a new fleet.View and the timer of a stage service waited for each other's lock",
-	822: "a part of all prompts was quarantined: more crashes were independent for it than for the bad part that caused them",
+	111:  "deadlock of host-2: the update to a new fleet.View and the timer of a stage service waited for each other's lock",
+	1023: "the first part of all prompts was quarantined: a sound run was judged before the bad one that ended with the same endpoints",
+	822:  "a part of all prompts was quarantined: more crashes were independent for it than for the bad part that caused them",
 }
 
 func TestRegressions(t *testing.T) {
