--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -100,6 +100,8 @@
 		Bool("InForce", adopted).Int("Routes", c.Routes()).Int64("AgeMs", int64(age)).Int64("Base", s.base).
 		Int("Bytes", s.bytes).Int64("TookMs", int64(s.took)).Int64("DecodeMs", int64(s.decodeTook)).Msg("configuration")
 	if adopted {
+		_, behind := m.lag.Behind(now)
+		m.metrics.Gauge("ConfigurationBehindMs").Update(float64(behind))
 		m.metrics.Gauge("ConfigurationVersion").Update(float64(c.Version))
 		m.metrics.Histogram("ConfigurationAge", catalogAgeBuckets).RecordDuration(age.Duration())
 		m.announceCatalog()
