administration: the test's refusing host keeps its port

Its refusing host was a server that had been closed, whose port the kernel may give to a later server of the test, which then accepts the order. Traced: with a server put on that port on purpose the test fails with the same line and values.

--- a/administration/client_test.go
+++ b/administration/client_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/administration"
@@ -34,13 +36,25 @@
 	conflict    = `{"Kind":"Conflict","Reason":"moved on","Remedy":"compare"}`
 )
 
+// newRefusingHost returns the URL of a host that refuses connections. Its port stays bound, so
+// that no other server gets it.
+func newRefusingHost(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("http://127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
 // TestOrderTriesNextHostAndKeepsUnknownOutcome guards against an order that is not
 // sent to the next host after a failed one, and against a later refusal that hides
 // that an earlier host may have accepted the order.
 func TestOrderTriesNextHostAndKeepsUnknownOutcome(t *testing.T) {
 	aborting := newHost(t, 0, "")
-	refusing := newHost(t, 0, "")
-	refusing.Close()
+	refusing := &httptest.Server{URL: newRefusingHost(t)}
 	for _, c := range []struct {
 		hosts []*httptest.Server
 		kind  cicadapitch.Kind
