gateway: plain requests in a file of their own; tests share the count of late arrivals

The functions that serve plain requests move to plain.go as they are, with their two constants. lateArrivals and lateRequests counted the same way and now share that; their bounds are the same.

--- a/fronthost/quarantine_test.go
+++ b/fronthost/quarantine_test.go
@@ -99,18 +99,26 @@
 // lateArrivals returns how many requests with badPart reached engines later than
 // contactTime after the fifth crash.
 func (d *deployment) lateArrivals() int {
+	return d.lateAfter(5, "engine", func(e *platformtest.Endpoint) []time.Time { return e.PartArrivals(badPart) })
+}
+
+// lateAfter returns how many of the arrivals at the endpoints of a service came later than
+// contactTime after the given number of their crashes.
+func (d *deployment) lateAfter(crashCount int, service string, arrivalsAt func(*platformtest.Endpoint) []time.Time) int {
 	var crashes, arrivals []time.Time
 	for _, e := range d.endpoints {
-		crashes = append(crashes, e.Crashes()...)
-		arrivals = append(arrivals, e.PartArrivals(badPart)...)
+		if e.Service == service {
+			crashes = append(crashes, e.Crashes()...)
+			arrivals = append(arrivals, arrivalsAt(e)...)
+		}
 	}
-	if len(crashes) < 5 {
+	if len(crashes) < crashCount {
 		return 0
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
 	n := 0
 	for _, at := range arrivals {
-		if at.After(crashes[4].Add(contactTime)) {
+		if at.After(crashes[crashCount-1].Add(contactTime)) {
 			n++
 		}
 	}
--- a/fronthost/requestquarantine_test.go
+++ b/fronthost/requestquarantine_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -70,22 +69,7 @@
 // lateRequests returns how many requests with a bad body reached endpoints later than
 // contactTime after the third of its crashes. Other bad requests may have caused some.
 func (d *deployment) lateRequests(body string) int {
-	var crashes, arrivals []time.Time
-	d.eachPlain(func(e *platformtest.Endpoint) {
-		crashes = append(crashes, e.Crashes()...)
-		arrivals = append(arrivals, e.BodyArrivals(body)...)
-	})
-	if len(crashes) < 3 {
-		return 0
-	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	n := 0
-	for _, at := range arrivals {
-		if at.After(crashes[2].Add(contactTime)) {
-			n++
-		}
-	}
-	return n
+	return d.lateAfter(3, "plain", func(e *platformtest.Endpoint) []time.Time { return e.BodyArrivals(body) })
 }
 
 // TestRequestThatCrashesEndpointsIsQuarantined guards against endpoints that crash one after
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"io"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+const (
+	// maxBufferedBytes is the number of bytes of an answer that are read before any
+	// is relayed, so that another attempt can replace an answer that breaks off.
+	maxBufferedBytes = 256 << 10
+	// attemptTimeoutFraction is the share of the latency objective after which an
+	// attempt of an idempotent request times out. The rest suffices for a typical call
+	// to another endpoint.
+	attemptTimeoutFraction = 0.7
+)
+
+// servePlain serves a request of a plain service. It retries at other endpoints
+// where the request allows that.
+func (p *proxiedRequest) servePlain(ctx context.Context) error {
+	if err := p.rejectQuarantined(); err != nil {
+		return err
+	}
+	for connectFailures := 0; ; {
+		e, err := p.chooseEndpoint(false, "")
+		if err != nil {
+			return err
+		}
+		if err := p.awaitTrial(ctx); err != nil {
+			p.recordCallEnd(e.ID)
+			return err
+		}
+		attemptCtx, cancel := p.attemptContext(ctx)
+		done, err := p.attemptPlain(attemptCtx, e)
+		cancel()
+		p.endTrial()
+		if done {
+			return err
+		}
+		p.exclude[e.ID] = true
+		if cicadapitch.KindOf(err) == cicadapitch.NotRun && p.attempts == 0 && connectFailures < maxConnectFailures {
+			// No endpoint has received the request.
+			connectFailures++
+			continue
+		}
+		if ctx.Err() != nil || !p.takeRetry() {
+			return err
+		}
+	}
+}
+
+// attemptContext returns the context of an attempt at a plain service. If another
+// attempt may follow, it has a timeout with the cause errSilent.
+func (p *proxiedRequest) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !p.route.Idempotent() || p.attempts+1 >= p.route.MaxAttempts || p.route.TargetLatency <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeoutCause(ctx, cicadapitch.Millis(attemptTimeoutFraction*float64(p.route.TargetLatency)).Duration(), errSilent)
+}
+
+// attemptPlain sends the request to one endpoint of a plain service. The result is
+// true if the answer to the caller has begun; the error is then that of relaying the
+// rest. Otherwise the error says why the attempt failed.
+func (p *proxiedRequest) attemptPlain(ctx context.Context, e fleet.Endpoint) (bool, error) {
+	defer p.recordCallEnd(e.ID)
+	start := p.g.clock.Now()
+	reply, err := p.send(ctx, e, nil, "")
+	if err != nil {
+		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
+			p.checkPlainEndpoint(ctx, e, start)
+		}
+		return false, err
+	}
+	defer reply.Close()
+	body, err := p.readBuffered(reply)
+	if err != nil {
+		p.recordBreak(ctx, e.ID)
+		p.checkPlainEndpoint(ctx, e, start)
+		return false, cicadapitch.NewOutcomeUnknown("the answer of " + string(e.ID) + " broke off: " + err.Error())
+	}
+	p.recordAnswer()
+	if reply.Status >= 500 && p.route.Idempotent() && p.attempts < p.route.MaxAttempts {
+		p.recordFailure(e.ID, 0)
+		return false, cicadapitch.NewOutcomeUnknown(string(e.ID) + " failed")
+	}
+	if reply.Status < 500 {
+		p.recordSuccess(e.ID, p.g.clock.Now().Sub(start))
+	}
+	p.status = reply.Status
+	p.answer.WriteHeader(reply)
+	if _, err := p.answer.Write(body); err != nil {
+		return true, notRelayed(err)
+	}
+	return true, p.relayRest(reply)
+}
+
+// checkPlainEndpoint starts a check like checkEndpoint. A further attempt waits for it only
+// if this one was a trial.
+func (p *proxiedRequest) checkPlainEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
+	p.checkEndpoint(ctx, e, sentAt)
+	if p.trial == "" {
+		p.endCheck = nil
+	}
+}
+
+// readBuffered reads up to maxBufferedBytes bytes of a body.
+func (p *proxiedRequest) readBuffered(reply *platform.Reply) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(reply, maxBufferedBytes))
+}
+
+// relayRest relays the part of a body that readBuffered left.
+func (p *proxiedRequest) relayRest(reply *platform.Reply) error {
+	_, err := io.Copy(p.answer, reply)
+	return err
+}
