quarantine: repeats of a sound request beside a bad one are spared

Cause: whole requests had no exemption by other suspects, on the ground that a sound one is in answers; at the start, or while no endpoint lives long enough, it is not.

A whole request is spared while a suspect that is no part of it, in no answer, has the same crashes: a part of prompts with as many, or another whole request with more, so that two bad ones that come together do not excuse each other. It is not cleared, so that a bad one is quarantined with its next crash alone. TestSoundRepeatsBesideABadOneAreSpared failed before; TestRequestIsQuarantinedOnceItCrashesAlone covers the other side.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -88,7 +88,7 @@
 	if _, state := l.worst(now, parts); state != Suspected {
 		return false
 	}
-	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(part) })
+	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(part, parts) })
 	part, _ := l.worst(now, guilty)
 	if part == "" {
 		return false
@@ -98,11 +98,9 @@
 	return true
 }
 
-// guilty reports whether the crashes of a part, which need not be a suspect, suffice to
-// quarantine it. Nothing else explains those of a whole request: parts of its prompt would
-// have crashed others, and a sound one that ran beside a bad one is in answers. The caller
-// holds mu.
-func (l *Ledger) guilty(part string) bool {
+// guilty reports whether the crashes of a part of a request with the given parts suffice to
+// quarantine it. The part need not be a suspect. The caller holds mu.
+func (l *Ledger) guilty(part string, parts []string) bool {
 	s := l.suspects[part]
 	if s == nil {
 		return false
@@ -113,13 +111,33 @@
 	case crashes < crashesToQuarantine || s.answeredAt > 0:
 		return false
 	}
-	return IsRequestKey(part) || !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
-		return !IsRequestKey(o.Key) && o.Value != s && o.Value.explains(s)
+	return !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
+		switch {
+		case o.Value == s:
+			return false
+		case IsRequestKey(part):
+			return !slices.Contains(parts, o.Key) && l.explainsRequest(o.Key, s)
+		}
+		return !IsRequestKey(o.Key) && o.Value.explains(s)
 	})
 }
 
+// explainsRequest reports whether a suspect explains the independent crashes of a whole request
+// of whose parts it is none: it was in no answer, and in runs that ended with the same
+// processes. Another whole request has to have crashed more, so that two bad ones which come
+// together do not excuse each other. The caller holds mu.
+func (l *Ledger) explainsRequest(key string, request *suspect) bool {
+	s := l.suspects[key]
+	needed := len(request.crashes)
+	if IsRequestKey(key) {
+		needed++
+	}
+	return s.answeredAt == 0 && len(s.crashes) >= needed && s.covers(request.independent())
+}
+
 // clearExplained clears the parts whose crashes a quarantined part explains, as an answer
-// would. Whole requests neither explain crashes nor are they explained. The caller holds mu.
+// would. It clears no whole requests, and a whole request clears nothing: a bad one would need
+// more crashes then. The caller holds mu.
 func (l *Ledger) clearExplained(now cicadapitch.Instant, quarantined string) {
 	if IsRequestKey(quarantined) {
 		return
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -154,6 +154,45 @@
 	require.NotEqual(t, quarantine.Quarantined, stateOf(other, 2010, "first"))
 }
 
+// TestSoundRepeatsBesideABadOneAreSpared repeats a sound request that ends with the endpoints of
+// a bad part of prompts, or of another request that comes more often, before any answer came.
+func TestSoundRepeatsBesideABadOneAreSpared(t *testing.T) {
+	sound := quarantine.RequestKey(nil, "sound")
+	for _, bad := range [][]string{{"first", "bad", quarantine.RequestKey(nil, "own")}, {quarantine.RequestKey(nil, "bad")}} {
+		l := quarantine.NewLedger()
+		crash(l, 0, bad...)
+		for i := range 3 {
+			now := start.Add(cicadapitch.Millis(1000 + 1000*i))
+			c := quarantine.Crash{Endpoint: "e", SentAt: now.Add(-50), EndedAt: now}
+			keys := []string{"first", sound}
+			l.RecordCrash(now, keys, c)
+			l.RecordCrash(now, bad, c)
+			l.Judge(now, keys)
+			l.Judge(now, bad)
+		}
+		require.NotEqual(t, quarantine.Quarantined, stateOf(l, 3100, sound))
+		require.Equal(t, quarantine.Quarantined, stateOf(l, 3100, bad...))
+	}
+}
+
+// TestRequestIsQuarantinedOnceItCrashesAlone covers a bad request that came beside another one,
+// which explained its crashes until it was quarantined.
+func TestRequestIsQuarantinedOnceItCrashesAlone(t *testing.T) {
+	l := quarantine.NewLedger()
+	first, second := quarantine.RequestKey(nil, "first"), quarantine.RequestKey(nil, "second")
+	for i := range 3 {
+		now := start.Add(cicadapitch.Millis(1000 * i))
+		c := quarantine.Crash{Endpoint: "e", SentAt: now.Add(-50), EndedAt: now}
+		l.RecordCrash(now, []string{first}, c)
+		l.RecordCrash(now, []string{second}, c)
+		l.Judge(now, []string{first})
+		l.Judge(now, []string{second})
+	}
+	crash(l, 4000, second)
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 4100, first))
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 4100, second))
+}
+
 func TestAnswerEndsAQuarantine(t *testing.T) {
 	l, other := quarantine.NewLedger(), quarantine.NewLedger()
 	for i := range 3 {
