--- a/catalog/table.go
+++ b/catalog/table.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "hash/maphash"
+import (
+	"hash/maphash"
+	"maps"
+)
 
 // tableShards is the number of shards of a table. A change copies the shards that it
 // touches.
@@ -79,9 +82,7 @@
 		s := &shard[K, V]{entries: map[K]V{}}
 		if old := e.table.shards[i]; old != nil {
 			s.entries = make(map[K]V, len(old.entries)+1)
-			for k, v := range old.entries {
-				s.entries[k] = v
-			}
+			maps.Copy(s.entries, old.entries)
 		}
 		e.table.shards[i], e.copied[i] = s, true
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -82,7 +82,8 @@
 	return errQuarantined
 }
 
-// awaitTrial returns once the request may be sent as far as the quarantine is concerned. The error is errQuarantined, errSuspected or the cause of ctx.
+// awaitTrial returns once the request may be sent as far as the quarantine is concerned. The
+// error is errQuarantined, errSuspected or the cause of ctx.
 func (p *proxiedRequest) awaitTrial(ctx context.Context) error {
 	if p.endCheck != nil {
 		// The request's own crash is known once the check is done.
