--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -54,9 +54,23 @@
 	metrics tally.TestScope
 }
 
+// Option configures a Host.
+type Option func(*options)
+
+type options struct{ dial platform.DialFunc }
+
+// WithEndpointDial sets the function that opens connections to endpoints. The default is
+// platform.DialEndpoint.
+func WithEndpointDial(f platform.DialFunc) Option { return func(o *options) { o.dial = f } }
+
 // New assembles a host from the settings. It opens no connection and no listener.
-func New(s *platform.Settings, log zerolog.Logger, clock cicadapitch.Clock) (*Host, error) {
+func New(s *platform.Settings, log zerolog.Logger, clock cicadapitch.Clock, opts ...Option) (*Host, error) {
+	o := options{dial: platform.DialEndpoint}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	injector := do.New()
+	do.ProvideValue(injector, o.dial)
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, log)
 	do.ProvideValue[cicadapitch.Clock](injector, clock)
@@ -93,6 +107,7 @@
 		gateway.WithQuarantine(do.MustInvoke[*quarantine.Ledger](i)),
 		gateway.WithRateLimits(do.MustInvoke[*placement.RateLimits](i)),
 		gateway.WithClock(do.MustInvoke[cicadapitch.Clock](i)),
+		gateway.WithEndpointDial(do.MustInvoke[platform.DialFunc](i)),
 		gateway.WithMetrics(do.MustInvoke[tally.TestScope](i)))
 	m.OnView(g.SetView)
 	m.SetLoadSources(g.Loads, g.Shards().Waits)
--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -31,6 +31,8 @@
 	cancels      []context.CancelFunc
 	// stopped holds, for each host, the channel that is closed when its Run returns.
 	stopped []chan struct{}
+	// hostOptions returns the options of host i, or is nil.
+	hostOptions func(i int) []fronthost.Option
 }
 
 // nextSubnet gives each deployment addresses of its own.
@@ -38,10 +40,13 @@
 
 // newDeployment starts the store, the endpoints and the given number of hosts, and
 // waits until the hosts are ready. The store also has an invalid entry without an
-// address, which hosts must ignore.
-func newDeployment(t *testing.T, hosts int) *deployment {
+// address, which hosts must ignore. changes are made before the hosts start.
+func newDeployment(t *testing.T, hosts int, changes ...func(*deployment)) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(), endpoints: map[string]*platformtest.Endpoint{}}
 	t.Cleanup(d.close)
+	for _, change := range changes {
+		change(d)
+	}
 	for id, service := range map[string]string{"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine", "s1": "stage"} {
 		e := platformtest.NewEndpoint(id, service)
 		d.endpoints[id] = e
@@ -75,7 +80,11 @@
 			ColdExcess: 1.5, ColdSlack: 5, DirectoryTTL: 5000,
 		},
 	}
-	h, err := fronthost.New(settings, zerolog.New(zerolog.NewTestWriter(d.t)).Level(zerolog.WarnLevel), cicadapitch.NewSystemClock())
+	var opts []fronthost.Option
+	if d.hostOptions != nil {
+		opts = d.hostOptions(i)
+	}
+	h, err := fronthost.New(settings, zerolog.New(zerolog.NewTestWriter(d.t)).Level(zerolog.WarnLevel), cicadapitch.NewSystemClock(), opts...)
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 	limits     *placement.RateLimits
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
+	// dial opens connections to endpoints.
+	dial platform.DialFunc
 	// stopped is canceled by Stop.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -99,6 +101,10 @@
 // others. The default is none but those named to the gateway.
 func WithRateLimits(l *placement.RateLimits) Option { return func(g *Gateway) { g.limits = l } }
 
+// WithEndpointDial sets the function that opens connections to endpoints. The default is
+// platform.DialEndpoint.
+func WithEndpointDial(f platform.DialFunc) Option { return func(g *Gateway) { g.dial = f } }
+
 // New returns a gateway for the host with settings s.
 func New(s *platform.Settings, membership Membership, opts ...Option) *Gateway {
 	g := &Gateway{
@@ -113,11 +119,12 @@
 		trials:           quarantine.NewTrials(),
 		limits:           placement.NewRateLimits(),
 		peerAddress:      s.PeerAddress(),
+		dial:             platform.DialEndpoint,
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit))
+	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit), platform.WithEndpointDial(g.dial))
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
