--- a/bench/propagation/case.go
+++ b/bench/propagation/case.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/platform"
 )
 
 // Case describes a fleet and the changes that it gets.
@@ -24,6 +25,18 @@
 	// Refused is the share of hosts that the store refuses from just before the first change
 	// on.
 	Refused float64
+	// connect opens connections to endpoints. The default is platform.DialEndpoint.
+	connect platform.DialFunc
+	// calmStart makes the traffic begin once all hosts are ready.
+	calmStart bool
+}
+
+// dialFunc returns the function that opens connections to endpoints.
+func (c Case) dialFunc() platform.DialFunc {
+	if c.connect != nil {
+		return c.connect
+	}
+	return platform.DialEndpoint
 }
 
 // String returns the parameters of the case.
--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -16,6 +16,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/gateway"
 	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
@@ -39,6 +40,8 @@
 type host struct {
 	settings   *platform.Settings
 	membership *membership.Membership
+	gateway    *gateway.Gateway
+	ingress    *platform.Ingress
 	link       *platformtest.Link
 	// gate is in front of the store.
 	gate    *platformtest.Gate
@@ -51,6 +54,12 @@
 	// regressed is set if an older version came into force after a newer one.
 	version   int64
 	regressed bool
+	// usable holds the endpoints that take requests, leavingAt since when those that do not
+	// any more are known not to.
+	usable    map[cicadapitch.EndpointID]bool
+	leavingAt map[cicadapitch.EndpointID]time.Time
+	// asked and served count the requests of callers.
+	asked, served atomic.Int64
 }
 
 // Fleet is a running fleet with its store.
@@ -63,6 +72,8 @@
 	// version is the version of the last configuration and routes the number of its routes.
 	version int64
 	routes  int
+	// busy is closed once the hosts send their traffic.
+	busy chan struct{}
 }
 
 // nextSubnet gives each fleet addresses of its own.
@@ -71,7 +82,10 @@
 // Start starts a fleet and waits until all hosts have the first configuration and know each
 // other. The caller must call Close.
 func Start(c Case) (*Fleet, error) {
-	f := &Fleet{c: c, store: platformtest.NewStore(), routes: c.Routes, subnet: nextSubnet.Add(1)}
+	f := &Fleet{c: c, store: platformtest.NewStore(), routes: c.Routes, subnet: nextSubnet.Add(1), busy: make(chan struct{})}
+	if !c.calmStart {
+		close(f.busy)
+	}
 	f.write(1)
 	if err := f.startHosts(); err != nil {
 		f.Close()
@@ -86,6 +100,9 @@
 			return nil, cicadapitch.NewError(cicadapitch.Unavailable, "host "+string(h.settings.Host)+" did not become ready", "run fewer hosts")
 		}
 	}
+	if c.calmStart {
+		close(f.busy)
+	}
 	return f, nil
 }
 
@@ -147,12 +164,21 @@
 			Host: cicadapitch.HostID(fmt.Sprintf("host-%d", i)), IP: ip, Zone: cicadapitch.ZoneID(fmt.Sprintf("z%d", i%4)),
 			PeerPort: peerPort, CallerListen: ip + ":8001",
 			Store: platform.StoreSettings{Address: f.store.Address(), MinLease: 1000},
+			Bounds: platform.Bounds{
+				RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * cicadapitch.Second, ColdExcess: 1.5, ColdSlack: 5,
+			},
 		},
 		link: platformtest.NewLink(f.c.LinkMbps), gate: platformtest.NewGate(f.store.Address()), inForceAt: map[int64]time.Time{},
+		leavingAt: map[cicadapitch.EndpointID]time.Time{},
 	}
 	h.membership = membership.New(h.settings, membership.WithStore(
 		platform.NewStore([]string{"http://" + h.gate.Address()}, platform.WithDialContext(h.link.DialContext))))
+	clock := cicadapitch.NewSystemClock()
+	h.gateway = gateway.New(h.settings, h.membership, gateway.WithEndpointDial(f.c.dialFunc()))
+	h.ingress = platform.NewIngress(h.gateway, clock)
 	h.membership.OnView(h.recordView)
+	h.membership.OnView(h.gateway.SetView)
+	h.membership.SetLoadSources(h.gateway.Loads, h.gateway.Shards().Waits)
 	l, err := net.Listen("tcp", h.settings.PeerAddress())
 	if err != nil {
 		return nil, cicadapitch.Wrap(err)
@@ -162,12 +188,12 @@
 	h.running.Go(func() { h.membership.FollowStore(ctx) })
 	h.running.Go(func() { h.membership.KeepRegistered(ctx) })
 	h.running.Go(func() { h.membership.RunHeartbeats(ctx) })
-	h.running.Go(func() { h.servePeers(ctx, h.link.Listener(l), f.c) })
+	h.running.Go(func() { h.servePeers(ctx, h.link.Listener(l), f) })
 	return h, nil
 }
 
 // servePeers serves calls of other hosts until ctx ends.
-func (h *host) servePeers(ctx context.Context, l net.Listener, c Case) {
+func (h *host) servePeers(ctx context.Context, l net.Listener, f *Fleet) {
 	defer l.Close()
 	secret, err := h.membership.Secret(ctx)
 	if err != nil {
@@ -177,9 +203,16 @@
 	dialer := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
 	control := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
 	peer.Handle(server, callTraffic, func(context.Context, []byte) (struct{}, error) { return struct{}{}, nil })
+	h.gateway.RegisterHandlers(server)
 	h.membership.EnablePeerCalls(server, dialer, control)
-	if c.Traffic > 0 {
-		h.running.Go(func() { h.sendTraffic(ctx, dialer, c.Traffic*c.LinkMbps*1e6/8) })
+	if f.c.Traffic > 0 {
+		h.running.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-f.busy:
+				h.sendTraffic(ctx, dialer, f.c.Traffic*f.c.LinkMbps*1e6/8)
+			}
+		})
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, server)
@@ -234,6 +267,7 @@
 		h.inForceAt[n] = time.Now()
 	}
 	h.version = max(h.version, v.Catalog.Version)
+	h.recordLeaving(v)
 }
 
 // serves reports whether the host has the route with a number in force.
--- /dev/null
+++ b/bench/propagation/leaving.go
@@ -0,0 +1,253 @@
+package propagation
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+const (
+	// plainService is the service whose endpoints leave.
+	plainService = "plain"
+	// leavingSettleTime is how long arrivals are watched after the last endpoint has left.
+	leavingSettleTime = 6 * cicadapitch.Second
+)
+
+// LeavingCase describes a fleet whose endpoints leave one after the other, while the
+// configuration changes as in Case.
+type LeavingCase struct {
+	Case
+	// Endpoints is the number of endpoints, Leaving how many of them leave, LeaveGap the time
+	// between two of them. Each that leaves is replaced by another one.
+	Endpoints, Leaving int
+	LeaveGap           cicadapitch.Millis
+	// Requests is the number of requests a second at each host.
+	Requests float64
+	// ConnectDelay is the longest time that a connection to an endpoint takes to open.
+	ConnectDelay cicadapitch.Millis
+}
+
+// LeavingResult is the measurement of a LeavingCase.
+type LeavingResult struct {
+	Case LeavingCase
+	// Known are the times from the acknowledgement of a leaving until a host knows of it, over
+	// all hosts and endpoints that left.
+	Known Percentiles
+	// LastRequest are the times from the acknowledgement of a leaving to the arrival of the
+	// last request at the endpoint, over all endpoints that left.
+	LastRequest Percentiles
+	// Served is the share of the requests that were served.
+	Served float64
+	// Bytes are sent and received and Processor is used in all, over all hosts and the
+	// simulated store and endpoints.
+	Bytes     cicadapitch.Bytes
+	Processor time.Duration
+}
+
+// Percentiles summarizes times.
+type Percentiles struct{ P50, P99, Worst cicadapitch.Millis }
+
+func percentilesOf(times []cicadapitch.Millis) Percentiles {
+	if len(times) == 0 {
+		return Percentiles{}
+	}
+	slices.Sort(times)
+	return Percentiles{times[len(times)/2], times[len(times)*99/100], times[len(times)-1]}
+}
+
+// leavingRun is the state of the run of a LeavingCase.
+type leavingRun struct {
+	c         LeavingCase
+	fleet     *Fleet
+	endpoints []*platformtest.Endpoint
+	leftAt    []time.Time
+}
+
+// RunLeaving starts a fleet, lets its endpoints leave and measures that.
+func RunLeaving(c LeavingCase) (LeavingResult, error) {
+	c.connect, c.calmStart = c.dial, true
+	f, err := Start(c.Case)
+	if err != nil {
+		return LeavingResult{}, err
+	}
+	defer f.Close()
+	r := &leavingRun{c: c, fleet: f}
+	defer r.close()
+	for range c.Endpoints {
+		r.addEndpoint()
+	}
+	time.Sleep(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, h := range f.hosts {
+		h.running.Go(func() { h.sendRequests(ctx, c.Requests) })
+	}
+	time.Sleep(time.Second)
+	cost := f.measure(func() {
+		go r.changeConfiguration()
+		for i := range c.Leaving {
+			r.leave(i)
+			time.Sleep(c.LeaveGap.Duration())
+		}
+		time.Sleep(leavingSettleTime.Duration())
+	})
+	cancel()
+	return r.result(cost)
+}
+
+// dial opens a connection to an endpoint after up to ConnectDelay.
+func (c LeavingCase) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.ConnectDelay > 0 {
+		time.Sleep(rand.N(c.ConnectDelay.Duration()))
+	}
+	return platform.DialEndpoint(ctx, network, address)
+}
+
+func (r *leavingRun) close() {
+	for _, e := range r.endpoints {
+		e.Close()
+	}
+}
+
+// addEndpoint starts an endpoint and adds its entry to the store.
+func (r *leavingRun) addEndpoint() {
+	e := platformtest.NewEndpoint(fmt.Sprintf("e%d", len(r.endpoints)), plainService)
+	e.SetCloseConnections(r.c.ConnectDelay > 0)
+	r.endpoints = append(r.endpoints, e)
+	r.fleet.store.Set(platformtest.EndpointKey(e.ID), e.Entry("ready"))
+}
+
+// leave makes the endpoint with a number leave and adds another one.
+func (r *leavingRun) leave(i int) {
+	e := r.endpoints[i]
+	r.fleet.store.Set(platformtest.EndpointKey(e.ID), e.Entry("draining"))
+	r.leftAt = append(r.leftAt, time.Now())
+	r.addEndpoint()
+}
+
+// changeConfiguration makes the changes of the configuration.
+func (r *leavingRun) changeConfiguration() {
+	f := r.fleet
+	for range r.c.Changes {
+		f.routes += r.c.Added
+		f.write(f.version + 1)
+		time.Sleep(r.c.Gap.Duration())
+	}
+}
+
+// result evaluates a run.
+func (r *leavingRun) result(cost usage) (LeavingResult, error) {
+	var known, last []cicadapitch.Millis
+	for i, at := range r.leftAt {
+		e := r.endpoints[i]
+		for _, h := range r.fleet.hosts {
+			h.mu.Lock()
+			since, ok := h.leavingAt[cicadapitch.EndpointID(e.ID)]
+			h.mu.Unlock()
+			if !ok {
+				return LeavingResult{}, cicadapitch.NewError(cicadapitch.DeadlineExceeded, "host "+string(h.settings.Host)+" did not hear that endpoint "+e.ID+" leaves", "see the logs of the hosts")
+			}
+			known = append(known, cicadapitch.Millis(since.Sub(at).Milliseconds()))
+		}
+		arrivals := e.Arrivals()
+		if n := len(arrivals); n > 0 {
+			last = append(last, max(cicadapitch.Millis(arrivals[n-1].Sub(at).Milliseconds()), 0))
+		}
+	}
+	var asked, served int64
+	for _, h := range r.fleet.hosts {
+		asked, served = asked+h.asked.Load(), served+h.served.Load()
+	}
+	return LeavingResult{
+		Case: r.c, Known: percentilesOf(known), LastRequest: percentilesOf(last),
+		Served: float64(served) / float64(max(asked, 1)), Bytes: cost.bytes, Processor: cost.processor,
+	}, nil
+}
+
+// sendRequests sends requests of callers to the host until ctx ends.
+func (h *host) sendRequests(ctx context.Context, perSecond float64) {
+	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		h.running.Go(func() { h.serveRequest(ctx, fmt.Sprintf("%s-%d", h.settings.Host, n)) })
+	}
+}
+
+// serveRequest makes the host serve one request.
+func (h *host) serveRequest(ctx context.Context, id string) {
+	r, err := platformtest.CallerRequest{
+		ID: id, Method: "POST", Address: h.settings.CallerListen, Path: "/book/a", Host: "h.example", Key: "key-1", Deadline: 3000,
+		Body: strings.NewReader(""),
+	}.HTTPRequest()
+	if err != nil {
+		panic(err) // the request is fixed
+	}
+	w := &answerWriter{header: http.Header{}, status: http.StatusOK}
+	h.asked.Add(1)
+	defer func() {
+		if recover() == nil && w.status == http.StatusOK {
+			h.served.Add(1)
+		}
+	}()
+	r.RequestURI = r.URL.RequestURI()
+	h.ingress.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// answerWriter keeps the status of an answer and drops the rest.
+type answerWriter struct {
+	header http.Header
+	status int
+}
+
+// Header implements http.ResponseWriter.
+func (w *answerWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) { return len(b), nil }
+
+// recordLeaving records since when the host knows that endpoints leave. The caller holds
+// h.mu.
+func (h *host) recordLeaving(v *fleet.View) {
+	current := map[cicadapitch.EndpointID]bool{}
+	for _, e := range v.Endpoints(plainService) {
+		current[e.ID] = true
+	}
+	for id := range h.usable {
+		if _, ok := h.leavingAt[id]; !ok && !current[id] {
+			h.leavingAt[id] = time.Now()
+		}
+	}
+	h.usable = current
+}
+
+// WriteLeavingTable prints results as a table.
+func WriteLeavingTable(w io.Writer, results []LeavingResult) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "hosts\trequests/s\tadded\ttraffic\tconnect ms\tknown p50\tp99\tworst ms\tlast request p50\tp99\tworst ms\tserved\tMB\tcpu s\t")
+	for _, r := range results {
+		c := r.Case
+		fmt.Fprintf(t, "%d\t%g\t%d\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t\n", c.Hosts, c.Requests, c.Added*c.Changes, c.Traffic, c.ConnectDelay,
+			r.Known.P50, r.Known.P99, r.Known.Worst, r.LastRequest.P50, r.LastRequest.P99, r.LastRequest.Worst,
+			r.Served, float64(r.Bytes)/1e6, r.Processor.Seconds())
+	}
+	return cicadapitch.Wrap(t.Flush())
+}
--- /dev/null
+++ b/bench/propagation/leaving_test.go
@@ -0,0 +1,31 @@
+//go:build !race
+
+package propagation_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/bench/propagation"
+)
+
+// maxLeaving is the time after an endpoint has said that it leaves within which the last
+// request has to reach it.
+const maxLeaving = 2 * cicadapitch.Second
+
+// TestLeavingReachesEveryBusyHostInTime guards against the word of a leaving endpoint that
+// waits behind large changes of the configuration and behind requests, on links that are
+// nearly full.
+func TestLeavingReachesEveryBusyHostInTime(t *testing.T) {
+	c := propagation.LeavingCase{
+		Case:      propagation.Case{Hosts: 88, Routes: 40, Added: 1400, Changes: 2, Gap: 1150, LinkMbps: 10, Traffic: 0.9},
+		Endpoints: 20, Leaving: 10, LeaveGap: 500, Requests: 3, ConnectDelay: 800,
+	}
+	r, err := propagation.RunLeaving(c)
+	require.NoError(t, err)
+	t.Logf("%+v", r)
+	require.LessOrEqual(t, r.Known.Worst, maxLeaving)
+	require.LessOrEqual(t, r.LastRequest.Worst, maxLeaving)
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	seeds, caseName, fleet, variant, sweep := 3, "", "", "", false
-	changes, traffic := false, 0.0
+	changes, leaving, traffic := false, false, 0.0
 	flaggy.SetName("bench")
 	flaggy.SetDescription("Simulates fleets under load on virtual time and prints the results.")
 	flaggy.Int(&seeds, "s", "seeds", "number of seeds for each row")
@@ -23,7 +23,12 @@
 	flaggy.Bool(&sweep, "w", "weights", "run all cases at several weights between cost and attainment, instead of the variants; not for Letter")
 	flaggy.Bool(&changes, "p", "propagation", "measure how long changes of the configuration take to reach all hosts, on real time, instead of the cases")
 	flaggy.Float64(&traffic, "t", "traffic", "share of each host's link that other calls use, with --propagation")
+	flaggy.Bool(&leaving, "l", "leaving", "measure how long endpoints that leave get requests, on real time, instead of the cases")
 	flaggy.Parse()
+	if leaving {
+		exitOnError(printLeaving())
+		return
+	}
 	if changes {
 		exitOnError(printPropagation(traffic))
 		return
