gateway: log how long a request waits between the choice and the sending

The line sent now has SinceChoiceMs and ConnectMs; when the host heard of it is in the line endpoint.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -68,6 +68,8 @@
 	// holds the endpoints that must not be tried again.
 	attempts int
 	exclude  map[cicadapitch.EndpointID]bool
+	// chosenAt is when the last endpoint was chosen.
+	chosenAt cicadapitch.Instant
 	// origin is where the stream began, or nil before its first event.
 	origin *origin.Origin
 	// phase is one of phaseWaiting, phaseCommitted and phaseRejected.
@@ -153,6 +155,7 @@
 	}
 	if !peek {
 		g.chooser.RecordStart(e.ID)
+		p.chosenAt = now
 	}
 	return e, nil
 }
@@ -251,11 +254,12 @@
 	if p.phase.Load() != phaseCommitted && !p.phase.CompareAndSwap(phaseWaiting, phaseCommitted) {
 		return nil, errStopping
 	}
+	sinceChoice := p.g.clock.Now().Sub(p.chosenAt)
 	reply, err := p.g.endpoints.Send(ctx, platform.Call{
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
 	})
-	p.logSent(e, len(inputs), resumeAfter, reply, err)
+	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
@@ -280,10 +284,12 @@
 	return reply, nil
 }
 
-// logSent logs a call of an endpoint. reply is nil if err is not.
-func (p *proxiedRequest) logSent(e fleet.Endpoint, inputs int, resumeAfter string, reply *platform.Reply, err error) {
+// logSent logs a call of an endpoint that was chosen sinceChoice before it began to wait for
+// its connection. reply is nil if err is not.
+func (p *proxiedRequest) logSent(e fleet.Endpoint, sinceChoice cicadapitch.Millis, inputs int, resumeAfter string, reply *platform.Reply, err error) {
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
-		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs)
+		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
+		Int64("SinceChoiceMs", int64(sinceChoice))
 	parts, key := p.keys[:len(p.keys)-1], p.keys[len(p.keys)-1]
 	if len(parts) > 0 {
 		event.Strs("Parts", parts[:min(len(parts), maxLoggedParts)])
@@ -293,7 +299,7 @@
 		event.Str("ResumeAfter", resumeAfter).Str("Resumes", string(p.request.Resumes))
 	}
 	if reply != nil {
-		event.Int("EndpointStatus", reply.Status).Stringer("Framing", reply.Framing)
+		event.Int64("ConnectMs", int64(reply.Waited)).Int("EndpointStatus", reply.Status).Stringer("Framing", reply.Framing)
 		if reply.RateLimit.Named {
 			event.Float64("RateLimit", reply.RateLimit.PerSecond)
 		}
