gateway: check that an endpoint still takes requests when the bytes are about to leave

A request may wait after its endpoint was chosen: up to 0.8 s for a trial, up to 1 s for a connection, and for the processor. Nothing looked again whether the host had heard of a leaving, of a zone out of service or of a pause meanwhile.

The endpoint client now asks the gateway once the connection is open, before the first byte. A request goes to another endpoint then, without an attempt, a retry or a failure being counted, and a stream keeps its stage results; the pieces of a stage are queued again.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -140,6 +140,13 @@
 	return v
 }
 
+// Takes reports whether the endpoint's process still takes requests at the same address.
+func (v *View) Takes(e catalog.Endpoint) bool {
+	list := v.endpoints[e.Service]
+	i, ok := slices.BinarySearchFunc(list, e.ID, func(e Endpoint, id cicadapitch.EndpointID) int { return compareIDs(e.ID, id) })
+	return ok && list[i].Address == e.Address && list[i].Started == e.Started
+}
+
 func compareIDs[T ~string](a, b T) int {
 	switch {
 	case a < b:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,8 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit), platform.WithEndpointDial(g.dial))
+	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit),
+		platform.WithEndpointDial(g.dial), platform.WithSendCheck(g.checkSend))
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -82,14 +82,24 @@
 	}
 }
 
-// generateOnce makes one attempt: it sends the request to one engine and relays
-// the stream. The stream resumes after events.lastID if set, else after the event id
-// that the caller sent.
+// generateOnce makes one attempt at an engine, and chooses again while the chosen one has
+// left before the request was sent.
 func (p *proxiedRequest) generateOnce(ctx context.Context, inputs engineInputs, events *eventSplitter) error {
-	e, err := p.waitForEndpoint(ctx, inputs.zone)
-	if err != nil {
-		return err
+	for {
+		e, err := p.waitForEndpoint(ctx, inputs.zone)
+		if err != nil {
+			return err
+		}
+		err = p.generateAt(ctx, e, inputs, events)
+		if !errors.Is(err, errChoiceOutdated) || ctx.Err() != nil {
+			return err
+		}
 	}
+}
+
+// generateAt sends the request to an engine and relays the stream. The stream resumes after
+// events.lastID if set, else after the event id that the caller sent.
+func (p *proxiedRequest) generateAt(ctx context.Context, e fleet.Endpoint, inputs engineInputs, events *eventSplitter) error {
 	defer p.recordCallEnd(e.ID)
 	if err := p.awaitTrial(ctx); err != nil {
 		return err
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"cicadapitch.example/cicadapitch"
@@ -42,6 +43,9 @@
 			return err
 		}
 		p.exclude[e.ID] = true
+		if errors.Is(err, errChoiceOutdated) && ctx.Err() == nil {
+			continue
+		}
 		if cicadapitch.KindOf(err) == cicadapitch.NotRun && p.attempts == 0 && connectFailures < maxConnectFailures {
 			// No endpoint has received the request.
 			connectFailures++
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -247,8 +247,8 @@
 
 // send commits the request and sends it to an endpoint. It counts the attempt and
 // records failures of the endpoint. It returns errStopping if the host began to stop
-// before the request was committed, and an error if the call fails or checkReply
-// rejects the reply. A returned reply is a signed success or the endpoint's own error
+// before the request was committed, errChoiceOutdated if the endpoint must not get the
+// request any more, and an error if the call fails or checkReply rejects the reply. A returned reply is a signed success or the endpoint's own error
 // answer.
 func (p *proxiedRequest) send(ctx context.Context, e fleet.Endpoint, inputs []string, resumeAfter string) (*platform.Reply, error) {
 	if p.phase.Load() != phaseCommitted && !p.phase.CompareAndSwap(phaseWaiting, phaseCommitted) {
@@ -260,6 +260,9 @@
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
 	})
 	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
+	if errors.Is(err, errChoiceOutdated) {
+		return nil, err
+	}
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -205,6 +205,12 @@
 	return lo.Min(pauses)
 }
 
+// Paused reports whether an endpoint takes no calls of this host for now, by its own word.
+func (c *Chooser) Paused(now cicadapitch.Instant, id cicadapitch.EndpointID) bool {
+	h := c.health[id]
+	return h != nil && now < h.pausedUntil
+}
+
 // allowed reports whether this host's rate limit permits a call at an endpoint now.
 // Only a limited number of hosts may call a cold endpoint, each without a burst, so
 // that all hosts together stay within Service.ColdPerSecond in any second. An
--- a/placement/ratelimits.go
+++ b/placement/ratelimits.go
@@ -178,6 +178,16 @@
 	return out
 }
 
+// Leaves reports whether the endpoint's process has said in an answer that it leaves.
+func (l *RateLimits) Leaves(e catalog.Endpoint) bool {
+	current := l.current.Load()
+	if current == nil {
+		return false
+	}
+	limit, ok := (*current)[e.ID]
+	return ok && limit.Leaving && limit.Started == e.Started
+}
+
 // Any reports whether an endpoint may have a limit.
 func (l *RateLimits) Any() bool { return l.current.Load() != nil }
 
