membership: the word of a leaving endpoint does not wait behind configurations

In large fleets the word came with heartbeats and a fetch behind them, over connections that carry configurations too, and the hosts that follow the store read it behind the configuration in one watch. Several fetches of the same changes ran at a time.

The hosts that follow the store now watch the endpoints' entries in a call of its own and send each host the entries that end an endpoint's use. Heartbeats, notices and small fetches have connections of their own; one fetch runs at a time.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -29,6 +29,9 @@
 	// size.
 	callTraffic  = "traffic"
 	trafficBytes = 32 << 10
+	// trafficTargets is the number of hosts to which a host sends such calls. Connections
+	// between all of 88 hosts exceed the open files of one process.
+	trafficTargets = 24
 )
 
 // name returns a random name of eight characters for a number.
@@ -200,17 +203,19 @@
 		return // ctx has ended
 	}
 	server := peer.NewServer(secret)
-	dialer := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
-	control := peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
+	newDialer := func() *peer.Dialer {
+		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
+	}
+	dialers := membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()}
 	peer.Handle(server, callTraffic, func(context.Context, []byte) (struct{}, error) { return struct{}{}, nil })
 	h.gateway.RegisterHandlers(server)
-	h.membership.EnablePeerCalls(server, dialer, control)
+	h.membership.EnablePeerCalls(server, dialers)
 	if f.c.Traffic > 0 {
 		h.running.Go(func() {
 			select {
 			case <-ctx.Done():
 			case <-f.busy:
-				h.sendTraffic(ctx, dialer, f.c.Traffic*f.c.LinkMbps*1e6/8)
+				h.sendTraffic(ctx, dialers.Requests, f.c.Traffic*f.c.LinkMbps*1e6/8)
 			}
 		})
 	}
@@ -222,14 +227,15 @@
 		cancel()
 		// The hosts stop at once; their calls may fail.
 		_ = server.Close(closed)
-		_ = dialer.Close(closed)
-		_ = control.Close(closed)
+		for _, d := range []*peer.Dialer{dialers.Requests, dialers.Control, dialers.Bulk} {
+			_ = d.Close(closed)
+		}
 		_ = s.Close()
 	})
 	_ = s.Serve(l)
 }
 
-// sendTraffic sends calls to random hosts at bytesPerSecond until ctx ends.
+// sendTraffic sends calls to a few hosts, in random order, at bytesPerSecond until ctx ends.
 func (h *host) sendTraffic(ctx context.Context, d *peer.Dialer, bytesPerSecond float64) {
 	t := time.NewTicker(time.Duration(float64(trafficBytes) / bytesPerSecond * float64(time.Second)))
 	defer t.Stop()
@@ -240,11 +246,12 @@
 			return
 		case <-t.C:
 		}
-		hosts := h.membership.Hosts()
+		incarnation := h.membership.Incarnation()
+		hosts := fleet.Rank(incarnation, h.membership.Hosts(), func(h fleet.Host) string { return h.Incarnation })
 		if len(hosts) == 0 {
 			continue
 		}
-		to := hosts[rand.IntN(len(hosts))]
+		to := hosts[rand.IntN(min(len(hosts), trafficTargets))]
 		h.running.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 			defer cancel()
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -185,10 +185,9 @@
 		return // ctx has ended
 	}
 	server := peer.NewServer(secret, peer.WithLog(h.log))
-	calls := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
-	control := peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log))
+	newDialer := func() *peer.Dialer { return peer.NewDialer(h.settings.Host, secret, peer.WithLog(h.log)) }
 	h.gateway.RegisterHandlers(server)
-	h.membership.EnablePeerCalls(server, calls, control)
+	h.membership.EnablePeerCalls(server, membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()})
 	l, err := net.Listen("tcp", h.settings.PeerAddress())
 	if err != nil {
 		h.log.Error().Err(err).Msg("cannot listen for other hosts; they cannot connect to this host")
--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -122,7 +122,7 @@
 // announceCatalog tells the hosts that get heartbeats from this one of its configuration, in
 // the background. A failed notice is not repeated, since heartbeats follow.
 func (m *Membership) announceCatalog() {
-	d := m.control.Load()
+	d := m.dialers.Load()
 	hosts := m.View().Hosts
 	if d == nil || len(hosts) <= maxHostsAllWatching {
 		return
@@ -132,7 +132,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), catalogNoticeTimeout.Duration())
 			defer cancel()
-			_, _ = peer.Call[CatalogNotice, struct{}](ctx, d, h.Peers, callCatalogNotice, notice)
+			_, _ = peer.Call[CatalogNotice, struct{}](ctx, d.Control, h.Peers, callCatalogNotice, notice)
 		}()
 	}
 }
@@ -148,7 +148,7 @@
 // startCatchUp starts catchUp in the background if this host is behind and catchUp does not
 // run.
 func (m *Membership) startCatchUp() {
-	if latest, _ := m.lag.Behind(m.clock.Now()); latest == 0 || m.control.Load() == nil {
+	if latest, _ := m.lag.Behind(m.clock.Now()); latest == 0 || m.dialers.Load() == nil {
 		return
 	}
 	if m.catchingUp.CompareAndSwap(false, true) {
@@ -203,7 +203,7 @@
 		r.Version = before.Version
 	}
 	start := m.clock.Now()
-	reply, err := peer.Call[CatalogRequest, CatalogReply](ctx, m.control.Load(), address, callCatalogChange, r)
+	reply, err := peer.Call[CatalogRequest, CatalogReply](ctx, m.dialers.Load().Bulk, address, callCatalogChange, r)
 	if err != nil {
 		return err
 	}
--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -67,7 +67,7 @@
 	newDialer := func() *peer.Dialer {
 		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(link.DialContext))
 	}
-	h.EnablePeerCalls(server, newDialer(), newDialer())
+	h.EnablePeerCalls(server, membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()})
 	servePeers(t, h.settings.PeerAddress(), server, link)
 	return h
 }
--- /dev/null
+++ b/membership/endpointnotice.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+const (
+	// noticeCopies is the number of hosts from which a host of a large fleet gets each notice,
+	// so that those that are slow or do not reach the store do not delay it.
+	noticeCopies = 3
+	// noticeTimeout bounds a notice. The heartbeats carry the changes too.
+	noticeTimeout = cicadapitch.Second
+)
+
+// followEndpoints watches the entries of the endpoints apart from the rest of the store until
+// ctx ends, in the hosts of a large fleet that watch it, so that they do not wait behind large
+// configurations. It tells the other hosts of endpoints that take no more requests.
+func (m *Membership) followEndpoints(ctx context.Context) {
+	after := cicadapitch.StoreRevision(0)
+	for ctx.Err() == nil {
+		revision := m.revision()
+		if revision == 0 || m.allWatch() || !m.shouldWatchStore() {
+			after = 0
+			_ = m.clock.Sleep(ctx, heartbeatInterval) // the loop checks ctx
+			continue
+		}
+		after = max(after, revision)
+		events, next, err := m.store.Changes(ctx, platform.EndpointKeyPrefix(), after)
+		if err != nil {
+			// FollowStore logs that the store cannot be reached, or lists it again.
+			after = 0
+			_ = m.clock.Sleep(ctx, retryMaxDelay) // the loop checks ctx
+			continue
+		}
+		after = max(after, next)
+		if records := recordsOfEvents(events); len(records) > 0 {
+			m.applyPart(records, "store")
+			m.announceEndpoints(lo.Filter(records, endsUse))
+			_ = m.clock.Sleep(ctx, watchBatchDelay) // the loop checks ctx
+		}
+	}
+}
+
+// endsUse reports whether a record of an endpoint says that it takes no more requests.
+func endsUse(r fleet.Record, _ int) bool {
+	id, ok := platform.EndpointIDFromKey(r.Key)
+	if !ok || r.Removed {
+		return ok
+	}
+	e, err := platform.DecodeEndpoint(id, r.Value, r.Revision)
+	return err != nil || e.Leaving
+}
+
+// applyPart merges some of the changes up to their revisions; the mirror is not complete up to
+// these. source is that of applyChanges.
+func (m *Membership) applyPart(records []fleet.Record, source string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.updateState(now, m.mirror.Apply(now, records, 0), source)
+}
+
+// announceEndpoints sends records of endpoints to the hosts for which this one is among the
+// first noticeCopies watchers of the store, in the background.
+func (m *Membership) announceEndpoints(records []fleet.Record) {
+	d := m.dialers.Load()
+	if d == nil || len(records) == 0 {
+		return
+	}
+	watchers := m.watchers()
+	notice := EndpointNotice{m.settings.Host, records}
+	for _, h := range m.View().Hosts {
+		senders := fleet.Rank(h.Incarnation, watchers, func(w fleet.Host) string { return w.Incarnation })
+		if m.IsSelf(h) || !lo.ContainsBy(senders[:min(noticeCopies, len(senders))], m.IsSelf) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout.Duration())
+			defer cancel()
+			if _, err := peer.Call[EndpointNotice, struct{}](ctx, d.Control, h.Peers, callEndpointNotice, notice); err != nil {
+				m.log.Warn().Str("Host", string(h.ID)).Int("Records", len(records)).Err(err).Msg("notice of endpoints that leave failed")
+			}
+		}()
+	}
+}
+
+// applyNotice applies a notice of another host.
+func (m *Membership) applyNotice(n EndpointNotice) { m.applyPart(n.Records, string(n.Host)) }
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -23,6 +23,9 @@
 	// syncDelay is how long a host that watches the store waits for a change to arrive
 	// from the store before it fetches the change from another host.
 	syncDelay cicadapitch.Millis = 250
+	// syncTimeout bounds one fetch of changes from another host. Later heartbeats start
+	// further ones.
+	syncTimeout cicadapitch.Millis = 1000
 )
 
 // Secret reads the deployment's secret, 32 hexadecimal digits, from the store, and
@@ -47,10 +50,17 @@
 	}
 }
 
-// EnablePeerCalls registers the handlers for heartbeats, sync requests and changes of the
-// configuration at s. Dialer returns calls from then on. control makes the calls of m, over
-// connections of its own, so that they do not wait behind those for requests.
-func (m *Membership) EnablePeerCalls(s *peer.Server, calls, control *peer.Dialer) {
+// Dialers make the calls to other hosts, each over connections of its own, so that calls of
+// one kind do not wait behind those of another.
+type Dialers struct {
+	// Requests makes the calls for callers' requests, Control those that keep the hosts'
+	// knowledge of endpoints and hosts up to date, and Bulk those with large answers.
+	Requests, Control, Bulk *peer.Dialer
+}
+
+// EnablePeerCalls registers the handlers for heartbeats, sync requests, notices and changes of
+// the configuration at s, and makes calls with d from then on.
+func (m *Membership) EnablePeerCalls(s *peer.Server, d Dialers) {
 	peer.Handle(s, callHeartbeat, func(_ context.Context, hb Heartbeat) (Heartbeat, error) {
 		m.receiveHeartbeat(hb)
 		return m.newHeartbeat(), nil
@@ -61,8 +71,11 @@
 		m.learnCatalog(n.Head, n.Peers)
 		return struct{}{}, nil
 	})
-	m.control.Store(control)
-	m.dialer.Store(calls)
+	peer.Handle(s, callEndpointNotice, func(_ context.Context, n EndpointNotice) (struct{}, error) {
+		m.applyNotice(n)
+		return struct{}{}, nil
+	})
+	m.dialers.Store(&d)
 }
 
 // serveSync answers a SyncRequest. A host of an earlier build gets the configuration with
@@ -147,7 +160,7 @@
 // until EnablePeerCalls has been called.
 func (m *Membership) RunHeartbeats(ctx context.Context) {
 	for m.awaitNextHeartbeat(ctx) {
-		d := m.control.Load()
+		d := m.dialers.Load()
 		if d == nil {
 			continue
 		}
@@ -158,7 +171,7 @@
 		targets := heartbeatTargets(m.incarnation, m.View().Hosts)
 		m.setMonitored(targets)
 		for _, h := range targets {
-			go m.exchangeHeartbeat(ctx, d, h)
+			go m.exchangeHeartbeat(ctx, d.Control, h)
 		}
 	}
 }
@@ -191,9 +204,9 @@
 // exchangeHeartbeat sends a heartbeat to h and records the one in the response.
 // If h has a later revision of the store, it fetches the missed changes.
 func (m *Membership) exchangeHeartbeat(ctx context.Context, d *peer.Dialer, h fleet.Host) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
-	defer cancel()
-	hb, err := peer.Call[Heartbeat, Heartbeat](ctx, d, h.Peers, callHeartbeat, m.newHeartbeat())
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
+	hb, err := peer.Call[Heartbeat, Heartbeat](callCtx, d, h.Peers, callHeartbeat, m.newHeartbeat())
+	cancel()
 	if err != nil {
 		m.logMissedHeartbeat(h, err)
 		return
@@ -227,8 +240,15 @@
 }
 
 // syncFrom fetches the store changes that h has and this host lacks, unless this
-// host has reached the revision target meanwhile.
+// host has reached the revision target meanwhile. One fetch runs at a time, so that copies
+// of the same changes do not share the link.
 func (m *Membership) syncFrom(ctx context.Context, d *peer.Dialer, h fleet.Host, target cicadapitch.StoreRevision) {
+	if !m.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.syncing.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
+	defer cancel()
 	m.mu.Lock()
 	revision := m.mirror.Revision()
 	m.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -73,8 +73,10 @@
 	leaveAnnounced bool
 	// loggedStale is true if the log says that the configuration is stale.
 	loggedStale bool
-	// dialer makes the calls for requests, control those of this Membership.
-	dialer, control atomic.Pointer[peer.Dialer]
+	// dialers is nil before EnablePeerCalls.
+	dialers atomic.Pointer[Dialers]
+	// syncing is true while store changes are fetched from another host.
+	syncing atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -197,7 +199,12 @@
 
 // Dialer returns the dialer for calls for requests to other hosts, or nil before
 // EnablePeerCalls.
-func (m *Membership) Dialer() *peer.Dialer { return m.dialer.Load() }
+func (m *Membership) Dialer() *peer.Dialer {
+	if d := m.dialers.Load(); d != nil {
+		return d.Requests
+	}
+	return nil
+}
 
 // Incarnation returns the random id of this process. A restarted host has
 // another one.
--- a/membership/message.go
+++ b/membership/message.go
@@ -9,10 +9,11 @@
 
 // Names of the calls between hosts, as sent on the wire.
 const (
-	callHeartbeat     = "beat"
-	callSync          = "sync"
-	callCatalogNotice = "catalog"
-	callCatalogChange = "catalogchange"
+	callHeartbeat      = "beat"
+	callSync           = "sync"
+	callCatalogNotice  = "catalog"
+	callCatalogChange  = "catalogchange"
+	callEndpointNotice = "endpoints"
 )
 
 // Heartbeat carries the sender's state and its reports on other hosts and on shards.
@@ -71,6 +72,12 @@
 	Head  CatalogHead
 }
 
+// EndpointNotice carries changes of endpoints' entries that end their use.
+type EndpointNotice struct {
+	Host    cicadapitch.HostID
+	Records []fleet.Record
+}
+
 // CatalogRequest asks for the change from a version of the configuration to the one in
 // force.
 type CatalogRequest struct{ Version int64 }
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync"
 
 	"github.com/samber/lo"
 
@@ -31,6 +32,9 @@
 
 // FollowStore keeps the mirror of the store and the view up to date until ctx ends.
 func (m *Membership) FollowStore(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { m.followEndpoints(ctx) })
+	defer wg.Wait()
 	pause := retryMinDelay
 	for ctx.Err() == nil {
 		err := m.listAndWatch(ctx)
--- a/membership/storewatchers.go
+++ b/membership/storewatchers.go
@@ -1,6 +1,10 @@
 package membership
 
-import "cicadapitch.example/cicadapitch/fleet"
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch/fleet"
+)
 
 const (
 	// maxHostsAllWatching is the number of hosts up to which all of them watch the store.
@@ -22,21 +26,24 @@
 // fleet, with few recent heartbeats, or as one of the highest ranked hosts. The caller must
 // not hold mu.
 func (m *Membership) shouldWatchStore() bool {
-	v := m.View()
-	if len(v.Hosts) <= maxHostsAllWatching || m.countRecentPeers() < minRecentPeers {
+	if m.allWatch() || m.countRecentPeers() < minRecentPeers {
 		return true
 	}
-	watchers := storeWatcherCount
+	return slices.ContainsFunc(m.watchers(), m.IsSelf)
+}
+
+// allWatch reports whether the fleet is so small that all hosts watch the store.
+func (m *Membership) allWatch() bool { return len(m.View().Hosts) <= maxHostsAllWatching }
+
+// watchers returns the hosts of a large fleet that have to watch the store. The caller must not
+// hold mu.
+func (m *Membership) watchers() []fleet.Host {
+	n := storeWatcherCount
 	if m.outageReported() {
-		watchers = spareWatcherCount
+		n = spareWatcherCount
 	}
 	ranked := fleet.Rank(watcherRankKey, m.Hosts(), func(h fleet.Host) string { return h.Incarnation })
-	for _, h := range ranked[:min(watchers, len(ranked))] {
-		if h.Incarnation == m.incarnation {
-			return true
-		}
-	}
-	return false
+	return ranked[:min(n, len(ranked))]
 }
 
 // outageReported reports whether a host that has to watch the store said lately that it
