relay: hosts that are cut off reach endpoints over other hosts

A host that cannot connect to an endpoint asks another host to do it and to copy the bytes. That the other host succeeds shows that this one is cut off and not the endpoint; only then does it believe so, by endpoint. The relay decides nothing: which endpoint, how often, until when and at most once stays with the host that has the request. Hosts that are cut off from half of the endpoints say so in heartbeats; they own shards last and leave the directory while half of the hosts reach the endpoints. An endpoint counts as ended only if a relay is refused too.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -140,6 +140,27 @@
 	return v
 }
 
+// EndpointAt returns the endpoint with an address that takes requests.
+func (v *View) EndpointAt(address string) (Endpoint, bool) {
+	for _, list := range v.endpoints {
+		if i := slices.IndexFunc(list, func(e Endpoint) bool { return e.Address == address }); i >= 0 {
+			return list[i], true
+		}
+	}
+	return Endpoint{}, false
+}
+
+// Addresses returns the addresses of the endpoints that take requests.
+func (v *View) Addresses() []string {
+	var out []string
+	for _, list := range v.endpoints {
+		for _, e := range list {
+			out = append(out, e.Address)
+		}
+	}
+	return out
+}
+
 // Takes reports whether the endpoint's process still takes requests at the same address.
 func (v *View) Takes(e catalog.Endpoint) bool {
 	list := v.endpoints[e.Service]
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -22,6 +22,7 @@
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/quarantine"
+	"cicadapitch.example/cicadapitch/relay"
 )
 
 const (
@@ -111,6 +112,7 @@
 		gateway.WithMetrics(do.MustInvoke[tally.TestScope](i)))
 	m.OnView(g.SetView)
 	m.SetLoadSources(g.Loads, g.Shards().Waits)
+	m.SetCutOff(g.CutOff)
 	return g, nil
 }
 
@@ -134,6 +136,7 @@
 	go h.membership.KeepRegistered(workCtx)
 	go h.membership.RunHeartbeats(workCtx)
 	go h.servePeers(workCtx)
+	go h.gateway.RunRelays(workCtx)
 	<-terminatedCtx.Done()
 	h.shutDown(callers)
 	return nil
@@ -195,6 +198,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, server)
+	mux.Handle(relay.Path, h.gateway.RelayHandler())
 	h.serve(&http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, l)
 }
 
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -76,7 +76,7 @@
 			runs := g.endChecks.take(e.ID)
 			ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout.Duration())
 			defer cancel()
-			g.recordEndCheck(e, runs, g.endpoints.Refuses(ctx, e.Address))
+			g.recordEndCheck(e, runs, g.relayDialer.Refuses(ctx, e.Address))
 		}()
 	}
 	return check.done
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/quarantine"
+	"cicadapitch.example/cicadapitch/relay"
 )
 
 // Membership provides the gateway with the state of the deployment and with
@@ -39,6 +40,10 @@
 	HostCount() int
 	// Hosts returns the hosts that serve callers, including this host if it does.
 	Hosts() []fleet.Host
+	// ShardOwners is OwnersOf with the hosts that are cut off from most endpoints last.
+	ShardOwners(key string) []fleet.Host
+	// Relays returns the other hosts that are not known to be cut off from endpoints.
+	Relays() []fleet.Host
 	// OwnersOf returns the hosts in the order in which they own a shard key: the
 	// owner, then its replacements.
 	OwnersOf(key string) []fleet.Host
@@ -65,8 +70,13 @@
 	limits     *placement.RateLimits
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
-	// dial opens connections to endpoints.
+	// dial opens direct connections to endpoints.
 	dial platform.DialFunc
+	// paths holds what this host believes of its paths to endpoints, relayDialer connects by
+	// it, and relays serves other hosts.
+	paths       *relay.Table
+	relayDialer *relay.Dialer
+	relays      *relay.Server
 	// stopped is canceled by Stop.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -101,7 +111,7 @@
 // others. The default is none but those named to the gateway.
 func WithRateLimits(l *placement.RateLimits) Option { return func(g *Gateway) { g.limits = l } }
 
-// WithEndpointDial sets the function that opens connections to endpoints. The default is
+// WithEndpointDial sets the function that opens direct connections to endpoints. The default is
 // platform.DialEndpoint.
 func WithEndpointDial(f platform.DialFunc) Option { return func(g *Gateway) { g.dial = f } }
 
@@ -124,8 +134,11 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.paths = relay.NewTable(g.logPath)
+	g.relayDialer = relay.NewDialer(s.Host, g.dial, g.paths, relayFleet{g}, g.clock, g.log)
+	g.relays = relay.NewServer(g.dial, g.paths, g.clock, g.log)
 	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit),
-		platform.WithEndpointDial(g.dial), platform.WithSendCheck(g.checkSend))
+		platform.WithEndpointDial(g.relayDialer.DialContext), platform.WithSendCheck(g.checkSend))
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
@@ -142,7 +155,10 @@
 // Stop rejects the requests that have not been sent to an engine yet, and new
 // requests for engines. Requests of plain services are still served, since their
 // calls are short.
-func (g *Gateway) Stop() { g.stop() }
+func (g *Gateway) Stop() {
+	g.relays.Stop()
+	g.stop()
+}
 
 // Shards returns the runners of the shards that this host owns.
 func (g *Gateway) Shards() *ShardRunners { return g.shards }
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -124,7 +124,7 @@
 // ownerCandidate returns the host to try after the given number of failed tries. The
 // result is true, without a host, if this host has to run the stage itself.
 func (p *proxiedRequest) ownerCandidate(s batch.Shard, tries int) (fleet.Host, bool) {
-	owners := p.g.membership.OwnersOf(s.Key())
+	owners := p.g.membership.ShardOwners(s.Key())
 	if p.g.membership.Dialer() == nil || tries >= min(maxStageOwners, len(owners)) || p.g.membership.IsSelf(owners[tries]) {
 		return fleet.Host{}, true
 	}
@@ -160,7 +160,7 @@
 
 // ownerOf returns the owner of a shard and whether it is this host.
 func (g *Gateway) ownerOf(s batch.Shard) (fleet.Host, bool) {
-	owners := g.membership.OwnersOf(s.Key())
+	owners := g.membership.ShardOwners(s.Key())
 	if len(owners) == 0 {
 		return fleet.Host{}, true
 	}
@@ -192,6 +192,7 @@
 
 // RegisterHandlers registers the handlers for calls of other hosts at s.
 func (g *Gateway) RegisterHandlers(s *peer.Server) {
+	g.relays.RegisterHandlers(s)
 	peer.Handle(s, callStage, func(ctx context.Context, c StageCall) (StageReply, error) {
 		return g.shards.RunStage(ctx, c)
 	})
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -13,6 +13,9 @@
 	// downReportTTL is how long a host that was reported down counts as down on
 	// hosts that do not monitor it themselves. It spans several heartbeats.
 	downReportTTL cicadapitch.Millis = 2000
+	// cutOffReportTTL is how long a host that was reported cut off counts as such. It spans
+	// several heartbeats.
+	cutOffReportTTL cicadapitch.Millis = 1500
 	// waitsTTL is how long the reported queue waits of a shard are used.
 	waitsTTL cicadapitch.Millis = 1500
 )
@@ -48,6 +51,11 @@
 			m.downAt[r.Incarnation] = at
 		}
 	}
+	for _, r := range hb.CutOff {
+		if at := now.Add(-r.Age); at > m.cutOffAt[r.Incarnation] && r.Incarnation != m.incarnation {
+			m.cutOffAt[r.Incarnation] = at
+		}
+	}
 	for shard, w := range hb.Waits {
 		if at := now.Add(-w.Age); at > m.peerWaits[shard].reportedAt {
 			m.peerWaits[shard] = timedWaits{w.Waits, at}
@@ -74,6 +82,21 @@
 	return out
 }
 
+// cutOffReports returns a report for each host that was reported cut off lately, and for this
+// one if cutOff is true. The caller holds mu.
+func (m *Membership) cutOffReports(now cicadapitch.Instant, cutOff bool) []DownReport {
+	var out []DownReport
+	if cutOff {
+		out = append(out, DownReport{Incarnation: m.incarnation})
+	}
+	for incarnation, at := range m.cutOffAt {
+		if now.Sub(at) < cutOffReportTTL {
+			out = append(out, DownReport{incarnation, now.Sub(at)})
+		}
+	}
+	return out
+}
+
 // freshWaits returns the queue waits that other hosts reported less than waitsTTL ago,
 // by shard key. The caller holds mu.
 func (m *Membership) freshWaits(now cicadapitch.Instant) map[string]AgedWaits {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -97,6 +97,7 @@
 // newHeartbeat returns this host's current heartbeat. The caller must not hold mu.
 func (m *Membership) newHeartbeat() Heartbeat {
 	ownWaits, loads, ready, watches := m.queueWaits(), m.engineLoads(), m.Ready(), m.shouldWatchStore()
+	cutOff := m.cutOff()
 	now := m.clock.Now()
 	head := m.catalogHead(now)
 	m.mu.Lock()
@@ -107,7 +108,7 @@
 	}
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(),
-		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), StoreAway: watches && !m.storeUp,
+		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
@@ -53,6 +54,7 @@
 	incarnation string
 	engineLoads func() map[cicadapitch.EndpointID]int
 	queueWaits  func() map[string][]cicadapitch.Millis
+	cutOff      func() bool
 	onView      []func(*fleet.View)
 	quarantine  *quarantine.Ledger
 	limits      *placement.RateLimits
@@ -92,8 +94,9 @@
 	// monitored holds the incarnations of the hosts that get heartbeats from this
 	// one.
 	monitored map[string]bool
-	// downAt holds when a host was last reported down, by incarnation.
-	downAt map[string]cicadapitch.Instant
+	// downAt holds when a host was last reported down, cutOffAt when it was last reported cut
+	// off from most endpoints, by incarnation.
+	downAt, cutOffAt map[string]cicadapitch.Instant
 	// peerWaits holds the latest queue waits that other hosts reported, by shard key.
 	peerWaits map[string]timedWaits
 	// pendingRemovals holds the endpoints whose entries may have expired during an
@@ -163,7 +166,8 @@
 		engineLoads: func() map[cicadapitch.EndpointID]int { return nil },
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
-		downAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
+		cutOff: func() bool { return false },
+		downAt: map[string]cicadapitch.Instant{}, cutOffAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
@@ -194,6 +198,10 @@
 	m.engineLoads, m.queueWaits = engineLoads, queueWaits
 }
 
+// SetCutOff sets the function that reports whether this host is cut off from most endpoints.
+// It is called before the goroutines of m start.
+func (m *Membership) SetCutOff(f func() bool) { m.cutOff = f }
+
 // View returns the current view.
 func (m *Membership) View() *fleet.View { return m.view.Load() }
 
@@ -235,10 +243,15 @@
 
 // Addresses implements platform.Directory. It returns the caller addresses of
 // the available hosts in zone, or of those in other zones if zone has none, and
-// how long callers may use the answer.
+// how long callers may use the answer. While at least half of the hosts reach the endpoints,
+// it leaves out those that are cut off, whose requests would take a detour.
 func (m *Membership) Addresses(zone cicadapitch.ZoneID) ([]string, cicadapitch.Millis) {
+	hosts := m.Hosts()
+	if reaching := lo.Reject(hosts, func(h fleet.Host, _ int) bool { return m.isCutOff(h) }); 2*len(reaching) >= len(hosts) {
+		hosts = reaching
+	}
 	var addresses, otherZones []string
-	for _, h := range m.Hosts() {
+	for _, h := range hosts {
 		if h.Zone == zone {
 			addresses = append(addresses, h.Callers)
 		} else {
@@ -371,6 +384,41 @@
 	return fleet.Rank(key, hosts, func(h fleet.Host) string { return h.Incarnation })
 }
 
+// ShardOwners is OwnersOf with the hosts that are cut off from most endpoints last.
+func (m *Membership) ShardOwners(key string) []fleet.Host {
+	reaching, cutOff := lo.FilterReject(m.OwnersOf(key), func(h fleet.Host, _ int) bool { return !m.isCutOff(h) })
+	return slices.Concat(reaching, cutOff)
+}
+
+// Relays returns the other available hosts that were not reported cut off lately, those with a
+// recent heartbeat before the others if there are any.
+func (m *Membership) Relays() []fleet.Host {
+	candidates := lo.Reject(m.Hosts(), func(h fleet.Host, _ int) bool { return m.IsSelf(h) || m.isCutOff(h) })
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := lo.Filter(candidates, func(h fleet.Host, _ int) bool {
+		p := m.peers[h.Incarnation]
+		return p != nil && p.receivedAt > 0 && now.Sub(p.receivedAt) < livenessTimeout
+	})
+	if len(heard) > 0 {
+		return heard
+	}
+	return candidates
+}
+
+// isCutOff reports whether a host, or this one, is cut off from most endpoints. The caller
+// must not hold mu.
+func (m *Membership) isCutOff(h fleet.Host) bool {
+	if m.IsSelf(h) {
+		return m.cutOff()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.cutOffAt[h.Incarnation]
+	return ok && m.clock.Now().Sub(at) < cutOffReportTTL
+}
+
 // IsSelf reports whether h is this host.
 func (m *Membership) IsSelf(h fleet.Host) bool { return h.Incarnation == m.incarnation }
 
@@ -386,6 +434,7 @@
 	maps.DeleteFunc(m.peers, func(incarnation string, _ *peerState) bool {
 		return !slices.ContainsFunc(v.Hosts, func(h fleet.Host) bool { return h.Incarnation == incarnation })
 	})
+	maps.DeleteFunc(m.cutOffAt, func(_ string, at cicadapitch.Instant) bool { return now.Sub(at) >= cutOffReportTTL })
 	maps.DeleteFunc(m.downAt, func(_ string, at cicadapitch.Instant) bool { return now.Sub(at) >= downReportTTL })
 	m.view.Store(v)
 	for _, f := range m.onView {
--- a/membership/message.go
+++ b/membership/message.go
@@ -37,6 +37,8 @@
 	// Down lists the hosts that the sender found unavailable or that were reported to
 	// it as unavailable.
 	Down []DownReport
+	// CutOff lists the hosts that do not reach most endpoints, as they said Age ago.
+	CutOff []DownReport
 	// Suspects reports on parts of prompts that may crash endpoints.
 	Suspects []quarantine.Report
 	// Limits reports the rate limits that endpoints have named.
@@ -50,7 +52,8 @@
 	Age   cicadapitch.Millis
 }
 
-// DownReport says that the host with this incarnation was found unavailable Age ago.
+// DownReport says that the host with this incarnation was found unavailable, or cut off from
+// endpoints, Age ago.
 type DownReport struct {
 	Incarnation string
 	Age         cicadapitch.Millis
