placement: hosts divide the slots of brittle endpoints

Hosts learn of it from answers and heartbeats, divide nine tenths of the slots among them, keep requests for plain services waiting at the host instead, and stay away after a refusal for as long as their share of the refusals asks for.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -326,13 +326,15 @@
 		g.limits.RecordLeaving(now, e)
 		return
 	}
-	g.limits.Record(now, now.Add(-took), e, limit.Named, limit.PerSecond)
+	g.limits.Record(now, now.Add(-took), e, placement.Said{
+		Limited: limit.Named, PerSecond: limit.PerSecond, Brittle: limit.Brittle, Refusals: limit.Refusals,
+	})
 }
 
 // logRateLimit logs a change of an endpoint's rate limit.
 func (g *Gateway) logRateLimit(id cicadapitch.EndpointID, limit placement.RateLimit) {
 	g.log.Info().Str("Endpoint", string(id)).Bool("Leaving", limit.Leaving).Bool("Limited", limit.Limited).
-		Float64("PerSecond", limit.PerSecond).Msg("rate limit")
+		Float64("PerSecond", limit.PerSecond).Bool("Brittle", limit.Brittle).Float64("Refusals", limit.Said.Refusals).Msg("rate limit")
 	g.metrics.Tagged(map[string]string{"Limited": strconv.FormatBool(limit.Limited)}).Counter("RateLimits").Inc(1)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -27,7 +28,7 @@
 		return err
 	}
 	for connectFailures := 0; ; {
-		e, err := p.chooseEndpoint(false, "")
+		e, err := p.choosePlainEndpoint(ctx)
 		if err != nil {
 			return err
 		}
@@ -57,6 +58,19 @@
 	}
 }
 
+// choosePlainEndpoint chooses an endpoint of a plain service. While all are brittle and full, the
+// request waits here, since none may wait there.
+func (p *proxiedRequest) choosePlainEndpoint(ctx context.Context) (fleet.Endpoint, error) {
+	brittle := slices.ContainsFunc(p.candidates(), func(e fleet.Endpoint) bool {
+		_, brittle := p.g.limits.Refusals(e.Endpoint)
+		return brittle
+	})
+	if brittle {
+		return p.waitForEndpoint(ctx, "")
+	}
+	return p.chooseEndpoint(false, "")
+}
+
 // attemptContext returns the context of an attempt at a plain service. If another
 // attempt may follow, it has a timeout with the cause errSilent.
 func (p *proxiedRequest) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync/atomic"
 
@@ -128,21 +129,12 @@
 func (p *proxiedRequest) chooseEndpoint(peek bool, zone cicadapitch.ZoneID) (fleet.Endpoint, error) {
 	g := p.g
 	now := g.clock.Now()
-	criteria := placement.Criteria{
-		Service: p.service, Session: p.request.Session(), Exclude: p.exclude,
-		Hosts: g.membership.HostCount(), Zone: zone,
-	}
+	criteria := p.criteria(zone)
 	list := p.candidates()
 	var (
 		e  fleet.Endpoint
 		ok bool
 	)
-	if p.service.Engine != nil {
-		criteria.OtherLoads = g.membership.Loads()
-	}
-	if p.service.ColdPerSecond > 0 || g.limits.Any() {
-		criteria.Rank = p.hostRank()
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.service.Engine != nil {
@@ -160,6 +152,22 @@
 	return e, nil
 }
 
+// criteria returns the criteria of the choice of an endpoint. zone is that of chooseEndpoint.
+func (p *proxiedRequest) criteria(zone cicadapitch.ZoneID) placement.Criteria {
+	g := p.g
+	criteria := placement.Criteria{
+		Service: p.service, Session: p.request.Session(), Exclude: p.exclude,
+		Hosts: g.membership.HostCount(), Zone: zone,
+	}
+	if p.service.Engine != nil {
+		criteria.OtherLoads = g.membership.Loads()
+	}
+	if p.service.ColdPerSecond > 0 || g.limits.Any() {
+		criteria.Rank = p.hostRank()
+	}
+	return criteria
+}
+
 // errNoEndpoint returns the NotRun error of a request that no endpoint can take.
 func (p *proxiedRequest) errNoEndpoint() error {
 	reason := "no endpoint of " + string(p.service.Name)
@@ -341,6 +349,9 @@
 			return errInputLost
 		}
 		p.pause(e, reply.RetryAfter)
+		if reply.Status == http.StatusServiceUnavailable {
+			p.recordRefusal(e)
+		}
 		return cicadapitch.NewNotRun(string(e.ID)+" refused the request", fullRetryAfter)
 	case reply.UnconfirmedRefusal():
 		p.mayHaveRun = true
@@ -354,6 +365,14 @@
 	return nil
 }
 
+// recordRefusal records that an endpoint refused the request for want of room.
+func (p *proxiedRequest) recordRefusal(e fleet.Endpoint) {
+	criteria := p.criteria("")
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	p.g.chooser.RecordRefusal(p.g.clock.Now(), e, criteria)
+}
+
 // pause keeps this host's requests away from an endpoint that asked for it.
 func (p *proxiedRequest) pause(e fleet.Endpoint, after cicadapitch.Millis) {
 	if after <= 0 {
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -216,7 +216,7 @@
 // that all hosts together stay within Service.ColdPerSecond in any second. An
 // endpoint may turn cold without notice, so a warm one has a rate limit too, with a
 // burst for callers of one session that arrive together. A limit that the endpoint has
-// named is shared in the same way.
+// named is shared in the same way, and so are the slots of a brittle one.
 func (c *Chooser) allowed(now cicadapitch.Instant, e fleet.Endpoint, criteria Criteria) bool {
 	rate, burst := math.Inf(1), float64(warmBurst)
 	hosts := float64(max(criteria.Hosts, 1))
@@ -238,6 +238,9 @@
 		}
 		rate, burst = min(rate, limitRateShare*limit/senders), 1
 	}
+	if !c.brittleAllowed(e, criteria) {
+		return false
+	}
 	return math.IsInf(rate, 1) || c.Health(e.ID).allowed(now, rate, burst)
 }
 
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -161,7 +161,7 @@
 	_, ok := chooser().ChooseEngine(start, cold, criteria)
 	require.False(t, ok)
 	limits := placement.NewRateLimits()
-	limits.Record(start, start, cold[0].Endpoint, true, 1)
+	limits.Record(start, start, cold[0].Endpoint, placement.Said{Limited: true, PerSecond: 1})
 	limited := chooser()
 	limited.SetRateLimits(limits)
 	_, ok = limited.ChooseEngine(start, endpoints(1), criteria)
--- a/placement/leaving_test.go
+++ b/placement/leaving_test.go
@@ -16,9 +16,9 @@
 func TestLeavingEndpointStaysSoUntilItRestarts(t *testing.T) {
 	a, b := placement.NewRateLimits(), placement.NewRateLimits()
 	e := catalog.Endpoint{ID: "e0", Started: 1}
-	b.Record(start, start, e, true, 2)
+	b.Record(start, start, e, placement.Said{Limited: true, PerSecond: 2})
 	a.RecordLeaving(start.Add(10), e)
-	a.Record(start.Add(20), start.Add(15), e, false, 0)
+	a.Record(start.Add(20), start.Add(15), e, placement.Said{})
 	a.Merge(start.Add(400), b.Reports(start.Add(400)))
 	b.Merge(start.Add(400), a.Reports(start.Add(380)))
 	a.Retain(start.Add(500), func(cicadapitch.EndpointID) bool { return false })
--- a/placement/ratelimits.go
+++ b/placement/ratelimits.go
@@ -20,28 +20,38 @@
 	leavingMemory = cicadapitch.Minute
 )
 
-// RateLimit is the limit that an endpoint has named, for the calls of all hosts together.
+// Said is what an answer says of its endpoint's limits, for the calls of all hosts together.
+type Said struct {
+	// Limited is true if the endpoint names a limit, PerSecond the calls a second.
+	Limited   bool
+	PerSecond float64
+	// Brittle is true if the endpoint ends when it has to refuse more than Refusals calls in a
+	// second for want of room.
+	Brittle  bool
+	Refusals float64
+}
+
+// any reports whether the answer names a limit of any kind.
+func (s Said) any() bool { return s.Limited || s.Brittle }
+
+// RateLimit is what an endpoint has said of its limits.
 type RateLimit struct {
+	Said
 	// Started identifies the process of the endpoint, as in its entry.
 	Started int64
 	// Leaving is true once the process has said that it is about to end. It takes no further
 	// calls.
 	Leaving bool
-	// Limited is false if the endpoint names no limit any more.
-	Limited bool
-	// PerSecond is the number of calls a second.
-	PerSecond float64
 	// answeredAt is when the answer came that says so.
 	answeredAt cicadapitch.Instant
 }
 
 // RateLimitReport is what a host tells others of the limit of an endpoint.
 type RateLimitReport struct {
-	Endpoint  cicadapitch.EndpointID
-	Started   int64
-	Leaving   bool
-	Limited   bool
-	PerSecond float64
+	Endpoint cicadapitch.EndpointID
+	Started  int64
+	Leaving  bool
+	Said
 	// AnsweredAgo is the age of the answer that said so.
 	AnsweredAgo cicadapitch.Millis
 }
@@ -72,10 +82,9 @@
 }
 
 // Record records what an answer of an endpoint to a call that was sent at sentAt says of
-// its limit. An answer without a limit lifts the one before it only if it belongs to a
-// later call.
-func (l *RateLimits) Record(now, sentAt cicadapitch.Instant, e catalog.Endpoint, limited bool, perSecond float64) {
-	if !limited && l.current.Load() == nil {
+// its limits. An answer without one lifts those before it only if it belongs to a later call.
+func (l *RateLimits) Record(now, sentAt cicadapitch.Instant, e catalog.Endpoint, said Said) {
+	if !said.any() && l.current.Load() == nil {
 		return
 	}
 	l.mu.Lock()
@@ -84,10 +93,10 @@
 	if ok && known.Leaving && known.Started == e.Started {
 		return
 	}
-	if !limited && (!ok || known.Started != e.Started || known.answeredAt > sentAt) {
+	if !said.any() && (!ok || known.Started != e.Started || known.answeredAt > sentAt) {
 		return
 	}
-	l.set(now, e.ID, RateLimit{Started: e.Started, Limited: limited, PerSecond: perSecond, answeredAt: now})
+	l.set(now, e.ID, RateLimit{Said: said, Started: e.Started, answeredAt: now})
 }
 
 // RecordLeaving records that an endpoint said in an answer that it leaves.
@@ -113,11 +122,11 @@
 			continue
 		}
 		newer := answeredAt > known.answeredAt.Add(limitRelaySlack)
-		if r.Limited && (!known.Limited || known.Started != r.Started) {
+		if r.any() && (!known.any() || known.Started != r.Started) {
 			newer = answeredAt > known.answeredAt
 		}
-		if r.Leaving && (sameProcess || newer) || newer && (ok || r.Limited) {
-			l.set(now, r.Endpoint, RateLimit{r.Started, r.Leaving, r.Limited, r.PerSecond, answeredAt})
+		if r.Leaving && (sameProcess || newer) || newer && (ok || r.any()) {
+			l.set(now, r.Endpoint, RateLimit{r.Said, r.Started, r.Leaving, answeredAt})
 		}
 	}
 }
@@ -126,7 +135,7 @@
 func (l *RateLimits) set(now cicadapitch.Instant, id cicadapitch.EndpointID, limit RateLimit) {
 	known := l.limits[id]
 	l.limits[id] = limit
-	if known.Started == limit.Started && known.Leaving == limit.Leaving && known.Limited == limit.Limited && known.PerSecond == limit.PerSecond {
+	if known.Started == limit.Started && known.Leaving == limit.Leaving && known.Said == limit.Said {
 		return
 	}
 	l.publish(now)
@@ -139,7 +148,7 @@
 // mu.
 func (l *RateLimits) publish(now cicadapitch.Instant) {
 	maps.DeleteFunc(l.limits, func(_ cicadapitch.EndpointID, limit RateLimit) bool {
-		return !limit.Limited && !limit.Leaving && now.Sub(limit.answeredAt) >= liftedMemory
+		return !limit.any() && !limit.Leaving && now.Sub(limit.answeredAt) >= liftedMemory
 	})
 	if len(l.limits) == 0 {
 		l.current.Store(nil)
@@ -173,11 +182,22 @@
 	defer l.mu.Unlock()
 	var out []RateLimitReport
 	for id, limit := range l.limits {
-		out = append(out, RateLimitReport{id, limit.Started, limit.Leaving, limit.Limited, limit.PerSecond, max(now.Sub(limit.answeredAt), 0)})
+		out = append(out, RateLimitReport{id, limit.Started, limit.Leaving, limit.Said, max(now.Sub(limit.answeredAt), 0)})
 	}
 	return out
 }
 
+// Refusals returns the calls in a second that an endpoint bears to refuse, and whether it has
+// said that it is brittle.
+func (l *RateLimits) Refusals(e catalog.Endpoint) (float64, bool) {
+	current := l.current.Load()
+	if current == nil {
+		return 0, false
+	}
+	limit, ok := (*current)[e.ID]
+	return limit.Said.Refusals, ok && limit.Brittle && limit.Started == e.Started
+}
+
 // Leaves reports whether the endpoint's process has said in an answer that it leaves.
 func (l *RateLimits) Leaves(e catalog.Endpoint) bool {
 	current := l.current.Load()
--- a/placement/ratelimits_test.go
+++ b/placement/ratelimits_test.go
@@ -100,7 +100,7 @@
 	}
 	h.chooser.RecordStart(e.ID)
 	h.chooser.RecordEnd(e.ID)
-	h.limits.Record(now, now.Add(-50), e.Endpoint, true, limit)
+	h.limits.Record(now, now.Add(-50), e.Endpoint, placement.Said{Limited: true, PerSecond: limit})
 	return true
 }
 
@@ -122,13 +122,13 @@
 func TestLimitEndsWithALaterAnswerWithoutOne(t *testing.T) {
 	a, b := placement.NewRateLimits(), placement.NewRateLimits()
 	e := catalog.Endpoint{ID: "e0", Started: 1}
-	a.Record(start, start.Add(-50), e, true, 2)
+	a.Record(start, start.Add(-50), e, placement.Said{Limited: true, PerSecond: 2})
 	b.Merge(start.Add(100), a.Reports(start.Add(80)))
-	a.Record(start.Add(200), start.Add(-100), e, false, 0)
+	a.Record(start.Add(200), start.Add(-100), e, placement.Said{})
 	limit, ok := a.Of(e)
 	require.True(t, ok)
 	require.Equal(t, 2.0, limit)
-	a.Record(start.Add(1000), start.Add(900), e, false, 0)
+	a.Record(start.Add(1000), start.Add(900), e, placement.Said{})
 	for i := range 10 {
 		at := start.Add(cicadapitch.Millis(1100 + 400*i))
 		a.Merge(at, b.Reports(at.Add(-30)))
@@ -142,7 +142,7 @@
 
 func TestRestartedEndpointHasNoLimitUntilItNamesOne(t *testing.T) {
 	l := placement.NewRateLimits()
-	l.Record(start, start, catalog.Endpoint{ID: "e0", Started: 1}, true, 2)
+	l.Record(start, start, catalog.Endpoint{ID: "e0", Started: 1}, placement.Said{Limited: true, PerSecond: 2})
 	_, ok := l.Of(catalog.Endpoint{ID: "e0", Started: 2})
 	require.False(t, ok)
 	l.Retain(start, func(cicadapitch.EndpointID) bool { return false })
