fronthost: test of streams that are taken up after all hosts have restarted

Callers whose streams broke off when all hosts were killed are rejected although endpoints of their version are there: the records of where streams began live in the hosts alone.

--- a/fronthost/resume_test.go
+++ b/fronthost/resume_test.go
@@ -236,3 +236,35 @@
 // coldRatePause is the pause between requests that keeps one host within the rate of a
 // cold engine.
 const coldRatePause = 150 * time.Millisecond
+
+// TestStreamsGoOnAfterAllHostsHaveRestarted guards against streams that are rejected although
+// endpoints of their version are there, since no host is left that knows where they began.
+func TestStreamsGoOnAfterAllHostsHaveRestarted(t *testing.T) {
+	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+		t.Run(fmt.Sprint(len(versions)), func(t *testing.T) {
+			t.Parallel()
+			const hosts, streams = 3, 8
+			d := newDeployment(t, hosts)
+			d.setVersion("e2", versions[len(versions)-1])
+			time.Sleep(time.Second)
+			var begun [streams]string
+			for n := range begun {
+				begun[n] = d.beginStream(n%hosts, fmt.Sprint(n))
+				time.Sleep(coldRatePause)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for i := range hosts {
+				d.cancels[i]()
+			}
+			for i := range hosts {
+				<-d.stopped[i]
+			}
+			first := d.joinHosts(hosts)
+			for n, id := range begun {
+				next, status := d.takeUp(first+n%hosts, fmt.Sprint(n), id)
+				require.Equal(t, http.StatusOK, status, "stream %d", n)
+				require.Len(t, d.versionsOf(id, next), 1, "stream %d", n)
+			}
+		})
+	}
+}
