origin: where streams began outlives all hosts

Callers whose streams broke off when all hosts were killed were rejected although endpoints of their version were there: the records lived in the hosts alone.

The store keeps the software versions of each service, one write when they change, and, while a service has had several, the records of streams: each host writes what it began every 0.2 s under a lease that ends when no caller takes the streams up any more. In large fleets four hosts collect the records of all. Hosts read both when they start. Weighed: a write for each stream before its first event (a call of the store for each request, and a delay); asking engines which prompts they cache (parts that sessions share are cached by both versions); a version by hash of the id (does not hold while versions change).

Stages of a stream that is taken up precede new work, since its caller has a part of the answer.

--- a/batch/estimate.go
+++ b/batch/estimate.go
@@ -67,6 +67,18 @@
 	return p.queueWait(now, queuedAhead, p.demand.totalRate(now))
 }
 
+// resumedJobWait estimates the wait of a job of a stream that is taken up again, which only
+// others of its kind precede.
+func (p *Planner) resumedJobWait(now cicadapitch.Instant) cicadapitch.Millis {
+	queuedAhead := 0
+	for _, job := range p.jobs {
+		if job.Resumed {
+			queuedAhead += len(job.queued)
+		}
+	}
+	return p.queueWait(now, queuedAhead, 0)
+}
+
 // drainTime estimates the time until the queue is empty, on the assumption that
 // half of the pieces that arrive meanwhile are served too.
 func (p *Planner) drainTime(now cicadapitch.Instant) cicadapitch.Millis {
@@ -97,9 +109,13 @@
 	return untilFree + cicadapitch.Millis(float64(queuedAhead)/max(rate-overtakingRate, minSpareShare*rate))
 }
 
-// isLate reports whether a job can no longer meet its objective. A job whose
+// isLate reports whether a job can no longer meet its objective. One of a stream that is taken
+// up again never counts as late. A job whose
 // request was refused before always counts as late: the time of its objective
 // began when the request first arrived.
 func (p *Planner) isLate(now cicadapitch.Instant, job *jobState) bool {
+	if job.Resumed {
+		return false
+	}
 	return job.Retried || now.Add(p.ExpectedDuration(len(job.queued))) > job.DueAt
 }
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -8,8 +8,9 @@
 )
 
 // sortedJobs returns the jobs with queued pieces in the order in which they are
-// served: first the jobs that can still meet their objective, then those whose
-// request was refused before, then the other late ones. Each group is sorted by
+// served: first those of streams that are taken up again, then the jobs that can still
+// meet their objective, then those whose request was refused before, then the other
+// late ones. Each group is sorted by
 // due time, to which priorityStep is added for each priority level.
 func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
 	var list []*jobState
@@ -18,10 +19,12 @@
 			list = append(list, job)
 		}
 	}
-	// group returns 0 for jobs on time, 1 for those refused before, 2 for other
-	// late ones.
+	// group returns -1 for streams that are taken up again, 0 for jobs on time, 1 for those
+	// refused before, 2 for other late ones.
 	group := func(job *jobState) int {
 		switch {
+		case job.Resumed:
+			return -1
 		case job.Retried:
 			return 1
 		case p.isLate(now, job):
--- a/batch/job.go
+++ b/batch/job.go
@@ -36,6 +36,9 @@
 	// Retried is set for a request that was refused before and that its caller
 	// has sent again.
 	Retried bool
+	// Resumed is set for a stream that its caller takes up again. Its jobs precede all others,
+	// since the caller has a part of the answer already.
+	Resumed bool
 	// OwnerUnreachable is set if the sender could not reach the shard's owner, so
 	// that this host runs the job in its place.
 	OwnerUnreachable bool
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -189,12 +189,14 @@
 	for i := range j.Pieces {
 		job.queued = append(job.queued, i)
 	}
-	if at, ok := p.refusedAt[j.Key]; ok && now.Sub(at) < refusalTTL {
+	if at, ok := p.refusedAt[j.Key]; ok && now.Sub(at) < refusalTTL && !j.Resumed {
 		job.Retried = true
 	}
 	work := p.ExpectedDuration(j.Pieces)
 	// A job that matches neither case is queued as a late job.
 	switch {
+	case j.Resumed && now.Add(p.resumedJobWait(now)+work) <= j.ExpiresAt:
+		p.demand.add(now, j.Priority, j.Pieces)
 	// The job can meet its objective.
 	case !job.Retried && now.Add(p.EstimateWait(now, j.Priority)+work) <= j.DueAt:
 		p.demand.add(now, j.Priority, j.Pieces)
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -312,3 +312,23 @@
 	_, ok = p.FreeInterval("e0")
 	require.False(t, ok)
 }
+
+// TestStreamsTakenUpAgainPrecedeNewWork fills the queue with work on time. A job of a stream
+// that its caller takes up again must not be refused, and must be in the first call.
+func TestStreamsTakenUpAgainPrecedeNewWork(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		p := planner(1)
+		for i := range 40 {
+			p.Submit(start, batch.Job{ID: batch.JobID(i + 1), Request: "new", Pieces: 8, Key: "k", DueAt: start.Add(20_000), ExpiresAt: start.Add(30_000)})
+		}
+		p.Submit(start, batch.Job{ID: 100, Request: "taken-up", Pieces: 1, Key: "t", Resumed: resumed, DueAt: start, ExpiresAt: start.Add(2_000)})
+		calls, outcomes, _, _ := p.Plan(start)
+		if !resumed {
+			require.Len(t, outcomes, 1, "the queue is longer than the request's time")
+			continue
+		}
+		require.Empty(t, outcomes)
+		require.Len(t, calls, 1)
+		require.Equal(t, batch.JobID(100), calls[0].Pieces[0].Job.ID)
+	}
+}
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -113,6 +113,7 @@
 	m.OnView(g.SetView)
 	m.SetLoadSources(g.Loads, g.Shards().Waits)
 	m.SetCutOff(g.CutOff)
+	m.SetOrigins(g.Origins())
 	return g, nil
 }
 
@@ -137,6 +138,7 @@
 	go h.membership.RunHeartbeats(workCtx)
 	go h.servePeers(workCtx)
 	go h.gateway.RunRelays(workCtx)
+	go h.membership.StoreOrigins(workCtx)
 	<-terminatedCtx.Done()
 	h.shutDown(callers)
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
@@ -160,6 +161,9 @@
 	g.stop()
 }
 
+// Origins returns what this host knows of the origins of streams, for the store.
+func (g *Gateway) Origins() membership.Origins { return g.origins }
+
 // Shards returns the runners of the shards that this host owns.
 func (g *Gateway) Shards() *ShardRunners { return g.shards }
 
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -57,12 +57,56 @@
 	// pending holds records by the address of the host that they are sent to. A flush
 	// is due while there are any.
 	pending map[string][]origin.Record
+	// journal holds the records that the store lacks.
+	journal origin.Journal
 }
 
 func newOrigins() *origins {
 	return &origins{registry: origin.NewRegistry(), history: origin.NewHistory(), pending: map[string][]origin.Record{}}
 }
 
+// AddRecords adds records that the store holds.
+func (o *origins) AddRecords(now cicadapitch.Instant, records []origin.Record) {
+	for _, rec := range records {
+		o.registry.Add(now, rec)
+	}
+}
+
+// RestoreVersions adds the versions of a service that the store holds.
+func (o *origins) RestoreVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion) {
+	o.history.Restore(now, s, stored)
+}
+
+// Versions returns the versions that the store has to hold, by service.
+func (o *origins) Versions(now cicadapitch.Instant) map[catalog.ServiceID][]origin.StoredVersion {
+	return o.history.StoredVersions(now)
+}
+
+// TakeRecords returns up to n records that have to be stored: those of services that have had
+// several versions while the streams lived.
+func (o *origins) TakeRecords(now cicadapitch.Instant, n int) []origin.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	several := map[catalog.ServiceID]bool{}
+	return o.journal.Take(now, n, func(rec origin.Record) bool {
+		s := rec.Origin.Service
+		if _, ok := several[s]; !ok {
+			seen, _ := o.history.Seen(now, s, origin.MaxLifetime)
+			several[s] = len(seen) > 1
+		}
+		return several[s]
+	})
+}
+
+// ReturnRecords adds records that are not stored, or could not be.
+func (o *origins) ReturnRecords(now cicadapitch.Instant, records []origin.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, rec := range records {
+		o.journal.Add(now, rec)
+	}
+}
+
 // claim returns what this host knows about a stream.
 func (o *origins) claim(now cicadapitch.Instant, q OriginQuery) origin.Claim {
 	var c origin.Claim
@@ -106,6 +150,7 @@
 // hosts in the background.
 func (g *Gateway) shareOrigin(rec origin.Record) {
 	g.origins.registry.Add(g.clock.Now(), rec)
+	g.origins.ReturnRecords(g.clock.Now(), []origin.Record{rec})
 	addresses := lo.Map(g.originHosts(rec.Request, originReplicas), func(h fleet.Host, _ int) string { return h.Peers })
 	if g.membership.Dialer() != nil && g.origins.enqueue(rec, addresses) {
 		go g.flushOrigins()
@@ -132,12 +177,7 @@
 }
 
 // addOrigins adds the records of another host.
-func (g *Gateway) addOrigins(n OriginNotice) {
-	now := g.clock.Now()
-	for _, rec := range n.Records {
-		g.origins.registry.Add(now, rec)
-	}
-}
+func (g *Gateway) addOrigins(n OriginNotice) { g.origins.AddRecords(g.clock.Now(), n.Records) }
 
 // queryOrigin asks other hosts for their claims on a stream, in parallel, and returns
 // those that came in time, up to the first with a record. id spreads queries that name
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -38,6 +38,8 @@
 	DueIn, ExpireIn cicadapitch.Millis
 	// Returned is true if the caller is retrying after a refusal.
 	Returned bool
+	// Resumed is true if the caller takes a stream up again.
+	Resumed bool
 	// StandIn is true if the receiver replaces an owner that could not be reached.
 	StandIn bool
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -15,7 +15,7 @@
 // request go on only there. It does nothing for other requests. The error is NotRun if
 // the origin is unknown or its service is not one of the route any more.
 func (p *proxiedRequest) findOrigin(ctx context.Context) error {
-	if !p.route.Resumable || p.request.ResumeAfter == "" {
+	if !p.resumed() {
 		return nil
 	}
 	start := p.g.clock.Now()
@@ -52,6 +52,9 @@
 	p.g.shareOrigin(rec)
 }
 
+// resumed reports whether the caller takes a stream up again.
+func (p *proxiedRequest) resumed() bool { return p.route.Resumable && p.request.ResumeAfter != "" }
+
 // streamLifetime returns how long after its beginning the stream may be taken up.
 func (p *proxiedRequest) streamLifetime() cicadapitch.Millis {
 	if p.route.Timeout <= 0 {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -176,7 +176,7 @@
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.priority, Returned: args.refusedBefore,
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.priority, Returned: args.refusedBefore, Resumed: p.resumed(),
 		DueIn:    p.due.Sub(now) - downstream - firstEvent,
 		ExpireIn: p.abandonAt.Sub(now) - lateDownstream - firstEvent,
 	}
@@ -246,8 +246,12 @@
 }
 
 // reportedWait returns the queue wait for the request's priority that the owner of a
-// shard had reported before the stages started, or 0 if it reported none.
+// shard had reported before the stages started, or 0 if it reported none. Streams that are
+// taken up again do not wait behind others.
 func (p *proxiedRequest) reportedWait(s batch.Shard) cicadapitch.Millis {
+	if p.resumed() {
+		return 0
+	}
 	return p.waitForPriority(p.queueWaits, s)
 }
 
@@ -265,7 +269,7 @@
 // reported before the stages started, or 0 if it reported none.
 func (p *proxiedRequest) reportedLateWait(s batch.Shard) cicadapitch.Millis {
 	w := p.queueWaits[s.Key()]
-	if len(w) == 0 {
+	if len(w) == 0 || p.resumed() {
 		return 0
 	}
 	return w[len(w)-1]
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -75,6 +75,10 @@
 		m.applyNotice(n)
 		return struct{}{}, nil
 	})
+	peer.Handle(s, callOriginBatch, func(_ context.Context, b OriginBatch) (struct{}, error) {
+		m.origins.ReturnRecords(m.clock.Now(), b.Records)
+		return struct{}{}, nil
+	})
 	m.dialers.Store(&d)
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,6 +16,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
@@ -55,6 +56,7 @@
 	engineLoads func() map[cicadapitch.EndpointID]int
 	queueWaits  func() map[string][]cicadapitch.Millis
 	cutOff      func() bool
+	origins     Origins
 	onView      []func(*fleet.View)
 	quarantine  *quarantine.Ledger
 	limits      *placement.RateLimits
@@ -114,6 +116,8 @@
 	lease cicadapitch.LeaseID
 	// storedQuarantine holds the quarantined parts in the store, by key.
 	storedQuarantine map[string]string
+	// storedVersions holds the versions of services in the store, by key.
+	storedVersions map[string][]origin.StoredVersion
 	// storingQuarantine is true while a change of them is being written.
 	storingQuarantine bool
 }
@@ -166,7 +170,7 @@
 		engineLoads: func() map[cicadapitch.EndpointID]int { return nil },
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
-		cutOff: func() bool { return false },
+		cutOff: func() bool { return false }, origins: noOrigins{}, storedVersions: map[string][]origin.StoredVersion{},
 		downAt: map[string]cicadapitch.Instant{}, cutOffAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
--- a/membership/message.go
+++ b/membership/message.go
@@ -3,6 +3,7 @@
 import (
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/quarantine"
 )
@@ -14,6 +15,7 @@
 	callCatalogNotice  = "catalog"
 	callCatalogChange  = "catalogchange"
 	callEndpointNotice = "endpoints"
+	callOriginBatch    = "originbatch"
 )
 
 // Heartbeat carries the sender's state and its reports on other hosts and on shards.
@@ -81,6 +83,9 @@
 	Records []fleet.Record
 }
 
+// OriginBatch passes records of streams to a host that writes them to the store.
+type OriginBatch struct{ Records []origin.Record }
+
 // CatalogRequest asks for the change from a version of the configuration to the one in
 // force.
 type CatalogRequest struct{ Version int64 }
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -182,6 +182,12 @@
 	if strings.HasPrefix(r.Key, quarantineKeyPrefix) {
 		m.applyQuarantine(now, r)
 	}
+	if strings.HasPrefix(r.Key, originKeyPrefix) {
+		m.applyOrigins(now, r)
+	}
+	if strings.HasPrefix(r.Key, versionKeyPrefix) {
+		m.applyVersions(now, r)
+	}
 }
 
 // applyEndpoint applies a change of an endpoint's entry. If the entry may have
--- a/origin/history.go
+++ b/origin/history.go
@@ -15,13 +15,18 @@
 	began cicadapitch.Instant
 	// versions holds when each version was last present.
 	versions map[catalog.ServiceID]map[cicadapitch.SoftwareVersion]cicadapitch.Instant
+	// restored holds the services whose versions from before this host started are known.
+	restored map[catalog.ServiceID]bool
 	// present is the last observation.
 	present map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{versions: map[catalog.ServiceID]map[cicadapitch.SoftwareVersion]cicadapitch.Instant{}}
+	return &History{
+		versions: map[catalog.ServiceID]map[cicadapitch.SoftwareVersion]cicadapitch.Instant{},
+		restored: map[catalog.ServiceID]bool{},
+	}
 }
 
 // Observe records the versions that are present from now on, by service.
@@ -71,5 +76,5 @@
 			seen = append(seen, v)
 		}
 	}
-	return seen, h.began > 0 && now.Sub(h.began) >= min(window, MaxLifetime)
+	return seen, h.restored[s] || h.began > 0 && now.Sub(h.began) >= min(window, MaxLifetime)
 }
