soak: hosts are cut off from the endpoints

The soak runs hosts whose paths to the endpoints are cut by signals, one or all but one, silently or with resets, with a random source of its own, so that seeds keep their other faults. The cases of TestCallersOfHostsThatAreCutOffAreServed run side by side.

--- a/fronthost/cutoff_test.go
+++ b/fronthost/cutoff_test.go
@@ -110,6 +110,7 @@
 		"all hosts but one, reset":             {4, 3, platformtest.CutReset, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := newCutDeployment(t, c.hosts)
 			d.askAll(500*time.Millisecond, 200*time.Millisecond)
 			var spared []string
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+// signalOnce sends s to the host's current process, and returns a function that sends it once
+// more unless another process runs by then.
+func (p *hostProcess) signalOnce(s syscall.Signal) func() {
+	p.mu.Lock()
+	process := p.cmd
+	p.mu.Unlock()
+	p.signal(s)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			p.mu.Lock()
+			same := p.cmd == process
+			p.mu.Unlock()
+			if same {
+				p.signal(s)
+			}
+		})
+	}
+}
+
 // stop kills the process and does not restart it. The log stays if the test failed.
 func (p *hostProcess) stop() {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,8 @@
 	callerCount     = 8
 	// recoveryTimeout bounds the time from the last fault until every host serves.
 	recoveryTimeout = 12 * time.Second
+	// cutShare is the number of faults with one of which hosts are cut off from the endpoints.
+	cutShare = 5
 	// maxTakeUps is how often a caller takes a broken stream up.
 	maxTakeUps = 4
 	// routeCount is the number of routes that no caller uses.
@@ -46,8 +48,8 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "cicadapitch-front")
-	if out, err := exec.Command("go", "build", "-race", "-o", binary, "../cmd/cicadapitch-front").CombinedOutput(); err != nil {
+	binary = filepath.Join(dir, "soakhost")
+	if out, err := exec.Command("go", "build", "-race", "-o", binary, "./soakhost").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
@@ -96,6 +98,8 @@
 	// streamRNG chooses the faults of streams, so that rng chooses the same other faults
 	// with and without them.
 	streamRNG *rand.Rand
+	// cutRNG chooses the hosts that are cut off from the endpoints, for the same reason.
+	cutRNG    *rand.Rand
 	store     *platformtest.Store
 	endpoints []*platformtest.Endpoint
 	// relays holds the relay to the store and those to the endpoints.
@@ -106,7 +110,7 @@
 }
 
 func newTestbed(t *testing.T, seed uint64) *testbed {
-	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), store: platformtest.NewStore()}
+	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), cutRNG: rand.New(rand.NewPCG(seed, 9)), store: platformtest.NewStore()}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
 	for id, service := range map[string]string{
@@ -186,6 +190,26 @@
 	}
 }
 
+// cutOff cuts all hosts but one off from all endpoints now and then, or a single one, and returns
+// a function that ends the cut. A host that restarts meanwhile is no longer cut off.
+func (s *testbed) cutOff() func() {
+	if s.cutRNG.IntN(cutShare) > 0 {
+		return func() {}
+	}
+	kind := []syscall.Signal{syscall.SIGUSR1, syscall.SIGUSR2}[s.cutRNG.IntN(2)]
+	cut := s.cutRNG.Perm(hostCount)[:1+s.cutRNG.IntN(hostCount-1)]
+	var ends []func()
+	for _, i := range cut {
+		s.t.Log(time.Now().Format("05.000"), "cut off", s.processes[i].name, kind)
+		ends = append(ends, s.processes[i].signalOnce(kind))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // injectStreamFault makes an endpoint frame its streams in another way and break them
 // off after some events, or not at all.
 func (s *testbed) injectStreamFault() {
@@ -227,6 +251,9 @@
 		t.Log(time.Now().Format("05.000"), name)
 		time.AfterFunc(time.Duration(200+s.rng.IntN(2500))*time.Millisecond, end)
 		ends = append(ends, end)
+		mend := s.cutOff()
+		time.AfterFunc(time.Duration(500+s.cutRNG.IntN(4000))*time.Millisecond, mend)
+		ends = append(ends, mend)
 		s.injectStreamFault()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
