relay: a relay that knows of an endpoint's end confirms it

An endpoint counts as ended only if a relay is refused too; hosts that all saw it end at once believed it down and refused to ask for each other: of 69 checks 58 said that the endpoint had not ended, and relays refused 163 times. A relay now refuses only where its own path is cut.

Result: TestRelayThatKnowsOfTheEndConfirmsIt failed before, passes.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -25,10 +25,10 @@
 	relayTimeout cicadapitch.Millis = 600
 	// maxRelays is the number of relays that are asked for a connection.
 	maxRelays = 2
-	// probeTimeout bounds a direct attempt that only tests a path, probeConcurrency how many
-	// run at once.
-	probeTimeout     cicadapitch.Millis = 300
-	probeConcurrency                    = 16
+	// probeTimeout bounds a direct attempt that only tests a path.
+	probeTimeout cicadapitch.Millis = 300
+	// probeConcurrency is the number of such attempts at once.
+	probeConcurrency = 16
 )
 
 var (
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,9 +40,14 @@
 
 // newRelay starts a relay that connects with dial, and a host that is cut off and knows it.
 func newRelay(t *testing.T, dial platform.DialFunc) (*relay.Server, *relay.Dialer, *relay.Table, *hosts) {
+	return newRelayWith(t, dial, relay.NewTable(nil))
+}
+
+// newRelayWith is newRelay with the relay's own beliefs.
+func newRelayWith(t *testing.T, dial platform.DialFunc, beliefs *relay.Table) (*relay.Server, *relay.Dialer, *relay.Table, *hosts) {
 	key := []byte("key")
 	clock := cicadapitch.NewSystemClock()
-	server := relay.NewServer(dial, relay.NewTable(nil), clock, zerolog.Nop())
+	server := relay.NewServer(dial, beliefs, clock, zerolog.Nop())
 	peers := peer.NewServer(key)
 	server.RegisterHandlers(peers)
 	mux := http.NewServeMux()
@@ -168,3 +173,16 @@
 	h.relays = nil
 	require.True(t, d.Refuses(t.Context(), alive), "without other hosts this one decides")
 }
+
+// TestRelayThatKnowsOfTheEndConfirmsIt guards against hosts that find out at the same time that
+// an endpoint has ended, and refuse to confirm it to each other.
+func TestRelayThatKnowsOfTheEndConfirmsIt(t *testing.T) {
+	const address = "127.0.0.1:1"
+	now := cicadapitch.NewSystemClock().Now()
+	beliefs := relay.NewTable(nil)
+	beliefs.RecordDirect(now, address, false)
+	beliefs.RecordRelayed(now, address, false)
+	require.Equal(t, relay.Down, beliefs.State(now, address))
+	_, d, _, _ := newRelayWith(t, platform.DialEndpoint, beliefs)
+	require.True(t, d.Refuses(t.Context(), address))
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -80,7 +80,7 @@
 
 // connect opens a connection to an endpoint for another host. Its errors are NotRun.
 func (s *Server) connect(ctx context.Context, r OpenRequest) (OpenReply, error) {
-	if s.table.State(s.clock.Now(), r.Address) != Direct {
+	if s.table.State(s.clock.Now(), r.Address) == Relayed {
 		return OpenReply{}, cicadapitch.NewNotRun("this host does not reach "+r.Address+" either", busyRetryAfter)
 	}
 	if !s.begin() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -72,6 +72,7 @@
 	111:  "deadlock of host-2: the update to a new fleet.View and the timer of a stage service waited for each other's lock",
 	1023: "the first part of all prompts was quarantined: a sound run was judged before the bad one that ended with the same endpoints",
 	1131: "a sound request that all callers repeat was quarantined: it ended three times with endpoints that a bad part of prompts crashed, before any answer came",
+	2217: "a plain request that crashes endpoints was not quarantined: hosts that saw an endpoint end did not confirm it to each other",
 	822:  "a part of all prompts was quarantined: more crashes were independent for it than for the bad part that caused them",
 }
 
