--- a/bench/propagation/leaving_test.go
+++ b/bench/propagation/leaving_test.go
@@ -20,7 +20,9 @@
 // nearly full.
 func TestLeavingReachesEveryBusyHostInTime(t *testing.T) {
 	c := propagation.LeavingCase{
-		Case:      propagation.Case{Hosts: 88, Routes: 40, Added: 1400, Changes: 2, Gap: 1150, LinkMbps: 10, Traffic: 0.9},
+		// A quarter of the users' links and changes: they are as full, with a quarter of the work
+		// for the machine.
+		Case:      propagation.Case{Hosts: 88, Routes: 10, Added: 350, Changes: 2, Gap: 1150, LinkMbps: 2.5, Traffic: 0.9},
 		Endpoints: 20, Leaving: 10, LeaveGap: 500, Requests: 3, ConnectDelay: 800,
 	}
 	r, err := propagation.RunLeaving(c)
