--- a/fronthost/brittle_test.go
+++ b/fronthost/brittle_test.go
@@ -8,12 +8,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// maxFalls is how often the endpoints of a service may fall over in one time in which they say
-// that they are brittle: 2, and a tenth of their number.
-const maxFalls = 2
+// maxBrittleCrashes is how often the endpoints of a service may crash in one time in which they
+// say that they are brittle: 2, and a tenth of their number.
+const maxBrittleCrashes = 2
 
-// TestBrittleEndpointsAreNotPushedOver guards against hosts that each keep their requests small
-// while their sum is turned away by endpoints that cannot bear that. Callers ask for three times
+// TestBrittleEndpointsAreNotPushedOver guards against hosts that each send little while the sum
+// is refused by endpoints that crash under refusals. Callers ask for three times
 // what the endpoints can run.
 func TestBrittleEndpointsAreNotPushedOver(t *testing.T) {
 	const hosts = 4
@@ -54,11 +54,11 @@
 	before := served.Load()
 	const watched = 6 * time.Second
 	time.Sleep(watched)
-	falls := 0
+	crashes := 0
 	for _, id := range brittle {
-		falls += len(d.endpoints[id].Crashes())
+		crashes += len(d.endpoints[id].Crashes())
 	}
-	require.LessOrEqual(t, falls, maxFalls)
+	require.LessOrEqual(t, crashes, maxBrittleCrashes)
 	// Both endpoints together run 160 requests a second.
 	require.GreaterOrEqual(t, served.Load()-before, int64(0.5*160*watched.Seconds()))
 }
