relay, gateway: look up zone and addresses once

The zone of an endpoint was looked up for each host, the endpoints' addresses three times for each connection.

--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -22,7 +22,8 @@
 func (f relayFleet) Relays(address string) []fleet.Host {
 	hosts := f.g.membership.Relays()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	near, far := lo.FilterReject(hosts, func(h fleet.Host, _ int) bool { return h.Zone == f.zoneOf(address) })
+	zone := f.zoneOf(address)
+	near, far := lo.FilterReject(hosts, func(h fleet.Host, _ int) bool { return h.Zone == zone })
 	return slices.Concat(near, far)
 }
 
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -183,10 +183,11 @@
 // record runs a change of the table, and tests the paths to the other endpoints if the host
 // has just found out that it is cut off from one.
 func (d *Dialer) record(change func()) {
-	before := d.table.Relayed(d.fleet.EndpointAddresses())
+	addresses := d.fleet.EndpointAddresses()
+	before := d.table.Relayed(addresses)
 	change()
-	if before == 0 && d.table.Relayed(d.fleet.EndpointAddresses()) > 0 {
-		go d.Probe(d.fleet.EndpointAddresses())
+	if before == 0 && d.table.Relayed(addresses) > 0 {
+		go d.Probe(addresses)
 	}
 }
 
