membership: log by which way and how old knowledge of endpoints is

A host now tracks an instant at which it knew all changes of endpoints: the store's answers confirm it, and heartbeats carry it on as an age that starts when the question was asked, by the monotonic clock alone. Lines endpoint, endpoint gone and zone say By, sent says KnowledgeAgeMs, failed notices say TookMs. No decision depends on it yet; heartbeats of earlier builds make no claim.

--- /dev/null
+++ b/fleet/knowledge.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"sync"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+// silenceTime is how long after its last answer a host, or the last failure of the store, still
+// counts for what is assumed of the store.
+const silenceTime cicadapitch.Millis = 2000
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=Currency
+
+// Currency says whether a host's knowledge of the endpoints may be used.
+type Currency int
+
+const (
+	// Current knowledge is young enough.
+	Current Currency = iota
+	// StoreAway means that the knowledge is old, but most likely still true: the store does not
+	// answer, and no host knows anything younger.
+	StoreAway
+	// Behind means that the knowledge is old and another host has younger knowledge, or that the
+	// store has not been asked yet.
+	Behind
+	// CutOff means that the knowledge is old and that neither the store nor any other host
+	// answers.
+	CutOff
+)
+
+// Claim says how old knowledge of the endpoints is: it is complete up to Revision, and Age ago the
+// store had no later change of an endpoint.
+type Claim struct {
+	Revision cicadapitch.StoreRevision
+	Age      cicadapitch.Millis
+}
+
+// Knowledge tracks how old a host's knowledge of the endpoints is, by this host's monotonic clock
+// alone. The zero value knows nothing. It is safe for concurrent use.
+type Knowledge struct {
+	mu sync.Mutex
+	// upTo is the store's revision up to which all changes of endpoints are applied. asOf is
+	// an instant at which the store had no later one, or 0.
+	upTo cicadapitch.StoreRevision
+	asOf cicadapitch.Instant
+	// heardOf is the latest instant for which a host said that it knew all changes.
+	heardOf cicadapitch.Instant
+	// storeFailedAt is when a question to the store last failed, heardAt when another host last
+	// answered.
+	storeFailedAt, heardAt cicadapitch.Instant
+}
+
+// Advance records that all changes of endpoints up to a revision are applied.
+func (k *Knowledge) Advance(upTo cicadapitch.StoreRevision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.upTo = max(k.upTo, upTo)
+}
+
+// Confirm applies the answer of the store to a question that was asked at askedAt: it had no
+// changes of endpoints after the revision.
+func (k *Knowledge) Confirm(askedAt cicadapitch.Instant, revision cicadapitch.StoreRevision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if revision <= k.upTo {
+		k.asOf = max(k.asOf, askedAt)
+	}
+	k.heardOf = max(k.heardOf, askedAt)
+}
+
+// Hear applies the claim of another host in its answer, which came at now, to a question that was
+// asked at askedAt. It reports false if the other host knows changes that this one lacks. c is nil
+// if the host makes no claim.
+func (k *Knowledge) Hear(askedAt, now cicadapitch.Instant, c *Claim) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heardAt = max(k.heardAt, now)
+	if c == nil {
+		return true
+	}
+	// The claim was made later than the question was asked, so it is at most that old.
+	asOf := askedAt.Add(-max(c.Age, 0))
+	k.heardOf = max(k.heardOf, asOf)
+	if c.Revision > k.upTo {
+		return false
+	}
+	k.asOf = max(k.asOf, asOf)
+	return true
+}
+
+// StoreFailed records that a question to the store failed.
+func (k *Knowledge) StoreFailed(now cicadapitch.Instant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storeFailedAt = max(k.storeFailedAt, now)
+}
+
+// UpTo returns the store's revision up to which all changes of endpoints are applied.
+func (k *Knowledge) UpTo() cicadapitch.StoreRevision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.upTo
+}
+
+// Claim returns what this host may tell others, or nil if it knows nothing.
+func (k *Knowledge) Claim(now cicadapitch.Instant) *Claim {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.asOf == 0 {
+		return nil
+	}
+	return &Claim{k.upTo, now.Sub(k.asOf)}
+}
+
+// Age returns how old the knowledge is, and false if there is none.
+func (k *Knowledge) Age(now cicadapitch.Instant) (cicadapitch.Millis, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.asOf), k.asOf > 0
+}
+
+// Currency says whether knowledge that may be as old as limit may be used. others is true if there
+// are other hosts.
+func (k *Knowledge) Currency(now cicadapitch.Instant, limit cicadapitch.Millis, others bool) Currency {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	failed := k.storeFailedAt > 0 && now.Sub(k.storeFailedAt) < silenceTime
+	heard := k.heardAt > 0 && now.Sub(k.heardAt) < silenceTime
+	switch {
+	case k.asOf > 0 && now.Sub(k.asOf) <= limit:
+		return Current
+	case k.heardOf > k.asOf || !failed || k.asOf == 0:
+		return Behind
+	case others && !heard:
+		return CutOff
+	}
+	return StoreAway
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 type Membership interface {
 	// View returns the current configuration and endpoints.
 	View() *fleet.View
+	// KnowledgeAge returns how old this host's knowledge of the endpoints is, and false if it has
+	// none.
+	KnowledgeAge() (cicadapitch.Millis, bool)
 	// CatalogLag returns how far this host's configuration is behind.
 	CatalogLag() fleet.CatalogLag
 	// Loads returns the estimated running calls of the other hosts by engine.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -301,6 +301,9 @@
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
+	if age, ok := p.g.membership.KnowledgeAge(); ok {
+		event.Int64("KnowledgeAgeMs", int64(age))
+	}
 	parts, key := p.keys[:len(p.keys)-1], p.keys[len(p.keys)-1]
 	if len(parts) > 0 {
 		event.Strs("Parts", parts[:min(len(parts), maxLoggedParts)])
--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -32,6 +32,7 @@
 			continue
 		}
 		after = max(after, revision)
+		askedAt := m.clock.Now()
 		events, next, err := m.store.Changes(ctx, platform.EndpointKeyPrefix(), after)
 		if err != nil {
 			// FollowStore logs that the store cannot be reached, or lists it again.
@@ -40,9 +41,13 @@
 			continue
 		}
 		after = max(after, next)
+		if len(events) == 0 {
+			m.confirmKnowledge(askedAt, after)
+		}
 		if records := recordsOfEvents(events); len(records) > 0 {
-			m.applyPart(records, "store")
+			m.applyPart(records, storeWatch)
 			m.announceEndpoints(lo.Filter(records, endsUse))
+			m.confirmKnowledge(askedAt, after)
 			_ = m.clock.Sleep(ctx, watchBatchDelay) // the loop checks ctx
 		}
 	}
@@ -59,12 +64,12 @@
 }
 
 // applyPart merges some of the changes up to their revisions; the mirror is not complete up to
-// these. source is that of applyChanges.
-func (m *Membership) applyPart(records []fleet.Record, source string) {
+// these.
+func (m *Membership) applyPart(records []fleet.Record, s source) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Apply(now, records, 0), source)
+	m.updateState(now, m.mirror.Apply(now, records, 0), s)
 }
 
 // announceEndpoints sends records of endpoints to the hosts for which this one is among the
@@ -82,14 +87,17 @@
 			continue
 		}
 		go func() {
+			start := m.clock.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout.Duration())
 			defer cancel()
 			if _, err := peer.Call[EndpointNotice, struct{}](ctx, d.Control, h.Peers, callEndpointNotice, notice); err != nil {
-				m.log.Warn().Str("Host", string(h.ID)).Int("Records", len(records)).Err(err).Msg("notice of endpoints that leave failed")
+				m.log.Warn().Str("Host", string(h.ID)).Int("Records", len(records)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("notice of endpoints that leave failed")
 			}
 		}()
 	}
 }
 
 // applyNotice applies a notice of another host.
-func (m *Membership) applyNotice(n EndpointNotice) { m.applyPart(n.Records, string(n.Host)) }
+func (m *Membership) applyNotice(n EndpointNotice) {
+	m.applyPart(n.Records, source{string(n.Host), byNotice})
+}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -111,7 +111,7 @@
 		waits[shard] = AgedWaits{Waits: w}
 	}
 	return Heartbeat{
-		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(),
+		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(), Endpoints: m.knowledge.Claim(now),
 		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
@@ -203,13 +203,14 @@
 func (m *Membership) removeOverdueEndpoints() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.updateState(m.clock.Now(), nil, "timer")
+	m.updateState(m.clock.Now(), nil, source{by: byTimer})
 }
 
 // exchangeHeartbeat sends a heartbeat to h and records the one in the response.
 // If h has a later revision of the store, it fetches the missed changes.
 func (m *Membership) exchangeHeartbeat(ctx context.Context, d *peer.Dialer, h fleet.Host) {
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
+	askedAt := m.clock.Now()
 	hb, err := peer.Call[Heartbeat, Heartbeat](callCtx, d, h.Peers, callHeartbeat, m.newHeartbeat())
 	cancel()
 	if err != nil {
@@ -217,10 +218,8 @@
 		return
 	}
 	m.receiveHeartbeat(hb)
-	m.mu.Lock()
-	revision := m.mirror.Revision()
-	m.mu.Unlock()
-	if hb.Revision <= revision {
+	current := m.knowledge.Hear(askedAt, m.clock.Now(), hb.Endpoints)
+	if current && hb.Revision <= m.revision() {
 		return
 	}
 	// A host that watches the store will most likely receive the change from the store.
@@ -266,7 +265,7 @@
 		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
 		return
 	}
-	m.applyChanges(r.Records, r.Revision, string(h.ID))
+	m.applyChanges(r.Records, r.Revision, source{string(h.ID), bySync})
 }
 
 // KeepRegistered registers the host in the store and renews its lease until ctx
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -63,6 +63,8 @@
 	metrics     tally.Scope
 
 	view atomic.Pointer[fleet.View]
+	// knowledge tracks how old the knowledge of the endpoints is.
+	knowledge fleet.Knowledge
 	// lag tracks the versions of the configuration, history makes changes between them.
 	// catchingUp is true while changes are fetched.
 	lag        fleet.Lag
--- a/membership/message.go
+++ b/membership/message.go
@@ -27,6 +27,9 @@
 	Ready bool
 	// Revision is the store revision up to which the sender's mirror is complete.
 	Revision cicadapitch.StoreRevision
+	// Endpoints says how old the sender's knowledge of the endpoints is. It is nil if the sender
+	// does not know, and in heartbeats of earlier builds.
+	Endpoints *fleet.Claim
 	// Catalog describes the configuration that the sender has in force.
 	Catalog CatalogHead
 	// StoreAway is true while the sender should watch the store but cannot reach it.
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -57,12 +57,14 @@
 // syncFrom. The error is platform.ErrCompacted if the store has to be listed again at
 // once.
 func (m *Membership) listAndWatch(ctx context.Context) error {
+	askedAt := m.clock.Now()
 	pairs, revision, err := m.store.List(ctx, "")
 	if err != nil {
 		return err
 	}
 	m.markStoreUp()
 	m.applyListing(recordsOfPairs(pairs), revision)
+	m.confirmKnowledge(askedAt, revision)
 	for {
 		if !m.shouldWatchStore() {
 			if err := m.clock.Sleep(ctx, heartbeatInterval); err != nil {
@@ -71,6 +73,7 @@
 			continue
 		}
 		revision = m.revision()
+		askedAt = m.clock.Now()
 		events, nextRevision, err := m.store.Changes(ctx, "", revision)
 		if err != nil {
 			return err
@@ -80,7 +83,8 @@
 			// The revision moved on without an event, so the watch missed changes.
 			return platform.ErrCompacted
 		}
-		m.applyChanges(recordsOfEvents(events), nextRevision, "store")
+		m.applyChanges(recordsOfEvents(events), nextRevision, storeWatch)
+		m.confirmKnowledge(askedAt, nextRevision)
 		if len(events) > 0 && m.clock.Sleep(ctx, watchBatchDelay) != nil {
 			return ctx.Err()
 		}
@@ -132,48 +136,46 @@
 
 // applyListing merges a full listing of the store, taken at the given revision.
 func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) {
-	list = m.applyCatalogs(list, "store")
+	list = m.applyCatalogs(list, storeListing.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Replace(now, "", list, revision), "store")
+	m.updateState(now, m.mirror.Replace(now, "", list, revision), storeListing)
 }
 
-// applyChanges merges changes that are complete up to the given revision. source names
-// their origin in the log: "store" or a host's id.
-func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, source string) {
-	changes = m.applyCatalogs(changes, source)
+// applyChanges merges changes that are complete up to the given revision.
+func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, s source) {
+	changes = m.applyCatalogs(changes, s.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Apply(now, changes, revision), source)
+	m.updateState(now, m.mirror.Apply(now, changes, revision), s)
 }
 
 // updateState applies changed records and overdue removals to the state, and publishes
-// a new view if the state changed. source names the origin of the records in the log:
-// "store", "timer" or a host's id. The caller holds mu.
-func (m *Membership) updateState(now cicadapitch.Instant, changed []fleet.Record, source string) {
+// a new view if the state changed. The caller holds mu.
+func (m *Membership) updateState(now cicadapitch.Instant, changed []fleet.Record, s source) {
 	removed := m.removeOverdue(now)
 	if len(changed) == 0 && !removed {
 		return
 	}
 	for _, r := range changed {
-		m.applyRecord(now, r, source)
+		m.applyRecord(now, r, s)
 	}
 	m.publish(now)
 }
 
 // applyRecord applies one record to the state, depending on its key. The caller
 // holds mu.
-func (m *Membership) applyRecord(now cicadapitch.Instant, r fleet.Record, source string) {
+func (m *Membership) applyRecord(now cicadapitch.Instant, r fleet.Record, s source) {
 	if z, ok := platform.EvacuatedZoneFromKey(r.Key); ok {
 		m.state.SetEvacuated(z, !r.Removed)
 		m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
-			Int64("Revision", int64(r.Revision)).Str("From", source).Msg("zone")
+			Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("zone")
 		return
 	}
 	if id, ok := platform.EndpointIDFromKey(r.Key); ok {
-		m.applyEndpoint(now, id, r, source)
+		m.applyEndpoint(now, id, r, s)
 		return
 	}
 	if strings.HasPrefix(r.Key, hostKeyPrefix) {
@@ -193,14 +195,14 @@
 // applyEndpoint applies a change of an endpoint's entry. If the entry may have
 // expired only because the store was unreachable, the endpoint stays until
 // reregisterGrace is over. The caller holds mu.
-func (m *Membership) applyEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, source string) {
+func (m *Membership) applyEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, s source) {
 	if r.Removed {
 		if m.entriesMayHaveExpired(now) {
 			m.pendingRemovals[id] = max(m.storeRecoveredAt, m.peerOutageAt, now-cicadapitch.Instant(reregisterGrace)).Add(reregisterGrace)
 			return
 		}
 		m.state.RemoveEndpoint(id)
-		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", int64(r.Revision)).Str("From", source).Msg("endpoint gone")
+		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("endpoint gone")
 		return
 	}
 	delete(m.pendingRemovals, id)
@@ -213,7 +215,7 @@
 	m.state.SetEndpoint(now, e)
 	m.log.Info().Str("Endpoint", string(id)).Str("Address", e.Address).Str("Service", string(e.Service)).
 		Str("Version", string(e.Version)).Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
-		Int64("Revision", int64(r.Revision)).Str("From", source).Msg("endpoint")
+		Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("endpoint")
 }
 
 // entriesMayHaveExpired reports whether a missing entry may have expired because its
