--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -46,6 +46,8 @@
 	gateway    *gateway.Gateway
 	ingress    *platform.Ingress
 	link       *platformtest.Link
+	// late delays what other hosts send to this one, lateStore what the store answers.
+	late, lateStore *platformtest.Delay
 	// gate is in front of the store.
 	gate    *platformtest.Gate
 	cancel  context.CancelFunc
@@ -168,14 +170,15 @@
 			PeerPort: peerPort, CallerListen: ip + ":8001",
 			Store: platform.StoreSettings{Address: f.store.Address(), MinLease: 1000},
 			Bounds: platform.Bounds{
-				RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * cicadapitch.Second, ColdExcess: 1.5, ColdSlack: 5,
+				LeavingDelay: leavingDelay, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * cicadapitch.Second, ColdExcess: 1.5, ColdSlack: 5,
 			},
 		},
 		link: platformtest.NewLink(f.c.LinkMbps), gate: platformtest.NewGate(f.store.Address()), inForceAt: map[int64]time.Time{},
 		leavingAt: map[cicadapitch.EndpointID]time.Time{},
+		late:      &platformtest.Delay{}, lateStore: &platformtest.Delay{},
 	}
 	h.membership = membership.New(h.settings, membership.WithStore(
-		platform.NewStore([]string{"http://" + h.gate.Address()}, platform.WithDialContext(h.link.DialContext))))
+		platform.NewStore([]string{"http://" + h.gate.Address()}, platform.WithDialContext(h.lateStore.Dial(h.link.DialContext)))))
 	clock := cicadapitch.NewSystemClock()
 	h.gateway = gateway.New(h.settings, h.membership, gateway.WithEndpointDial(f.c.dialFunc()))
 	h.ingress = platform.NewIngress(h.gateway, clock)
@@ -191,7 +194,7 @@
 	h.running.Go(func() { h.membership.FollowStore(ctx) })
 	h.running.Go(func() { h.membership.KeepRegistered(ctx) })
 	h.running.Go(func() { h.membership.RunHeartbeats(ctx) })
-	h.running.Go(func() { h.servePeers(ctx, h.link.Listener(l), f) })
+	h.running.Go(func() { h.servePeers(ctx, h.late.Listener(h.link.Listener(l)), f) })
 	return h, nil
 }
 
@@ -204,7 +207,7 @@
 	}
 	server := peer.NewServer(secret)
 	newDialer := func() *peer.Dialer {
-		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.link.DialContext))
+		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(h.late.Dial(h.link.DialContext)))
 	}
 	dialers := membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()}
 	peer.Handle(server, callTraffic, func(context.Context, []byte) (struct{}, error) { return struct{}{}, nil })
--- a/bench/propagation/leaving.go
+++ b/bench/propagation/leaving.go
@@ -23,6 +23,8 @@
 	plainService = "plain"
 	// leavingSettleTime is how long arrivals are watched after the last endpoint has left.
 	leavingSettleTime = 6 * cicadapitch.Second
+	// leavingDelay is the time after its word from which an endpoint must get no request.
+	leavingDelay = 2 * cicadapitch.Second
 )
 
 // LeavingCase describes a fleet whose endpoints leave one after the other, while the
@@ -37,17 +39,24 @@
 	Requests float64
 	// ConnectDelay is the longest time that a connection to an endpoint takes to open.
 	ConnectDelay cicadapitch.Millis
+	// Late is the number of hosts that handle what other hosts send them LateBy late. With LateStore that holds for the store's answers too.
+	Late      int
+	LateBy    cicadapitch.Millis
+	LateStore bool
 }
 
 // LeavingResult is the measurement of a LeavingCase.
 type LeavingResult struct {
 	Case LeavingCase
 	// Known are the times from the acknowledgement of a leaving until a host knows of it, over
-	// all hosts and endpoints that left.
+	// all hosts that are not late and endpoints that left.
 	Known Percentiles
 	// LastRequest are the times from the acknowledgement of a leaving to the arrival of the
 	// last request at the endpoint, over all endpoints that left.
 	LastRequest Percentiles
+	// LateServed is the share of the requests to hosts that are late that were served, Served
+	// that of all. LateServed is 1 if there are none.
+	LateServed float64
 	// Served is the share of the requests that were served.
 	Served float64
 	// Bytes are sent and received and Processor is used in all, over all hosts and the
@@ -94,6 +103,16 @@
 		h.running.Go(func() { h.sendRequests(ctx, c.Requests) })
 	}
 	time.Sleep(time.Second)
+	for _, h := range f.hosts[len(f.hosts)-c.Late:] {
+		h.late.Set(c.LateBy)
+		if c.LateStore {
+			h.lateStore.Set(c.LateBy)
+		}
+	}
+	if c.Late > 0 {
+		// What was on its way comes first; then everything comes late.
+		time.Sleep(c.LateBy.Duration() + 2*time.Second)
+	}
 	cost := f.measure(func() {
 		go r.changeConfiguration()
 		for i := range c.Leaving {
@@ -149,9 +168,12 @@
 // result evaluates a run.
 func (r *leavingRun) result(cost usage) (LeavingResult, error) {
 	var known, last []cicadapitch.Millis
+	// Hosts that are late know of it late; what counts for them is the last request.
+	sound := r.fleet.hosts[:len(r.fleet.hosts)-r.c.Late]
+	late := r.fleet.hosts[len(sound):]
 	for i, at := range r.leftAt {
 		e := r.endpoints[i]
-		for _, h := range r.fleet.hosts {
+		for _, h := range sound {
 			h.mu.Lock()
 			since, ok := h.leavingAt[cicadapitch.EndpointID(e.ID)]
 			h.mu.Unlock()
@@ -165,16 +187,24 @@
 			last = append(last, max(cicadapitch.Millis(arrivals[n-1].Sub(at).Milliseconds()), 0))
 		}
 	}
-	var asked, served int64
-	for _, h := range r.fleet.hosts {
-		asked, served = asked+h.asked.Load(), served+h.served.Load()
-	}
 	return LeavingResult{
 		Case: r.c, Known: percentilesOf(known), LastRequest: percentilesOf(last),
-		Served: float64(served) / float64(max(asked, 1)), Bytes: cost.bytes, Processor: cost.processor,
+		Served: servedShare(r.fleet.hosts), LateServed: servedShare(late), Bytes: cost.bytes, Processor: cost.processor,
 	}, nil
 }
 
+// servedShare returns the share of the requests to hosts that were served.
+func servedShare(hosts []*host) float64 {
+	asked, served := int64(0), int64(0)
+	for _, h := range hosts {
+		asked, served = asked+h.asked.Load(), served+h.served.Load()
+	}
+	if asked == 0 {
+		return 1
+	}
+	return float64(served) / float64(asked)
+}
+
 // sendRequests sends requests of callers to the host until ctx ends.
 func (h *host) sendRequests(ctx context.Context, perSecond float64) {
 	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
--- a/bench/propagation/leaving_test.go
+++ b/bench/propagation/leaving_test.go
@@ -31,3 +31,29 @@
 	require.LessOrEqual(t, r.Known.Worst, maxLeaving)
 	require.LessOrEqual(t, r.LastRequest.Worst, maxLeaving)
 }
+
+// TestHostsThatHearLateDoNotSendToEndpointsThatHaveLeft guards against hosts that believe what
+// they know while notices and heartbeats reach them seconds late, as with a full processor.
+func TestHostsThatHearLateDoNotSendToEndpointsThatHaveLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		lateStore bool
+		// minServed is the least share of the requests to hosts that are late that is served.
+		minServed float64
+	}{
+		"other hosts are late": {false, 0.9},
+		// Such a host knows nothing in time and has to reject.
+		"other hosts and the store are late": {true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := propagation.RunLeaving(propagation.LeavingCase{
+				Case:      propagation.Case{Hosts: 24, Routes: 10, LinkMbps: 10},
+				Endpoints: 12, Leaving: 4, LeaveGap: 500, Requests: 5, Late: 6, LateBy: 4000, LateStore: c.lateStore,
+			})
+			require.NoError(t, err)
+			t.Logf("%+v", r)
+			require.LessOrEqual(t, r.LastRequest.Worst, maxLeaving)
+			require.GreaterOrEqual(t, r.LateServed, c.minServed)
+			require.GreaterOrEqual(t, r.Served, 0.7)
+		})
+	}
+}
--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -47,19 +47,21 @@
 
 // startLinkedHost starts a host whose connections to other hosts use a link.
 func startLinkedHost(t *testing.T, store string, link *platformtest.Link) *peerHost {
-	h := &peerHost{settings: newPeerSettings(store)}
+	h, stop := startHostAt(t, newPeerSettings(store), link)
+	t.Cleanup(stop)
+	return h
+}
+
+// startHostAt starts a host with the given settings, and returns a function that ends it without
+// notice.
+func startHostAt(t *testing.T, s *platform.Settings, link *platformtest.Link) (*peerHost, func()) {
+	h := &peerHost{settings: s}
 	h.Membership = membership.New(h.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
 	for _, run := range []func(context.Context){h.FollowStore, h.KeepRegistered, h.RunHeartbeats} {
 		go func() { run(ctx); done <- struct{}{} }()
 	}
-	t.Cleanup(func() {
-		cancel()
-		for range 3 {
-			<-done
-		}
-	})
 	secret, err := h.Secret(ctx)
 	require.NoError(t, err)
 	server := peer.NewServer(secret)
@@ -68,24 +70,30 @@
 		return peer.NewDialer(h.settings.Host, secret, peer.WithDialContext(link.DialContext))
 	}
 	h.EnablePeerCalls(server, membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()})
-	servePeers(t, h.settings.PeerAddress(), server, link)
-	return h
+	stopServing := servePeers(t, h.settings.PeerAddress(), server, link)
+	return h, func() {
+		cancel()
+		for range 3 {
+			<-done
+		}
+		stopServing()
+	}
 }
 
-// servePeers serves calls of other hosts over a link until the test ends.
-func servePeers(t *testing.T, address string, s *peer.Server, link *platformtest.Link) {
+// servePeers serves calls of other hosts over a link until the returned function is called.
+func servePeers(t *testing.T, address string, s *peer.Server, link *platformtest.Link) func() {
 	l, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(link.Listener(l)) }()
-	t.Cleanup(func() {
+	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_ = s.Close(ctx)
 		server.Close()
-	})
+	}
 }
 
 func version(m *membership.Membership) int64 {
@@ -125,7 +133,7 @@
 		}
 		return membership.CatalogReply{}, cicadapitch.NewError(cicadapitch.Unavailable, "not now", "later")
 	})
-	servePeers(t, settings.PeerAddress(), server, platformtest.NewLink(fastMbps))
+	t.Cleanup(servePeers(t, settings.PeerAddress(), server, platformtest.NewLink(fastMbps)))
 	s.Set("hosts/fake", map[string]string{"Host": "fake", "Incarnation": "fake", "Zone": "z", "Callers": settings.CallerListen, "Peers": settings.PeerAddress()})
 	return f
 }
