membership: only an outage that all hosts see lets entries expire

Callers: requests reached endpoints seconds after these had gone.

Cause: a host that has just started said that the store is away before it had asked it, and one host's failed calls were taken for an outage of the store. Class: a host takes its own fault for a fault of what it watches.

Now heartbeats carry when a host last reached the store, and an outage is one only while no host has reached it for 1.5 s. An endpoint that has said that it leaves gets no grace.

--- a/fleet/knowledge.go
+++ b/fleet/knowledge.go
@@ -10,6 +10,10 @@
 // counts for what is assumed of the store.
 const silenceTime cicadapitch.Millis = 2000
 
+// outageAge is how long nobody has to have reached the store for an outage. It is longer than
+// claims of sound hosts take to get around, and shorter than entries of endpoints last.
+const outageAge cicadapitch.Millis = 1500
+
 //go:generate go tool -modfile=../tools/go.mod enumer -type=Currency
 
 // Currency says whether a host's knowledge of the endpoints may be used.
@@ -44,8 +48,9 @@
 	// an instant at which the store had no later one, or 0.
 	upTo cicadapitch.StoreRevision
 	asOf cicadapitch.Instant
-	// heardOf is the latest instant for which a host said that it knew all changes.
-	heardOf cicadapitch.Instant
+	// heardOf is the latest instant for which any host knew all changes, and so reached the
+	// store. outageEnd is the last one that came after a pause of outageAge.
+	heardOf, outageEnd cicadapitch.Instant
 	// storeFailedAt is when a question to the store last failed, heardAt when another host last
 	// answered.
 	storeFailedAt, heardAt cicadapitch.Instant
@@ -66,7 +71,31 @@
 	if revision <= k.upTo {
 		k.asOf = max(k.asOf, askedAt)
 	}
-	k.heardOf = max(k.heardOf, askedAt)
+	k.hearOf(askedAt)
+}
+
+// hearOf records that a host reached the store at an instant. The caller holds mu.
+func (k *Knowledge) hearOf(at cicadapitch.Instant) {
+	if k.heardOf > 0 && at.Sub(k.heardOf) > outageAge {
+		k.outageEnd = at
+	}
+	k.heardOf = max(k.heardOf, at)
+}
+
+// HeardOf returns the latest instant at which any host reached the store, as far as this one has
+// heard, or 0.
+func (k *Knowledge) HeardOf() cicadapitch.Instant {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heardOf
+}
+
+// Outage reports whether no host that this one has heard of has reached the store for a time, or
+// whether that was so less than window ago.
+func (k *Knowledge) Outage(now cicadapitch.Instant, window cicadapitch.Millis) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heardOf > 0 && now.Sub(k.heardOf) > outageAge || k.outageEnd > 0 && now.Sub(k.outageEnd) < window
 }
 
 // Hear applies the claim of another host in its answer, which came at now, to a question that was
@@ -81,7 +110,7 @@
 	}
 	// The claim was made later than the question was asked, so it is at most that old.
 	asOf := askedAt.Add(-max(c.Age, 0))
-	k.heardOf = max(k.heardOf, asOf)
+	k.hearOf(asOf)
 	if c.Revision > k.upTo {
 		return false
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -90,6 +90,9 @@
 // RemoveEndpoint removes an endpoint.
 func (s *State) RemoveEndpoint(id cicadapitch.EndpointID) { delete(s.endpoints, id) }
 
+// Leaving reports whether an endpoint has said that it leaves.
+func (s *State) Leaving(id cicadapitch.EndpointID) bool { return s.endpoints[id].Leaving }
+
 // SetEvacuated takes a zone out of service if out is true, or puts it back into
 // service.
 func (s *State) SetEvacuated(z cicadapitch.ZoneID, out bool) {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -112,7 +112,7 @@
 	}
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(), Endpoints: m.knowledge.Claim(now),
-		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp,
+		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp && m.storeFailedAt > 0,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -110,7 +110,11 @@
 	// storeFailedAt is when a store call last failed. storeRecoveredAt is when store
 	// calls began to succeed, at the start or after a failure.
 	storeFailedAt, storeRecoveredAt cicadapitch.Instant
-	storeUp                         bool
+	// storeDownSince is when store calls began to fail. outageWasOwn is true if another host
+	// reached the store before they succeeded again.
+	storeDownSince cicadapitch.Instant
+	outageWasOwn   bool
+	storeUp        bool
 	// peerOutageAt is when another host last reported that it cannot reach the
 	// store.
 	peerOutageAt cicadapitch.Instant
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -114,6 +114,9 @@
 	m.mu.Lock()
 	wasUp := m.storeUp
 	m.storeUp, m.storeFailedAt = false, m.clock.Now()
+	if wasUp || m.storeDownSince == 0 {
+		m.storeDownSince = m.storeFailedAt
+	}
 	m.mu.Unlock()
 	if wasUp {
 		m.log.Warn().Err(err).Msg("store unreachable")
@@ -126,6 +129,7 @@
 	wasUp := m.storeUp
 	if !wasUp {
 		m.storeUp, m.storeRecoveredAt = true, m.clock.Now()
+		m.outageWasOwn = m.outageIsOwn(m.storeRecoveredAt)
 	}
 	revision := m.mirror.Revision()
 	m.mu.Unlock()
@@ -197,7 +201,8 @@
 // reregisterGrace is over. The caller holds mu.
 func (m *Membership) applyEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, s source) {
 	if r.Removed {
-		if m.entriesMayHaveExpired(now) {
+		// The entry of an endpoint that has said that it leaves did not expire.
+		if m.entriesMayHaveExpired(now) && !m.state.Leaving(id) {
 			m.pendingRemovals[id] = max(m.storeRecoveredAt, m.peerOutageAt, now-cicadapitch.Instant(reregisterGrace)).Add(reregisterGrace)
 			return
 		}
@@ -221,27 +226,42 @@
 // entriesMayHaveExpired reports whether a missing entry may have expired because its
 // writer could not reach the store. An entry may have expired during a store outage
 // and for outageWindow after it, whether this host noticed the outage or another host
-// reported it. The caller holds mu.
+// reported it. While any host reaches the store there is no outage. The caller holds mu.
 func (m *Membership) entriesMayHaveExpired(now cicadapitch.Instant) bool {
-	if m.peerOutageAt > 0 && now.Sub(m.peerOutageAt) < outageWindow {
+	if m.peerOutageAt > 0 && now.Sub(m.peerOutageAt) < outageWindow && m.knowledge.Outage(now, outageWindow) {
 		return true
 	}
-	return m.storeFailedAt > 0 && (!m.storeUp || now.Sub(m.storeRecoveredAt) < outageWindow)
+	switch {
+	case m.storeFailedAt == 0:
+		return false
+	case m.storeUp:
+		return now.Sub(m.storeRecoveredAt) < outageWindow && !m.outageWasOwn
+	}
+	return !m.outageIsOwn(now)
 }
 
-// removeOverdue removes the endpoints that did not register again in time, and
-// reports whether there were any. It removes none while the store is unreachable.
-// The caller holds mu.
+// outageIsOwn reports whether another host has reached the store since calls of this one began to
+// fail. The caller holds mu.
+func (m *Membership) outageIsOwn(now cicadapitch.Instant) bool {
+	return m.knowledge.HeardOf() > m.storeDownSince && !m.knowledge.Outage(now, outageWindow)
+}
+
+// removeOverdue removes the endpoints that did not register again in time or whose entry did not
+// expire after all, and reports whether there were any. It removes none during an outage of the
+// store. The caller holds mu.
 func (m *Membership) removeOverdue(now cicadapitch.Instant) bool {
-	removed := false
+	if len(m.pendingRemovals) == 0 {
+		return false
+	}
+	removed, mayHaveExpired := false, m.entriesMayHaveExpired(now)
 	for id, due := range m.pendingRemovals {
-		if now < due || !m.storeUp {
+		if mayHaveExpired && (now < due || !m.storeUp) {
 			continue
 		}
 		delete(m.pendingRemovals, id)
 		m.state.RemoveEndpoint(id)
 		removed = true
-		m.log.Info().Str("Endpoint", string(id)).Msg("endpoint removed: it did not register again after the store outage")
+		m.log.Info().Str("Endpoint", string(id)).Bool("MayHaveExpired", mayHaveExpired).Msg("endpoint removed: it did not register again after the store outage")
 	}
 	return removed
 }
