fleet: a mirror says from which revision on it knows all changes

The host had fetched the changes since its revision from a host that had just started.

Cause: an answer was said to be complete up to a revision by one who cannot know it. A host that began with a listing does not know what was removed before, nor after a listing what a lost history held, nor removals that are forgotten after a minute. The asker kept the key for good.

Now a mirror knows from where on, and between which listings, it knows all removals; a question from elsewhere gets all keys. Answers of earlier builds, which do not know it, are merged and make no host complete; hosts of earlier builds get what they got. Keys of hosts, zones, origins, versions and the quarantine go the same way and are mended with it.

TestMirrorDoesNotAnswerForAPastThatItDoesNotKnow is new.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 
 	"cicadapitch.example/cicadapitch"
@@ -29,8 +30,32 @@
 	records map[string]storedRecord
 	// revision is the store revision up to which the copy is complete.
 	revision cicadapitch.StoreRevision
+	// knownFrom is the revision from which on every removal is known, but for gaps: the spans
+	// that a listing skipped.
+	knownFrom cicadapitch.StoreRevision
+	gaps      []span
 }
 
+// span is the revisions between two others.
+type span struct{ after, next cicadapitch.StoreRevision }
+
+// maxGaps bounds the spans that a Mirror remembers.
+const maxGaps = 8
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=Scope
+
+// Scope says what the records of an answer to another host are.
+type Scope int
+
+const (
+	// Some are not known to be all changes.
+	Some Scope = iota
+	// AllChanges are all changes after the revision that was asked for.
+	AllChanges
+	// Listing is all keys there are.
+	Listing
+)
+
 // NewMirror returns an empty copy.
 func NewMirror() *Mirror { return &Mirror{records: map[string]storedRecord{}} }
 
@@ -69,9 +94,58 @@
 			changes = append(changes, Record{Key: k, Revision: listedAt, Removed: true})
 		}
 	}
+	if listedAt > m.revision {
+		m.skip(m.revision, listedAt)
+	}
 	return m.Apply(now, changes, listedAt)
 }
 
+// skip records that removals between two revisions may be unknown.
+func (m *Mirror) skip(after, next cicadapitch.StoreRevision) {
+	if after == 0 || len(m.gaps) == maxGaps {
+		m.knownFrom, m.gaps = next, nil
+		return
+	}
+	m.gaps = append(m.gaps, span{after, next})
+}
+
+// knowsSince reports whether all changes after a revision are known.
+func (m *Mirror) knowsSince(revision cicadapitch.StoreRevision) bool {
+	return revision >= m.knownFrom && !slices.ContainsFunc(m.gaps, func(g span) bool {
+		return revision > g.after && revision < g.next
+	})
+}
+
+// Answer returns what another host has to know that is complete up to a revision: the changes since,
+// or all keys if some of the changes are not known and the host takes a listing.
+func (m *Mirror) Answer(since cicadapitch.StoreRevision, takesListing bool) ([]Record, Scope) {
+	switch {
+	case m.knowsSince(since):
+		return m.ChangesSince(since), AllChanges
+	case !takesListing:
+		return m.ChangesSince(since), Some
+	}
+	var all []Record
+	for _, stored := range m.records {
+		if !stored.Removed {
+			all = append(all, stored.Record)
+		}
+	}
+	return all, Listing
+}
+
+// Merge applies the answer of another host that is complete up to a revision, and returns the
+// records that changed.
+func (m *Mirror) Merge(now cicadapitch.Instant, records []Record, scope Scope, upTo cicadapitch.StoreRevision) []Record {
+	switch {
+	case scope == AllChanges:
+		return m.Apply(now, records, upTo)
+	case scope == Listing && upTo > m.revision:
+		return m.Replace(now, "", records, upTo)
+	}
+	return m.Apply(now, records, 0)
+}
+
 // ChangesSince returns the records that changed after a revision, including
 // removals, in no particular order.
 func (m *Mirror) ChangesSince(revision cicadapitch.StoreRevision) []Record {
@@ -85,11 +159,12 @@
 }
 
 // removeTombstones deletes the records of keys that were removed more than
-// tombstoneLife ago.
+// tombstoneLife ago. Changes from before their removal are no longer known.
 func (m *Mirror) removeTombstones(now cicadapitch.Instant) {
 	for k, stored := range m.records {
 		if stored.Removed && now.Sub(stored.storedAt) > tombstoneLife {
 			delete(m.records, k)
+			m.knownFrom = max(m.knownFrom, stored.Revision)
 		}
 	}
 }
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -52,3 +52,29 @@
 		require.ElementsMatch(t, inOrder.ChangesSince(0), shuffled.ChangesSince(0))
 	})
 }
+
+// TestMirrorDoesNotAnswerForAPastThatItDoesNotKnow covers answers for revisions from before a
+// listing, from within what a later listing skipped, and from before forgotten removals.
+func TestMirrorDoesNotAnswerForAPastThatItDoesNotKnow(t *testing.T) {
+	m := fleet.NewMirror()
+	m.Replace(start, "", []fleet.Record{record("a", 3), record("b", 9)}, 10)
+	scopeSince := func(revision cicadapitch.StoreRevision) fleet.Scope {
+		_, scope := m.Answer(revision, true)
+		return scope
+	}
+	require.Equal(t, fleet.Listing, scopeSince(9))
+	require.Equal(t, fleet.AllChanges, scopeSince(10))
+	records, scope := m.Answer(9, false)
+	require.Equal(t, fleet.Some, scope, "a host of an earlier build takes no listing")
+	require.Empty(t, records)
+
+	m.Apply(start, []fleet.Record{record("c", 12)}, 12)
+	m.Replace(start, "", []fleet.Record{record("b", 9), record("c", 12)}, 20)
+	require.Equal(t, fleet.AllChanges, scopeSince(11))
+	require.Equal(t, fleet.Listing, scopeSince(15))
+	require.Equal(t, fleet.AllChanges, scopeSince(20))
+
+	m.Apply(start.Add(2*cicadapitch.Minute), nil, 30)
+	require.Equal(t, fleet.Listing, scopeSince(12), "the removal of a is forgotten")
+	require.Equal(t, fleet.AllChanges, scopeSince(20))
+}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -87,7 +87,8 @@
 func (m *Membership) serveSync(_ context.Context, r SyncRequest) (SyncReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reply := SyncReply{Revision: m.mirror.Revision(), Records: m.mirror.ChangesSince(r.Since)}
+	reply := SyncReply{Revision: m.mirror.Revision(), Endpoints: m.knowledge.Claim(m.clock.Now())}
+	reply.Records, reply.Scope = m.mirror.Answer(r.Since, r.TakesListing)
 	if r.WithoutCatalog || m.catalogRevision <= r.Since {
 		return reply, nil
 	}
@@ -260,12 +261,30 @@
 		return
 	}
 	start := m.clock.Now()
-	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision, WithoutCatalog: true})
+	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision, WithoutCatalog: true, TakesListing: true})
 	if err != nil {
 		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
 		return
 	}
-	m.applyChanges(r.Records, r.Revision, source{string(h.ID), bySync})
+	m.applySync(start, r, source{string(h.ID), bySync})
+}
+
+// applySync applies the answer of another host to a question that was asked at askedAt. The
+// answer of a host that may not know all changes does not make this one complete.
+func (m *Membership) applySync(askedAt cicadapitch.Instant, r SyncReply, s source) {
+	records := m.applyCatalogs(r.Records, s.from)
+	m.mu.Lock()
+	now := m.clock.Now()
+	m.updateState(now, m.mirror.Merge(now, records, r.Scope, r.Revision), s)
+	if r.Scope != fleet.Some {
+		m.knowledge.Advance(r.Revision)
+	}
+	m.mu.Unlock()
+	if r.Scope == fleet.Some || r.Endpoints == nil {
+		return
+	}
+	m.knowledge.Advance(r.Endpoints.Revision)
+	m.knowledge.Hear(askedAt, now, r.Endpoints)
 }
 
 // KeepRegistered registers the host in the store and renews its lease until ctx
--- a/membership/message.go
+++ b/membership/message.go
@@ -106,12 +106,20 @@
 	// WithoutCatalog is true if the sender fetches configurations by CatalogRequest. Hosts
 	// of earlier builds do not.
 	WithoutCatalog bool
+	// TakesListing is true if the sender takes all keys instead of the changes. Hosts of
+	// earlier builds do not.
+	TakesListing bool
 }
 
-// SyncReply carries the requested changes, complete up to Revision.
+// SyncReply carries the requested changes, complete up to Revision as far as Scope says so.
 type SyncReply struct {
 	Revision cicadapitch.StoreRevision
 	Records  []fleet.Record
+	// Scope is fleet.Some in answers of earlier builds, which do not know whether they name all
+	// changes.
+	Scope fleet.Scope
+	// Endpoints is that of a heartbeat.
+	Endpoints *fleet.Claim
 }
 
 // quarantineRecord is the value of the store's key of a quarantined part.
