membership, gateway: requests are sent only on knowledge that is young enough

On a full processor or link, notices are lost, heartbeats come late and fetches fail. Class: knowledge is used without its age.

Now a request is sent on knowledge that is at most half of drain_ms old; the rest is for its way. Hosts that watch the store, three in a small fleet, ask it each 0.4 s whether endpoints have changed; heartbeats carry the answer's age on, which starts when the question was asked. A host whose knowledge grows old asks one of them, and then the store, one question for all requests that wait. If the store does not answer and no host knows anything younger, the knowledge is most likely still true and the host goes on (Currency StoreAway). If another host has younger knowledge that cannot be had, or nobody answers at all, requests are rejected at once as not run. Claims are missing in heartbeats of earlier builds and are never taken for young.

A survivor among restarted hosts forgets an endpoint that went. Line: knowledge of endpoints; metrics KnowledgeAgeMs, KnowledgeTooOld.

--- a/fleet/knowledge.go
+++ b/fleet/knowledge.go
@@ -51,6 +51,9 @@
 	// heardOf is the latest instant for which any host knew all changes, and so reached the
 	// store. outageEnd is the last one that came after a pause of outageAge.
 	heardOf, outageEnd cicadapitch.Instant
+	// youngerAt is when another host last claimed knowledge that was younger than this host's
+	// and that this host lacked.
+	youngerAt cicadapitch.Instant
 	// storeFailedAt is when a question to the store last failed, heardAt when another host last
 	// answered.
 	storeFailedAt, heardAt cicadapitch.Instant
@@ -112,6 +115,9 @@
 	asOf := askedAt.Add(-max(c.Age, 0))
 	k.hearOf(asOf)
 	if c.Revision > k.upTo {
+		if asOf > k.asOf {
+			k.youngerAt = max(k.youngerAt, now)
+		}
 		return false
 	}
 	k.asOf = max(k.asOf, asOf)
@@ -154,14 +160,13 @@
 func (k *Knowledge) Currency(now cicadapitch.Instant, limit cicadapitch.Millis, others bool) Currency {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	failed := k.storeFailedAt > 0 && now.Sub(k.storeFailedAt) < silenceTime
-	heard := k.heardAt > 0 && now.Sub(k.heardAt) < silenceTime
+	recent := func(at cicadapitch.Instant) bool { return at > 0 && now.Sub(at) < silenceTime }
 	switch {
 	case k.asOf > 0 && now.Sub(k.asOf) <= limit:
 		return Current
-	case k.heardOf > k.asOf || !failed || k.asOf == 0:
+	case k.asOf == 0 || !recent(k.storeFailedAt) || recent(k.youngerAt) && k.heardOf > k.asOf:
 		return Behind
-	case others && !heard:
+	case others && !recent(k.heardAt):
 		return CutOff
 	}
 	return StoreAway
--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -76,7 +76,7 @@
 		Memory: 1 << 30,
 		Store:  platform.StoreSettings{Address: d.store.Address(), MinLease: 1000},
 		Bounds: platform.Bounds{
-			StablePeriod: 3000, ShutdownGrace: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10_000,
+			StablePeriod: 3000, LeavingDelay: 2000, ShutdownGrace: 3000, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10_000,
 			ColdExcess: 1.5, ColdSlack: 5, DirectoryTTL: 5000,
 		},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,9 @@
 	// KnowledgeAge returns how old this host's knowledge of the endpoints is, and false if it has
 	// none.
 	KnowledgeAge() (cicadapitch.Millis, bool)
+	// AwaitKnowledge returns nil if this host's knowledge of the endpoints is young enough to send
+	// a request, possibly after a wait. The error is membership.ErrKnowledgeOld or that of ctx.
+	AwaitKnowledge(ctx context.Context) error
 	// CatalogLag returns how far this host's configuration is behind.
 	CatalogLag() fleet.CatalogLag
 	// Loads returns the estimated running calls of the other hosts by engine.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -9,6 +9,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
@@ -45,6 +46,9 @@
 	if err := p.rejectQuarantined(); err != nil {
 		return err
 	}
+	if err := p.g.membership.AwaitKnowledge(ctx); err != nil {
+		return err
+	}
 	if err := p.findOrigin(ctx); err != nil {
 		return err
 	}
@@ -67,7 +71,7 @@
 		err = p.generateOnce(ctx, inputs, &events)
 		inputs.freeAll()
 		switch {
-		case err == nil || ctx.Err() != nil || errors.Is(err, errNotRelayed) || errors.Is(err, errQuarantined) || errors.Is(err, errSuspected):
+		case err == nil || ctx.Err() != nil || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errNotRelayed) || errors.Is(err, errQuarantined) || errors.Is(err, errSuspected):
 			return err
 		case !p.hasCandidate():
 			return err
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -8,6 +8,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
@@ -27,6 +28,9 @@
 	if err := p.rejectQuarantined(); err != nil {
 		return err
 	}
+	if err := p.g.membership.AwaitKnowledge(ctx); err != nil {
+		return err
+	}
 	for connectFailures := 0; ; {
 		e, err := p.choosePlainEndpoint(ctx)
 		if err != nil {
@@ -43,6 +47,9 @@
 		if done {
 			return err
 		}
+		if errors.Is(err, membership.ErrKnowledgeOld) {
+			return err
+		}
 		p.exclude[e.ID] = true
 		if errors.Is(err, errChoiceOutdated) && ctx.Err() == nil {
 			continue
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
@@ -268,7 +269,7 @@
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
 	})
 	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
-	if errors.Is(err, errChoiceOutdated) {
+	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) {
 		return nil, err
 	}
 	if err != nil {
--- a/gateway/sendcheck.go
+++ b/gateway/sendcheck.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
@@ -13,9 +14,13 @@
 var errChoiceOutdated = errors.New("the endpoint takes no requests any more")
 
 // checkSend returns an error if the endpoint has left, its zone is out of service, or it has
-// asked for a pause since it was chosen. It is called when the bytes of a request are about to
-// be written: a request may have waited for its connection or a trial since the choice.
-func (g *Gateway) checkSend(e catalog.Endpoint) error {
+// asked for a pause since it was chosen, or if this host does not know that. It is called when the
+// bytes of a request are about to be written: a request may have waited for its connection or a
+// trial since the choice.
+func (g *Gateway) checkSend(ctx context.Context, e catalog.Endpoint) error {
+	if err := g.membership.AwaitKnowledge(ctx); err != nil {
+		return err
+	}
 	reason := ""
 	switch {
 	case !g.membership.View().Takes(e):
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -29,6 +30,7 @@
 
 func (m *lockedMembership) View() *fleet.View                        { return m.view }
 func (m *lockedMembership) KnowledgeAge() (cicadapitch.Millis, bool) { return 0, true }
+func (m *lockedMembership) AwaitKnowledge(context.Context) error     { return nil }
 func (m *lockedMembership) CatalogLag() fleet.CatalogLag             { return m.lag }
 func (m *lockedMembership) Loads() map[cicadapitch.EndpointID]int    { return nil }
 func (m *lockedMembership) Waits() map[string]gateway.QueueWaits     { return nil }
--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -35,7 +35,7 @@
 	return &platform.Settings{
 		Host: cicadapitch.HostID(ip), IP: ip, Zone: "z", PeerPort: 7740, CallerListen: ip + ":8001",
 		Store:  platform.StoreSettings{Address: store, MinLease: 1000},
-		Bounds: platform.Bounds{ConfigurationDelay: 2000},
+		Bounds: platform.Bounds{ConfigurationDelay: 2000, LeavingDelay: 2000},
 	}
 }
 
--- a/membership/channel.go
+++ b/membership/channel.go
@@ -12,6 +12,8 @@
 	// byNotice is a notice of another host, bySync a fetch from another host.
 	byNotice
 	bySync
+	// byPoll is a question to the store whether anything has changed.
+	byPoll
 	// byTimer is no record: a time has passed.
 	byTimer
 )
@@ -27,4 +29,5 @@
 var (
 	storeListing = source{"store", byListing}
 	storeWatch   = source{"store", byWatch}
+	storePoll    = source{"store", byPoll}
 )
--- a/membership/channel_enumer.go
+++ b/membership/channel_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _channelName = "ListingWatchNoticeSyncTimer"
+const _channelName = "ListingWatchNoticeSyncPollTimer"
 
-var _channelIndex = [...]uint8{0, 7, 12, 18, 22, 27}
+var _channelIndex = [...]uint8{0, 7, 12, 18, 22, 26, 31}
 
-const _channelLowerName = "listingwatchnoticesynctimer"
+const _channelLowerName = "listingwatchnoticesyncpolltimer"
 
 func (i channel) String() string {
 	if i < 0 || i >= channel(len(_channelIndex)-1) {
@@ -28,17 +28,19 @@
 	_ = x[byWatch-(1)]
 	_ = x[byNotice-(2)]
 	_ = x[bySync-(3)]
-	_ = x[byTimer-(4)]
+	_ = x[byPoll-(4)]
+	_ = x[byTimer-(5)]
 }
 
-var _channelValues = []channel{byListing, byWatch, byNotice, bySync, byTimer}
+var _channelValues = []channel{byListing, byWatch, byNotice, bySync, byPoll, byTimer}
 
 var _channelNameToValueMap = map[string]channel{
 	_channelName[0:7]:   byListing,
 	_channelName[7:12]:  byWatch,
 	_channelName[12:18]: byNotice,
 	_channelName[18:22]: bySync,
-	_channelName[22:27]: byTimer,
+	_channelName[22:26]: byPoll,
+	_channelName[26:31]: byTimer,
 }
 
 var _channelLowerNameToValueMap = map[string]channel{
@@ -46,7 +48,8 @@
 	_channelLowerName[7:12]:  byWatch,
 	_channelLowerName[12:18]: byNotice,
 	_channelLowerName[18:22]: bySync,
-	_channelLowerName[22:27]: byTimer,
+	_channelLowerName[22:26]: byPoll,
+	_channelLowerName[26:31]: byTimer,
 }
 
 var _channelNames = []string{
@@ -54,7 +57,8 @@
 	_channelName[7:12],
 	_channelName[12:18],
 	_channelName[18:22],
-	_channelName[22:27],
+	_channelName[22:26],
+	_channelName[26:31],
 }
 
 // channelString retrieves an enum value from the enum constants string name.
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -166,6 +166,7 @@
 // until EnablePeerCalls has been called.
 func (m *Membership) RunHeartbeats(ctx context.Context) {
 	for m.awaitNextHeartbeat(ctx) {
+		m.keepKnowledgeYoung()
 		d := m.dialers.Load()
 		if d == nil {
 			continue
@@ -260,13 +261,20 @@
 	if revision >= target {
 		return
 	}
-	start := m.clock.Now()
-	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: revision, WithoutCatalog: true, TakesListing: true})
+	// A failure is logged; later heartbeats start further fetches.
+	_ = m.fetchChanges(ctx, d, h)
+}
+
+// fetchChanges fetches the store changes that h has and this host lacks. It logs its error.
+func (m *Membership) fetchChanges(ctx context.Context, d *peer.Dialer, h fleet.Host) error {
+	start, since := m.clock.Now(), m.revision()
+	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: since, WithoutCatalog: true, TakesListing: true})
 	if err != nil {
-		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(revision)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
-		return
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(since)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
+		return err
 	}
 	m.applySync(start, r, source{string(h.ID), bySync})
+	return nil
 }
 
 // applySync applies the answer of another host to a question that was asked at askedAt. The
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -65,6 +65,7 @@
 	view atomic.Pointer[fleet.View]
 	// knowledge tracks how old the knowledge of the endpoints is.
 	knowledge fleet.Knowledge
+	refreshes refreshes
 	// lag tracks the versions of the configuration, history makes changes between them.
 	// catchingUp is true while changes are fetched.
 	lag        fleet.Lag
