--- a/driver/conn.go
+++ b/driver/conn.go
@@ -31,6 +31,14 @@
 	return c.Conn.Write(b)
 }
 
+// retire closes the connection and seals it, in case another call has got it already.
+func (c *sealableConn) retire() {
+	c.mu.Lock()
+	c.sealed = true
+	c.mu.Unlock()
+	c.Close()
+}
+
 // writtenBytes returns the count of bytes written so far.
 func (c *sealableConn) writtenBytes() int64 {
 	c.mu.Lock()
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -1,10 +1,13 @@
 package driver_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +50,47 @@
 	require.Equal(t, cicadapitch.CustomerID("club"), runs[0].Customer)
 }
 
+// TestRefusalThatComesAgainIsNotTakenForTheNextAnswer guards against an endpoint that writes a
+// refusal once more on the kept connection: answers do not name their call.
+func TestRefusalThatComesAgainIsNotTakenForTheNextAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + driver.HeaderNotRun + ": true\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, refusal)
+				}
+			}()
+		}
+	}()
+	d := driver.NewEngine()
+	c := cicadapitch.Call{Endpoint: cicadapitch.Endpoint{ID: "e1", Address: "http://" + l.Addr().String()}}
+	connections := map[string]bool{}
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connections[i.Conn.LocalAddr().String()] = true
+	}})
+	for range 3 {
+		_, err = d.Call(ctx, c, nil)
+		require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err))
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Len(t, connections, 3, "a connection that has carried a refusal carries no other call")
+}
+
 func TestEngineCallResumesAfterBrokenStream(t *testing.T) {
 	engine := standin.NewEngine(clock)
 	c := newCall(t, engine)
--- a/driver/transport.go
+++ b/driver/transport.go
@@ -112,6 +112,16 @@
 	return t.conn == nil || t.conn.sealIfUnwritten(t.startOffset)
 }
 
+// retireConn closes the request's connection. An answer that does not name its call, such as a
+// refusal, could come again and be taken for that to a later one.
+func (t *writeTracker) retireConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.retire()
+	}
+}
+
 // post sends body as JSON to an endpoint and returns the answer if its status is
 // 200; the caller closes the answer's body. The error is NotRun if no byte was
 // written or the endpoint stated that it did not start the call, and
@@ -141,6 +151,7 @@
 		return nil, outcomeUnknown(c.Endpoint, err.Error())
 	}
 	if resp.StatusCode != http.StatusOK {
+		defer tracker.retireConn()
 		defer resp.Body.Close()
 		return nil, statusError(c.Endpoint, resp)
 	}
