gateway: a stream goes on only with its rest

Callers found an error's text or page inside a stream that had broken off, an event twice, or a stream that ended after two of six events and looked whole (a report of other operators).

Cause: what the next endpoint answered with a status below 300 was passed on as the rest, whatever its type, events and status; and an answer that is no stream lost what follows its last empty line. Class: an answer is used for a question that it does not answer.

Now the rest of a stream has status 200 and the type of a stream, at least one event, and ids that follow the last one; by one where the ids so far did. Else nothing of it is passed on, another endpoint is asked if the request may go there, and the answer is cut off. Callers who take a stream up get 502 in place of such an answer. A first answer that is no stream is passed on as it is.

--- /dev/null
+++ b/gateway/eventsplitter.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+// Errors of a stream that does not go on where it ended.
+var (
+	errEventWithoutID = errors.New("an event has no id")
+	errEventOrder     = errors.New("its events do not follow the last one")
+	errNoEvents       = errors.New("it has no events")
+)
+
+// eventSplitter splits a stream of server-sent events, which may come in several parts, into complete
+// events. It checks that a part that goes on with the stream begins after the last event.
+type eventSplitter struct {
+	scanner platform.EventScanner
+	// partial holds the bytes after the last complete event.
+	partial []byte
+	// lastID is the id of the last complete event that has one.
+	lastID string
+	// continues is true if the part goes on after the event lastID, begun once it has an event.
+	continues, begun bool
+	// known is true once two ids of the first part were numbers, gaps if such numbers did not
+	// follow each other.
+	known, gaps bool
+}
+
+// startPart begins a new part of the stream. It drops the incomplete event of the part before.
+// after is the id of the event after which the part goes on, or empty if it is the first one.
+func (s *eventSplitter) startPart(after string) {
+	s.scanner, s.partial = platform.EventScanner{}, nil
+	s.continues, s.begun = after != "", false
+	if after != "" {
+		s.lastID = after
+	}
+}
+
+// add appends bytes of the stream and returns the events that are now complete. The error means that
+// they do not go on with the stream; none of them may be used then.
+func (s *eventSplitter) add(b []byte) ([]byte, error) {
+	end := s.scanner.Scan(b)
+	if end == 0 {
+		s.partial = append(s.partial, b...)
+		return nil, nil
+	}
+	complete := append(s.partial, b[:end]...)
+	s.partial = append([]byte(nil), b[end:]...)
+	// Line ends may be LF, CR or CRLF.
+	lines := bytes.ReplaceAll(bytes.ReplaceAll(complete, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
+	for event := range bytes.SplitSeq(lines, []byte("\n\n")) {
+		if err := s.addEvent(event); err != nil {
+			return nil, err
+		}
+	}
+	return complete, nil
+}
+
+// addEvent records a complete event.
+func (s *eventSplitter) addEvent(event []byte) error {
+	id, hasID, hasField := "", false, false
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, hasID = string(bytes.TrimSpace(value)), true
+		}
+		// A line that begins with a colon is a comment.
+		hasField = hasField || len(line) > 0 && line[0] != ':'
+	}
+	switch {
+	case !hasField:
+		return nil
+	case !hasID && s.continues:
+		return errEventWithoutID
+	case !hasID:
+		return nil
+	case !s.follows(id):
+		return errEventOrder
+	}
+	s.lastID, s.begun = id, true
+	return nil
+}
+
+// follows reports whether an event with an id may come next, and records whether ids leave gaps.
+func (s *eventSplitter) follows(id string) bool {
+	last, err := strconv.ParseUint(s.lastID, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+	if err != nil || nextErr != nil {
+		return !s.continues || id != s.lastID
+	}
+	if s.continues {
+		return next > last && (s.gaps || !s.known || next == last+1)
+	}
+	s.known = true
+	s.gaps = s.gaps || next != last+1
+	return true
+}
+
+// end returns an error if a part that goes on with the stream ends without an event.
+func (s *eventSplitter) end() error {
+	if s.continues && !s.begun {
+		return errNoEvents
+	}
+	return nil
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"cicadapitch.example/cicadapitch"
@@ -138,10 +138,12 @@
 		// The engine has fetched its inputs once it sends the first event.
 		inputs.freeAll()
 	}
-	if p.answer.HeaderWritten() && reply.Status >= 300 {
-		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream")
+	if p.answer.HeaderWritten() && reply.Status >= 300 || reply.Status < 300 && p.route.Resumable && resumeAfter != "" && !reply.IsStream() {
+		p.recordBreak(ctx, e.ID)
+		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: status " + strconv.Itoa(reply.Status) + ", type " + reply.ContentType())
 	}
-	if reply.Status < 300 && p.route.Resumable {
+	if p.route.Resumable && reply.IsStream() {
+		events.startPart(resumeAfter)
 		err = p.relayEvents(e, reply, events, silenceTimer, func() {
 			onFirstEvent()
 			p.recordOrigin(e)
@@ -258,13 +260,19 @@
 // another engine can resume it after the last of them. Its errors are those of
 // relayStream.
 func (p *proxiedRequest) relayEvents(e fleet.Endpoint, reply *platform.Reply, events *eventSplitter, silenceTimer *time.Timer, onFirstEvent func()) error {
-	events.reset()
 	buf := make([]byte, streamBufferBytes)
 	proof := p.newAnswerProof(reply)
 	for begun := false; ; {
 		n, err := reply.Read(buf)
 		silenceTimer.Reset(p.silenceTimeout(true).Duration())
-		if complete := events.add(buf[:n]); len(complete) > 0 || err == io.EOF {
+		complete, orderErr := events.add(buf[:n])
+		if orderErr == nil && err == io.EOF && p.answer.HeaderWritten() {
+			orderErr = events.end()
+		}
+		if orderErr != nil {
+			return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: " + orderErr.Error())
+		}
+		if len(complete) > 0 || err == io.EOF {
 			if !begun {
 				begun = true
 				onFirstEvent()
@@ -292,35 +300,3 @@
 
 // errEventTooLong means that an event of a resumable stream exceeds maxEventBytes.
 var errEventTooLong = errors.New("an event is too long")
-
-// eventSplitter splits a stream of server-sent events into complete events.
-type eventSplitter struct {
-	scanner platform.EventScanner
-	// partial holds the bytes after the last complete event.
-	partial []byte
-	// lastID is the id of the last complete event that has one.
-	lastID string
-}
-
-// reset drops the incomplete event of an earlier attempt and keeps lastID.
-func (s *eventSplitter) reset() { s.scanner, s.partial = platform.EventScanner{}, nil }
-
-// add appends bytes of the stream and returns the events that are now complete.
-func (s *eventSplitter) add(b []byte) []byte {
-	end := s.scanner.Scan(b)
-	if end == 0 {
-		s.partial = append(s.partial, b...)
-		return nil
-	}
-	complete := append(s.partial, b[:end]...)
-	s.partial = append([]byte(nil), b[end:]...)
-	for _, line := range bytes.FieldsFunc(complete, isLineEnd) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-		}
-	}
-	return complete
-}
-
-// isLineEnd reports whether a rune ends a line of an event.
-func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
