platform, membership: odd entries name no endpoint, odd reports are left out

An operator of a like system had one odd entry among those of the endpoints, after which the machines that read the list ended or stopped following it. Here nothing ended (membership/oddentry_test.go, odd entries under all prefixes), but odd entries became endpoints: slots of 1e300, which are another number on x86-64 than on arm64, of -7 or 0, a cold start of 1e300 ms, port 99999, 'http' or none, 9,000 nested arrays; hosts/ took any object.

Cause: numbers were converted without a range and addresses were split, not parsed. Class: the boundary decodes more than it checks.

Now one decoder checks depth, size, names, ranges and the address before an entry is used, the rest of the listing goes on; configurations are bounded in their times and sizes; heartbeats of another build lose what is out of range (ages in the future, counts below 0, rates that are no numbers).

TestOddEntryNamesNoEndpoint and TestOddEntriesLeaveTheRestOfTheListingInUse failed before.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -62,7 +62,7 @@
 // the configuration at s, and makes calls with d from then on.
 func (m *Membership) EnablePeerCalls(s *peer.Server, d Dialers) {
 	peer.Handle(s, callHeartbeat, func(_ context.Context, hb Heartbeat) (Heartbeat, error) {
-		m.receiveHeartbeat(hb)
+		m.receiveHeartbeat(hb.Checked())
 		return m.newHeartbeat(), nil
 	})
 	peer.Handle(s, callSync, m.serveSync)
@@ -219,6 +219,7 @@
 		m.logMissedHeartbeat(h, err)
 		return
 	}
+	hb = hb.Checked()
 	m.receiveHeartbeat(hb)
 	current := m.knowledge.Hear(askedAt, m.clock.Now(), hb.Endpoints)
 	if current && hb.Revision <= m.revision() {
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -13,6 +13,7 @@
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
 )
 
 const (
@@ -202,7 +203,7 @@
 		return
 	}
 	var records []origin.Record
-	if err := json.Unmarshal(r.Value, &records); err != nil {
+	if err := platform.DecodeEntry(r.Value, &records); err != nil {
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of streams ignored")
 		return
 	}
@@ -216,7 +217,7 @@
 		delete(m.storedVersions, r.Key)
 		return
 	}
-	if err := json.Unmarshal(r.Value, &versions); err != nil {
+	if err := platform.DecodeEntry(r.Value, &versions); err != nil {
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a service's versions ignored")
 		return
 	}
--- a/membership/quarantine.go
+++ b/membership/quarantine.go
@@ -9,6 +9,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/quarantine"
 )
 
@@ -35,7 +36,7 @@
 		return
 	}
 	var q quarantineRecord
-	if err := json.Unmarshal(r.Value, &q); err != nil || q.Part == "" {
+	if err := platform.DecodeEntry(r.Value, &q); err != nil || q.Part == "" {
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a quarantined part ignored")
 		return
 	}
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -274,7 +273,12 @@
 		return
 	}
 	var h hostRecord
-	if err := json.Unmarshal(r.Value, &h); err != nil {
+	err := platform.DecodeEntry(r.Value, &h)
+	if err == nil && h.Incarnation == "" {
+		err = errors.New("it has no incarnation")
+	}
+	if err = errors.Join(err, platform.CheckAddress(h.Peers), platform.CheckAddress(h.Callers)); err != nil {
+		m.state.RemoveHost(r.Key)
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a host ignored")
 		return
 	}
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -56,7 +56,7 @@
 	if _, ok := s.records[rec.Request]; ok {
 		return
 	}
-	s.records[rec.Request] = heldRecord{rec.Origin, now.Add(rec.Lifetime)}
+	s.records[rec.Request] = heldRecord{rec.Origin, now.Add(min(max(rec.Lifetime, 0), MaxLifetime))}
 	s.inserted = append(s.inserted, rec.Request)
 }
 
