membership: whoever learns of a leaving endpoint from the store tells it

Cause: only the watch of the endpoints announced a leaving, and it starts at the revision that the watch of everything has reached.

Now the records that changed this host's copy are announced by whichever watch, poll or listing brought them, and a notice is sent up to three times while the host may lack it. TestLeavingThatOnlyTheMainWatchSeesIsAnnounced failed before: no notice reached 14 hosts.

--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -54,9 +54,9 @@
 
 // startHostAt starts a host with the given settings, and returns a function that ends it without
 // notice.
-func startHostAt(t *testing.T, s *platform.Settings, link *platformtest.Link) (*peerHost, func()) {
+func startHostAt(t *testing.T, s *platform.Settings, link *platformtest.Link, opts ...membership.Option) (*peerHost, func()) {
 	h := &peerHost{settings: s}
-	h.Membership = membership.New(h.settings)
+	h.Membership = membership.New(h.settings, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
 	for _, run := range []func(context.Context){h.FollowStore, h.KeepRegistered, h.RunHeartbeats} {
--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -15,8 +15,10 @@
 	// noticeCopies is the number of hosts from which a host of a large fleet gets each notice,
 	// so that those that are slow or do not reach the store do not delay it.
 	noticeCopies = 3
-	// noticeTimeout bounds a notice. The heartbeats carry the changes too.
+	// noticeTimeout bounds a notice, noticeTries how often it is sent to a host that does not
+	// answer. The heartbeats carry the changes too.
 	noticeTimeout = cicadapitch.Second
+	noticeTries   = 3
 )
 
 // followEndpoints watches the entries of the endpoints apart from the rest of the store until
@@ -45,8 +47,7 @@
 			m.confirmKnowledge(askedAt, after)
 		}
 		if records := recordsOfEvents(events); len(records) > 0 {
-			m.applyPart(records, storeWatch)
-			m.announceEndpoints(lo.Filter(records, endsUse))
+			m.announceEndpoints(m.applyPart(records, storeWatch))
 			m.confirmKnowledge(askedAt, after)
 			_ = m.clock.Sleep(ctx, watchBatchDelay) // the loop checks ctx
 		}
@@ -64,19 +65,23 @@
 }
 
 // applyPart merges some of the changes up to their revisions; the mirror is not complete up to
-// these.
-func (m *Membership) applyPart(records []fleet.Record, s source) {
+// these. It returns the records that changed.
+func (m *Membership) applyPart(records []fleet.Record, s source) []fleet.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Apply(now, records, 0), s)
+	changed := m.mirror.Apply(now, records, 0)
+	m.updateState(now, changed, s)
+	return changed
 }
 
-// announceEndpoints sends records of endpoints to the hosts for which this one is among the
-// first noticeCopies watchers of the store, in the background.
-func (m *Membership) announceEndpoints(records []fleet.Record) {
+// announceEndpoints tells other hosts of the endpoints that take no more requests by changes which
+// this host has learned from the store, in the background: those hosts of a large fleet for which
+// this one is among the first noticeCopies watchers.
+func (m *Membership) announceEndpoints(changed []fleet.Record) {
 	d := m.dialers.Load()
-	if d == nil || len(records) == 0 {
+	records := lo.Filter(changed, endsUse)
+	if d == nil || len(records) == 0 || m.allWatch() {
 		return
 	}
 	watchers := m.watchers()
@@ -86,17 +91,37 @@
 		if m.IsSelf(h) || !lo.ContainsBy(senders[:min(noticeCopies, len(senders))], m.IsSelf) {
 			continue
 		}
-		go func() {
-			start := m.clock.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout.Duration())
-			defer cancel()
-			if _, err := peer.Call[EndpointNotice, struct{}](ctx, d.Control, h.Peers, callEndpointNotice, notice); err != nil {
-				m.log.Warn().Str("Host", string(h.ID)).Int("Records", len(records)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("notice of endpoints that leave failed")
-			}
-		}()
+		go m.notify(d, h, notice)
 	}
 }
 
+// notify sends a notice to a host, again if that fails while the host may lack its records.
+func (m *Membership) notify(d *Dialers, h fleet.Host, n EndpointNotice) {
+	latest := lo.MaxBy(n.Records, func(a, b fleet.Record) bool { return a.Revision > b.Revision }).Revision
+	for try := 1; try <= noticeTries && m.revisionOf(h) < latest; try++ {
+		start := m.clock.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout.Duration())
+		_, err := peer.Call[EndpointNotice, struct{}](ctx, d.Control, h.Peers, callEndpointNotice, n)
+		cancel()
+		if err == nil {
+			return
+		}
+		m.log.Warn().Str("Host", string(h.ID)).Int("Records", len(n.Records)).Int("Try", try).
+			Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("notice of endpoints that leave failed")
+		_ = m.clock.Sleep(context.Background(), retryMinDelay) // cannot fail with this context
+	}
+}
+
+// revisionOf returns the revision of the store in the last heartbeat of a host.
+func (m *Membership) revisionOf(h fleet.Host) cicadapitch.StoreRevision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[h.Incarnation]; p != nil {
+		return p.Revision
+	}
+	return 0
+}
+
 // applyNotice applies a notice of another host.
 func (m *Membership) applyNotice(n EndpointNotice) {
 	m.applyPart(n.Records, source{string(n.Host), byNotice})
--- a/membership/endpointsync_test.go
+++ b/membership/endpointsync_test.go
@@ -1,13 +1,18 @@
 package membership_test
 
 import (
+	"bytes"
 	"fmt"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch/membership"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
@@ -61,3 +66,59 @@
 	require.NoError(t, err)
 	require.False(t, hb.StoreAway)
 }
+
+// noticedLog keeps the lines of endpoints that leave which came by a notice.
+type noticedLog struct {
+	mu    sync.Mutex
+	lines int
+}
+
+// Write implements io.Writer.
+func (l *noticedLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bytes.Contains(b, []byte(`"Leaving":true`)) && bytes.Contains(b, []byte(`"By":"Notice"`)) {
+		l.lines++
+	}
+	return len(b), nil
+}
+
+func (l *noticedLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines
+}
+
+// TestLeavingThatOnlyTheMainWatchSeesIsAnnounced lets all hosts of a large fleet that watch the
+// store learn of a leaving endpoint by the watch of everything, as when that of the endpoints has
+// just failed. The other hosts still get their notices.
+func TestLeavingThatOnlyTheMainWatchSeesIsAnnounced(t *testing.T) {
+	const hosts, watching = 20, 6
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set(platformtest.ConfigKey, platformtest.Config(1, "", 14))
+	setEndpoint(s, "a", 1, "ready")
+	logs := make([]*noticedLog, hosts)
+	var all []*peerHost
+	for i := range hosts {
+		logs[i] = &noticedLog{}
+		h, stop := startHostAt(t, newPeerSettings(s.Address()), platformtest.NewLink(fastMbps), membership.WithLog(zerolog.New(logs[i])))
+		t.Cleanup(stop)
+		all = append(all, h)
+	}
+	for _, h := range all {
+		eventually(t, 10_000, func() bool { return len(h.Hosts()) == hosts && endpointCount(h.Membership) == 1 })
+	}
+	// Watches that wait end within their time; later ones are refused.
+	s.RefuseWatches(platform.EndpointKeyPrefix())
+	time.Sleep(3500 * time.Millisecond)
+	setEndpoint(s, "a", 1, "draining")
+	for _, h := range all {
+		eventually(t, 2000, func() bool { return endpointCount(h.Membership) == 0 })
+	}
+	noticed := 0
+	for _, l := range logs {
+		noticed += min(l.count(), 1)
+	}
+	require.GreaterOrEqual(t, noticed, (hosts-watching)/2, "hosts that heard by a notice before a heartbeat")
+}
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -211,6 +211,6 @@
 		m.log.Warn().Int64("TookMs", int64(m.clock.Now().Sub(askedAt))).Err(err).Msg("asking the store for changes of endpoints failed")
 		return
 	}
-	m.applyPart(recordsOfEvents(events), storePoll)
+	m.announceEndpoints(m.applyPart(recordsOfEvents(events), storePoll))
 	m.confirmKnowledge(askedAt, revision)
 }
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	m.markStoreUp()
-	m.applyListing(recordsOfPairs(pairs), revision)
+	m.announceEndpoints(m.applyListing(recordsOfPairs(pairs), revision))
 	m.confirmKnowledge(askedAt, revision)
 	for {
 		if !m.shouldWatchStore() {
@@ -82,7 +82,7 @@
 			// The revision moved on without an event, so the watch missed changes.
 			return platform.ErrCompacted
 		}
-		m.applyChanges(recordsOfEvents(events), nextRevision, storeWatch)
+		m.announceEndpoints(m.applyChanges(recordsOfEvents(events), nextRevision, storeWatch))
 		m.confirmKnowledge(askedAt, nextRevision)
 		if len(events) > 0 && m.clock.Sleep(ctx, watchBatchDelay) != nil {
 			return ctx.Err()
@@ -137,22 +137,28 @@
 	}
 }
 
-// applyListing merges a full listing of the store, taken at the given revision.
-func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) {
+// applyListing merges a full listing of the store, taken at the given revision. It returns the
+// records that changed.
+func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) []fleet.Record {
 	list = m.applyCatalogs(list, storeListing.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Replace(now, "", list, revision), storeListing)
+	changed := m.mirror.Replace(now, "", list, revision)
+	m.updateState(now, changed, storeListing)
+	return changed
 }
 
-// applyChanges merges changes that are complete up to the given revision.
-func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, s source) {
+// applyChanges merges changes that are complete up to the given revision. It returns the records
+// that changed.
+func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, s source) []fleet.Record {
 	changes = m.applyCatalogs(changes, s.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Apply(now, changes, revision), s)
+	changed := m.mirror.Apply(now, changes, revision)
+	m.updateState(now, changed, s)
+	return changed
 }
 
 // updateState applies changed records and overdue removals to the state, and publishes
--- a/standin/store.go
+++ b/standin/store.go
@@ -31,6 +31,8 @@
 	down bool
 	// watchEventsSuppressed is true while watches get no events.
 	watchEventsSuppressed bool
+	// refusedWatch is the prefix of which waiting watches are refused, or empty.
+	refusedWatch string
 	delay                 cicadapitch.Millis
 	// responsesToLose is the number of next writes that take effect but return
 	// OutcomeUnknown.
--- a/standin/storeoptions.go
+++ b/standin/storeoptions.go
@@ -50,6 +50,14 @@
 	s.watchEventsSuppressed = suppressed
 }
 
+// RefuseWatches refuses watches of a prefix that wait for a change, or none if it is empty.
+func (s *MemoryStore) RefuseWatches(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedWatch = prefix
+	s.notifyWatches()
+}
+
 // Write applies writes as another client of the store would. It ignores the
 // injected faults.
 func (s *MemoryStore) Write(writes ...cicadapitch.Write) {
--- a/standin/storewatch.go
+++ b/standin/storewatch.go
@@ -58,9 +58,13 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	refused := wait > 0 && prefix != "" && prefix == s.refusedWatch
 	s.calls.OpenWatches++
 	unlock()
 	defer s.countClosedWatch()
+	if refused {
+		return nil, 0, cicadapitch.NewError(cicadapitch.Unavailable, "watches of "+prefix+" are refused", "try again later")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	waitOver := make(chan struct{})
