--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,13 +25,15 @@
 	settings string
 	log      *os.File
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// program is what the next start runs.
+	program string
 	cmd     *exec.Cmd
 	stopped bool
 }
 
 func newHostProcess(t *testing.T, ip string, index int, store string) *hostProcess {
-	p := &hostProcess{t: t, name: fmt.Sprintf("host-%d", index), ip: ip}
+	p := &hostProcess{t: t, name: fmt.Sprintf("host-%d", index), ip: ip, program: binary}
 	p.settings = filepath.Join(t.TempDir(), p.name+".toml")
 	require.NoError(t, os.WriteFile(p.settings, platformtest.Settings(p.name, ip, store), 0o600))
 	log, err := os.Create(filepath.Join(os.TempDir(), fmt.Sprintf("soak-%s-%s.log", ip, p.name)))
@@ -48,7 +50,7 @@
 	if p.stopped {
 		return
 	}
-	cmd := exec.Command(binary, "--settings", p.settings)
+	cmd := exec.Command(p.program, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		p.t.Errorf("start %s: %v", p.name, err)
@@ -63,6 +65,13 @@
 	}()
 }
 
+// setProgram sets the program of the next start.
+func (p *hostProcess) setProgram(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.program = path
+}
+
 // signal sends s to the host if it was started.
 func (p *hostProcess) signal(s syscall.Signal) {
 	p.mu.Lock()
