--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -63,6 +63,8 @@
 	// any more are known not to.
 	usable    map[cicadapitch.EndpointID]bool
 	leavingAt map[cicadapitch.EndpointID]time.Time
+	// knowledgeAges holds how old the knowledge of the endpoints was when requests came.
+	knowledgeAges []cicadapitch.Millis
 	// asked and served count the requests of callers.
 	asked, served atomic.Int64
 }
--- a/bench/propagation/leaving.go
+++ b/bench/propagation/leaving.go
@@ -12,6 +12,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/platform"
@@ -54,6 +56,10 @@
 	// LastRequest are the times from the acknowledgement of a leaving to the arrival of the
 	// last request at the endpoint, over all endpoints that left.
 	LastRequest Percentiles
+	// Knowledge are the ages of the hosts' knowledge of the endpoints when requests come, TooOld is
+	// the share of them above the age on which a host sends.
+	Knowledge Percentiles
+	TooOld    float64
 	// LateServed is the share of the requests to hosts that are late that were served, Served
 	// that of all. LateServed is 1 if there are none.
 	LateServed float64
@@ -187,7 +193,15 @@
 			last = append(last, max(cicadapitch.Millis(arrivals[n-1].Sub(at).Milliseconds()), 0))
 		}
 	}
+	var ages []cicadapitch.Millis
+	for _, h := range r.fleet.hosts {
+		h.mu.Lock()
+		ages = append(ages, h.knowledgeAges...)
+		h.mu.Unlock()
+	}
+	tooOld := lo.CountBy(ages, func(m cicadapitch.Millis) bool { return m > leavingDelay/2 })
 	return LeavingResult{
+		Knowledge: percentilesOf(ages), TooOld: float64(tooOld) / float64(max(len(ages), 1)),
 		Case: r.c, Known: percentilesOf(known), LastRequest: percentilesOf(last),
 		Served: servedShare(r.fleet.hosts), LateServed: servedShare(late), Bytes: cost.bytes, Processor: cost.processor,
 	}, nil
@@ -230,6 +244,11 @@
 	}
 	w := &answerWriter{header: http.Header{}, status: http.StatusOK}
 	h.asked.Add(1)
+	if age, ok := h.membership.KnowledgeAge(); ok {
+		h.mu.Lock()
+		h.knowledgeAges = append(h.knowledgeAges, age)
+		h.mu.Unlock()
+	}
 	defer func() {
 		if recover() == nil && w.status == http.StatusOK {
 			h.served.Add(1)
@@ -272,11 +291,12 @@
 // WriteLeavingTable prints results as a table.
 func WriteLeavingTable(w io.Writer, results []LeavingResult) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "hosts\trequests/s\tadded\ttraffic\tconnect ms\tknown p50\tp99\tworst ms\tlast request p50\tp99\tworst ms\tserved\tMB\tcpu s\t")
+	fmt.Fprintln(t, "hosts\trequests/s\tadded\ttraffic\tconnect ms\tknown p50\tp99\tworst ms\tlast request p50\tp99\tworst ms\tknowledge p50\tp99\tworst ms\ttoo old\tserved\tMB\tcpu s\t")
 	for _, r := range results {
 		c := r.Case
-		fmt.Fprintf(t, "%d\t%g\t%d\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t\n", c.Hosts, c.Requests, c.Added*c.Changes, c.Traffic, c.ConnectDelay,
+		fmt.Fprintf(t, "%d\t%g\t%d\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.4f\t%.3f\t%.1f\t%.1f\t\n", c.Hosts, c.Requests, c.Added*c.Changes, c.Traffic, c.ConnectDelay,
 			r.Known.P50, r.Known.P99, r.Known.Worst, r.LastRequest.P50, r.LastRequest.P99, r.LastRequest.Worst,
+			r.Knowledge.P50, r.Knowledge.P99, r.Knowledge.Worst, r.TooOld,
 			r.Served, float64(r.Bytes)/1e6, r.Processor.Seconds())
 	}
 	return cicadapitch.Wrap(t.Flush())
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -20,7 +20,10 @@
 	// the way of the request.
 	knowledgeDivisor = 2
 	// refreshDivisor divides that age again: older knowledge is refreshed in the background.
+	// proberDivisor is that of hosts that ask the store for all others, unless they have heard from
+	// another one.
 	refreshDivisor = 2
+	proberDivisor  = 4
 	// proberCount is the number of hosts of a small fleet that ask the store again and again
 	// whether endpoints have changed. In a large one the hosts that watch the store do.
 	proberCount = 3
@@ -110,7 +113,10 @@
 	if c == before {
 		return
 	}
-	age, _ := m.knowledge.Age(now)
+	age, known := m.knowledge.Age(now)
+	if !known {
+		age = -1
+	}
 	m.log.Info().Stringer("Currency", c).Stringer("Before", before).Int64("AgeMs", int64(age)).
 		Int64("Revision", int64(m.knowledge.UpTo())).Msg("knowledge of endpoints")
 }
@@ -130,11 +136,12 @@
 		return
 	}
 	age, known := m.KnowledgeAge()
-	if known && (age > limit/refreshDivisor || slices.ContainsFunc(m.probers(), m.IsSelf)) {
-		m.refresh()
+	if !known {
+		return
 	}
-	if known {
-		m.metrics.Gauge("KnowledgeAgeMs").Update(float64(age))
+	m.metrics.Gauge("KnowledgeAgeMs").Update(float64(age))
+	if age > limit/refreshDivisor || age > limit/proberDivisor && slices.ContainsFunc(m.probers(), m.IsSelf) {
+		m.refresh()
 	}
 }
 
