membership: a request that is given up while it waits for knowledge has not run

A request whose time ended in that wait was counted as one that may have run, though nothing was sent: its caller got 502 or 504 in place of 503, and it was not repeated. The error is now always that nothing was sent.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 	// none.
 	KnowledgeAge() (cicadapitch.Millis, bool)
 	// AwaitKnowledge returns nil if this host's knowledge of the endpoints is young enough to send
-	// a request, possibly after a wait. The error is membership.ErrKnowledgeOld or that of ctx.
+	// a request, possibly after a wait. The error is membership.ErrKnowledgeOld.
 	AwaitKnowledge(ctx context.Context) error
 	// CatalogLag returns how far this host's configuration is behind.
 	CatalogLag() fleet.CatalogLag
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -62,18 +62,17 @@
 }
 
 // AwaitKnowledge returns nil if this host's knowledge of the endpoints may be used to send a
-// request. If it is too old, AwaitKnowledge waits for a refresh. The error is ErrKnowledgeOld,
-// or that of ctx.
+// request. If it is too old, AwaitKnowledge waits for a refresh until ctx ends. The error is
+// ErrKnowledgeOld.
 func (m *Membership) AwaitKnowledge(ctx context.Context) error {
 	if m.knowledgeUsable() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, knowledgeWait.Duration(), ErrKnowledgeOld)
+	ctx, cancel := context.WithTimeout(ctx, knowledgeWait.Duration())
 	defer cancel()
 	select {
 	case <-m.refresh():
 	case <-ctx.Done():
-		return context.Cause(ctx)
 	}
 	if m.knowledgeUsable() {
 		return nil
