--- a/standin/store.go
+++ b/standin/store.go
@@ -33,7 +33,7 @@
 	watchEventsSuppressed bool
 	// refusedWatch is the prefix of which waiting watches are refused, or empty.
 	refusedWatch string
-	delay                 cicadapitch.Millis
+	delay        cicadapitch.Millis
 	// responsesToLose is the number of next writes that take effect but return
 	// OutcomeUnknown.
 	responsesToLose int
