fleet: a host that is too busy does not take its own silence for an outage of the store

In a fleet of 68 hosts with calls on 0.9 of all links, beside other work on the machine, hosts knew of leavings after 2.2 s (p50) and the last request came 3.7 s after a word, though knowledge may be 1.0 s old: questions to the store timed out, no host knew anything younger, and so each took the store to be away.

A host now assumes that the store is away only while most of its questions to other hosts are answered within 0.3 s; else it is cut off or too busy to tell, and rejects.

--- a/fleet/knowledge.go
+++ b/fleet/knowledge.go
@@ -10,6 +10,15 @@
 // counts for what is assumed of the store.
 const silenceTime cicadapitch.Millis = 2000
 
+const (
+	// promptTime is the longest time of a prompt answer of another host. minPrompt is the share of
+	// prompt answers below which a host's own processor or link is too busy to tell whether
+	// others are silent. promptWeight is the weight of the newest answer in that share.
+	promptTime   cicadapitch.Millis = 300
+	minPrompt                       = 0.5
+	promptWeight                    = 0.1
+)
+
 // outageAge is how long nobody has to have reached the store for an outage. It is longer than
 // claims of sound hosts take to get around, and shorter than entries of endpoints last.
 const outageAge cicadapitch.Millis = 1500
@@ -28,8 +37,8 @@
 	// Behind means that the knowledge is old and another host has younger knowledge, or that the
 	// store has not been asked yet.
 	Behind
-	// CutOff means that the knowledge is old and that neither the store nor any other host
-	// answers.
+	// CutOff means that the knowledge is old and that the store does not answer, nor do other
+	// hosts in time: this host is cut off or too busy to tell that from an outage of the store.
 	CutOff
 )
 
@@ -57,6 +66,8 @@
 	// storeFailedAt is when a question to the store last failed, heardAt when another host last
 	// answered.
 	storeFailedAt, heardAt cicadapitch.Instant
+	// late is the smoothed share of questions to other hosts that were not answered promptly.
+	late float64
 }
 
 // Advance records that all changes of endpoints up to a revision are applied.
@@ -108,6 +119,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heardAt = max(k.heardAt, now)
+	k.recordAnswer(now.Sub(askedAt) <= promptTime)
 	if c == nil {
 		return true
 	}
@@ -124,6 +136,22 @@
 	return true
 }
 
+// Unanswered records that another host did not answer a question in time.
+func (k *Knowledge) Unanswered() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recordAnswer(false)
+}
+
+// recordAnswer records whether a question to another host was answered promptly. The caller holds
+// mu.
+func (k *Knowledge) recordAnswer(prompt bool) {
+	k.late *= 1 - promptWeight
+	if !prompt {
+		k.late += promptWeight
+	}
+}
+
 // StoreFailed records that a question to the store failed.
 func (k *Knowledge) StoreFailed(now cicadapitch.Instant) {
 	k.mu.Lock()
@@ -166,7 +194,7 @@
 		return Current
 	case k.asOf == 0 || !recent(k.storeFailedAt) || recent(k.youngerAt) && k.heardOf > k.asOf:
 		return Behind
-	case others && !recent(k.heardAt):
+	case others && (!recent(k.heardAt) || k.late > 1-minPrompt):
 		return CutOff
 	}
 	return StoreAway
--- a/fleet/knowledge_test.go
+++ b/fleet/knowledge_test.go
@@ -55,7 +55,15 @@
 		"away, others of an earlier build":     {func(k *fleet.Knowledge) { k.StoreFailed(now); k.Hear(now, now, nil) }, true, fleet.StoreAway},
 		"refused here, another one knows more": {func(k *fleet.Knowledge) { k.StoreFailed(now); k.Hear(now, now, &fleet.Claim{Revision: 6}) }, true, fleet.Behind},
 		"nobody answers":                       {func(k *fleet.Knowledge) { k.StoreFailed(now) }, true, fleet.CutOff},
-		"the last failure is long ago":         {func(k *fleet.Knowledge) { k.StoreFailed(start.Add(500)) }, false, fleet.Behind},
+		"away, but this host is too busy to tell": {func(k *fleet.Knowledge) {
+			k.StoreFailed(now)
+			for range 20 {
+				k.Hear(now.Add(-800), now, &fleet.Claim{Revision: 5, Age: 3000})
+				k.Unanswered()
+			}
+			k.Hear(now, now, &fleet.Claim{Revision: 5, Age: 3000})
+		}, true, fleet.CutOff},
+		"the last failure is long ago": {func(k *fleet.Knowledge) { k.StoreFailed(start.Add(500)) }, false, fleet.Behind},
 	} {
 		k := known()
 		c.happened(k)
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -214,8 +214,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
 	askedAt := m.clock.Now()
 	hb, err := peer.Call[Heartbeat, Heartbeat](callCtx, d, h.Peers, callHeartbeat, m.newHeartbeat())
+	timedOut := callCtx.Err() != nil
 	cancel()
 	if err != nil {
+		if timedOut {
+			m.knowledge.Unanswered()
+		}
 		m.logMissedHeartbeat(h, err)
 		return
 	}
