--- a/fleet/knowledge.go
+++ b/fleet/knowledge.go
@@ -10,13 +10,14 @@
 // counts for what is assumed of the store.
 const silenceTime cicadapitch.Millis = 2000
 
+// promptTime is the longest time of a prompt answer of another host.
+const promptTime cicadapitch.Millis = 300
+
 const (
-	// promptTime is the longest time of a prompt answer of another host. minPrompt is the share of
-	// prompt answers below which a host's own processor or link is too busy to tell whether
-	// others are silent. promptWeight is the weight of the newest answer in that share.
-	promptTime   cicadapitch.Millis = 300
-	minPrompt                       = 0.5
-	promptWeight                    = 0.1
+	// minPrompt is the share of prompt answers below which a host's own processor or link is too
+	// busy to tell whether others are silent, promptWeight the weight of the newest answer in it.
+	minPrompt    = 0.5
+	promptWeight = 0.1
 )
 
 // outageAge is how long nobody has to have reached the store for an outage. It is longer than
