platform, relay: the end of a relay is not the end of an answer

Cause: the host reached the endpoint over another host, which was killed while it relayed. The kernel closes the connections of a killed process in order, here between two events, and the answer had neither a length nor chunks. In the logs: path Relayed at 641.550, sent at 641.553 with Framing CloseDelimited, kill of the relay at 642.148, ended at 642.155 without an error. Class: the end of one's own connection is taken for the end of another's answer.

An answer over a relay without length or chunks now ends as broken, and goes on elsewhere if it may. TestEndOfARelayDoesNotLookLikeTheEndOfAnAnswer failed before in the relayed case.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -252,6 +252,10 @@
 	address string
 }
 
+// Relayed reports that the connection ends with its relay too, in order even if the endpoint has
+// not ended its answer.
+func (c *conn) Relayed() bool { return true }
+
 // Outdated reports whether the endpoint is reached directly again, so that the connection is
 // not worth keeping.
 func (c *conn) Outdated() bool {
