--- a/membership/channel.go
+++ b/membership/channel.go
@@ -25,7 +25,7 @@
 	by   channel
 }
 
-// storeListing and storeWatch are the sources of records that come from the store.
+// The sources of records that come from the store.
 var (
 	storeListing = source{"store", byListing}
 	storeWatch   = source{"store", byWatch}
--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -43,12 +43,11 @@
 			continue
 		}
 		after = max(after, next)
-		if len(events) == 0 {
-			m.confirmKnowledge(askedAt, after)
-		}
 		if records := recordsOfEvents(events); len(records) > 0 {
 			m.announceEndpoints(m.applyPart(records, storeWatch))
-			m.confirmKnowledge(askedAt, after)
+		}
+		m.confirmKnowledge(askedAt, after)
+		if len(events) > 0 {
 			_ = m.clock.Sleep(ctx, watchBatchDelay) // the loop checks ctx
 		}
 	}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -289,11 +289,12 @@
 	m.mu.Lock()
 	now := m.clock.Now()
 	m.updateState(now, m.mirror.Merge(now, records, r.Scope, r.Revision), s)
-	if r.Scope != fleet.Some {
-		m.knowledge.Advance(r.Revision)
-	}
 	m.mu.Unlock()
-	if r.Scope == fleet.Some || r.Endpoints == nil {
+	if r.Scope == fleet.Some {
+		return
+	}
+	m.knowledge.Advance(r.Revision)
+	if r.Endpoints == nil {
 		return
 	}
 	m.knowledge.Advance(r.Endpoints.Revision)
