membership: a host registers as soon as it can serve

Callers saw a fleet that came back slowly: a host that had restarted was ready and unknown to the others for another 1.2 s. Cause: KeepRegistered looked for a configuration once, before the first listing of the store had come, and then paused for the interval of renewals. Change: until a host has a configuration and can call other hosts it looks every 50 ms, at no cost for the store.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -20,6 +20,9 @@
 	// leaseRenewInterval is the pause between two renewals of the lease. Two of them may
 	// fail before the lease expires.
 	leaseRenewInterval cicadapitch.Millis = 1200
+	// registrablePollInterval is the pause between two looks whether a host that has started can
+	// register.
+	registrablePollInterval cicadapitch.Millis = 50
 	// syncDelay is how long a host that watches the store waits for a change to arrive
 	// from the store before it fetches the change from another host.
 	syncDelay cicadapitch.Millis = 250
@@ -312,9 +315,12 @@
 		m.log.Error().Err(err).Msg("encoding this host's store entry failed; the host is not registered")
 		return
 	}
+	peersBy := m.clock.Now().Add(leaseRenewInterval)
 	for ctx.Err() == nil && !m.leaving.Load() {
 		pause := leaseRenewInterval
-		if err := m.renewOrRegister(ctx, value); err != nil {
+		if !m.registrable(peersBy) {
+			pause = registrablePollInterval
+		} else if err := m.renewOrRegister(ctx, value); err != nil {
 			m.log.Warn().Err(err).Msg("registering this host in the store or renewing its lease failed; retrying")
 			pause = retryMaxDelay
 		}
@@ -323,9 +329,14 @@
 	}
 }
 
+// registrable reports whether the host can serve callers and, until peersBy, whether it can call
+// other hosts. Before that it is of no use to others.
+func (m *Membership) registrable(peersBy cicadapitch.Instant) bool {
+	return m.View().Catalog != nil && (m.dialers.Load() != nil || m.clock.Now() >= peersBy)
+}
+
 // renewOrRegister renews the host's lease. If the host has no lease or the lease has
-// expired, it writes the host's entry, value, under a new lease, but not before the
-// host has a configuration.
+// expired, it writes the host's entry, value, under a new lease.
 func (m *Membership) renewOrRegister(ctx context.Context, value []byte) error {
 	m.mu.Lock()
 	lease := m.lease
@@ -336,9 +347,6 @@
 			return err
 		}
 	}
-	if m.View().Catalog == nil {
-		return nil
-	}
 	lease, err := m.store.Grant(ctx, max(leaseTTL, m.settings.Store.MinLease))
 	if err != nil {
 		return err
