platformtest: tests of several processes use different loopback addresses

Tests that start hosts failed beside each other: a host could not listen, so that it was never ready. Cause: each process of tests began with the same loopback address and fixed ports. Change: LoopbackAddress takes a part of the address from the process id. No check changes.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -117,7 +117,7 @@
 func (f *Fleet) startHosts() error {
 	f.hosts = nil
 	for i := range f.c.Hosts {
-		h, err := f.startHost(fmt.Sprintf("127.79.%d.%d", f.subnet, i+1), i)
+		h, err := f.startHost(platformtest.LoopbackAddress(int(f.subnet), i+1), i)
 		if err != nil {
 			return err
 		}
--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -56,7 +56,7 @@
 	d.setConfiguration("")
 	subnet := nextSubnet.Add(1)
 	for i := range hosts {
-		d.startHost(fmt.Sprintf("127.77.%d.%d", subnet, i+1), i)
+		d.startHost(platformtest.LoopbackAddress(int(subnet), i+1), i)
 	}
 	d.waitReady()
 	return d
--- a/fronthost/quarantine_test.go
+++ b/fronthost/quarantine_test.go
@@ -131,7 +131,7 @@
 	first := len(d.hostSettings)
 	subnet := nextSubnet.Add(1)
 	for i := range n {
-		d.startHost(fmt.Sprintf("127.77.%d.%d", subnet, i+1), first+i)
+		d.startHost(platformtest.LoopbackAddress(int(subnet), i+1), first+i)
 	}
 	for i := range n {
 		require.Eventually(d.t, func() bool { return d.ready(first + i) }, 5*time.Second, 20*time.Millisecond)
--- a/membership/catalogsync_test.go
+++ b/membership/catalogsync_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -31,7 +30,7 @@
 }
 
 func newPeerSettings(store string) *platform.Settings {
-	ip := fmt.Sprintf("127.78.0.%d", nextPeerIP.Add(1))
+	ip := platformtest.LoopbackAddress(251, int(nextPeerIP.Add(1)))
 	return &platform.Settings{
 		Host: cicadapitch.HostID(ip), IP: ip, Zone: "z", PeerPort: 7740, CallerListen: ip + ":8001",
 		Store:  platform.StoreSettings{Address: store, MinLease: 1000},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -133,7 +133,7 @@
 	}
 	s.configure()
 	for i := range hostCount {
-		p := newHostProcess(t, fmt.Sprintf("127.99.%d.%d", seed%250+1, i+1), i, s.relays[0].address)
+		p := newHostProcess(t, platformtest.LoopbackAddress(int(seed%250+1), i+1), i, s.relays[0].address)
 		s.processes = append(s.processes, p)
 		p.start()
 	}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -127,7 +127,7 @@
 	version := 1
 	u.store.Set(platformtest.ConfigKey, platformtest.Config(version, "", 50))
 	for i := range upgradeHosts {
-		p := newHostProcess(t, fmt.Sprintf("127.98.1.%d", i+1), i, u.store.Address())
+		p := newHostProcess(t, platformtest.LoopbackAddress(252, i+1), i, u.store.Address())
 		p.setProgram(earlier)
 		u.hosts = append(u.hosts, p)
 		p.start()
