fronthost, membership: a host that stops ends once nobody needs it

Cause: the listener for callers stayed open until shortly before the end of the grace, whoever else took callers. Change: the listener closes once no answer of the directory names the host, if another host takes callers, else when the host's turn among all hosts has come. While no host is available, the directory of one that still accepts callers names it.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -31,16 +31,6 @@
 	// memoryLimitDivisor divides the host's memory to give the soft memory limit, near
 	// which the garbage collector runs more often.
 	memoryLimitDivisor = 2
-	// queueDrainTime is how long after SIGTERM requests may still be sent to an engine,
-	// at most a third of the shutdown grace. Streams that start by then complete before
-	// the platform kills the process.
-	queueDrainTime cicadapitch.Millis = 2500
-	// listenStopMargin is how long before the end of the shutdown grace the listener for
-	// callers closes. By then no directory answer that names the host is valid.
-	listenStopMargin cicadapitch.Millis = 1200
-	// shutdownMargin is how long before the end of the shutdown grace the host gives up
-	// the requests in progress.
-	shutdownMargin cicadapitch.Millis = 400
 )
 
 // Host is one host on the platform. Create it with New.
@@ -204,25 +194,6 @@
 	h.serve(&http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, l)
 }
 
-// shutDown makes responses close their connection, takes the host out of the
-// directory, refuses requests that still wait after queueDrainTime, closes the listener
-// for callers once no directory answer names the host any more, and waits for the
-// requests in progress. The other listeners stay open until the process ends.
-func (h *Host) shutDown(callers *http.Server) {
-	start := h.clock.Now()
-	h.log.Info().Msg("stop requested")
-	h.ingress.CloseConnections()
-	ctx, cancel := context.WithTimeout(context.Background(), (h.settings.Bounds.ShutdownGrace - shutdownMargin).Duration())
-	defer cancel()
-	go h.membership.Leave(ctx)
-	// Sleep fails only if ctx has ended, which Shutdown reports too.
-	_ = h.clock.Sleep(ctx, min(queueDrainTime, h.settings.Bounds.ShutdownGrace/3))
-	h.gateway.Stop()
-	_ = h.clock.Sleep(ctx, h.settings.Bounds.ShutdownGrace-listenStopMargin-h.clock.Now().Sub(start))
-	err := callers.Shutdown(ctx)
-	h.log.Info().Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
-}
-
 // checkSettingsOnHangup reads the settings file on each SIGHUP and logs whether it is
 // valid. The running host does not apply it; what may change while it runs is in the
 // store.
--- /dev/null
+++ b/fronthost/shutdown.go
@@ -0,0 +1,82 @@
+package fronthost
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/membership"
+)
+
+const (
+	// directoryExpiry is how long after a stop was asked for callers may come with an answer of
+	// the directory that names this host, at most a third of the shutdown grace.
+	directoryExpiry = membership.DirectoryTTL + 500
+	// turnSpread is the time over which hosts that stop together end one after the other, so that
+	// the first ones are back before the last ones end.
+	turnSpread = 3 * cicadapitch.Second
+	// turnPollInterval is the pause between two looks whether another host takes callers.
+	turnPollInterval cicadapitch.Millis = 50
+	// listenStopMargin is how long before the end of the shutdown grace the listener for
+	// callers closes at the latest.
+	listenStopMargin cicadapitch.Millis = 1200
+	// shutdownMargin is how long before the end of the shutdown grace the host gives up
+	// the requests in progress.
+	shutdownMargin cicadapitch.Millis = 400
+)
+
+// shutdownPlan says when a host that stops closes its listener for callers.
+type shutdownPlan struct {
+	// expiry is when no answer of the directory names the host any more, latest when the listener
+	// closes whatever callers need. Both count from the request to stop.
+	expiry, latest cicadapitch.Millis
+	// turn is how long after expiry the listener closes while no other host takes callers.
+	turn cicadapitch.Millis
+}
+
+// newShutdownPlan returns the plan of the host self among all hosts.
+func newShutdownPlan(grace cicadapitch.Millis, self cicadapitch.HostID, hosts []cicadapitch.HostID) shutdownPlan {
+	p := shutdownPlan{expiry: min(directoryExpiry, grace/3), latest: max(grace-listenStopMargin, 0)}
+	ranked := fleet.Rank("stop", hosts, func(id cicadapitch.HostID) string { return string(id) })
+	if i := slices.Index(ranked, self); i > 0 {
+		p.turn = turnSpread * cicadapitch.Millis(i) / cicadapitch.Millis(len(ranked))
+	}
+	return p
+}
+
+// closes reports whether the listener closes, elapsed after the request to stop. others is the
+// number of other hosts that take callers. A host that nobody waits for comes back sooner.
+func (p shutdownPlan) closes(elapsed cicadapitch.Millis, others int) bool {
+	switch {
+	case elapsed >= p.latest:
+		return true
+	case elapsed < p.expiry:
+		return false
+	}
+	return others > 0 || elapsed >= p.expiry+p.turn
+}
+
+// shutDown makes responses close their connection, takes the host out of the directory, refuses
+// requests for engines that still wait once no answer of the directory names the host, closes the
+// listener for callers by the plan, and waits for the requests in progress. The other listeners stay
+// open until the process ends.
+func (h *Host) shutDown(callers *http.Server) {
+	start := h.clock.Now()
+	plan := newShutdownPlan(h.settings.Bounds.ShutdownGrace, h.settings.Host, h.membership.RecentHosts())
+	h.log.Info().Int64("ExpiryMs", int64(plan.expiry)).Int64("TurnMs", int64(plan.turn)).Msg("stop requested")
+	h.ingress.CloseConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), (h.settings.Bounds.ShutdownGrace - shutdownMargin).Duration())
+	defer cancel()
+	go h.membership.Leave(ctx)
+	// Sleep fails only if ctx has ended, which Shutdown reports too.
+	_ = h.clock.Sleep(ctx, plan.expiry)
+	h.gateway.Stop()
+	for !plan.closes(h.clock.Now().Sub(start), len(h.membership.Hosts())) && h.clock.Sleep(ctx, turnPollInterval) == nil {
+	}
+	h.membership.CloseToCallers()
+	h.log.Info().Int64("AfterMs", int64(h.clock.Now().Sub(start))).Int("OtherHosts", len(h.membership.Hosts())).Msg("no further callers")
+	err := callers.Shutdown(ctx)
+	h.log.Info().Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,6 +35,8 @@
 	// firstHeartbeatGrace is how long a host counts as available while its first
 	// heartbeat is outstanding.
 	firstHeartbeatGrace cicadapitch.Millis = 1500
+	// recentHostTime is how long a host that is no longer registered may still be on its way back.
+	recentHostTime = 15 * cicadapitch.Second
 	// hostKeyPrefix is the prefix of the store keys under which hosts register.
 	hostKeyPrefix = "hosts/"
 	// secretStoreKey is the store key of the deployment's secret. Hosts prove with
@@ -72,6 +74,8 @@
 	history    catalogHistory
 	catchingUp atomic.Bool
 	leaving    atomic.Bool
+	// closedToCallers is true once a host that leaves accepts no further callers.
+	closedToCallers atomic.Bool
 	// leaveCtx is canceled when the host begins to leave. leaveAnnounced is true once
 	// RunHeartbeats has begun to send heartbeats that say so. Only RunHeartbeats uses
 	// leaveAnnounced, so it needs no lock.
@@ -102,6 +106,8 @@
 	// downAt holds when a host was last reported down, cutOffAt when it was last reported cut
 	// off from most endpoints, by incarnation.
 	downAt, cutOffAt map[string]cicadapitch.Instant
+	// seenAt holds when each host was last registered, for recentHostTime after it was removed.
+	seenAt map[cicadapitch.HostID]cicadapitch.Instant
 	// peerWaits holds the latest queue waits that other hosts reported, by shard key.
 	peerWaits map[string]timedWaits
 	// pendingRemovals holds the endpoints whose entries may have expired during an
@@ -178,6 +184,7 @@
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
 		cutOff: func() bool { return false }, origins: noOrigins{}, storedVersions: map[string][]origin.StoredVersion{},
+		seenAt: map[cicadapitch.HostID]cicadapitch.Instant{},
 		downAt: map[string]cicadapitch.Instant{}, cutOffAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
@@ -252,12 +259,19 @@
 	}
 }
 
+// CloseToCallers records that this host, which leaves, accepts no further callers.
+func (m *Membership) CloseToCallers() { m.closedToCallers.Store(true) }
+
 // Addresses implements platform.Directory. It returns the caller addresses of
 // the available hosts in zone, or of those in other zones if zone has none, and
 // how long callers may use the answer. While at least half of the hosts reach the endpoints,
-// it leaves out those that are cut off, whose requests would take a detour.
+// it leaves out those that are cut off, whose requests would take a detour. If no host is
+// available, it names this one while that still accepts callers.
 func (m *Membership) Addresses(zone cicadapitch.ZoneID) ([]string, cicadapitch.Millis) {
 	hosts := m.Hosts()
+	if len(hosts) == 0 && m.leaving.Load() && !m.closedToCallers.Load() {
+		hosts = []fleet.Host{m.self()}
+	}
 	if reaching := lo.Reject(hosts, func(h fleet.Host, _ int) bool { return m.isCutOff(h) }); 2*len(reaching) >= len(hosts) {
 		hosts = reaching
 	}
@@ -275,17 +289,16 @@
 	if n := len(addresses); n > maxAddresses {
 		addresses = addresses[:maxAddresses]
 	}
-	return addresses, min(directoryTTL, m.settings.Bounds.DirectoryTTL)
+	return addresses, min(DirectoryTTL, m.settings.Bounds.DirectoryTTL)
 }
 
-const (
-	// maxAddresses is the maximum number of addresses in an answer of the directory.
-	// Callers read no more.
-	maxAddresses = 64
-	// directoryTTL is the maximum time for which callers may use an answer of the
-	// directory. It is short so that callers soon leave a host that stops.
-	directoryTTL cicadapitch.Millis = 2000
-)
+// maxAddresses is the maximum number of addresses in an answer of the directory.
+// Callers read no more.
+const maxAddresses = 64
+
+// DirectoryTTL is the maximum time for which callers may use an answer of the
+// directory. It is short so that callers soon leave a host that stops.
+const DirectoryTTL cicadapitch.Millis = 2000
 
 // Hosts returns the other available hosts, followed by this host if it is ready.
 func (m *Membership) Hosts() []fleet.Host {
@@ -305,6 +318,23 @@
 	return out
 }
 
+// RecentHosts returns the hosts that are registered or were until lately, this one included.
+func (m *Membership) RecentHosts() []cicadapitch.HostID {
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recent := map[cicadapitch.HostID]bool{m.settings.Host: true}
+	for _, h := range m.view.Load().Hosts {
+		recent[h.ID] = true
+	}
+	for id, at := range m.seenAt {
+		if now.Sub(at) < recentHostTime {
+			recent[id] = true
+		}
+	}
+	return slices.Collect(maps.Keys(recent))
+}
+
 // HostCount returns the number of registered hosts, available or not, since an
 // unavailable host may still send work. It always counts this host.
 func (m *Membership) HostCount() int {
@@ -437,7 +467,12 @@
 // down reports, and calls the onView functions. The caller holds mu.
 func (m *Membership) publish(now cicadapitch.Instant) {
 	v := m.state.View()
+	for _, h := range m.view.Load().Hosts {
+		m.seenAt[h.ID] = now
+	}
+	maps.DeleteFunc(m.seenAt, func(_ cicadapitch.HostID, at cicadapitch.Instant) bool { return now.Sub(at) >= recentHostTime })
 	for _, h := range v.Hosts {
+		m.seenAt[h.ID] = now
 		if m.peers[h.Incarnation] == nil {
 			m.peers[h.Incarnation] = &peerState{graceStart: now}
 		}
