gateway: an attempt at a silent endpoint ends only for a retry that can follow

Callers of look-ups got a 502, or an answer cut off in the middle, because a sound endpoint was silent for a second. An attempt of an idempotent request was ended after 0.7 of the latency objective, whether or not another attempt could follow: with no other endpoint, or no retry left in the budget, the answer that was on its way was lost. The timer also ran on after the answer had begun: what is longer than 256 KiB was cut with a part of it passed on.

The attempt now ends only once the retry is taken from the budget and the call counted at its endpoint, never on a stopping host, and no more once the answer is passed on.

Before: TestLookUpIsAnsweredByTheOnlyEndpointThatIsSilent and TestLookUpIsAnsweredBySilentEndpointsWithoutRetries 502, TestLongAnswerThatFallsSilentIsNotCut unexpected EOF.

--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -33,6 +33,8 @@
 	stopped []chan struct{}
 	// hostOptions returns the options of host i, or is nil.
 	hostOptions func(i int) []fronthost.Option
+	// changeSettings changes the settings of the hosts before they start, or is nil.
+	changeSettings func(*platform.Settings)
 }
 
 // nextSubnet gives each deployment addresses of its own.
@@ -80,6 +82,9 @@
 			ColdExcess: 1.5, ColdSlack: 5, DirectoryTTL: 5000,
 		},
 	}
+	if d.changeSettings != nil {
+		d.changeSettings(settings)
+	}
 	var opts []fronthost.Option
 	if d.hostOptions != nil {
 		opts = d.hostOptions(i)
--- a/fronthost/silence_test.go
+++ b/fronthost/silence_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform"
+	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
 // TestEndpointsThatAreSilentForASecondGoOn guards against streams that are sent to a second
@@ -28,3 +33,124 @@
 		require.Equal(t, 1, d.runCount(id))
 	}
 }
+
+// silentAt makes all answers of the endpoints of a service fall silent for a second or so at the
+// given places, or none without a place.
+func (d *deployment) silentAt(service string, places ...platformtest.Silence) {
+	for id, e := range d.endpoints {
+		if e.Service == service {
+			e.SetSilence(uint64(len(id)), 1, places...)
+		}
+	}
+}
+
+// silences returns the number of answers of a service that fell silent.
+func (d *deployment) silences(service string) int {
+	n := 0
+	for _, e := range d.endpoints {
+		if e.Service == service {
+			n += e.Silences()
+		}
+	}
+	return n
+}
+
+// requireWholeAnswer sends a request and requires the endpoint's whole answer. It returns the
+// number of runs.
+func (d *deployment) requireWholeAnswer(req platformtest.CallerRequest) int {
+	r, err := d.trySend(req)
+	require.NoError(d.t, err)
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	require.NoError(d.t, err, "%s %s: the answer is cut: %q", req.Path, req.ID, b)
+	require.Equal(d.t, http.StatusOK, r.StatusCode, "%s %s: %s", req.Path, req.ID, b)
+	require.True(d.t, platformtest.Signed(r, req.ID))
+	if req.Tokens != "" {
+		require.Equal(d.t, 6, strings.Count(string(b), "data: part"))
+	} else {
+		require.Contains(d.t, string(b), req.Path)
+	}
+	return d.runCount(req.ID)
+}
+
+// TestSilentEndpointsAnswerEveryKindOfRequest guards against answers that are ended or run again
+// because a sound endpoint is silent for a second and goes on.
+func TestSilentEndpointsAnswerEveryKindOfRequest(t *testing.T) {
+	beforeEvents := []platformtest.Silence{platformtest.BeforeHead, platformtest.InHead, platformtest.AfterHead, platformtest.InBody}
+	inStreams := append(slices.Clone(beforeEvents), platformtest.BetweenEvents, platformtest.InEvent)
+	for _, c := range []struct {
+		name, service, method, path, pieces string
+		places                              []platformtest.Silence
+		maxRuns                             int
+	}{
+		{"booking", "plain", "POST", "/book/a", "", beforeEvents, 1},
+		{"look-up", "plain", "GET", "/look/a", "", beforeEvents, 2},
+		{"stream that may resume", "engine", "POST", "/answer/a", "0,0", inStreams, 1},
+		{"stream that may not resume", "engine", "POST", "/plan/a", "", inStreams, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1)
+			for _, place := range c.places {
+				d.silentAt(c.service, place)
+				before := d.silences(c.service)
+				req := d.newRequest(0, c.method, c.path, newID())
+				if c.service != "plain" {
+					req = d.newStreamRequest(0, c.path, newID(), c.pieces)
+				}
+				req.Deadline = 4900
+				require.LessOrEqual(t, d.requireWholeAnswer(req), c.maxRuns, place)
+				require.Greater(t, d.silences(c.service), before, place)
+			}
+		})
+	}
+}
+
+// waitUnused waits until look-ups do not reach an endpoint any more.
+func (d *deployment) waitUnused(id string) {
+	require.Eventually(d.t, func() bool {
+		before := len(d.endpoints[id].RunCounts())
+		for range 10 {
+			d.requireWholeAnswer(d.newRequest(0, "GET", "/look/a", newID()))
+		}
+		return len(d.endpoints[id].RunCounts()) == before
+	}, 3*time.Second, 100*time.Millisecond)
+}
+
+// TestLookUpIsAnsweredByTheOnlyEndpointThatIsSilent guards against look-ups that are ended for a
+// retry that no other endpoint can take.
+func TestLookUpIsAnsweredByTheOnlyEndpointThatIsSilent(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.store.Remove(platformtest.EndpointKey("p2"))
+	d.waitUnused("p2")
+	d.silentAt("plain", platformtest.BeforeHead)
+	for range 3 {
+		d.requireWholeAnswer(d.newRequest(0, "GET", "/look/a", newID()))
+	}
+}
+
+// TestLookUpIsAnsweredBySilentEndpointsWithoutRetries guards against look-ups that are ended for a
+// retry that the budget does not allow.
+func TestLookUpIsAnsweredBySilentEndpointsWithoutRetries(t *testing.T) {
+	d := newDeployment(t, 1, func(d *deployment) {
+		d.changeSettings = func(s *platform.Settings) { s.Bounds.RetryRatio, s.Bounds.RetryExtra = 0, 0 }
+	})
+	d.silentAt("plain", platformtest.BeforeHead)
+	for range 3 {
+		require.Equal(t, 1, d.requireWholeAnswer(d.newRequest(0, "GET", "/look/a", newID())))
+	}
+}
+
+// TestLongAnswerThatFallsSilentIsNotCut guards against look-ups whose answer is cut off for a retry
+// after a part of it was passed on.
+func TestLongAnswerThatFallsSilentIsNotCut(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, id := range []string{"p1", "p2"} {
+		d.endpoints[id].SetFiller(1 << 20)
+	}
+	d.silentAt("plain", platformtest.InLongBody)
+	for range 3 {
+		require.Equal(t, 1, d.requireWholeAnswer(d.newRequest(0, "GET", "/look/a", newID())))
+	}
+	require.Equal(t, 3, d.silences("plain"))
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -17,8 +17,8 @@
 	// is relayed, so that another attempt can replace an answer that breaks off.
 	maxBufferedBytes = 256 << 10
 	// attemptTimeoutFraction is the share of the latency objective after which an
-	// attempt of an idempotent request times out. The rest suffices for a typical call
-	// to another endpoint.
+	// attempt of an idempotent request gives way to one at another endpoint. The rest
+	// suffices for a typical call there.
 	attemptTimeoutFraction = 0.7
 )
 
@@ -31,8 +31,9 @@
 	if err := p.g.membership.AwaitKnowledge(ctx); err != nil {
 		return err
 	}
+	var retry *reservedRetry
 	for connectFailures := 0; ; {
-		e, err := p.choosePlainEndpoint(ctx)
+		e, err := p.choosePlainEndpoint(ctx, retry)
 		if err != nil {
 			return err
 		}
@@ -40,14 +41,13 @@
 			p.recordCallEnd(e.ID)
 			return err
 		}
-		attemptCtx, cancel := p.attemptContext(ctx)
-		done, err := p.attemptPlain(attemptCtx, e)
-		cancel()
+		attempt := p.watchAttempt(ctx, e)
+		done, err := p.attemptPlain(attempt, e)
+		attempt.end()
 		p.endTrial()
-		if done {
-			return err
-		}
-		if errors.Is(err, membership.ErrKnowledgeOld) {
+		retry = attempt.retry
+		if done || errors.Is(err, membership.ErrKnowledgeOld) {
+			p.releaseRetry(retry)
 			return err
 		}
 		p.exclude[e.ID] = true
@@ -59,15 +59,19 @@
 			connectFailures++
 			continue
 		}
-		if ctx.Err() != nil || !p.takeRetry() {
+		if retry == nil && (ctx.Err() != nil || !p.takeRetry()) {
 			return err
 		}
 	}
 }
 
-// choosePlainEndpoint chooses an endpoint of a plain service. While all are brittle and full, the
-// request waits here, since none may wait there.
-func (p *proxiedRequest) choosePlainEndpoint(ctx context.Context) (fleet.Endpoint, error) {
+// choosePlainEndpoint chooses an endpoint of a plain service, that of retry if it is set. While
+// all are brittle and full, the request waits here, since none may wait there.
+func (p *proxiedRequest) choosePlainEndpoint(ctx context.Context, retry *reservedRetry) (fleet.Endpoint, error) {
+	if retry != nil {
+		p.chosenAt = retry.chosenAt
+		return retry.endpoint, nil
+	}
 	brittle := slices.ContainsFunc(p.candidates(), func(e fleet.Endpoint) bool {
 		_, brittle := p.g.limits.Refusals(e.Endpoint)
 		return brittle
@@ -78,21 +82,12 @@
 	return p.chooseEndpoint(false, "")
 }
 
-// attemptContext returns the context of an attempt at a plain service. If another
-// attempt may follow, it has a timeout with the cause errSilent.
-func (p *proxiedRequest) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !p.route.Idempotent() || p.attempts+1 >= p.route.MaxAttempts || p.route.TargetLatency <= 0 {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, cicadapitch.Millis(attemptTimeoutFraction*float64(p.route.TargetLatency)).Duration(), errSilent)
-}
-
 // attemptPlain sends the request to one endpoint of a plain service. The result is
 // true if the answer to the caller has begun; the error is then that of relaying the
 // rest. Otherwise the error says why the attempt failed.
-func (p *proxiedRequest) attemptPlain(ctx context.Context, e fleet.Endpoint) (bool, error) {
+func (p *proxiedRequest) attemptPlain(attempt *silentAttempt, e fleet.Endpoint) (bool, error) {
 	defer p.recordCallEnd(e.ID)
-	start := p.g.clock.Now()
+	ctx, start := attempt.ctx, p.g.clock.Now()
 	reply, err := p.send(ctx, e, nil, "")
 	if err != nil {
 		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
@@ -107,6 +102,9 @@
 		p.checkPlainEndpoint(ctx, e, start)
 		return false, cicadapitch.NewOutcomeUnknown("the answer of " + string(e.ID) + " broke off: " + err.Error())
 	}
+	if !attempt.keep() && len(body) == maxBufferedBytes {
+		return false, errSilent
+	}
 	p.recordAnswer()
 	if reply.Status >= 500 && p.route.Idempotent() && p.attempts < p.route.MaxAttempts {
 		p.recordFailure(e.ID, 0)
