gateway: a stage call waits for an endpoint that is silent for a second

Callers of streams with stages got a 503 ("the request's time does not suffice") after 4 s while the only stage endpoint fell silent for a second in each answer: a call was given up after twelve times its expected time, here 252 ms, and its pieces ran again and again. A call now waits for at least as long as a stream does (minSilenceTimeout). Its pieces still run at another endpoint, if there is one, as soon as the call is overdue.

--- a/fronthost/silence_test.go
+++ b/fronthost/silence_test.go
@@ -87,6 +87,7 @@
 		{"look-up", "plain", "GET", "/look/a", "", beforeEvents, 2},
 		{"stream that may resume", "engine", "POST", "/answer/a", "0,0", inStreams, 1},
 		{"stream that may not resume", "engine", "POST", "/plan/a", "", inStreams, 1},
+		{"stream with stages", "stage", "POST", "/answer/a", "2,1", beforeEvents, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -20,7 +20,8 @@
 
 const (
 	// callTimeoutFactor multiplies the expected duration of a call to a stage endpoint
-	// to give its timeout. The planner retries overdue pieces elsewhere before that.
+	// to give its timeout, which is at least minSilenceTimeout. The planner retries overdue
+	// pieces elsewhere before that.
 	callTimeoutFactor = 12
 	// inputFetchTime is the time after which a started call is assumed to have fetched
 	// its inputs, a few megabytes over gigabit links. The endpoint is assumed to start
@@ -311,7 +312,8 @@
 
 // runCall sends a call to its endpoint and reports the results to the planner.
 func (r *shardRunner) runCall(c batch.Call, plannedAt cicadapitch.Instant) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*c.ExpectedDuration.Duration())
+	timeout := max(callTimeoutFactor*c.ExpectedDuration, minSilenceTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
 	pieces := make([]platform.Piece, len(c.Pieces))
 	for i, ref := range c.Pieces {
