standin: engines and services fall silent for a while

The stand-ins of the product's own daemon send nothing for a given time, in the middle of an event too, and go on. Calls and load reports wait for them.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,6 +25,7 @@
 	cache         *prefixCache
 	weights       *WeightStore
 	recorder      runRecorder
+	silence       silence
 	mux           *http.ServeMux
 
 	mu      sync.Mutex
@@ -55,7 +56,11 @@
 	}
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST /v1/completions", e.handleCompletion)
-	e.mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.currentLoad()) })
+	e.mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		if e.silence.wait(r.Context(), e.clock) == nil {
+			writeJSON(w, e.currentLoad())
+		}
+	})
 	e.mux.HandleFunc("POST /orders", e.handleOrder)
 	e.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Record()) })
 	e.mux.HandleFunc("POST /faults", e.handleFaults)
@@ -108,6 +113,8 @@
 	// Leaving sets the Leaving flag of the load report. If it is omitted, the
 	// flag becomes false.
 	Leaving bool
+	// SilentMillis is how long the engine sends nothing from now on.
+	SilentMillis cicadapitch.Millis
 }
 
 // handleFaults serves POST /faults.
@@ -124,6 +131,7 @@
 		e.AbortStreamAfter(f.DieAfter)
 	}
 	e.SetLeaving(f.Leaving)
+	e.FallSilent(f.SilentMillis)
 	writeJSON(w, f)
 }
 
--- a/standin/enginestream.go
+++ b/standin/enginestream.go
@@ -88,21 +88,38 @@
 		if err := e.clock.Sleep(r.Context(), e.timePerToken()); err != nil {
 			return false
 		}
-		writeEvent(w, completionChunk{Object: "text_completion", Model: q.Model, Choices: []completionChoice{{Text: text[skip:]}}})
+		c := completionChunk{Object: "text_completion", Model: q.Model, Choices: []completionChoice{{Text: text[skip:]}}}
+		if err := e.writeEvent(w, r, c); err != nil {
+			return false
+		}
 		skip = 0
 	}
 	finishReason := "length"
-	writeEvent(w, completionChunk{Object: "text_completion", Model: q.Model, Choices: []completionChoice{{FinishReason: &finishReason}}})
+	last := completionChunk{Object: "text_completion", Model: q.Model, Choices: []completionChoice{{FinishReason: &finishReason}}}
+	if err := e.writeEvent(w, r, last); err != nil {
+		return false
+	}
 	_, err := fmt.Fprint(w, "data: [DONE]\n\n")
 	_ = http.NewResponseController(w).Flush()
 	return err == nil
 }
 
-// writeEvent writes a chunk as a server-sent event and flushes it.
-func writeEvent(w http.ResponseWriter, c completionChunk) {
+// writeEvent writes a chunk as a server-sent event and flushes it. A silent engine writes the
+// first half before its silence.
+func (e *Engine) writeEvent(w http.ResponseWriter, r *http.Request, c completionChunk) error {
 	b, _ := json.Marshal(c)
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+	event := fmt.Appendf(nil, "data: %s\n\n", b)
+	if e.silence.left(e.clock) > 0 {
+		_, _ = w.Write(event[:len(event)/2])
+		event = event[len(event)/2:]
+		_ = http.NewResponseController(w).Flush()
+		if err := e.silence.wait(r.Context(), e.clock); err != nil {
+			return err
+		}
+	}
+	_, _ = w.Write(event)
 	_ = http.NewResponseController(w).Flush()
+	return nil
 }
 
 // takeAbortAfter returns the number of tokens after which to abort this stream,
--- a/standin/service.go
+++ b/standin/service.go
@@ -29,6 +29,7 @@
 	deduplicates    bool
 	reports         delayedReports
 	recorder        runRecorder
+	silence         silence
 	mux             *http.ServeMux
 
 	mu      sync.Mutex
@@ -90,7 +91,11 @@
 	}
 	s.mux = http.NewServeMux()
 	s.mux.HandleFunc("POST /call", s.handleCall)
-	s.mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.reports.current()) })
+	s.mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		if s.silence.wait(r.Context(), s.clock) == nil {
+			writeJSON(w, s.reports.current())
+		}
+	})
 	s.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Record()) })
 	s.mux.HandleFunc("POST /faults", s.handleFaults)
 	s.recordLoad()
@@ -128,6 +133,8 @@
 	LoseAnswers int
 	// Leaving is the Leaving flag of the load report.
 	Leaving bool
+	// SilentMillis is how long the service sends nothing from now on.
+	SilentMillis cicadapitch.Millis
 }
 
 // handleFaults serves POST /faults.
@@ -146,6 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.responsesToLose, s.leaving = f.LoseAnswers, f.Leaving
+	s.FallSilent(f.SilentMillis)
 	s.recordLoad()
 }
 
--- a/standin/servicecall.go
+++ b/standin/servicecall.go
@@ -35,6 +35,9 @@
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
+	if s.silence.wait(r.Context(), s.clock) != nil {
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(w, ServiceAnswer{Output: out})
 }
 
