pipeline: a stream that is silent for a second has not stalled

The product's own daemon abandoned a stream that was silent for 1.4 s and resumed it by another attempt, at the cost of a run, since a stall was a second without a token. It is 1.6 s now, as for hosts.

TestStalledStreamsAreRetriedOrHedged/is_silent_for_a_second failed before with a second attempt.

--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -18,6 +18,8 @@
 	delay cicadapitch.Millis
 	words int
 	hangs bool
+	// pauses holds how long the attempt is silent after each of its first words.
+	pauses []cicadapitch.Millis
 }
 
 // newScriptedRunner returns a runner whose attempts of the stage generate follow the
@@ -37,6 +39,9 @@
 		for i, w := range strings.SplitAfter(rest, " ")[:next.words] {
 			sink(cicadapitch.Chunk{Attempt: a.ID, Index: i, Text: w})
 			_ = clock.Sleep(ctx, 10)
+			if i < len(next.pauses) {
+				_ = clock.Sleep(ctx, next.pauses[i])
+			}
 		}
 		if next.hangs {
 			<-ctx.Done()
@@ -55,6 +60,7 @@
 		hedges   int
 	}{
 		"stalls halfway":               {[]streamScript{{words: 4, hangs: true}, {words: 8}}, 2, 0},
+		"is silent for a second":       {[]streamScript{{words: 12, pauses: []cicadapitch.Millis{800, 1400}}, {words: 10}}, 1, 0},
 		"stalls twice":                 {[]streamScript{{words: 4, hangs: true}, {words: 2, hangs: true}, {words: 6}}, 3, 0},
 		"sends no first chunk":         {[]streamScript{{hangs: true}, {words: 12}}, 2, 1},
 		"slow attempt streams too":     {[]streamScript{{delay: 2005, words: 12}, {delay: 10, words: 12}}, 2, 1},
--- a/pipeline/plan.go
+++ b/pipeline/plan.go
@@ -14,8 +14,10 @@
 
 	// stallTokenGaps is the stall timeout as a multiple of the pipeline's
 	// target for the time between two tokens.
-	stallTokenGaps                    = 20
-	minStallMillis cicadapitch.Millis = 1000
+	stallTokenGaps = 20
+	// minStallMillis is the shortest stall timeout. A sound engine may be silent for
+	// somewhat more than a second.
+	minStallMillis cicadapitch.Millis = 1600
 )
 
 // StallTimeout returns the time without a token after which a stream of the
