--- a/fronthost/cutoff_test.go
+++ b/fronthost/cutoff_test.go
@@ -39,8 +39,25 @@
 	return c
 }
 
-// outcome counts the first tries of callers at a host.
-type outcome struct{ asked, served atomic.Int64 }
+// outcome counts the first tries of callers at a host, and keeps why those failed that were not
+// served.
+type outcome struct {
+	asked, served atomic.Int64
+	mu            sync.Mutex
+	failures      []error
+}
+
+// add counts a first try that ended with err, or was served if that is nil.
+func (o *outcome) add(err error) {
+	o.asked.Add(1)
+	if err == nil {
+		o.served.Add(1)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures = append(o.failures, err)
+}
 
 // askAll sends requests of each kind to all hosts for a time, one of each kind in each
 // interval, and returns the outcomes by host. No request may run twice.
@@ -54,10 +71,7 @@
 		for i := range c.hostSettings {
 			for _, kind := range []string{"book", "look", "plan", "answer"} {
 				wg.Go(func() {
-					out[i].asked.Add(1)
-					if c.askOnce(i, kind) {
-						out[i].served.Add(1)
-					}
+					out[i].add(c.askOnce(i, kind))
 				})
 			}
 		}
@@ -66,9 +80,9 @@
 	return out
 }
 
-// askOnce sends one request and reports whether a whole, signed answer came.
-func (c *cutDeployment) askOnce(i int, kind string) bool {
-	id := newID()
+// askOnce sends one request and returns why no whole, signed answer came, or nil.
+func (c *cutDeployment) askOnce(i int, kind string) error {
+	id, start := newID(), time.Now()
 	req := c.newRequest(i, "POST", "/"+kind+"/a", id)
 	switch kind {
 	case "plan":
@@ -76,20 +90,27 @@
 	case "answer":
 		req = c.newStreamRequest(i, "/answer/a", id, "1,1")
 	}
+	failed := func(format string, args ...any) error {
+		return fmt.Errorf("%s %s after %v: %w", kind, id, time.Since(start), fmt.Errorf(format, args...))
+	}
 	resp, err := c.trySend(req)
 	if err != nil {
-		return false
+		return failed("%w", err)
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	served := err == nil && resp.StatusCode == http.StatusOK && platformtest.Signed(resp, id)
-	if kind == "plan" || kind == "answer" {
-		served = served && strings.Count(string(b), "data: part") == 6
-	}
 	if kind == "book" && c.runCount(id) > 1 {
 		c.t.Errorf("request %s ran twice", id)
 	}
-	return served
+	switch {
+	case err != nil:
+		return failed("%w after %q", err, b)
+	case resp.StatusCode != http.StatusOK || !platformtest.Signed(resp, id):
+		return failed("status %d, %q", resp.StatusCode, b)
+	case req.Tokens != "" && strings.Count(string(b), "data: part") != 6:
+		return failed("another number of events: %q", b)
+	}
+	return nil
 }
 
 // TestCallersOfHostsThatAreCutOffAreServed cuts hosts off from all endpoints, or from all but
@@ -123,7 +144,7 @@
 			d.askAll(detectionTime, 200*time.Millisecond)
 			for i, o := range d.askAll(3*time.Second, 200*time.Millisecond) {
 				share := float64(o.served.Load()) / float64(o.asked.Load())
-				require.GreaterOrEqual(t, share, 0.98, fmt.Sprintf("host %d, cut: %t", i, i < c.cut))
+				require.GreaterOrEqual(t, share, 0.98, "host %d, cut: %t: %v", i, i < c.cut, o.failures)
 			}
 		})
 	}
