gateway: log what the origin of a stream was concluded from

The line "origin" named the number of claims but not how many hosts were asked, which versions the claims had seen, whether any was complete, nor how old this host's own knowledge was. A sole version concluded by a host that is cut off from all others could not be told from one that all hosts agree on.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -180,12 +180,12 @@
 func (g *Gateway) addOrigins(n OriginNotice) { g.origins.AddRecords(g.clock.Now(), n.Records) }
 
 // queryOrigin asks other hosts for their claims on a stream, in parallel, and returns
-// those that came in time, up to the first with a record. id spreads queries that name
-// no stream.
-func (g *Gateway) queryOrigin(ctx context.Context, q OriginQuery, id cicadapitch.RequestID) []origin.Claim {
+// those that came in time, up to the first with a record, and how many were asked. id
+// spreads queries that name no stream.
+func (g *Gateway) queryOrigin(ctx context.Context, q OriginQuery, id cicadapitch.RequestID) ([]origin.Claim, int) {
 	dialer := g.membership.Dialer()
 	if dialer == nil {
-		return nil
+		return nil, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout.Duration())
 	defer cancel()
@@ -218,5 +218,5 @@
 			break
 		}
 	}
-	return claims
+	return claims, len(hosts)
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -20,16 +20,26 @@
 	}
 	start := p.g.clock.Now()
 	query := OriginQuery{p.request.Resumes, p.service.Name, p.streamLifetime()}
-	claims := []origin.Claim{p.g.origins.claim(start, query)}
+	claims, asked := []origin.Claim{p.g.origins.claim(start, query)}, 0
 	if !claims[0].Recorded {
-		claims = append(claims, p.g.queryOrigin(ctx, query, p.request.ID)...)
+		var others []origin.Claim
+		others, asked = p.g.queryOrigin(ctx, query, p.request.ID)
+		claims = append(claims, others...)
 	}
 	o, source := origin.Resolve(p.service.Name, claims)
 	service := p.view.Catalog.Services[o.Service]
 	allowed := service != nil && p.route.Allows(o.Service)
-	p.g.log.Info().Str("Id", string(p.request.ID)).Str("Resumes", string(p.request.Resumes)).
+	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Resumes", string(p.request.Resumes)).
 		Stringer("Source", source).Str("Service", string(o.Service)).Str("Version", string(o.Version)).Bool("Allowed", allowed).
-		Int("Claims", len(claims)).Int64("TookMs", int64(p.g.clock.Now().Sub(start))).Msg("origin")
+		Int("Asked", asked).Int("Claims", len(claims)).Int64("TookMs", int64(p.g.clock.Now().Sub(start)))
+	if source != origin.Recorded {
+		event.Int64("WindowMs", int64(query.Window)).Strs("Seen", seenVersions(claims)).
+			Int("Complete", lo.CountBy(claims, func(c origin.Claim) bool { return c.Complete }))
+		if age, ok := p.g.membership.KnowledgeAge(); ok {
+			event.Int64("KnowledgeAgeMs", int64(age))
+		}
+	}
+	event.Msg("origin")
 	p.g.metrics.Tagged(map[string]string{"Source": source.String()}).Counter("StreamsTakenUp").Inc(1)
 	switch {
 	case source == origin.Unknown:
@@ -41,6 +51,18 @@
 	return nil
 }
 
+// seenVersions returns the versions that any of the claims has seen, in order.
+func seenVersions(claims []origin.Claim) []string {
+	var seen []string
+	for _, c := range claims {
+		for _, v := range c.Seen {
+			seen = append(seen, string(v))
+		}
+	}
+	slices.Sort(seen)
+	return slices.Compact(seen)
+}
+
 // recordOrigin records where the stream began, here and at other hosts in the background.
 // The caller must not have got an event yet.
 func (p *proxiedRequest) recordOrigin(e fleet.Endpoint) {
