origin: prove a sole version by the store, not by a host's own view

Callers saw streams go on at another software version: begun at the first endpoints of a new version through other hosts, broken, and taken up at a host that was cut off for a few seconds.

Cause: Resolve took the claim of the asking host alone for a proof. History called itself complete once the host had run for long enough or had read the store's versions once, and counted the last observation as present until now. A host that hears nothing, or that lists the store after a gap, and asks hosts that do not answer, said "one version" with full confidence. Class: one's own view and the silence of others as a proof. A coverage of claims up to the age of the knowledge would leave streams that began within that age, suspended hosts whose clock does not count the time, and versions that came and went between two listings.

So the proof is the store's. A host begins streams that may be taken up only at versions that it has found in the service's list in the store; the owner of a service adds new versions, the next hosts do if it does not. A host that takes a stream up without a record reads that list after the caller's request came: it holds the version that began the stream. Only if it holds one, and no host has seen another, the stream goes on; if the store does not answer it is refused as not run. Writes of the list are conditional, so that a host with an older view removes nothing. Claims of earlier builds prove nothing.

Evidence: TestStreamIsNotTakenUpAtAnotherVersionByAHostOutOfStep failed in 16 of 16 cases before; TestStreamIsNotTakenUpAtAnotherVersionAroundProcessesThatStandStill (SIGSTOP of real processes) in 6 of 12 before, the ones in which the others stand still. The model test of the package has hosts that are out of step, suspended or behind and a list that is written late; it fails if hosts begin streams at versions that are not listed, or if a host out of step confirms its own claim (tried by hand).

TestHistoryRemembersVersionsThatHaveVanished no longer asks whether the history is complete: nothing depends on it. TestStreamsNeverGoOnAtAnotherVersion moved to release_test.go; before, each host learned of each change at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,9 @@
 	// AwaitKnowledge returns nil if this host's knowledge of the endpoints is young enough to send
 	// a request, possibly after a wait. The error is membership.ErrKnowledgeOld.
 	AwaitKnowledge(ctx context.Context) error
+	// ConfirmVersions returns nil once the Origins of this host has all versions of a service at
+	// which streams have begun before the call.
+	ConfirmVersions(ctx context.Context, s catalog.ServiceID) error
 	// CatalogLag returns how far this host's configuration is behind.
 	CatalogLag() fleet.CatalogLag
 	// Loads returns the estimated running calls of the other hosts by engine.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -52,6 +52,7 @@
 	if err := p.findOrigin(ctx); err != nil {
 		return err
 	}
+	p.awaitVersion(ctx)
 	// Peek: no call is counted as running at the likely engine.
 	likelyEngine, err := p.chooseEndpoint(true, "")
 	if err != nil {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -39,7 +39,7 @@
 	Request cicadapitch.RequestID
 	// Service is that of the request that takes the stream up.
 	Service catalog.ServiceID
-	// Window is how long the stream can have lasted.
+	// Window is how long ago the stream can have begun.
 	Window cicadapitch.Millis
 }
 
@@ -72,9 +72,9 @@
 	}
 }
 
-// RestoreVersions adds the versions of a service that the store holds.
-func (o *origins) RestoreVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion) {
-	o.history.Restore(now, s, stored)
+// ApplyVersions records what the store lists of the versions of a service.
+func (o *origins) ApplyVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion) {
+	o.history.ApplyStored(now, s, stored)
 }
 
 // Versions returns the versions that the store has to hold, by service.
@@ -91,8 +91,7 @@
 	return o.journal.Take(now, n, func(rec origin.Record) bool {
 		s := rec.Origin.Service
 		if _, ok := several[s]; !ok {
-			seen, _ := o.history.Seen(now, s, origin.MaxLifetime)
-			several[s] = len(seen) > 1
+			several[s] = len(o.history.Seen(now, s, origin.MaxLifetime)) > 1
 		}
 		return several[s]
 	})
@@ -112,7 +111,7 @@
 	var c origin.Claim
 	c.Origin, c.Recorded = o.registry.Find(now, q.Request)
 	if !c.Recorded {
-		c.Seen, c.Complete = o.history.Seen(now, q.Service, q.Window)
+		c.Seen = o.history.Seen(now, q.Service, q.Window)
 	}
 	return c
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -172,8 +172,11 @@
 // errNoEndpoint returns the NotRun error of a request that no endpoint can take.
 func (p *proxiedRequest) errNoEndpoint() error {
 	reason := "no endpoint of " + string(p.service.Name)
-	if p.origin != nil {
+	switch {
+	case p.origin != nil:
 		reason += " with software version " + string(p.origin.Version) + ", which began the stream,"
+	case p.route.Resumable:
+		reason += " with a software version that the store lists"
 	}
 	return cicadapitch.NewNotRun(reason+" can take the request", max(p.shortestPause(), fullRetryAfter))
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -19,31 +19,19 @@
 		return nil
 	}
 	start := p.g.clock.Now()
-	query := OriginQuery{p.request.Resumes, p.service.Name, p.streamLifetime()}
-	claims, asked := []origin.Claim{p.g.origins.claim(start, query)}, 0
-	if !claims[0].Recorded {
-		var others []origin.Claim
-		others, asked = p.g.queryOrigin(ctx, query, p.request.ID)
-		claims = append(claims, others...)
-	}
-	o, source := origin.Resolve(p.service.Name, claims)
+	e := p.gatherEvidence(ctx)
+	o, source := origin.Resolve(p.service.Name, e.claims)
 	service := p.view.Catalog.Services[o.Service]
 	allowed := service != nil && p.route.Allows(o.Service)
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Resumes", string(p.request.Resumes)).
 		Stringer("Source", source).Str("Service", string(o.Service)).Str("Version", string(o.Version)).Bool("Allowed", allowed).
-		Int("Asked", asked).Int("Claims", len(claims)).Int64("TookMs", int64(p.g.clock.Now().Sub(start)))
-	if source != origin.Recorded {
-		event.Int64("WindowMs", int64(query.Window)).Strs("Seen", seenVersions(claims)).
-			Int("Complete", lo.CountBy(claims, func(c origin.Claim) bool { return c.Complete }))
-		if age, ok := p.g.membership.KnowledgeAge(); ok {
-			event.Int64("KnowledgeAgeMs", int64(age))
-		}
-	}
+		Int64("TookMs", int64(p.g.clock.Now().Sub(start)))
+	e.log(event, source)
 	event.Msg("origin")
 	p.g.metrics.Tagged(map[string]string{"Source": source.String()}).Counter("StreamsTakenUp").Inc(1)
 	switch {
 	case source == origin.Unknown:
-		return cicadapitch.NewNotRun("it is not known which software version began the stream", fullRetryAfter)
+		return cicadapitch.NewNotRun("it is not known which software version began the stream", max(e.retryAfter(), fullRetryAfter))
 	case !allowed:
 		return cicadapitch.NewNotRun("the route does not lead to service "+string(o.Service)+" any more, which began the stream", fullRetryAfter)
 	}
@@ -51,18 +39,6 @@
 	return nil
 }
 
-// seenVersions returns the versions that any of the claims has seen, in order.
-func seenVersions(claims []origin.Claim) []string {
-	var seen []string
-	for _, c := range claims {
-		for _, v := range c.Seen {
-			seen = append(seen, string(v))
-		}
-	}
-	slices.Sort(seen)
-	return slices.Compact(seen)
-}
-
 // recordOrigin records where the stream began, here and at other hosts in the background.
 // The caller must not have got an event yet.
 func (p *proxiedRequest) recordOrigin(e fleet.Endpoint) {
@@ -86,13 +62,29 @@
 }
 
 // candidates returns the endpoints of the service that the request may go to: those of
-// the version that began the stream, once it has begun.
+// the version that began the stream, once it has begun, and before those of versions at which a
+// stream may begin that callers may take up.
 func (p *proxiedRequest) candidates() []fleet.Endpoint {
 	list := p.g.membership.View().Endpoints(p.service.Name)
-	if p.origin == nil {
+	switch {
+	case p.origin != nil:
+		return lo.Filter(list, func(e fleet.Endpoint, _ int) bool { return e.Version == p.origin.Version })
+	case !p.route.Resumable:
 		return list
 	}
-	return lo.Filter(list, func(e fleet.Endpoint, _ int) bool { return e.Version == p.origin.Version })
+	listed := p.g.origins.history.Listed(p.service.Name)
+	return lo.Filter(list, func(e fleet.Endpoint, _ int) bool { return slices.Contains(listed, e.Version) })
+}
+
+// awaitVersion waits while the service has endpoints, but none of a version at which a stream may
+// begin, up to maxEndpointWait. That is so until the store lists the first version of a service.
+func (p *proxiedRequest) awaitVersion(ctx context.Context) {
+	for waited := cicadapitch.Millis(0); waited < maxEndpointWait; waited += endpointPollInterval {
+		if len(p.candidates()) > 0 || len(p.g.membership.View().Endpoints(p.service.Name)) == 0 ||
+			p.origin != nil || p.g.clock.Sleep(ctx, endpointPollInterval) != nil {
+			return
+		}
+	}
 }
 
 // hasCandidate reports whether there is an endpoint that the request may go to and has
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -31,15 +31,18 @@
 func (m *lockedMembership) View() *fleet.View                        { return m.view }
 func (m *lockedMembership) KnowledgeAge() (cicadapitch.Millis, bool) { return 0, true }
 func (m *lockedMembership) AwaitKnowledge(context.Context) error     { return nil }
-func (m *lockedMembership) CatalogLag() fleet.CatalogLag             { return m.lag }
-func (m *lockedMembership) Loads() map[cicadapitch.EndpointID]int    { return nil }
-func (m *lockedMembership) Waits() map[string]gateway.QueueWaits     { return nil }
-func (m *lockedMembership) HostCount() int                           { return 1 }
-func (m *lockedMembership) IsSelf(fleet.Host) bool                   { return true }
-func (m *lockedMembership) Dialer() *peer.Dialer                     { return nil }
-func (m *lockedMembership) OwnersOf(string) []fleet.Host             { return m.Hosts() }
-func (m *lockedMembership) ShardOwners(string) []fleet.Host          { return m.Hosts() }
-func (m *lockedMembership) Relays() []fleet.Host                     { return nil }
+func (m *lockedMembership) ConfirmVersions(context.Context, catalog.ServiceID) error {
+	return nil
+}
+func (m *lockedMembership) CatalogLag() fleet.CatalogLag          { return m.lag }
+func (m *lockedMembership) Loads() map[cicadapitch.EndpointID]int { return nil }
+func (m *lockedMembership) Waits() map[string]gateway.QueueWaits  { return nil }
+func (m *lockedMembership) HostCount() int                        { return 1 }
+func (m *lockedMembership) IsSelf(fleet.Host) bool                { return true }
+func (m *lockedMembership) Dialer() *peer.Dialer                  { return nil }
+func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
+func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
+func (m *lockedMembership) Relays() []fleet.Host                  { return nil }
 func (m *lockedMembership) Hosts() []fleet.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/membership/channel.go
+++ b/membership/channel.go
@@ -14,6 +14,8 @@
 	bySync
 	// byPoll is a question to the store whether anything has changed.
 	byPoll
+	// byWrite is a write of this host.
+	byWrite
 	// byTimer is no record: a time has passed.
 	byTimer
 )
@@ -30,4 +32,5 @@
 	storeListing = source{"store", byListing}
 	storeWatch   = source{"store", byWatch}
 	storePoll    = source{"store", byPoll}
+	storeWrite   = source{"store", byWrite}
 )
--- a/membership/channel_enumer.go
+++ b/membership/channel_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _channelName = "ListingWatchNoticeSyncPollTimer"
+const _channelName = "ListingWatchNoticeSyncPollWriteTimer"
 
-var _channelIndex = [...]uint8{0, 7, 12, 18, 22, 26, 31}
+var _channelIndex = [...]uint8{0, 7, 12, 18, 22, 26, 31, 36}
 
-const _channelLowerName = "listingwatchnoticesyncpolltimer"
+const _channelLowerName = "listingwatchnoticesyncpollwritetimer"
 
 func (i channel) String() string {
 	if i < 0 || i >= channel(len(_channelIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[byNotice-(2)]
 	_ = x[bySync-(3)]
 	_ = x[byPoll-(4)]
-	_ = x[byTimer-(5)]
+	_ = x[byWrite-(5)]
+	_ = x[byTimer-(6)]
 }
 
-var _channelValues = []channel{byListing, byWatch, byNotice, bySync, byPoll, byTimer}
+var _channelValues = []channel{byListing, byWatch, byNotice, bySync, byPoll, byWrite, byTimer}
 
 var _channelNameToValueMap = map[string]channel{
 	_channelName[0:7]:   byListing,
@@ -40,7 +41,8 @@
 	_channelName[12:18]: byNotice,
 	_channelName[18:22]: bySync,
 	_channelName[22:26]: byPoll,
-	_channelName[26:31]: byTimer,
+	_channelName[26:31]: byWrite,
+	_channelName[31:36]: byTimer,
 }
 
 var _channelLowerNameToValueMap = map[string]channel{
@@ -49,7 +51,8 @@
 	_channelLowerName[12:18]: byNotice,
 	_channelLowerName[18:22]: bySync,
 	_channelLowerName[22:26]: byPoll,
-	_channelLowerName[26:31]: byTimer,
+	_channelLowerName[26:31]: byWrite,
+	_channelLowerName[31:36]: byTimer,
 }
 
 var _channelNames = []string{
@@ -59,6 +62,7 @@
 	_channelName[18:22],
 	_channelName[22:26],
 	_channelName[26:31],
+	_channelName[31:36],
 }
 
 // channelString retrieves an enum value from the enum constants string name.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/peer"
@@ -66,8 +67,9 @@
 
 	view atomic.Pointer[fleet.View]
 	// knowledge tracks how old the knowledge of the endpoints is.
-	knowledge fleet.Knowledge
-	refreshes refreshes
+	knowledge    fleet.Knowledge
+	refreshes    refreshes
+	versionReads versionReads
 	// lag tracks the versions of the configuration, history makes changes between them.
 	// catchingUp is true while changes are fetched.
 	lag        fleet.Lag
@@ -187,7 +189,8 @@
 		seenAt: map[cicadapitch.HostID]cicadapitch.Instant{},
 		downAt: map[string]cicadapitch.Instant{}, cutOffAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
-		peers: map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
+		versionReads: versionReads{queued: map[catalog.ServiceID]*versionRead{}},
+		peers:        map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	m.leaveCtx, m.cancelLeaveCtx = context.WithCancel(context.Background())
 	for _, opt := range opts {
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
@@ -31,6 +32,13 @@
 	originLeaseUse = 20 * cicadapitch.Second
 	// originStoreTimeout bounds one write or call.
 	originStoreTimeout = cicadapitch.Second
+	// versionsTakeover is how long a host waits for each host before it, in the rank order for a
+	// service, to write the service's versions.
+	versionsTakeover cicadapitch.Millis = 400
+	// versionsTimeout bounds a read of a service's versions, versionsPause is the least time
+	// between two.
+	versionsTimeout cicadapitch.Millis = 500
+	versionsPause   cicadapitch.Millis = 25
 	// originCollectors is the number of hosts of a large fleet that write the records of all.
 	originCollectors = 4
 	originRankKey    = "origins"
@@ -41,8 +49,8 @@
 type Origins interface {
 	// AddRecords adds records that the store holds.
 	AddRecords(now cicadapitch.Instant, records []origin.Record)
-	// RestoreVersions adds the versions of a service that the store holds.
-	RestoreVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion)
+	// ApplyVersions records what the store lists of the versions of a service.
+	ApplyVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion)
 	// Versions returns the versions that the store has to hold, by service.
 	Versions(now cicadapitch.Instant) map[catalog.ServiceID][]origin.StoredVersion
 	// TakeRecords returns up to n records that have to be stored, and ReturnRecords takes back
@@ -55,7 +63,7 @@
 type noOrigins struct{}
 
 func (noOrigins) AddRecords(cicadapitch.Instant, []origin.Record) {}
-func (noOrigins) RestoreVersions(cicadapitch.Instant, catalog.ServiceID, []origin.StoredVersion) {
+func (noOrigins) ApplyVersions(cicadapitch.Instant, catalog.ServiceID, []origin.StoredVersion) {
 }
 
 func (noOrigins) Versions(cicadapitch.Instant) map[catalog.ServiceID][]origin.StoredVersion {
@@ -80,6 +88,7 @@
 // ends: the versions of each service, and records of streams while there are several.
 func (m *Membership) StoreOrigins(ctx context.Context) {
 	var lease originLease
+	outdated := map[catalog.ServiceID]cicadapitch.Instant{}
 	for n := 0; m.clock.Sleep(ctx, originStoreInterval) == nil; n++ {
 		m.mu.Lock()
 		up := m.storeUp
@@ -87,35 +96,137 @@
 		if !up {
 			continue
 		}
-		m.storeVersions(ctx)
+		m.storeVersions(ctx, outdated)
 		m.storeRecords(ctx, &lease, n)
 	}
 }
 
-// storeVersions writes the versions of services that the store lacks and this host owns.
-func (m *Membership) storeVersions(ctx context.Context) {
-	for s, versions := range m.origins.Versions(m.clock.Now()) {
-		slices.SortFunc(versions, func(a, b origin.StoredVersion) int {
-			return strings.Compare(string(a.Version), string(b.Version))
-		})
-		key := versionKeyPrefix + string(s)
-		m.mu.Lock()
-		known := reflect.DeepEqual(presence(m.storedVersions[key]), presence(versions))
-		m.mu.Unlock()
-		if known || !m.IsSelf(m.OwnersOf(key)[0]) {
+// storeVersions writes the versions of services that the store lacks and whose turn it is for this
+// host: at once as their owner, later in the owner's stead. outdated holds since when the store
+// lacks them.
+func (m *Membership) storeVersions(ctx context.Context, outdated map[catalog.ServiceID]cicadapitch.Instant) {
+	now := m.clock.Now()
+	for s, versions := range m.origins.Versions(now) {
+		if m.versionsStored(s, versions) {
+			delete(outdated, s)
 			continue
 		}
-		value, err := json.Marshal(versions)
-		if err == nil {
-			err = m.commitOrigins(ctx, cicadapitch.Write{Key: key, Value: value})
+		if outdated[s] == 0 {
+			outdated[s] = now
+		}
+		rank := slices.IndexFunc(m.OwnersOf(versionKeyPrefix+string(s)), m.IsSelf)
+		if rank < 0 || now.Sub(outdated[s]) < cicadapitch.Millis(rank)*versionsTakeover {
+			continue
 		}
-		m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Err(err).Msg("versions stored")
-		if err != nil {
+		if err := m.storeServiceVersions(ctx, s); err != nil && cicadapitch.KindOf(err) != cicadapitch.Conflict {
 			return
 		}
 	}
 }
 
+// versionsStored reports whether the store lists the versions of a service, as far as is known.
+func (m *Membership) versionsStored(s catalog.ServiceID, versions []origin.StoredVersion) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return reflect.DeepEqual(presence(m.storedVersions[versionKeyPrefix+string(s)]), presence(versions))
+}
+
+// storeServiceVersions adds the versions of a service that this host knows to those that the store
+// lists.
+func (m *Membership) storeServiceVersions(ctx context.Context, s catalog.ServiceID) error {
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout.Duration())
+	defer cancel()
+	revision, err := m.readVersions(ctx, s)
+	if k := cicadapitch.KindOf(err); err != nil && k != cicadapitch.NotFound && k != cicadapitch.Invalid {
+		m.log.Warn().Str("Service", string(s)).Err(err).Msg("reading the versions of a service failed")
+		return err
+	}
+	versions := m.origins.Versions(m.clock.Now())[s]
+	if m.versionsStored(s, versions) {
+		return nil
+	}
+	slices.SortFunc(versions, func(a, b origin.StoredVersion) int {
+		return strings.Compare(string(a.Version), string(b.Version))
+	})
+	key := versionKeyPrefix + string(s)
+	value, err := json.Marshal(versions)
+	if err == nil {
+		unchanged := cicadapitch.Condition{Key: key, Revision: revision}
+		revision, err = m.store.Commit(ctx, []cicadapitch.Condition{unchanged}, []cicadapitch.Write{{Key: key, Value: value}})
+	}
+	m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Int64("Revision", int64(revision)).Err(err).Msg("versions stored")
+	if err == nil {
+		m.applyPart([]fleet.Record{{Key: key, Value: value, Revision: revision}}, storeWrite)
+	}
+	return err
+}
+
+// readVersions reads the versions of a service from the store and applies them. It returns the
+// revision of their key. The error is NotFound if there is none, and Invalid if it cannot be decoded.
+func (m *Membership) readVersions(ctx context.Context, s catalog.ServiceID) (cicadapitch.StoreRevision, error) {
+	kv, err := m.store.Get(ctx, versionKeyPrefix+string(s))
+	if err != nil {
+		return 0, err
+	}
+	if err := platform.DecodeEntry(kv.Value, &[]origin.StoredVersion{}); err != nil {
+		return kv.Revision, cicadapitch.NewError(cicadapitch.Invalid, "store: "+err.Error(), "write the versions again")
+	}
+	m.applyPart([]fleet.Record{{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}}, storePoll)
+	return kv.Revision, nil
+}
+
+// versionReads lets callers share reads of the versions of services.
+type versionReads struct {
+	mu sync.Mutex
+	// queued holds the reads that have not begun.
+	queued map[catalog.ServiceID]*versionRead
+	// running is held while a read runs.
+	running sync.Mutex
+}
+
+// versionRead is one read. err is set once done is closed.
+type versionRead struct {
+	done chan struct{}
+	err  error
+}
+
+// ConfirmVersions returns nil once Origins has all versions of a service at which streams have begun
+// before the call: those that the store lists. Calls share reads that begin after them.
+func (m *Membership) ConfirmVersions(ctx context.Context, s catalog.ServiceID) error {
+	ctx, cancel := context.WithTimeout(ctx, versionsTimeout.Duration())
+	defer cancel()
+	reads := &m.versionReads
+	reads.mu.Lock()
+	r := reads.queued[s]
+	if r == nil {
+		r = &versionRead{done: make(chan struct{})}
+		reads.queued[s] = r
+		go m.runVersionRead(s, r)
+	}
+	reads.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return cicadapitch.Wrap(ctx.Err())
+	}
+}
+
+// runVersionRead runs a queued read once those before it have ended.
+func (m *Membership) runVersionRead(s catalog.ServiceID, r *versionRead) {
+	reads := &m.versionReads
+	reads.running.Lock()
+	defer reads.running.Unlock()
+	reads.mu.Lock()
+	delete(reads.queued, s)
+	reads.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), versionsTimeout.Duration())
+	defer cancel()
+	_, r.err = m.readVersions(ctx, s)
+	close(r.done)
+	_ = m.clock.Sleep(context.Background(), versionsPause) // cannot fail with this context
+}
+
 // presence returns for each version whether it has vanished; the time does not matter.
 func presence(versions []origin.StoredVersion) map[cicadapitch.SoftwareVersion]bool {
 	out := map[cicadapitch.SoftwareVersion]bool{}
@@ -212,9 +323,11 @@
 
 // applyVersions applies the key of a service's versions. The caller holds mu.
 func (m *Membership) applyVersions(now cicadapitch.Instant, r fleet.Record) {
+	s := catalog.ServiceID(strings.TrimPrefix(r.Key, versionKeyPrefix))
 	var versions []origin.StoredVersion
 	if r.Removed {
 		delete(m.storedVersions, r.Key)
+		m.origins.ApplyVersions(now, s, nil)
 		return
 	}
 	if err := platform.DecodeEntry(r.Value, &versions); err != nil {
@@ -222,5 +335,5 @@
 		return
 	}
 	m.storedVersions[r.Key] = versions
-	m.origins.RestoreVersions(now, catalog.ServiceID(strings.TrimPrefix(r.Key, versionKeyPrefix)), versions)
+	m.origins.ApplyVersions(now, s, versions)
 }
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -16,8 +16,7 @@
 	Unknown Source = iota
 	// Recorded means that a host has a record of the stream.
 	Recorded
-	// SoleVersion means that the service has had one version for as long as the stream
-	// can have lasted.
+	// SoleVersion means that the stream cannot have begun at another version of the service.
 	SoleVersion
 )
 
@@ -26,18 +25,22 @@
 	// Recorded is true if the host has a record; Origin is then its content.
 	Recorded bool
 	Origin   Origin
-	// Seen holds the versions of the service that the host has seen within the time
-	// that the stream can have lasted. Complete is true if it has watched all that time.
-	Seen     []cicadapitch.SoftwareVersion
-	Complete bool
+	// Seen holds the versions of the service at which the stream may have begun, as far as the
+	// host knows.
+	Seen []cicadapitch.SoftwareVersion
+	// Confirmed is true if there are no others: the host has read the versions from the store
+	// since the stream was taken up. A host that answers another one does not claim that, nor
+	// does an earlier build.
+	Confirmed bool
 }
 
-// Resolve returns where a stream of service began, from the claims of the hosts that
-// answered. Without a record, all versions that any of them has seen must be the same
-// one, and at least one claim must be complete.
+// Resolve returns where a stream of service began, from the claims of this host and of those that
+// answered. Without a record, all versions that any of them has seen must be the same one, and at
+// least one claim must be confirmed: what other hosts have not heard of, or do not answer, proves
+// nothing.
 func Resolve(service catalog.ServiceID, claims []Claim) (Origin, Source) {
 	versions := map[cicadapitch.SoftwareVersion]bool{}
-	complete := false
+	confirmed := false
 	for _, c := range claims {
 		if c.Recorded {
 			return c.Origin, Recorded
@@ -45,9 +48,9 @@
 		for _, v := range c.Seen {
 			versions[v] = true
 		}
-		complete = complete || c.Complete
+		confirmed = confirmed || c.Confirmed
 	}
-	if complete && len(versions) == 1 {
+	if confirmed && len(versions) == 1 {
 		for v := range versions {
 			return Origin{service, v}, SoleVersion
 		}
--- a/origin/stored.go
+++ b/origin/stored.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// clockSlack is how far the clocks of hosts may differ when one stores a time and another
-	// reads it.
-	clockSlack = 30 * cicadapitch.Second
+	// ListDelay is how long a host may take to learn that the store lists a version as gone. Until
+	// then it may begin streams at endpoints of the version that come back.
+	ListDelay = 30 * cicadapitch.Second
 	// maxUnstored bounds the records that wait to be stored. The oldest are dropped first.
 	maxUnstored = 4096
 )
@@ -16,25 +16,30 @@
 // StoredVersion is a software version of a service as the platform's store holds it.
 type StoredVersion struct {
 	Version cicadapitch.SoftwareVersion
-	// GoneAt is when its last endpoint left, in milliseconds since the Unix epoch by the clock
-	// of the host that stored it, or 0 while there are any.
+	// GoneAt is when it went out of use, in milliseconds since the Unix epoch by the clock of
+	// the host that stored it, or 0 while it is in use.
 	GoneAt cicadapitch.Instant
 }
 
-// StoredVersions returns what the store has to hold of the versions of each service: those of
-// the last observation, and those that have vanished within MaxLifetime.
+// StoredVersions returns what the store has to list of the versions of each service: those that
+// have endpoints, or had lately, and those that went out of use while streams of them may be taken up.
 func (h *History) StoredVersions(now cicadapitch.Instant) map[catalog.ServiceID][]StoredVersion {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.touch(now)
 	out := map[catalog.ServiceID][]StoredVersion{}
-	for s, versions := range h.versions {
-		for v, at := range versions {
+	for s, versions := range h.services {
+		for v, u := range versions {
 			stored := StoredVersion{Version: v}
-			if at < now {
-				stored.GoneAt = at
+			switch {
+			case u.present || u.listed && now.Sub(u.absentSince) < retireDelay:
+			case u.listed:
+				stored.GoneAt = now
+			case u.storedGoneAt > 0:
+				stored.GoneAt = u.storedGoneAt
+			default:
+				stored.GoneAt = u.goneAt
 			}
-			if now.Sub(at) <= MaxLifetime {
+			if u.possible(now, retention) {
 				out[s] = append(out[s], stored)
 			}
 		}
@@ -42,25 +47,25 @@
 	return out
 }
 
-// Restore adds the versions of a service that the store held when this host started. The
-// history of the service is complete from then on: what came into service later, the host sees.
-func (h *History) Restore(now cicadapitch.Instant, s catalog.ServiceID, stored []StoredVersion) {
+// ApplyStored records what the store lists of the versions of a service. Later lists must not be
+// applied before earlier ones.
+func (h *History) ApplyStored(now cicadapitch.Instant, s catalog.ServiceID, stored []StoredVersion) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.restored[s] {
-		return
-	}
-	h.restored[s] = true
-	if h.versions[s] == nil {
-		h.versions[s] = map[cicadapitch.SoftwareVersion]cicadapitch.Instant{}
-	}
+	goneAt := map[cicadapitch.SoftwareVersion]cicadapitch.Instant{}
 	for _, v := range stored {
-		at := now
-		if v.GoneAt > 0 {
-			at = min(now, v.GoneAt.Add(clockSlack))
+		goneAt[v.Version] = v.GoneAt
+		h.use(now, s, v.Version)
+	}
+	for v, u := range h.services[s] {
+		at, known := goneAt[v]
+		inUse := known && at == 0
+		if u.listed && !inUse || at != u.storedGoneAt && at > 0 {
+			u.goneAt = now
 		}
-		h.versions[s][v.Version] = max(h.versions[s][v.Version], at)
+		u.listed, u.storedGoneAt = inUse, at
 	}
+	h.removeExpired(now)
 }
 
 // Journal holds the records of the streams that this host has begun and that the store lacks.
