--- a/soak/outofstep_test.go
+++ b/soak/outofstep_test.go
@@ -37,7 +37,7 @@
 	o.store.Set(platformtest.ConfigKey, platformtest.Config(1, "", 50))
 	o.relay = newRelay(t, o.store.Address())
 	for i, store := range []string{o.relay.address, o.store.Address(), o.store.Address()} {
-		p := newHostProcess(t, fmt.Sprintf("127.97.%d.%d", seed%250+1, i+1), i, store)
+		p := newHostProcess(t, platformtest.LoopbackAddress(int(seed%250+1), i+1), i, store)
 		p.start()
 		o.hosts = append(o.hosts, p)
 	}
