gateway: log what ended each request, how far it had come and since when the host stops

Requests that a stopping host cuts leave no line that tells them from those whose caller or endpoint went away: the line ended has one flag, CallerGone, and no time since the stop. The lines of a request now say what ended it, in which state and how long after the host was asked to stop; the lines stop requested and stop count what is running by state, RequestsEnded counts ends by cause and state.

--- a/fronthost/shutdown.go
+++ b/fronthost/shutdown.go
@@ -65,7 +65,8 @@
 func (h *Host) shutDown(callers *http.Server) {
 	start := h.clock.Now()
 	plan := newShutdownPlan(h.settings.Bounds.ShutdownGrace, h.settings.Host, h.membership.RecentHosts())
-	h.log.Info().Int64("ExpiryMs", int64(plan.expiry)).Int64("TurnMs", int64(plan.turn)).Msg("stop requested")
+	h.gateway.RequestStop()
+	h.gateway.LogRunning(h.log.Info()).Int64("ExpiryMs", int64(plan.expiry)).Int64("TurnMs", int64(plan.turn)).Msg("stop requested")
 	h.ingress.CloseConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), (h.settings.Bounds.ShutdownGrace - shutdownMargin).Duration())
 	defer cancel()
@@ -78,5 +79,5 @@
 	h.membership.CloseToCallers()
 	h.log.Info().Int64("AfterMs", int64(h.clock.Now().Sub(start))).Int("OtherHosts", len(h.membership.Hosts())).Msg("no further callers")
 	err := callers.Shutdown(ctx)
-	h.log.Info().Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
+	h.gateway.LogRunning(h.log.Info()).Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -90,6 +91,9 @@
 	// stopped is canceled by Stop.
 	stopped context.Context
 	stop    context.CancelFunc
+	// stopRequestedAt is when the process was asked to stop, or 0.
+	stopRequestedAt atomic.Int64
+	running         runningRequests
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -162,6 +166,26 @@
 	return g
 }
 
+// RequestStop records that the process was asked to stop, for the log.
+func (g *Gateway) RequestStop() { g.stopRequestedAt.Store(int64(g.clock.Now())) }
+
+// logStop adds to a line how long ago the process was asked to stop, if it was.
+func (g *Gateway) logStop(event *zerolog.Event) *zerolog.Event {
+	at := cicadapitch.Instant(g.stopRequestedAt.Load())
+	if at == 0 {
+		return event
+	}
+	return event.Int64("SinceStopMs", int64(g.clock.Now().Sub(at)))
+}
+
+// LogRunning adds to a line how many requests are being served, by state.
+func (g *Gateway) LogRunning(event *zerolog.Event) *zerolog.Event {
+	for s := range g.running {
+		event.Int64(requestState(s).String(), g.running[s].Load())
+	}
+	return event
+}
+
 // Stop rejects the requests that have not been sent to an engine yet, and new
 // requests for engines. Requests of plain services are still served, since their
 // calls are short.
@@ -220,6 +244,8 @@
 		return
 	}
 	p.answer = a
+	g.running.begin(p)
+	defer g.running.end(p)
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Counter("Requests").Inc(1)
 	remaining := p.deadline.Sub(g.clock.Now())
 	ctx, cancel := context.WithTimeoutCause(ctx, remaining.Duration(), errDeadline)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -228,7 +228,7 @@
 			if !begun {
 				begun = true
 				onFirstEvent()
-				p.status = reply.Status
+				p.beginAnswer(reply.Status)
 				p.answer.WriteHeader(reply)
 			}
 			if err := p.relayChunk(buf[:n]); err != nil {
@@ -279,7 +279,7 @@
 				onFirstEvent()
 			}
 			if !p.answer.HeaderWritten() {
-				p.status = reply.Status
+				p.beginAnswer(reply.Status)
 				p.answer.WriteResumableHeader(reply)
 			}
 			if err := p.relayChunk(complete); err != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -113,7 +113,7 @@
 	if reply.Status < 500 {
 		p.recordSuccess(e.ID, p.g.clock.Now().Sub(start))
 	}
-	p.status = reply.Status
+	p.beginAnswer(reply.Status)
 	p.answer.WriteHeader(reply)
 	if _, err := p.answer.Write(body); err != nil {
 		return true, notRelayed(err)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,6 +76,8 @@
 	origin *origin.Origin
 	// phase is one of phaseWaiting, phaseCommitted and phaseRejected.
 	phase atomic.Int32
+	// state is a requestState.
+	state atomic.Int32
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// queueWaits are the queue waits by shard key that the owners had reported before
@@ -266,6 +268,7 @@
 	if p.phase.Load() != phaseCommitted && !p.phase.CompareAndSwap(phaseWaiting, phaseCommitted) {
 		return nil, errStopping
 	}
+	p.setState(stateSent)
 	sinceChoice := p.g.clock.Now().Sub(p.chosenAt)
 	reply, err := p.g.endpoints.Send(ctx, platform.Call{
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
@@ -305,6 +308,7 @@
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
+	p.g.logStop(event)
 	if age, ok := p.g.membership.KnowledgeAge(); ok {
 		event.Int64("KnowledgeAgeMs", int64(age))
 	}
@@ -409,8 +413,11 @@
 	took := g.clock.Now().Sub(p.request.Arrived)
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Histogram("Latency", latencyBuckets).RecordDuration(took.Duration())
 	callerGone := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
-	g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
-		Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
+	state, end := requestState(p.state.Load()), p.endOf(ctx, err)
+	g.metrics.Tagged(map[string]string{"By": end.String(), "State": state.String()}).Counter("RequestsEnded").Inc(1)
+	event := g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
+		Stringer("By", end).Stringer("State", state)
+	g.logStop(event).Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
 		Bool("CallerGone", callerGone).Int64("TookMs", int64(took)).Err(err).Msg("ended")
 	if err == nil {
 		return
