fronthost: failing tests of requests that a stopping host cuts

One host, a grace of 3 s, a request each 25 ms over new and kept connections; what is answered after Run has returned counts as cut, since the process ends then. On this commit: - endpoints of 1.1 s, of 1.9 s and silent for 1.2 s in a stream: answers after 2,604 to 2,613 ms, the process ends after 2,601 ms; with 50 and 400 ms all are whole; - streams that wait for nothing pass a host that has stopped: 12 of 12 in one run, 9 of 9 in another; - a booking that runs at the end of the grace is cut without an answer; - a repeat of 1.3 s is sent 1.2 s before the end.

--- /dev/null
+++ b/fronthost/stop_test.go
@@ -0,0 +1,278 @@
+package fronthost_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+// ending is how a request at a host that stops has ended.
+type ending struct {
+	id, path string
+	sentAt   time.Time
+	endedAt  time.Time
+	// status is that of the answer, or 0 without one.
+	status int
+	// whole is true if the whole answer came.
+	whole bool
+	err   error
+}
+
+// stopTraffic sends requests to the first host while it stops.
+type stopTraffic struct {
+	d  *deployment
+	wg sync.WaitGroup
+
+	mu      sync.Mutex
+	endings []ending
+}
+
+// send sends a request in the background. A client with keep sends it over a kept connection.
+func (s *stopTraffic) send(c *http.Client, req platformtest.CallerRequest) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		e := ending{id: req.ID, path: req.Path, sentAt: time.Now()}
+		if r, err := req.HTTPRequest(); err != nil {
+			e.err = err
+		} else {
+			e.status, e.err = do(c, r)
+		}
+		e.whole, e.endedAt = e.err == nil, time.Now()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.endings = append(s.endings, e)
+	}()
+}
+
+// do sends a request and reads the whole answer.
+func do(c *http.Client, r *http.Request) (int, error) {
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// newClient returns a client that keeps its connections, or opens one for each request. It does
+// not send a request twice by itself.
+func newClient(t *testing.T, keep bool) *http.Client {
+	transport := &http.Transport{DisableKeepAlives: !keep, MaxIdleConnsPerHost: 64}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// stop stops the first host and returns when its process would have ended.
+func (d *deployment) stop() time.Time {
+	d.cancels[0]()
+	<-d.stopped[0]
+	return time.Now()
+}
+
+// requireTrueEndings waits for the requests and checks that each one was answered, or refused and
+// not run, before the process ended, unless nothing listened for it any more. It returns the
+// numbers of requests that succeeded and that were refused.
+func (s *stopTraffic) requireTrueEndings(t *testing.T, stopAt, processEnd time.Time) (served, refused int) {
+	s.wg.Wait()
+	for _, e := range s.endings {
+		note := fmt.Sprintf("%s %s, sent %d ms after the stop, ended after %d ms, status %d, error %v, process end after %d ms",
+			e.id, e.path, e.sentAt.Sub(stopAt).Milliseconds(), e.endedAt.Sub(stopAt).Milliseconds(), e.status, e.err, processEnd.Sub(stopAt).Milliseconds())
+		runs := s.d.runCount(e.id)
+		switch {
+		case e.whole && e.status == http.StatusOK:
+			served++
+			require.GreaterOrEqual(t, runs, 1, note)
+		case e.whole && e.status == http.StatusServiceUnavailable:
+			refused++
+			require.Zero(t, runs, note)
+		default:
+			require.ErrorIs(t, e.err, syscall.ECONNREFUSED, note)
+			require.Zero(t, runs, note)
+			continue
+		}
+		require.False(t, e.endedAt.After(processEnd), "cut by the end of the process: "+note)
+		if strings.HasPrefix(e.path, "/book/") {
+			require.LessOrEqual(t, runs, 1, note)
+		}
+	}
+	return served, refused
+}
+
+// anyRequest returns the nth request to the first host: a booking, a look-up, or a stream without or
+// with stages.
+func (d *deployment) anyRequest(n int) platformtest.CallerRequest {
+	id := newID()
+	var req platformtest.CallerRequest
+	switch n % 4 {
+	case 0:
+		req = d.newRequest(0, "POST", "/book/a", id)
+	case 1:
+		req = d.newRequest(0, "GET", "/look/a", id)
+	case 2:
+		req = d.newStreamRequest(0, "/plan/a", id, "")
+	default:
+		req = d.newStreamRequest(0, "/answer/a", id, "1,1")
+	}
+	req.Session = id
+	return req
+}
+
+// TestRequestsLateInTheGraceGetAWholeAnswerOrARefusal stops a host whose endpoints are slow, or
+// fall silent for a second and go on, under requests over new and kept connections.
+func TestRequestsLateInTheGraceGetAWholeAnswerOrARefusal(t *testing.T) {
+	for name, change := range map[string]func(*platformtest.Endpoint){
+		"50 ms":              func(e *platformtest.Endpoint) { e.SetDelay(50 * time.Millisecond) },
+		"400 ms":             func(e *platformtest.Endpoint) { e.SetDelay(400 * time.Millisecond) },
+		"1.1 s":              func(e *platformtest.Endpoint) { e.SetDelay(1100 * time.Millisecond) },
+		"1.9 s":              func(e *platformtest.Endpoint) { e.SetDelay(1900 * time.Millisecond) },
+		"silent in a stream": func(e *platformtest.Endpoint) { e.SetStall(1200 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1)
+			d.addEngines(2)
+			traffic := &stopTraffic{d: d}
+			clients := []*http.Client{newClient(t, false), newClient(t, true)}
+			for n := range 40 {
+				traffic.send(clients[n/4%2], d.anyRequest(n))
+				time.Sleep(25 * time.Millisecond)
+			}
+			for id, e := range d.endpoints {
+				if id != "s1" {
+					change(e)
+				}
+			}
+			stopAt, ended := time.Now(), make(chan time.Time, 1)
+			go func() { ended <- d.stop() }()
+			var processEnd time.Time
+			for n := 0; processEnd.IsZero(); n++ {
+				traffic.send(clients[n/4%2], d.anyRequest(n))
+				select {
+				case processEnd = <-ended:
+				case <-time.After(25 * time.Millisecond):
+				}
+			}
+			served, refused := traffic.requireTrueEndings(t, stopAt, processEnd)
+			t.Logf("%d served, %d refused", served, refused)
+			require.Less(t, processEnd.Sub(stopAt), 3*time.Second, "the platform kills the process")
+		})
+	}
+}
+
+// TestRequestThatNeedsNoWaitDoesNotPassAStoppedHost guards against a stop that is announced in the
+// background: a stream without stages whose engine is free waits nowhere.
+func TestRequestThatNeedsNoWaitDoesNotPassAStoppedHost(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.addEngines(6)
+	for _, e := range d.endpoints {
+		e.SetDelay(1500 * time.Millisecond)
+	}
+	client := newClient(t, false)
+	stopAt := time.Now()
+	go d.stop()
+	// Nothing that lasts 1.5 s can be whole by the end of the grace of 3 s.
+	time.Sleep(time.Until(stopAt.Add(1550 * time.Millisecond)))
+	traffic := &stopTraffic{d: d}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Since(stopAt) < 1750*time.Millisecond {
+				req := d.newStreamRequest(0, "/plan/a", newID(), "")
+				r, err := req.HTTPRequest()
+				if err != nil {
+					panic(err)
+				}
+				e := ending{id: req.ID, sentAt: time.Now()}
+				e.status, e.err = do(client, r)
+				traffic.mu.Lock()
+				traffic.endings = append(traffic.endings, e)
+				traffic.mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	t.Logf("%d requests", len(traffic.endings))
+	for _, e := range traffic.endings {
+		require.NoError(t, e.err)
+		require.Equal(t, http.StatusServiceUnavailable, e.status, "sent %v after the stop", e.sentAt.Sub(stopAt))
+		require.Zero(t, d.runCount(e.id))
+	}
+	require.Greater(t, len(traffic.endings), 300)
+}
+
+// TestWhatRunsAtTheEndOfTheGraceGetsATrueAnswer stops a host whose endpoints do not answer by the
+// end of the grace. What they may have run is answered 502 or 504, what still waits 503.
+func TestWhatRunsAtTheEndOfTheGraceGetsATrueAnswer(t *testing.T) {
+	d := newDeployment(t, 1)
+	for id, e := range d.endpoints {
+		if id != "s1" {
+			e.SetDelay(5 * time.Second)
+		}
+	}
+	d.endpoints["s1"].SetFull(true)
+	traffic := &stopTraffic{d: d}
+	for n := range 16 {
+		req := d.anyRequest(n)
+		req.Deadline = 6000
+		traffic.send(newClient(t, n%8 < 4), req)
+	}
+	time.Sleep(300 * time.Millisecond)
+	processEnd := d.stop()
+	traffic.wg.Wait()
+	require.Len(t, traffic.endings, 16)
+	for _, e := range traffic.endings {
+		require.NoError(t, e.err, e.path)
+		require.False(t, e.endedAt.After(processEnd), "%s %s: cut by the end of the process", e.id, e.path)
+		if d.runCount(e.id) == 0 {
+			require.Equal(t, http.StatusServiceUnavailable, e.status, e.path)
+		} else {
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, e.status, e.path)
+		}
+	}
+}
+
+// TestRepeatIsNotSentOnceItsAnswerCannotBeWhole lets first attempts fail while their host stops.
+func TestRepeatIsNotSentOnceItsAnswerCannotBeWhole(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.setConfiguration(platformtest.SlowRoute)
+	client := newClient(t, false)
+	sum := func() platformtest.CallerRequest { return d.newRequest(0, "GET", "/sum/a", newID()) }
+	require.Eventually(t, func() bool { return d.sendPlain(0, "GET", "/sum/a", newID()).StatusCode == http.StatusOK }, 2*time.Second, 20*time.Millisecond)
+	traffic := &stopTraffic{d: d}
+	for range 30 {
+		traffic.send(client, sum())
+	}
+	traffic.wg.Wait()
+	for _, id := range []string{"p1", "p2"} {
+		d.endpoints[id].SetDelay(1300 * time.Millisecond)
+		d.endpoints[id].SetFailAfterRun(true)
+	}
+	traffic = &stopTraffic{d: d}
+	time.AfterFunc(100*time.Millisecond, d.cancels[0])
+	for range 20 {
+		traffic.send(client, sum())
+		time.Sleep(15 * time.Millisecond)
+	}
+	<-d.stopped[0]
+	processEnd := time.Now()
+	traffic.wg.Wait()
+	for _, e := range traffic.endings {
+		require.NoError(t, e.err)
+		require.False(t, e.endedAt.After(processEnd), "cut by the end of the process, status %d", e.status)
+		require.Equal(t, d.runCount(e.id) == 0, e.status == http.StatusServiceUnavailable, "status %d", e.status)
+		require.LessOrEqual(t, d.runCount(e.id), 1, "the repeat would have outlasted the process")
+	}
+}
