gateway: decide where a request is committed whether it ends before the host

Callers of a host that is asked to stop saw their connections end in the middle of an answer, or without one: the host had passed their requests on seconds after SIGTERM.

Cause: a decision that is announced in the background while the committing step does not read it. The stop canceled a context; a function registered with it moved each request from waiting to rejected, in a goroutine of its own if the context had ended before. A request that waits for nothing was committed first. Plain requests were not asked at all, and passed on until 1.2 s before the end whatever their endpoints took.

Each attempt is now decided where it is committed, after every wait and before the first byte: it is sent only if what it may still last fits into what is left until the host gives up what runs (gateway.plannedStop). That is the time to its deadline, or half as long again as the longest recent call of its route, the silence of a sound endpoint and the way back, if that is less. The same holds for repeats, streams that are taken up and relayed connections, since all are sent there. A stream whose stages leave no time is rejected at arrival. An attempt is not cut short for its silence where no other one could follow.

--- a/fronthost/shutdown.go
+++ b/fronthost/shutdown.go
@@ -22,9 +22,9 @@
 	// listenStopMargin is how long before the end of the shutdown grace the listener for
 	// callers closes at the latest.
 	listenStopMargin cicadapitch.Millis = 1200
-	// shutdownMargin is how long before the end of the shutdown grace the host gives up
+	// giveUpMargin is how long before the end of the shutdown grace the host gives up
 	// the requests in progress.
-	shutdownMargin cicadapitch.Millis = 400
+	giveUpMargin cicadapitch.Millis = 400
 )
 
 // shutdownPlan says when a host that stops closes its listener for callers.
@@ -58,22 +58,21 @@
 	return others > 0 || elapsed >= p.expiry+p.turn
 }
 
-// shutDown makes responses close their connection, takes the host out of the directory, refuses
-// requests for engines that still wait once no answer of the directory names the host, closes the
-// listener for callers by the plan, and waits for the requests in progress. The other listeners stay
-// open until the process ends.
+// shutDown makes responses close their connection, passes on only what is answered in time, takes the
+// host out of the directory, closes the listener for callers by the plan, and waits for the requests
+// in progress until shortly before the grace ends. The other listeners stay open until the process
+// ends.
 func (h *Host) shutDown(callers *http.Server) {
-	start := h.clock.Now()
-	plan := newShutdownPlan(h.settings.Bounds.ShutdownGrace, h.settings.Host, h.membership.RecentHosts())
-	h.gateway.RequestStop()
+	start, grace := h.clock.Now(), h.settings.Bounds.ShutdownGrace
+	plan := newShutdownPlan(grace, h.settings.Host, h.membership.RecentHosts())
 	h.gateway.LogRunning(h.log.Info()).Int64("ExpiryMs", int64(plan.expiry)).Int64("TurnMs", int64(plan.turn)).Msg("stop requested")
 	h.ingress.CloseConnections()
-	ctx, cancel := context.WithTimeout(context.Background(), (h.settings.Bounds.ShutdownGrace - shutdownMargin).Duration())
+	h.gateway.Stop(start.Add(grace - giveUpMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), (grace - giveUpMargin).Duration())
 	defer cancel()
 	go h.membership.Leave(ctx)
 	// Sleep fails only if ctx has ended, which Shutdown reports too.
 	_ = h.clock.Sleep(ctx, plan.expiry)
-	h.gateway.Stop()
 	for !plan.closes(h.clock.Now().Sub(start), len(h.membership.Hosts())) && h.clock.Sleep(ctx, turnPollInterval) == nil {
 	}
 	h.membership.CloseToCallers()
--- /dev/null
+++ b/gateway/calltimes.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"sync"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	// callTimeSpan is the time for which the longest call of a route counts at least.
+	callTimeSpan = 30 * cicadapitch.Second
+	// minCallTimes is the number of calls from which the longest says something.
+	minCallTimes = 10
+	// callTimeFactor allows for calls that last longer than the longest one seen: endpoints take
+	// over the work of hosts that stop.
+	callTimeFactor = 1.5
+)
+
+// callTimes holds how long the calls of each route have lasted lately, from the first sending of a
+// request until its end. It is safe for concurrent use.
+type callTimes struct {
+	mu     sync.Mutex
+	routes map[string]*routeTimes
+}
+
+// routeTimes are the calls of one route in this span and in the one before.
+type routeTimes struct {
+	begunAt       cicadapitch.Instant
+	current, last callSpan
+}
+
+type callSpan struct {
+	count   int
+	longest cicadapitch.Millis
+}
+
+func newCallTimes() *callTimes { return &callTimes{routes: map[string]*routeTimes{}} }
+
+// record records how long a call has lasted.
+func (c *callTimes) record(now cicadapitch.Instant, route string, took cicadapitch.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.routes[route]
+	if r == nil {
+		r = &routeTimes{begunAt: now}
+		c.routes[route] = r
+	}
+	r.turn(now)
+	r.current.count++
+	r.current.longest = max(r.current.longest, took)
+}
+
+// longest returns an upper estimate of how long a call lasts, and false if there were too few.
+func (c *callTimes) longest(now cicadapitch.Instant, route string) (cicadapitch.Millis, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.routes[route]
+	if r == nil {
+		return 0, false
+	}
+	r.turn(now)
+	if r.current.count+r.last.count < minCallTimes {
+		return 0, false
+	}
+	return cicadapitch.Millis(callTimeFactor * float64(max(r.current.longest, r.last.longest))), true
+}
+
+// turn begins a new span if the current one is over.
+func (r *routeTimes) turn(now cicadapitch.Instant) {
+	switch age := now.Sub(r.begunAt); {
+	case age >= 2*callTimeSpan:
+		*r = routeTimes{begunAt: now}
+	case age >= callTimeSpan:
+		*r = routeTimes{begunAt: now, last: r.current}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -88,12 +87,12 @@
 	paths       *relay.Table
 	relayDialer *relay.Dialer
 	relays      *relay.Server
-	// stopped is canceled by Stop.
-	stopped context.Context
-	stop    context.CancelFunc
-	// stopRequestedAt is when the process was asked to stop, or 0.
-	stopRequestedAt atomic.Int64
-	running         runningRequests
+	// stop is nil until the host is asked to stop. stopAnnounced ends after it is set.
+	stop          atomic.Pointer[plannedStop]
+	stopAnnounced context.Context
+	announceStop  context.CancelFunc
+	running       runningRequests
+	callTimes     *callTimes
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -139,6 +138,7 @@
 		firstEventMillis: map[string]float64{},
 		origins:          newOrigins(),
 		endChecks:        newEndChecks(),
+		callTimes:        newCallTimes(),
 		quarantine:       quarantine.NewLedger(),
 		trials:           quarantine.NewTrials(),
 		limits:           placement.NewRateLimits(),
@@ -156,7 +156,7 @@
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
-	g.stopped, g.stop = context.WithCancel(context.Background())
+	g.stopAnnounced, g.announceStop = context.WithCancel(context.Background())
 	g.shards = newShardRunners(g.endpoints, g.limits, g.clock, g.log, g.metrics)
 	g.shards.onFetched = g.freeResults
 	g.shards.owns = func(s batch.Shard) bool {
@@ -166,18 +166,6 @@
 	return g
 }
 
-// RequestStop records that the process was asked to stop, for the log.
-func (g *Gateway) RequestStop() { g.stopRequestedAt.Store(int64(g.clock.Now())) }
-
-// logStop adds to a line how long ago the process was asked to stop, if it was.
-func (g *Gateway) logStop(event *zerolog.Event) *zerolog.Event {
-	at := cicadapitch.Instant(g.stopRequestedAt.Load())
-	if at == 0 {
-		return event
-	}
-	return event.Int64("SinceStopMs", int64(g.clock.Now().Sub(at)))
-}
-
 // LogRunning adds to a line how many requests are being served, by state.
 func (g *Gateway) LogRunning(event *zerolog.Event) *zerolog.Event {
 	for s := range g.running {
@@ -186,14 +174,6 @@
 	return event
 }
 
-// Stop rejects the requests that have not been sent to an engine yet, and new
-// requests for engines. Requests of plain services are still served, since their
-// calls are short.
-func (g *Gateway) Stop() {
-	g.relays.Stop()
-	g.stop()
-}
-
 // Origins returns what this host knows of the origins of streams, for the store.
 func (g *Gateway) Origins() membership.Origins { return g.origins }
 
@@ -250,43 +230,27 @@
 	remaining := p.deadline.Sub(g.clock.Now())
 	ctx, cancel := context.WithTimeoutCause(ctx, remaining.Duration(), errDeadline)
 	defer cancel()
+	ctx, cancel = p.untilStopped(ctx)
+	defer cancel()
+	p.finish(ctx, p.serve(ctx))
+}
+
+// serve serves an admitted request.
+func (p *proxiedRequest) serve(ctx context.Context) error {
+	now := p.g.clock.Now()
+	if err := p.checkStop(now, p.arrivalNeed(now)); err != nil {
+		return err
+	}
 	if p.service.Engine != nil || p.route.Kind == catalog.Streaming {
-		err = p.generateUnlessStopping(ctx)
-	} else {
-		err = p.servePlain(ctx)
+		return p.generate(ctx)
 	}
-	p.finish(ctx, err)
+	return p.servePlain(ctx)
 }
 
 // errDeadline is the cause with which the context of a request ends at its deadline.
 var errDeadline = cicadapitch.NewError(cicadapitch.DeadlineExceeded,
 	"the time of the request is over", "send it again where that is harmless")
 
-// errStopping answers requests that were not sent to an engine before the host
-// stopped.
-var errStopping = cicadapitch.NewNotRun("the host is stopping", stoppingRetryAfter)
-
-// stoppingRetryAfter is short because the caller can retry at another host at once.
-const stoppingRetryAfter cicadapitch.Millis = 50
-
-// generateUnlessStopping runs generate, but returns errStopping if the host stops
-// before the request has been sent to an engine.
-func (p *proxiedRequest) generateUnlessStopping(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	unregister := context.AfterFunc(p.g.stopped, func() {
-		if p.phase.CompareAndSwap(phaseWaiting, phaseRejected) {
-			cancel(errStopping)
-		}
-	})
-	defer unregister()
-	err := p.generate(ctx)
-	if errors.Is(context.Cause(ctx), errStopping) {
-		return errStopping
-	}
-	return err
-}
-
 // admit authenticates a request, finds its route and service, and counts the request
 // for the service's retry budget. The error is NotRun, NotFound or Denied.
 func (g *Gateway) admit(r *catalog.Request) (*proxiedRequest, error) {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -60,6 +60,7 @@
 	}
 	var events eventSplitter
 	for reruns, connectFailures := 0, 0; ; {
+		p.awaitAttempt()
 		p.queueWaits = p.g.membership.Waits()
 		inputs, err := p.runStages(ctx, likelyEngine.Zone)
 		if errors.Is(err, errInputLost) && reruns < maxStageReruns && ctx.Err() == nil {
@@ -72,7 +73,7 @@
 		err = p.generateOnce(ctx, inputs, &events)
 		inputs.freeAll()
 		switch {
-		case err == nil || ctx.Err() != nil || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errNotRelayed) || errors.Is(err, errQuarantined) || errors.Is(err, errSuspected):
+		case err == nil || ctx.Err() != nil || errors.Is(err, errStopping) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errNotRelayed) || errors.Is(err, errQuarantined) || errors.Is(err, errSuspected):
 			return err
 		case !p.hasCandidate():
 			return err
@@ -176,7 +177,7 @@
 		// A timer without a function: no other attempt can resume the stream.
 		return time.NewTimer(p.remaining().Duration() + time.Hour)
 	}
-	return time.AfterFunc(p.silenceTimeout(false).Duration(), func() { cancel(errSilent) })
+	return time.AfterFunc(p.silenceTimeout(false).Duration(), func() { p.endSilentAttempt(cancel) })
 }
 
 // silenceTimeout returns how long an engine may send nothing before another engine
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,6 +33,7 @@
 	}
 	var retry *reservedRetry
 	for connectFailures := 0; ; {
+		p.awaitAttempt()
 		e, err := p.choosePlainEndpoint(ctx, retry)
 		if err != nil {
 			return err
@@ -46,7 +47,7 @@
 		attempt.end()
 		p.endTrial()
 		retry = attempt.retry
-		if done || errors.Is(err, membership.ErrKnowledgeOld) {
+		if done || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) {
 			p.releaseRetry(retry)
 			return err
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"cicadapitch.example/cicadapitch"
@@ -40,16 +41,6 @@
 	fullRetryAfter cicadapitch.Millis = 250
 )
 
-// The phases of a request.
-const (
-	// phaseWaiting means that no endpoint has been tried yet.
-	phaseWaiting int32 = iota
-	// phaseCommitted means that the request has been or is being sent to an endpoint.
-	phaseCommitted
-	// phaseRejected means that the host is stopping and the request must not be sent.
-	phaseRejected
-)
-
 // proxiedRequest is the state of one request while the gateway serves it.
 type proxiedRequest struct {
 	g        *Gateway
@@ -74,10 +65,11 @@
 	chosenAt cicadapitch.Instant
 	// origin is where the stream began, or nil before its first event.
 	origin *origin.Origin
-	// phase is one of phaseWaiting, phaseCommitted and phaseRejected.
-	phase atomic.Int32
-	// state is a requestState.
-	state atomic.Int32
+	// state is a requestState. While commitMu is held it does not change from waiting to sent.
+	state    atomic.Int32
+	commitMu sync.Mutex
+	// committedAt is when the request was first sent to an endpoint, or 0.
+	committedAt cicadapitch.Instant
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// queueWaits are the queue waits by shard key that the owners had reported before
@@ -254,28 +246,28 @@
 	if p.attempts >= p.route.MaxAttempts || p.mayHaveRun && !p.route.Idempotent() {
 		return false
 	}
+	now := p.g.clock.Now()
+	if p.checkStop(now, p.need(now)) != nil {
+		return false
+	}
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
-	return p.g.retryBudget(p.service.Name).AllowRetry(p.g.clock.Now(), p.g.membership.HostCount())
+	return p.g.retryBudget(p.service.Name).AllowRetry(now, p.g.membership.HostCount())
 }
 
 // send commits the request and sends it to an endpoint. It counts the attempt and
-// records failures of the endpoint. It returns errStopping if the host began to stop
-// before the request was committed, errChoiceOutdated if the endpoint must not get the
+// records failures of the endpoint. It returns errStopping if the answer may not be whole
+// before the host ends, errChoiceOutdated if the endpoint must not get the
 // request any more, and an error if the call fails or checkReply rejects the reply. A returned reply is a signed success or the endpoint's own error
 // answer.
 func (p *proxiedRequest) send(ctx context.Context, e fleet.Endpoint, inputs []string, resumeAfter string) (*platform.Reply, error) {
-	if p.phase.Load() != phaseCommitted && !p.phase.CompareAndSwap(phaseWaiting, phaseCommitted) {
-		return nil, errStopping
-	}
-	p.setState(stateSent)
 	sinceChoice := p.g.clock.Now().Sub(p.chosenAt)
 	reply, err := p.g.endpoints.Send(ctx, platform.Call{
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
-		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter,
+		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: p.commit,
 	})
 	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
-	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) {
+	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) {
 		return nil, err
 	}
 	if err != nil {
@@ -308,7 +300,7 @@
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
-	p.g.logStop(event)
+	p.g.stop.Load().log(event, p.g.clock.Now())
 	if age, ok := p.g.membership.KnowledgeAge(); ok {
 		event.Int64("KnowledgeAgeMs", int64(age))
 	}
@@ -410,14 +402,18 @@
 // with http.ErrAbortHandler instead, so that the answer cannot look complete.
 func (p *proxiedRequest) finish(ctx context.Context, err error) {
 	g := p.g
-	took := g.clock.Now().Sub(p.request.Arrived)
+	now := g.clock.Now()
+	took := now.Sub(p.request.Arrived)
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Histogram("Latency", latencyBuckets).RecordDuration(took.Duration())
-	callerGone := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
 	state, end := requestState(p.state.Load()), p.endOf(ctx, err)
+	callerGone := end == endedByCaller
+	if p.committedAt > 0 && (end == endedByAnswer || end == endedByDeadline || end == endedByEndpoint) {
+		g.callTimes.record(now, p.route.Name, now.Sub(p.committedAt))
+	}
 	g.metrics.Tagged(map[string]string{"By": end.String(), "State": state.String()}).Counter("RequestsEnded").Inc(1)
 	event := g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
 		Stringer("By", end).Stringer("State", state)
-	g.logStop(event).Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
+	g.stop.Load().log(event, now).Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
 		Bool("CallerGone", callerGone).Int64("TookMs", int64(took)).Err(err).Msg("ended")
 	if err == nil {
 		return
@@ -437,10 +433,12 @@
 func (p *proxiedRequest) finalError(ctx context.Context, err error) error {
 	e := cicadapitch.AsError(err)
 	switch {
-	case p.mayHaveRun && ctx.Err() != nil:
+	case p.mayHaveRun && errors.Is(context.Cause(ctx), errDeadline):
 		return errDeadline
 	case p.mayHaveRun:
 		return cicadapitch.NewOutcomeUnknown(err.Error())
+	case p.endOf(ctx, err) == endedByStop:
+		return errStopping.WithRetryAfter(jitter(stoppingRetryAfter))
 	case e != nil && e.Kind == cicadapitch.NotRun && e.RetryAfter > 0:
 		return e.WithRetryAfter(jitter(e.RetryAfter))
 	}
--- a/gateway/requeststate.go
+++ b/gateway/requeststate.go
@@ -32,6 +32,14 @@
 	p.g.running[s].Add(1)
 }
 
+// awaitAttempt records that no endpoint has the request, which may be sent to one soon. An answer that
+// has begun stays begun.
+func (p *proxiedRequest) awaitAttempt() {
+	if !p.answer.HeaderWritten() {
+		p.setState(stateWaiting)
+	}
+}
+
 // beginAnswer records that the head of an answer with a status is about to be sent to the caller.
 func (p *proxiedRequest) beginAnswer(status int) {
 	p.status = status
--- a/gateway/silentattempt.go
+++ b/gateway/silentattempt.go
@@ -74,7 +74,7 @@
 // the host does not allow the retry.
 func (p *proxiedRequest) reserveRetry(exclude map[cicadapitch.EndpointID]bool) *reservedRetry {
 	g := p.g
-	if g.stopped.Err() != nil {
+	if now := g.clock.Now(); !g.stop.Load().admits(now, p.need(now)) {
 		return nil
 	}
 	criteria := p.criteria("")
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -37,10 +37,7 @@
 // zone is the likely zone of the engine. If a stage fails, all results are freed.
 func (p *proxiedRequest) runStages(ctx context.Context, zone cicadapitch.ZoneID) (engineInputs, error) {
 	held := &heldResults{request: p, handles: map[int][]string{}, zones: map[int]cicadapitch.ZoneID{}, shards: map[int]batch.Shard{}}
-	pieces := p.request.Pieces
-	if len(pieces) < len(p.route.Stages) {
-		pieces = append(append([]int(nil), pieces...), make([]int, len(p.route.Stages)-len(pieces))...)
-	}
+	pieces := p.pieceCounts()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan stageOutcome, len(p.route.Stages))
@@ -85,6 +82,15 @@
 	return out, nil
 }
 
+// pieceCounts returns the number of pieces of each stage of the route.
+func (p *proxiedRequest) pieceCounts() []int {
+	pieces := p.request.Pieces
+	if len(pieces) < len(p.route.Stages) {
+		pieces = append(append([]int(nil), pieces...), make([]int, len(p.route.Stages)-len(pieces))...)
+	}
+	return pieces
+}
+
 const (
 	// transferBytesPerPromptToken is the number of bytes whose transfer between zones
 	// costs as much as processing one prompt token again.
@@ -228,6 +234,21 @@
 	return longest
 }
 
+// estimateStages estimates the time of all stages.
+func (p *proxiedRequest) estimateStages() cicadapitch.Millis {
+	if len(p.route.Stages) == 0 {
+		return 0
+	}
+	p.queueWaits = p.g.membership.Waits()
+	pieces, longest := p.pieceCounts(), cicadapitch.Millis(0)
+	for i, s := range p.route.Stages {
+		if pieces[i] > 0 && len(s.After) == 0 {
+			longest = max(longest, p.estimateStageTime(s.Service, p.reportedWait)+p.downstreamTime(i, pieces, p.reportedWait))
+		}
+	}
+	return longest
+}
+
 // estimateStageTime estimates the time of one stage: the shortest queue wait of its
 // shards, a call that is half full, and stageHandoverTime.
 func (p *proxiedRequest) estimateStageTime(name catalog.ServiceID, wait func(batch.Shard) cicadapitch.Millis) cicadapitch.Millis {
--- /dev/null
+++ b/gateway/stopping.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+)
+
+const (
+	// soundSilence is how long a sound endpoint may send nothing.
+	soundSilence cicadapitch.Millis = 1600
+	// wayBackMargin is the time in which an answer that has come leaves this host.
+	wayBackMargin cicadapitch.Millis = 100
+	// stoppingRetryAfter is short because the caller can retry at another host at once.
+	stoppingRetryAfter cicadapitch.Millis = 50
+)
+
+// errStopping rejects requests whose answers may not be whole before the host ends.
+var errStopping = cicadapitch.NewNotRun("the host is stopping", stoppingRetryAfter)
+
+// plannedStop says when this host stops. It is nil while the host is not asked to.
+type plannedStop struct {
+	// requestedAt is when the host was asked to stop, endsAt when it gives up what still runs.
+	requestedAt, endsAt cicadapitch.Instant
+}
+
+// spare returns how much is left of the host's time after a call that lasts for need. It is negative
+// if the call may not end in time.
+func (s *plannedStop) spare(now cicadapitch.Instant, need cicadapitch.Millis) cicadapitch.Millis {
+	return s.endsAt.Sub(now) - need
+}
+
+// admits reports whether a call that lasts for need ends before the host does.
+func (s *plannedStop) admits(now cicadapitch.Instant, need cicadapitch.Millis) bool {
+	return s == nil || s.spare(now, need) >= 0
+}
+
+// log adds to a line how long ago the host was asked to stop.
+func (s *plannedStop) log(event *zerolog.Event, now cicadapitch.Instant) *zerolog.Event {
+	if s == nil {
+		return event
+	}
+	return event.Int64("SinceStopMs", int64(now.Sub(s.requestedAt)))
+}
+
+// Stop makes the host pass on only what is certain to be answered before endsAt. The rest is rejected
+// at once. It relays no further connections.
+func (g *Gateway) Stop(endsAt cicadapitch.Instant) {
+	g.stop.Store(&plannedStop{g.clock.Now(), endsAt})
+	g.relays.Stop()
+	g.announceStop()
+}
+
+// arrivalNeed returns the time that the request may take from now on, its stages included.
+func (p *proxiedRequest) arrivalNeed(now cicadapitch.Instant) cicadapitch.Millis {
+	return min(p.deadline.Sub(now), p.estimateStages()+p.need(now))
+}
+
+// need returns the longest time that the request may still take once it is sent. At its deadline the
+// caller gets an answer in any case.
+func (p *proxiedRequest) need(now cicadapitch.Instant) cicadapitch.Millis {
+	left := p.deadline.Sub(now)
+	if longest, ok := p.g.callTimes.longest(now, p.route.Name); ok {
+		return min(left, longest+soundSilence+wayBackMargin)
+	}
+	return left
+}
+
+// checkStop returns errStopping if the host stops before a request that still needs the given time
+// would end.
+func (p *proxiedRequest) checkStop(now cicadapitch.Instant, need cicadapitch.Millis) error {
+	s := p.g.stop.Load()
+	if s.admits(now, need) {
+		return nil
+	}
+	p.g.countStopping("Rejected")
+	s.log(p.g.log.Info(), now).Str("Id", string(p.request.ID)).Str("Route", p.route.Name).
+		Int64("NeedMs", int64(need)).Int64("SpareMs", int64(s.spare(now, need))).Bool("MayRun", p.mayHaveRun).Msg("rejected by the stop")
+	return errStopping
+}
+
+// endSilentAttempt cancels an attempt at a silent endpoint with errSilent, unless the host stops
+// before another attempt would end.
+func (p *proxiedRequest) endSilentAttempt(cancel context.CancelCauseFunc) {
+	now := p.g.clock.Now()
+	if p.g.stop.Load().admits(now, p.need(now)) {
+		cancel(errSilent)
+	}
+}
+
+// countStopping counts a decision on a request of a host that stops.
+func (g *Gateway) countStopping(outcome string) {
+	g.metrics.Tagged(map[string]string{"Outcome": outcome}).Counter("RequestsWhileStopping").Inc(1)
+}
+
+// commit decides whether the request is sent to an endpoint. It is called when nothing is left to
+// wait for.
+func (p *proxiedRequest) commit() error {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	now := p.g.clock.Now()
+	if err := p.checkStop(now, p.need(now)); err != nil {
+		return err
+	}
+	if p.g.stop.Load() != nil {
+		p.g.countStopping("Sent")
+	}
+	p.setState(stateSent)
+	if p.committedAt == 0 {
+		p.committedAt = now
+	}
+	return nil
+}
+
+// untilStopped returns a context that ends with errStopping once the request has waited for too long
+// to be committed at a host that stops.
+func (p *proxiedRequest) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	// A request that arrives later is rejected when it would be committed.
+	wake := context.AfterFunc(p.g.stopAnnounced, func() { p.endWait(ctx, cancel) })
+	return ctx, func() { wake(); cancel(nil) }
+}
+
+// endWait cancels the request if it still waits when it cannot be committed any more. A request that
+// waits again later, after an attempt has failed, is rejected by then.
+func (p *proxiedRequest) endWait(ctx context.Context, cancel context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		now := p.g.clock.Now()
+		spare := p.g.stop.Load().spare(now, p.need(now))
+		if spare < 0 {
+			p.cancelWait(cancel)
+			return
+		}
+		// Sleep fails only if ctx has ended.
+		_ = p.g.clock.Sleep(ctx, spare+1)
+	}
+}
+
+// cancelWait cancels the request if it waits.
+func (p *proxiedRequest) cancelWait(cancel context.CancelCauseFunc) {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	if requestState(p.state.Load()) == stateWaiting {
+		cancel(errStopping)
+	}
+}
