fronthost: what still runs at the end of a stop gets a true answer

Callers whose requests outlasted a stop saw their connections end without an answer: the host waited for them until its time was over and ended.

Shortly before the end the contexts of these requests end with a cause of their own. A request that may have run is answered 502, one that was read and not passed on 503; a stream that has begun can only break off. The host then waits until the server has written them, and a moment for the bytes to leave: connections that the end of the process closes may lose them.

--- a/fronthost/shutdown.go
+++ b/fronthost/shutdown.go
@@ -25,6 +25,12 @@
 	// giveUpMargin is how long before the end of the shutdown grace the host gives up
 	// the requests in progress.
 	giveUpMargin cicadapitch.Millis = 400
+	// exitMargin is how long before the end of the shutdown grace the process ends, even if
+	// callers have not taken their answers.
+	exitMargin cicadapitch.Millis = 150
+	// lastBytesTime is left for the last answers to reach their callers. Connections that the end of
+	// the process closes may lose them.
+	lastBytesTime cicadapitch.Millis = 50
 )
 
 // shutdownPlan says when a host that stops closes its listener for callers.
@@ -59,16 +65,16 @@
 }
 
 // shutDown makes responses close their connection, passes on only what is answered in time, takes the
-// host out of the directory, closes the listener for callers by the plan, and waits for the requests
-// in progress until shortly before the grace ends. The other listeners stay open until the process
-// ends.
+// host out of the directory, closes the listener for callers by the plan, and gives up what still runs
+// shortly before the grace ends. The other listeners stay open until the process ends.
 func (h *Host) shutDown(callers *http.Server) {
 	start, grace := h.clock.Now(), h.settings.Bounds.ShutdownGrace
+	endsAt := start.Add(grace - giveUpMargin)
 	plan := newShutdownPlan(grace, h.settings.Host, h.membership.RecentHosts())
 	h.gateway.LogRunning(h.log.Info()).Int64("ExpiryMs", int64(plan.expiry)).Int64("TurnMs", int64(plan.turn)).Msg("stop requested")
 	h.ingress.CloseConnections()
-	h.gateway.Stop(start.Add(grace - giveUpMargin))
-	ctx, cancel := context.WithTimeout(context.Background(), (grace - giveUpMargin).Duration())
+	h.gateway.Stop(endsAt)
+	ctx, cancel := context.WithTimeout(context.Background(), (grace - exitMargin).Duration())
 	defer cancel()
 	go h.membership.Leave(ctx)
 	// Sleep fails only if ctx has ended, which Shutdown reports too.
@@ -77,6 +83,20 @@
 	}
 	h.membership.CloseToCallers()
 	h.log.Info().Int64("AfterMs", int64(h.clock.Now().Sub(start))).Int("OtherHosts", len(h.membership.Hosts())).Msg("no further callers")
-	err := callers.Shutdown(ctx)
+	err := h.finish(ctx, callers, endsAt)
 	h.gateway.LogRunning(h.log.Info()).Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
 }
+
+// finish waits for the requests in progress until endsAt, and then answers those that still run.
+func (h *Host) finish(ctx context.Context, callers *http.Server, endsAt cicadapitch.Instant) error {
+	running, cancel := context.WithTimeout(ctx, endsAt.Sub(h.clock.Now()).Duration())
+	defer cancel()
+	err := callers.Shutdown(running)
+	if err != nil {
+		h.gateway.LogRunning(h.log.Warn()).Msg("giving up requests")
+		h.gateway.GiveUp()
+		err = callers.Shutdown(ctx)
+	}
+	_ = h.clock.Sleep(ctx, lastBytesTime) // fails only if ctx has ended
+	return err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,12 +87,13 @@
 	paths       *relay.Table
 	relayDialer *relay.Dialer
 	relays      *relay.Server
-	// stop is nil until the host is asked to stop. stopAnnounced ends after it is set.
-	stop          atomic.Pointer[plannedStop]
-	stopAnnounced context.Context
-	announceStop  context.CancelFunc
-	running       runningRequests
-	callTimes     *callTimes
+	// stop is nil until the host is asked to stop. stopAnnounced ends after it is set, givenUp once
+	// the host gives up what still runs.
+	stop                   atomic.Pointer[plannedStop]
+	stopAnnounced, givenUp context.Context
+	announceStop, giveUp   context.CancelFunc
+	running                runningRequests
+	callTimes              *callTimes
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -157,6 +158,7 @@
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
 	g.stopAnnounced, g.announceStop = context.WithCancel(context.Background())
+	g.givenUp, g.giveUp = context.WithCancel(context.Background())
 	g.shards = newShardRunners(g.endpoints, g.limits, g.clock, g.log, g.metrics)
 	g.shards.onFetched = g.freeResults
 	g.shards.owns = func(s batch.Shard) bool {
@@ -230,7 +232,7 @@
 	remaining := p.deadline.Sub(g.clock.Now())
 	ctx, cancel := context.WithTimeoutCause(ctx, remaining.Duration(), errDeadline)
 	defer cancel()
-	ctx, cancel = p.untilStopped(ctx)
+	ctx, cancel = p.untilGivenUp(ctx)
 	defer cancel()
 	p.finish(ctx, p.serve(ctx))
 }
--- a/gateway/requestend.go
+++ b/gateway/requestend.go
@@ -31,7 +31,7 @@
 	switch {
 	case err == nil:
 		return endedByAnswer
-	case errors.Is(err, errStopping) || errors.Is(cause, errStopping):
+	case errors.Is(err, errStopping) || errors.Is(cause, errStopping) || errors.Is(cause, errGivenUp):
 		return endedByStop
 	case errors.Is(cause, errDeadline):
 		return endedByDeadline
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rs/zerolog"
 
@@ -17,8 +18,12 @@
 	stoppingRetryAfter cicadapitch.Millis = 50
 )
 
-// errStopping rejects requests whose answers may not be whole before the host ends.
-var errStopping = cicadapitch.NewNotRun("the host is stopping", stoppingRetryAfter)
+var (
+	// errStopping rejects requests whose answers may not be whole before the host ends.
+	errStopping = cicadapitch.NewNotRun("the host is stopping", stoppingRetryAfter)
+	// errGivenUp is the cause with which a request ends that still runs at the end of a stop.
+	errGivenUp = errors.New("the host ends")
+)
 
 // plannedStop says when this host stops. It is nil while the host is not asked to.
 type plannedStop struct {
@@ -53,6 +58,9 @@
 	g.announceStop()
 }
 
+// GiveUp ends all requests that still run, with answers that say whether they may have run.
+func (g *Gateway) GiveUp() { g.giveUp() }
+
 // arrivalNeed returns the time that the request may take from now on, its stages included.
 func (p *proxiedRequest) arrivalNeed(now cicadapitch.Instant) cicadapitch.Millis {
 	return min(p.deadline.Sub(now), p.estimateStages()+p.need(now))
@@ -114,13 +122,14 @@
 	return nil
 }
 
-// untilStopped returns a context that ends with errStopping once the request has waited for too long
-// to be committed at a host that stops.
-func (p *proxiedRequest) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+// untilGivenUp returns a context that ends with errStopping once the request has waited for too long
+// to be committed at a host that stops, and with errGivenUp once the host gives up what still runs.
+func (p *proxiedRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	// A request that arrives later is rejected when it would be committed.
 	wake := context.AfterFunc(p.g.stopAnnounced, func() { p.endWait(ctx, cancel) })
-	return ctx, func() { wake(); cancel(nil) }
+	end := context.AfterFunc(p.g.givenUp, func() { cancel(errGivenUp) })
+	return ctx, func() { wake(); end(); cancel(nil) }
 }
 
 // endWait cancels the request if it still waits when it cannot be committed any more. A request that
