gateway: allow for longer calls by the number of calls seen

The longest of ten calls says less about the next one than that of a hundred. A stopping host now adds a tenth of the longest call after a hundred calls, and as much again after ten, in place of half of it from ten calls on.

--- a/gateway/calltimes.go
+++ b/gateway/calltimes.go
@@ -9,11 +9,9 @@
 const (
 	// callTimeSpan is the time for which the longest call of a route counts at least.
 	callTimeSpan = 30 * cicadapitch.Second
-	// minCallTimes is the number of calls from which the longest says something.
-	minCallTimes = 10
-	// callTimeFactor allows for calls that last longer than the longest one seen: endpoints take
-	// over the work of hosts that stop.
-	callTimeFactor = 1.5
+	// fewCalls is the number of calls of which the longest is half of what one more may last. The more
+	// calls there were, the closer is their longest to that.
+	fewCalls = 10
 )
 
 // callTimes holds how long the calls of each route have lasted lately, from the first sending of a
@@ -50,7 +48,7 @@
 	r.current.longest = max(r.current.longest, took)
 }
 
-// longest returns an upper estimate of how long a call lasts, and false if there were too few.
+// longest returns an upper estimate of how long a call lasts, and false if there was none.
 func (c *callTimes) longest(now cicadapitch.Instant, route string) (cicadapitch.Millis, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,10 +57,12 @@
 		return 0, false
 	}
 	r.turn(now)
-	if r.current.count+r.last.count < minCallTimes {
+	n := r.current.count + r.last.count
+	if n == 0 {
 		return 0, false
 	}
-	return cicadapitch.Millis(callTimeFactor * float64(max(r.current.longest, r.last.longest))), true
+	longest := max(r.current.longest, r.last.longest)
+	return longest + longest*fewCalls/cicadapitch.Millis(n), true
 }
 
 // turn begins a new span if the current one is over.
