gateway: a stopping owner refuses pieces that it may not see made, and gives back the others

A host asked the owner of a shard for pieces that the owner could not see made before it ended, and learned so from the broken connection: the stream lost the time, and the pieces were made twice.

The decision of a stop was asked for requests alone. The owner now refuses a stage whose call, with the silence of a sound endpoint, does not fit into what is left (NotRun), so that the other host goes to the next owner at once, and answers what still runs when it gives up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,9 @@
 	stopAnnounced, givenUp context.Context
 	announceStop, giveUp   context.CancelFunc
 	running                runningRequests
-	callTimes              *callTimes
+	// stagesOfOthers counts the stages that are run for other hosts.
+	stagesOfOthers atomic.Int64
+	callTimes      *callTimes
 
 	// mu guards the fields below.
 	mu           sync.Mutex
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -192,12 +192,27 @@
 // results expire by themselves, and a retry gets no preference.
 const notifyTimeout cicadapitch.Millis = 1000
 
+// runStageOfOther runs a stage for another host, as the owner of its shard. If this host stops before
+// the pieces are certain to be made, the error is NotRun, and the other host tries the next owner.
+func (g *Gateway) runStageOfOther(ctx context.Context, c StageCall) (StageReply, error) {
+	now, stop := g.clock.Now(), g.stop.Load()
+	if need := min(c.ExpireIn, g.shards.callTime(c)+soundSilence+wayBackMargin); !stop.admits(now, need) {
+		g.countStopping("StageRejected")
+		stop.log(g.log.Info(), now).Str("Id", string(c.Request)).Str("Service", c.Shard.Key()).
+			Int64("NeedMs", int64(need)).Int64("SpareMs", int64(stop.spare(now, need))).Msg("stage rejected by the stop")
+		return StageReply{}, errStopping
+	}
+	g.stagesOfOthers.Add(1)
+	defer g.stagesOfOthers.Add(-1)
+	ctx, cancel := g.untilGivenUp(ctx)
+	defer cancel(nil)
+	return g.shards.RunStage(ctx, c)
+}
+
 // RegisterHandlers registers the handlers for calls of other hosts at s.
 func (g *Gateway) RegisterHandlers(s *peer.Server) {
 	g.relays.RegisterHandlers(s)
-	peer.Handle(s, callStage, func(ctx context.Context, c StageCall) (StageReply, error) {
-		return g.shards.RunStage(ctx, c)
-	})
+	peer.Handle(s, callStage, g.runStageOfOther)
 	peer.Handle(s, callFree, func(_ context.Context, c FreeCall) (struct{}, error) {
 		g.shards.FreeResults(c)
 		return struct{}{}, nil
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -162,6 +162,18 @@
 	}
 }
 
+// callTime returns the expected time of a call that makes the pieces of c. Queued pieces are handed over
+// to the next owner, so their wait does not count.
+func (s *ShardRunners) callTime(c StageCall) cicadapitch.Millis {
+	r := s.runner(c.Shard)
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.ExpectedDuration(c.Pieces)
+}
+
 // FreeResults frees the results c.Handles at their endpoints in the background. If
 // c.IfNeeded is set, it marks them as fetched instead, and the planner frees them
 // when their endpoint lacks room.
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -66,6 +66,17 @@
 	return min(p.deadline.Sub(now), p.estimateStages()+p.need(now))
 }
 
+// Idle reports whether this host does nothing for callers or other hosts. Connections that it relays
+// count as work.
+func (g *Gateway) Idle() bool {
+	for s := range g.running {
+		if g.running[s].Load() > 0 {
+			return false
+		}
+	}
+	return g.stagesOfOthers.Load() == 0 && g.relays.Open() == 0
+}
+
 // need returns the longest time that the request may still take once it is sent. At its deadline the
 // caller gets an answer in any case.
 func (p *proxiedRequest) need(now cicadapitch.Instant) cicadapitch.Millis {
@@ -122,14 +133,20 @@
 	return nil
 }
 
-// untilGivenUp returns a context that ends with errStopping once the request has waited for too long
-// to be committed at a host that stops, and with errGivenUp once the host gives up what still runs.
-func (p *proxiedRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+// untilGivenUp returns a context that ends with errGivenUp once the host gives up what still runs.
+func (g *Gateway) untilGivenUp(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	// A request that arrives later is rejected when it would be committed.
-	wake := context.AfterFunc(p.g.stopAnnounced, func() { p.endWait(ctx, cancel) })
-	end := context.AfterFunc(p.g.givenUp, func() { cancel(errGivenUp) })
-	return ctx, func() { wake(); end(); cancel(nil) }
+	stop := context.AfterFunc(g.givenUp, func() { cancel(errGivenUp) })
+	return ctx, func(cause error) { stop(); cancel(cause) }
+}
+
+// untilGivenUp is that of the gateway, whose context also ends with errStopping once the request has
+// waited for too long to be committed at a host that stops.
+func (p *proxiedRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := p.g.untilGivenUp(ctx)
+	// This only ends the wait sooner: whether the request is sent is decided when it is committed.
+	stop := context.AfterFunc(p.g.stopAnnounced, func() { p.endWait(ctx, cancel) })
+	return ctx, func() { stop(); cancel(nil) }
 }
 
 // endWait cancels the request if it still waits when it cannot be committed any more. A request that
