relay: connections over a host that leaves are not kept

A host that is cut off from endpoints kept idle connections over a relay that stops, and sent new requests over them: their answers ended with the relay, bookings with 502.

A relay refused new connections once it stopped, while those that it had were used until they broke. A connection whose relay is no longer among the hosts that relay is now outdated: the next request opens another one. TestConnectionOverARelayThatLeavesIsNotKept fails before.

--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -32,6 +32,11 @@
 	return e.Zone
 }
 
+// Relaying implements relay.Fleet.
+func (f relayFleet) Relaying(h fleet.Host) bool {
+	return slices.ContainsFunc(f.g.membership.Relays(), func(r fleet.Host) bool { return r.Incarnation == h.Incarnation })
+}
+
 // Dialer implements relay.Fleet.
 func (f relayFleet) Dialer() *peer.Dialer { return f.g.membership.Dialer() }
 
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -46,6 +46,8 @@
 	Relays(address string) []fleet.Host
 	// Dialer makes the calls to other hosts, or is nil before there are any.
 	Dialer() *peer.Dialer
+	// Relaying reports whether a host is still one of those that can relay.
+	Relaying(h fleet.Host) bool
 	// EndpointAddresses returns the addresses of all endpoints.
 	EndpointAddresses() []string
 }
@@ -211,7 +213,7 @@
 		c.Close()
 		return nil, err
 	}
-	return &conn{TCPConn: c.(*net.TCPConn), dialer: d, address: address}, nil
+	return &conn{TCPConn: c.(*net.TCPConn), dialer: d, relay: h, address: address}, nil
 }
 
 // takeOver asks the relay at c for the connection with a token.
@@ -249,6 +251,7 @@
 type conn struct {
 	*net.TCPConn
 	dialer  *Dialer
+	relay   fleet.Host
 	address string
 }
 
@@ -256,10 +259,10 @@
 // not ended its answer.
 func (c *conn) Relayed() bool { return true }
 
-// Outdated reports whether the endpoint is reached directly again, so that the connection is
-// not worth keeping.
+// Outdated reports whether the endpoint is reached directly again or the relay leaves, so that the
+// connection is not worth keeping.
 func (c *conn) Outdated() bool {
-	return c.dialer.table.State(c.dialer.clock.Now(), c.address) != Relayed
+	return c.dialer.table.State(c.dialer.clock.Now(), c.address) != Relayed || !c.dialer.fleet.Relaying(c.relay)
 }
 
 // Probe tests the direct paths to addresses, and asks relays for those that fail.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -31,6 +32,7 @@
 }
 
 func (h *hosts) Relays(string) []fleet.Host  { return h.relays }
+func (h *hosts) Relaying(r fleet.Host) bool  { return slices.Contains(h.relays, r) }
 func (h *hosts) Dialer() *peer.Dialer        { return h.dialer }
 func (h *hosts) EndpointAddresses() []string { return h.endpoints }
 
@@ -98,6 +100,22 @@
 	require.Equal(t, relay.Relayed, table.State(cicadapitch.NewSystemClock().Now(), address))
 }
 
+// TestConnectionOverARelayThatLeavesIsNotKept guards against calls that end with their relay.
+func TestConnectionOverARelayThatLeavesIsNotKept(t *testing.T) {
+	_, d, _, h := newRelay(t, platform.DialEndpoint)
+	address := listen(t, func(c *net.TCPConn) {
+		defer c.Close()
+		_, _ = io.Copy(io.Discard, c) // until the caller closes
+	})
+	c, err := d.DialContext(t.Context(), "tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	outdated := c.(interface{ Outdated() bool }).Outdated
+	require.False(t, outdated())
+	h.relays = nil
+	require.True(t, outdated())
+}
+
 // TestResetOfTheEndpointIsNotTakenForAnOrderlyEnd guards against answers without a length that
 // look complete although they broke off.
 func TestResetOfTheEndpointIsNotTakenForAnOrderlyEnd(t *testing.T) {
