fronthost: a host ends after the calls that it relays and the stages that it runs for others

A host that is cut off from endpoints lost the answers that ran over a relay which stopped, though the relay had most of its grace left: it waited for callers' requests alone.

A stopping host now also waits, until it gives up what runs, for relayed connections and stages of other hosts (Gateway.Idle). TestHostEndsAfterTheCallsThatItRelays fails before: the relay ends 1.9 s after its stop, the booking that runs over it after 2.3 s.

--- a/fronthost/shutdown.go
+++ b/fronthost/shutdown.go
@@ -19,6 +19,8 @@
 	turnSpread = 3 * cicadapitch.Second
 	// turnPollInterval is the pause between two looks whether another host takes callers.
 	turnPollInterval cicadapitch.Millis = 50
+	// idlePollInterval is the pause between two looks whether the host is idle.
+	idlePollInterval cicadapitch.Millis = 20
 	// listenStopMargin is how long before the end of the shutdown grace the listener for
 	// callers closes at the latest.
 	listenStopMargin cicadapitch.Millis = 1200
@@ -87,16 +89,30 @@
 	h.gateway.LogRunning(h.log.Info()).Int64("TookMs", int64(h.clock.Now().Sub(start))).Err(err).Msg("stop")
 }
 
-// finish waits for the requests in progress until endsAt, and then answers those that still run.
+// finish waits for the requests in progress and what is done for other hosts until endsAt, and then
+// answers what still runs.
 func (h *Host) finish(ctx context.Context, callers *http.Server, endsAt cicadapitch.Instant) error {
 	running, cancel := context.WithTimeout(ctx, endsAt.Sub(h.clock.Now()).Duration())
 	defer cancel()
 	err := callers.Shutdown(running)
+	if err == nil {
+		err = h.awaitIdle(running)
+	}
 	if err != nil {
-		h.gateway.LogRunning(h.log.Warn()).Msg("giving up requests")
+		h.gateway.LogRunning(h.log.Warn()).Msg("giving up what runs")
 		h.gateway.GiveUp()
 		err = callers.Shutdown(ctx)
 	}
 	_ = h.clock.Sleep(ctx, lastBytesTime) // fails only if ctx has ended
 	return err
 }
+
+// awaitIdle waits until nothing is done for other hosts any more. The error is that of ctx.
+func (h *Host) awaitIdle(ctx context.Context) error {
+	for !h.gateway.Idle() {
+		if err := h.clock.Sleep(ctx, idlePollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/fronthost/stop_test.go
+++ b/fronthost/stop_test.go
@@ -283,6 +283,24 @@
 	}
 }
 
+// TestHostEndsAfterTheCallsThatItRelays stops the only host that reaches the endpoints while another
+// host's booking runs over it.
+func TestHostEndsAfterTheCallsThatItRelays(t *testing.T) {
+	d := newCutDeployment(t, 2)
+	d.paths[1].Cut(platformtest.CutNew)
+	d.askAll(time.Second, 100*time.Millisecond)
+	for _, id := range []string{"p1", "p2"} {
+		d.endpoints[id].SetDelay(2200 * time.Millisecond)
+	}
+	traffic := &stopTraffic{d: d.deployment}
+	traffic.send(newClient(t, false), d.newRequest(1, "POST", "/book/a", newID()))
+	time.Sleep(100 * time.Millisecond)
+	processEnd := d.stop()
+	traffic.wg.Wait()
+	require.Equal(t, http.StatusOK, traffic.endings[0].status)
+	require.True(t, traffic.endings[0].endedAt.Before(processEnd), "the relay ended first")
+}
+
 // TestRepeatIsNotSentOnceItsAnswerCannotBeWhole lets first attempts fail while their host stops.
 func TestRepeatIsNotSentOnceItsAnswerCannotBeWhole(t *testing.T) {
 	d := newDeployment(t, 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,12 +170,13 @@
 	return g
 }
 
-// LogRunning adds to a line how many requests are being served, by state.
+// LogRunning adds to a line how many requests are being served, by state, and what is done for other
+// hosts.
 func (g *Gateway) LogRunning(event *zerolog.Event) *zerolog.Event {
 	for s := range g.running {
 		event.Int64(requestState(s).String(), g.running[s].Load())
 	}
-	return event
+	return event.Int64("StagesOfOthers", g.stagesOfOthers.Load()).Int("Relayed", g.relays.Open())
 }
 
 // Origins returns what this host knows of the origins of streams, for the store.
