gateway: a host that stops keeps to its share of what endpoints allow

Repeats, calls of engines that may be cold and rooms of brittle endpoints are shared by the number of registered hosts. A host that stops is not registered any more and goes on sending: of six that stop together each could take itself for the only one, and use the whole.

A stopping host now divides by the hosts that there were when it was asked to stop. Hosts that go on still do not count those that stop, so the sum may exceed the whole by their shares.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -17,3 +17,6 @@
 func (c CallTimes) Longest(now cicadapitch.Instant, route string) (cicadapitch.Millis, bool) {
 	return c.times.longest(now, route)
 }
+
+// HostCount is Gateway.hostCount.
+func HostCount(g *Gateway) int { return g.hostCount() }
--- a/gateway/peerstop_test.go
+++ b/gateway/peerstop_test.go
@@ -91,3 +91,17 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(start), time.Second)
 }
+
+// TestHostThatStopsKeepsToItsShare guards against hosts that stop together, of which each takes itself for
+// the only one that is left and uses the whole of what endpoints allow.
+func TestHostThatStopsKeepsToItsShare(t *testing.T) {
+	m := &lockedMembership{view: fleet.NewState().View()}
+	m.hosts.Store(5)
+	g := gateway.New(&platform.Settings{Host: "h", Zone: "z"}, m)
+	require.Equal(t, 6, gateway.HostCount(g))
+	g.Stop(cicadapitch.NewSystemClock().Now().Add(8000))
+	m.hosts.Store(0)
+	require.Equal(t, 6, gateway.HostCount(g))
+	m.hosts.Store(7)
+	require.Equal(t, 8, gateway.HostCount(g))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -152,7 +152,7 @@
 	g := p.g
 	criteria := placement.Criteria{
 		Service: p.service, Session: p.request.Session(), Exclude: p.exclude,
-		Hosts: g.membership.HostCount(), Zone: zone,
+		Hosts: g.hostCount(), Zone: zone,
 	}
 	if p.service.Engine != nil {
 		criteria.OtherLoads = g.membership.Loads()
@@ -252,7 +252,7 @@
 	}
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
-	return p.g.retryBudget(p.service.Name).AllowRetry(now, p.g.membership.HostCount())
+	return p.g.retryBudget(p.service.Name).AllowRetry(now, p.g.hostCount())
 }
 
 // send commits the request and sends it to an endpoint. It counts the attempt and
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	mu   sync.Mutex
 	view *fleet.View
 	lag  fleet.CatalogLag
+	// hosts is the number of registered hosts besides this one.
+	hosts atomic.Int32
 }
 
 func (m *lockedMembership) View() *fleet.View                        { return m.view }
@@ -37,7 +40,7 @@
 func (m *lockedMembership) CatalogLag() fleet.CatalogLag          { return m.lag }
 func (m *lockedMembership) Loads() map[cicadapitch.EndpointID]int { return nil }
 func (m *lockedMembership) Waits() map[string]gateway.QueueWaits  { return nil }
-func (m *lockedMembership) HostCount() int                        { return 1 }
+func (m *lockedMembership) HostCount() int                        { return 1 + int(m.hosts.Load()) }
 func (m *lockedMembership) IsSelf(fleet.Host) bool                { return true }
 func (m *lockedMembership) Dialer() *peer.Dialer                  { return nil }
 func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
--- a/gateway/silentattempt.go
+++ b/gateway/silentattempt.go
@@ -79,7 +79,7 @@
 	}
 	criteria := p.criteria("")
 	criteria.Exclude = exclude
-	list, hosts := p.candidates(), g.membership.HostCount()
+	list, hosts := p.candidates(), g.hostCount()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -29,6 +29,8 @@
 type plannedStop struct {
 	// requestedAt is when the host was asked to stop, endsAt when it gives up what still runs.
 	requestedAt, endsAt cicadapitch.Instant
+	// hosts is the number of hosts that shared what endpoints allow when this one was asked to stop.
+	hosts int
 }
 
 // spare returns how much is left of the host's time after a call that lasts for need. It is negative
@@ -53,11 +55,21 @@
 // Stop makes the host pass on only what is certain to be answered before endsAt. The rest is rejected
 // at once. It relays no further connections.
 func (g *Gateway) Stop(endsAt cicadapitch.Instant) {
-	g.stop.Store(&plannedStop{g.clock.Now(), endsAt})
+	g.stop.Store(&plannedStop{g.clock.Now(), endsAt, g.membership.HostCount()})
 	g.relays.Stop()
 	g.announceStop()
 }
 
+// hostCount returns the number of hosts that share what endpoints allow. A host that stops keeps to its
+// share: hosts that stop with it are not registered any more, but still send calls.
+func (g *Gateway) hostCount() int {
+	n := g.membership.HostCount()
+	if s := g.stop.Load(); s != nil {
+		n = max(n, s.hosts)
+	}
+	return n
+}
+
 // GiveUp ends all requests that still run, with answers that say whether they may have run.
 func (g *Gateway) GiveUp() { g.giveUp() }
 
