gateway: a request that is quarantined while it waits for its connection is not sent

A request was checked against the quarantine before it waited for its connection, up to a second, or for younger knowledge, and could crash one more engine after its part was quarantined.

Same class as the requests that passed a stopped host: the decision is not read where the request is committed. It is read there now. The test fails before: the request runs.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -267,7 +267,7 @@
 		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: p.commit,
 	})
 	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
-	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) {
+	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) || errors.Is(err, errQuarantined) {
 		return nil, err
 	}
 	if err != nil {
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -135,6 +135,9 @@
 	if err := p.checkStop(now, p.need(now)); err != nil {
 		return err
 	}
+	if err := p.rejectQuarantined(); err != nil {
+		return err
+	}
 	if p.g.stop.Load() != nil {
 		p.g.countStopping("Sent")
 	}
