--- a/fronthost/stop_test.go
+++ b/fronthost/stop_test.go
@@ -156,7 +156,8 @@
 }
 
 // TestRequestsLateInTheGraceGetAWholeAnswerOrARefusal stops a host whose endpoints are slow, or
-// fall silent for a second and go on, under requests over new and kept connections.
+// fall silent for a second and go on, under requests over new and kept connections. Callers also take
+// streams up.
 func TestRequestsLateInTheGraceGetAWholeAnswerOrARefusal(t *testing.T) {
 	for name, c := range map[string]slowness{
 		"50 ms":            {before: delayed(50)},
@@ -185,10 +186,19 @@
 		}
 	}
 	change(c.before)
+	begun := newID()
+	readBody(t, d.send(d.newStreamRequest(0, "/answer/a", begun, "1,1")))
+	next := func(n int) platformtest.CallerRequest {
+		req := d.anyRequest(n)
+		if n%8 == 7 {
+			req.ResumeAfter, req.Resumes = "2", begun
+		}
+		return req
+	}
 	traffic := &stopTraffic{d: d}
 	clients := []*http.Client{newClient(t, false), newClient(t, true)}
 	for n := range 60 {
-		traffic.send(clients[n/4%2], d.anyRequest(n))
+		traffic.send(clients[n/4%2], next(n))
 		time.Sleep(25 * time.Millisecond)
 	}
 	traffic.wg.Wait()
@@ -198,7 +208,7 @@
 	go func() { ended <- d.stop() }()
 	var processEnd time.Time
 	for n := 0; processEnd.IsZero(); n++ {
-		traffic.send(clients[n/4%2], d.anyRequest(n))
+		traffic.send(clients[n/4%2], next(n))
 		select {
 		case processEnd = <-ended:
 		case <-time.After(25 * time.Millisecond):
