membership: write a service's versions anew if their list cannot be decoded

A list that another writer had broken stayed broken: the versions that had been decoded before it still counted as stored, so no host wrote it again, no take-up could be confirmed and no new version was listed. A list without any version confirms nothing now.

Found by TestVersionsAreConfirmedOnlyByTheStore, which failed before. The other tests of the list pass unchanged: a host with an older view removes no version, reads are shared, and none is shared that began before.

--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -42,7 +42,8 @@
 	}
 	e.confirmErr = g.membership.ConfirmVersions(ctx, p.service.Name)
 	e.claims[0] = g.origins.claim(g.clock.Now(), query)
-	e.claims[0].Confirmed = e.confirmErr == nil
+	// A list without versions, as of an odd writer, confirms nothing.
+	e.claims[0].Confirmed = e.confirmErr == nil && len(g.origins.history.Listed(p.service.Name)) > 0
 	return e
 }
 
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -168,10 +168,10 @@
 	if err != nil {
 		return 0, err
 	}
+	m.applyPart([]fleet.Record{{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}}, storePoll)
 	if err := platform.DecodeEntry(kv.Value, &[]origin.StoredVersion{}); err != nil {
 		return kv.Revision, cicadapitch.NewError(cicadapitch.Invalid, "store: "+err.Error(), "write the versions again")
 	}
-	m.applyPart([]fleet.Record{{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}}, storePoll)
 	return kv.Revision, nil
 }
 
@@ -331,6 +331,7 @@
 		return
 	}
 	if err := platform.DecodeEntry(r.Value, &versions); err != nil {
+		delete(m.storedVersions, r.Key) // so that it is written anew
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a service's versions ignored")
 		return
 	}
--- a/origin/release_test.go
+++ b/origin/release_test.go
@@ -143,7 +143,7 @@
 		m.hear(h, false, true)
 	}
 	own := claim(h)
-	own.Confirmed = !h.outOfStep && h.revision > 0
+	own.Confirmed = !h.outOfStep && len(h.history.Listed("s")) > 0
 	return origin.Resolve("s", append(claims, own))
 }
 
