--- a/fronthost/cutoff_test.go
+++ b/fronthost/cutoff_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch/fronthost"
+	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
@@ -20,21 +21,26 @@
 // have to be served as often as those of the others.
 const detectionTime = 3 * time.Second
 
-// cutDeployment is a deployment whose hosts' paths to the endpoints can be cut.
+// cutDeployment is a deployment whose hosts' paths to the endpoints, or to the store and other hosts, can
+// be cut.
 type cutDeployment struct {
 	*deployment
 	paths []*platformtest.Path
 }
 
 func newCutDeployment(t *testing.T, hosts int) *cutDeployment {
+	return newPathDeployment(t, hosts, fronthost.WithEndpointDial)
+}
+
+// newPathDeployment returns a deployment whose hosts open the connections that option covers over paths of
+// their own.
+func newPathDeployment(t *testing.T, hosts int, option func(platform.DialFunc) fronthost.Option) *cutDeployment {
 	c := &cutDeployment{}
 	for range hosts {
 		c.paths = append(c.paths, platformtest.NewPath())
 	}
 	c.deployment = newDeployment(t, hosts, func(d *deployment) {
-		d.hostOptions = func(i int) []fronthost.Option {
-			return []fronthost.Option{fronthost.WithEndpointDial(c.paths[i].DialContext)}
-		}
+		d.hostOptions = func(i int) []fronthost.Option { return []fronthost.Option{option(c.paths[i].DialContext)} }
 	})
 	return c
 }
--- a/fronthost/outofstep_test.go
+++ b/fronthost/outofstep_test.go
@@ -15,28 +15,9 @@
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
-// isolatedDeployment is a deployment whose hosts can be cut off from one another and from the
-// store. They keep their paths to the endpoints.
-type isolatedDeployment struct {
-	*deployment
-	paths []*platformtest.Path
-}
-
-func newIsolatedDeployment(t *testing.T, hosts int) *isolatedDeployment {
-	d := &isolatedDeployment{}
-	for range hosts {
-		d.paths = append(d.paths, platformtest.NewPath())
-	}
-	d.deployment = newDeployment(t, hosts, func(dep *deployment) {
-		dep.hostOptions = func(i int) []fronthost.Option {
-			return []fronthost.Option{fronthost.WithSystemDial(d.paths[i].DialContext)}
-		}
-	})
-	return d
-}
-
-// isolate cuts host i off from the store and, in both directions, from the other hosts.
-func (d *isolatedDeployment) isolate(i int, kind platformtest.CutKind) {
+// isolate cuts host i off from the store and, in both directions, from the other hosts. The deployment's
+// paths are those to the store and other hosts.
+func (d *cutDeployment) isolate(i int, kind platformtest.CutKind) {
 	d.paths[i].Cut(kind)
 	for j, p := range d.paths {
 		if j == i {
@@ -72,7 +53,7 @@
 }
 
 func takeUpOutOfStep(t *testing.T, r *rand.Rand, joinFirst bool, kind platformtest.CutKind, named bool) {
-	d := newIsolatedDeployment(t, 3)
+	d := newPathDeployment(t, 3, fronthost.WithSystemDial)
 	// The history of the hosts must not be too short to prove anything.
 	require.Eventually(t, func() bool {
 		_, status := d.takeUp(0, "", newID())
