gateway: a host that hears of no other one keeps to its share of what endpoints allow

Callers saw nothing yet; endpoints got more than the limit that they name. Hosts share such a limit, the rate of a cold endpoint and the slots of a brittle one by their rank among the hosts that are available. A host that is cut off from the others, but not from the endpoints, found itself alone: first in rank everywhere. Eight such hosts used the limit eight times. Class: silence of others as a proof that they have ended, as with the origins of streams; the number of hosts, by which the share is divided, counts registered ones already.

A host that hears of no other one now ranks itself among the hosts that the store lists. Entries of hosts that have ended leave the store with their leases.

Groups of hosts that hear each other but not the other group still count the others as ended.

--- a/fronthost/ratelimit_test.go
+++ b/fronthost/ratelimit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadapitch.example/cicadapitch/fronthost"
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
 
@@ -127,6 +128,28 @@
 	d.requireWithinLimit("e1", 1, since)
 }
 
+// TestRateLimitHoldsOverHostsThatHearNothingOfEachOther guards against hosts that each take themselves for
+// the only one, since no other answers, and use an endpoint's limit up each by itself.
+func TestRateLimitHoldsOverHostsThatHearNothingOfEachOther(t *testing.T) {
+	const hosts = 8
+	d := newPathDeployment(t, hosts, fronthost.WithSystemDial)
+	d.addEngines(6)
+	stop := make(chan struct{})
+	d.askRepeatedly(20*time.Millisecond, stop, func() string { return prompt(newID()) })
+	d.lookRepeatedly(hosts, 20*time.Millisecond, stop)
+	time.Sleep(500 * time.Millisecond)
+	since := d.limitAll(1, "e1", "p1")
+	time.Sleep(2 * time.Second)
+	for _, p := range d.paths {
+		p.Cut(platformtest.CutReset, d.store.Address())
+	}
+	time.Sleep(9 * time.Second)
+	close(stop)
+	for _, id := range []string{"e1", "p1"} {
+		d.requireWithinLimit(id, 1, since)
+	}
+}
+
 // TestRateLimitOfAStageEndpointIsKept counts all calls of a stage endpoint, those that free
 // results too.
 func TestRateLimitOfAStageEndpointIsKept(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -187,6 +187,11 @@
 // lock held, and SetView locks g.mu. Hence hostRank fetches the hosts beforehand.
 func (p *proxiedRequest) hostRank() func(string) int {
 	hosts := p.g.membership.Hosts()
+	other := func(h fleet.Host) bool { return !p.g.membership.IsSelf(h) }
+	if registered := p.g.membership.View().Hosts; !slices.ContainsFunc(hosts, other) && slices.ContainsFunc(registered, other) {
+		// A host that hears of no other one cannot tell whether they have ended.
+		hosts = registered
+	}
 	return func(key string) int {
 		owners := fleet.Rank(key, hosts, func(h fleet.Host) string { return h.Incarnation })
 		return slices.IndexFunc(owners, p.g.membership.IsSelf)
