membership: log why a new host does not reach the store

A host that had never reached the store since its start logged nothing: a soak run found hosts that did not get ready, and only a trace of their calls showed that the budget of store calls was spent. The first failure is logged like those that end a connection.

--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -111,13 +111,13 @@
 // markStoreDown records a failed store call.
 func (m *Membership) markStoreDown(err error) {
 	m.mu.Lock()
-	wasUp := m.storeUp
+	begins := m.storeUp || m.storeDownSince == 0
 	m.storeUp, m.storeFailedAt = false, m.clock.Now()
-	if wasUp || m.storeDownSince == 0 {
+	if begins {
 		m.storeDownSince = m.storeFailedAt
 	}
 	m.mu.Unlock()
-	if wasUp {
+	if begins {
 		m.log.Warn().Err(err).Msg("store unreachable")
 	}
 }
