--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,8 +36,12 @@
 	maxTakeUps = 4
 	// routeCount is the number of routes that no caller uses.
 	routeCount = 400
-	// callerTimeout is how long a caller waits for a response.
-	callerTimeout = 5 * time.Second
+	// storePageSize is the size of pages of the platform's store. Hosts that restart often leave
+	// more entries than the budget of store calls suffices for in small pages.
+	storePageSize = 500
+	// callerDeadline is the deadline that callers state, callerTimeout how long they wait.
+	callerDeadline = 4 * time.Second
+	callerTimeout  = 5 * time.Second
 )
 
 // binary is the path of the host program that TestMain builds.
@@ -92,9 +96,21 @@
 	}
 }
 
+// layout is the size and the limits of a testbed.
+type layout struct {
+	hosts int
+	// grace is the time from SIGTERM to SIGKILL and idleTimeout how long callers may keep an
+	// idle connection.
+	grace, idleTimeout time.Duration
+}
+
+// defaultLayout is that of runs with faults of all kinds.
+var defaultLayout = layout{hosts: hostCount, grace: 4 * time.Second, idleTimeout: 2 * time.Second}
+
 // testbed holds the platform and the hosts of one seed.
 type testbed struct {
-	t   *testing.T
+	t *testing.T
+	layout
 	rng *rand.Rand
 	// streamRNG chooses the faults of streams, so that rng chooses the same other faults
 	// with and without them.
@@ -110,8 +126,8 @@
 	version int
 }
 
-func newTestbed(t *testing.T, seed uint64) *testbed {
-	s := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), cutRNG: rand.New(rand.NewPCG(seed, 9)), store: platformtest.NewStore()}
+func newTestbed(t *testing.T, seed uint64, l layout) *testbed {
+	s := &testbed{t: t, layout: l, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), cutRNG: rand.New(rand.NewPCG(seed, 9)), store: platformtest.NewStore(platformtest.WithPageSize(storePageSize))}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
 	for id, service := range map[string]string{
@@ -132,8 +148,9 @@
 		s.store.Set(platformtest.EndpointKey(id), e.Entry("ready"))
 	}
 	s.configure()
-	for i := range hostCount {
+	for i := range l.hosts {
 		p := newHostProcess(t, platformtest.LoopbackAddress(int(seed%250+1), i+1), i, s.relays[0].address)
+		p.setGrace(s.relays[0].address, int(l.grace.Seconds()))
 		s.processes = append(s.processes, p)
 		p.start()
 	}
@@ -152,7 +169,7 @@
 		routes.WriteString(platformtest.Route(fmt.Sprintf("/r%d/", i)))
 	}
 	routes.WriteString(platformtest.Route(addedPrefix(s.version)))
-	s.store.Set(platformtest.ConfigKey, platformtest.Config(s.version, routes.String(), 50))
+	s.store.Set(platformtest.ConfigKey, platformtest.ConfigWithIdleTimeout(s.version, routes.String(), 50, int(s.idleTimeout.Milliseconds())))
 }
 
 // addedPrefix returns the prefix of the route that only a version of the configuration has.
@@ -230,7 +247,7 @@
 // runSeed runs hosts and callers while it injects random faults, then checks that all
 // hosts recover and that the responses agree with what the endpoints ran.
 func runSeed(t *testing.T, seed uint64) {
-	s := newTestbed(t, seed)
+	s := newTestbed(t, seed, defaultLayout)
 	duration := time.Duration(envInt("SOAK_SECONDS", int(defaultDuration/time.Second))) * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
@@ -391,15 +408,43 @@
 // exchange sends one request, which goes on after the events that the caller has, and
 // records the result.
 func (c *caller) exchange(p *hostProcess, path, id string, has part) outcome {
-	stream := path == "/answer/a" || path == "/plan/a" || path == badPath
+	stream := isStream(path)
+	req, err := c.request(p, path, id, has).HTTPRequest()
+	require.NoError(c.testbed.t, err)
+	if path == "/book/a" || path == "/plan/a" || path == badPath {
+		c.results.update(func() { c.results.atMostOnce = append(c.results.atMostOnce, id) })
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return outcome{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		c.record(id, path, stream, resp, string(b), err)
+		return outcome{status: resp.StatusCode}
+	}
+	text := has.text + string(b)
+	c.record(id, path, stream, resp, text, err)
+	events := completeEvents(text)
+	return outcome{resp.StatusCode, events, err != nil && events != ""}
+}
+
+// isStream reports whether requests to path are answered with a stream.
+func isStream(path string) bool { return path == "/answer/a" || path == "/plan/a" || path == badPath }
+
+// request returns a request to a host, which goes on after the events that the caller has.
+func (c *caller) request(p *hostProcess, path, id string, has part) platformtest.CallerRequest {
 	method := http.MethodPost
 	if path == "/look/a" {
 		method = http.MethodGet
 	}
 	a := platformtest.CallerRequest{
-		ID: id, Method: method, Address: p.ip + ":8001", Path: path, Host: "h.example", Key: "key-1", Deadline: 4000,
+		ID: id, Method: method, Address: p.ip + ":8001", Path: path, Host: "h.example", Key: "key-1",
+		Deadline: int(callerDeadline.Milliseconds()),
 	}
-	if stream {
+	if isStream(path) {
 		a.Tokens = "100,50"
 	}
 	if path == "/answer/a" {
@@ -414,26 +459,7 @@
 	if has.text != "" {
 		a.Resumes, a.ResumeAfter = has.resumes, strconv.Itoa(strings.Count(has.text, "\n\n"))
 	}
-	req, err := a.HTTPRequest()
-	require.NoError(c.testbed.t, err)
-	if path == "/book/a" || path == "/plan/a" || path == badPath {
-		c.results.update(func() { c.results.atMostOnce = append(c.results.atMostOnce, id) })
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		time.Sleep(20 * time.Millisecond)
-		return outcome{}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		c.record(id, path, stream, resp, string(b), err)
-		return outcome{status: resp.StatusCode}
-	}
-	text := has.text + string(b)
-	c.record(id, path, stream, resp, text, err)
-	events := completeEvents(text)
-	return outcome{resp.StatusCode, events, err != nil && events != ""}
+	return a
 }
 
 // completeEvents returns a stream without the event that it ends in, if any.
