gateway: a stream is cut off for a silence only if another engine can go on with it

Callers of streams that may be resumed got a cut stream when their engine was silent for more than 1.6 s, though no other engine had its software version, or the budget allowed no retry. Same cause as for look-ups: the attempt was ended before it was known whether another one can follow. The end of an attempt now takes the retry from the budget and requires an engine that may get the stream; else the attempt goes on and the timer starts again.

TestSilentStreamGoesOnWithoutAnotherEngine failed before in 3 of 3 cases (unexpected EOF).

--- a/fronthost/silence_test.go
+++ b/fronthost/silence_test.go
@@ -155,3 +155,40 @@
 	}
 	require.Equal(t, 3, d.silences("plain"))
 }
+
+// TestSilentStreamGoesOnWithoutAnotherEngine guards against streams that are cut off for a silence
+// though no other engine can go on with them.
+func TestSilentStreamGoesOnWithoutAnotherEngine(t *testing.T) {
+	const stall = 2500 * time.Millisecond
+	for name, c := range map[string]struct {
+		// change is made before the hosts start, version is that of e2's software, or empty if e2
+		// has no entry.
+		change  func(*deployment)
+		version string
+	}{
+		"no other engine":                     {func(*deployment) {}, ""},
+		"the other engine of another version": {func(*deployment) {}, "v2"},
+		"no retry in the budget": {func(d *deployment) {
+			d.changeSettings = func(s *platform.Settings) { s.Bounds.RetryRatio, s.Bounds.RetryExtra = 0, 0 }
+		}, "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1, c.change)
+			d.store.Remove(platformtest.EndpointKey("e2"))
+			if c.version != "" {
+				d.endpoints["e2"].SetVersion(c.version)
+				d.store.Set(platformtest.EndpointKey("e2"), d.endpoints["e2"].Entry("ready"))
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, id := range []string{"e1", "e2"} {
+				d.endpoints[id].SetStall(stall)
+			}
+			for range 2 {
+				req := d.newStreamRequest(0, "/answer/a", newID(), "0,0")
+				req.Deadline = 4900
+				require.Equal(t, 1, d.requireWholeAnswer(req))
+			}
+		})
+	}
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -119,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silenceTimer := p.startSilenceTimer(cancel)
+	silenceTimer := p.startSilenceTimer(ctx, cancel, e)
 	defer silenceTimer.Stop()
 	reply, err := p.send(ctx, e, inputs.handles, resumeAfter)
 	if err != nil {
@@ -169,17 +169,6 @@
 	p.endCheck = p.g.checkEnd(e, brokenRun{p.keys, sentAt, p.g.clock.Now()})
 }
 
-// startSilenceTimer starts a timer that cancels the attempt with errSilent if the
-// engine sends nothing for the silence timeout. The timer has no effect if the
-// stream cannot be resumed at another engine.
-func (p *proxiedRequest) startSilenceTimer(cancel context.CancelCauseFunc) *time.Timer {
-	if !p.route.Resumable || p.attempts+1 >= p.route.MaxAttempts {
-		// A timer without a function: no other attempt can resume the stream.
-		return time.NewTimer(p.remaining().Duration() + time.Hour)
-	}
-	return time.AfterFunc(p.silenceTimeout(false).Duration(), func() { p.endSilentAttempt(cancel) })
-}
-
 // silenceTimeout returns how long an engine may send nothing before another engine
 // resumes the stream. begun is true after the first event. For the last attempt, whose
 // timer has no effect, silenceTimeout returns a minute.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,8 @@
 	commitMu sync.Mutex
 	// committedAt is when the request was first sent to an endpoint, or 0.
 	committedAt cicadapitch.Instant
+	// retryReserved is true if the next attempt was taken from the budget already.
+	retryReserved atomic.Bool
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// queueWaits are the queue waits by shard key that the owners had reported before
@@ -126,17 +128,9 @@
 	now := g.clock.Now()
 	criteria := p.criteria(zone)
 	list := p.candidates()
-	var (
-		e  fleet.Endpoint
-		ok bool
-	)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p.service.Engine != nil {
-		e, ok = g.chooser.ChooseEngine(now, list, criteria)
-	} else {
-		e, ok = g.chooser.ChoosePlain(now, list, criteria)
-	}
+	e, ok := g.choose(now, list, criteria)
 	if !ok {
 		return e, p.errNoEndpoint()
 	}
@@ -147,6 +141,15 @@
 	return e, nil
 }
 
+// choose chooses an endpoint from list, and reports whether one may get a call now. The caller holds
+// mu.
+func (g *Gateway) choose(now cicadapitch.Instant, list []fleet.Endpoint, criteria placement.Criteria) (fleet.Endpoint, bool) {
+	if criteria.Service.Engine != nil {
+		return g.chooser.ChooseEngine(now, list, criteria)
+	}
+	return g.chooser.ChoosePlain(now, list, criteria)
+}
+
 // criteria returns the criteria of the choice of an endpoint. zone is that of chooseEndpoint.
 func (p *proxiedRequest) criteria(zone cicadapitch.ZoneID) placement.Criteria {
 	g := p.g
@@ -255,6 +258,9 @@
 	if p.checkStop(now, p.need(now)) != nil {
 		return false
 	}
+	if p.retryReserved.Swap(false) {
+		return true
+	}
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 	return p.g.retryBudget(p.service.Name).AllowRetry(now, p.g.hostCount())
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -112,15 +112,6 @@
 	return errStopping
 }
 
-// endSilentAttempt cancels an attempt at a silent endpoint with errSilent, unless the host stops
-// before another attempt would end.
-func (p *proxiedRequest) endSilentAttempt(cancel context.CancelCauseFunc) {
-	now := p.g.clock.Now()
-	if p.g.stop.Load().admits(now, p.need(now)) {
-		cancel(errSilent)
-	}
-}
-
 // countStopping counts a decision on a request of a host that stops.
 func (g *Gateway) countStopping(outcome string) {
 	g.metrics.Tagged(map[string]string{"Outcome": outcome}).Counter("RequestsWhileStopping").Inc(1)
