gateway: a stream without a record goes on only if its route leads to one service

A caller who takes up a stream of which no host has a record, over a route that leads to two services, got the rest from whichever service the weights picked: each had one version, and that was taken for the stream's. Cause: the service was this attempt's own choice, not a fact of the stream.

Such a stream is refused as not run; with a record it goes on at its service, as before. Open: a route that led to another service within the time of the stream.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 )
 
@@ -179,6 +181,11 @@
 	return slices.ContainsFunc(r.TrafficSplit, func(w WeightedService) bool { return w.Service == s })
 }
 
+// Services returns the services that the route leads to.
+func (r *Route) Services() []ServiceID {
+	return lo.Uniq(lo.Map(r.TrafficSplit, func(w WeightedService, _ int) ServiceID { return w.Service }))
+}
+
 // ChooseService chooses one of the services in TrafficSplit by weight. point is a
 // random number in [0,1).
 func (r *Route) ChooseService(point float64) ServiceID {
--- a/fronthost/resume_test.go
+++ b/fronthost/resume_test.go
@@ -183,6 +183,44 @@
 	}
 }
 
+// TestStreamOfUnknownServiceIsRefused guards against a stream that goes on at another service than the
+// one that began it, each of which has one version, where a route leads to both.
+func TestStreamOfUnknownServiceIsRefused(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.setConfiguration(platformtest.SplitStreamRoute)
+	require.Eventually(t, func() bool {
+		_, status := d.takeUp(0, "", newID())
+		return status == http.StatusOK
+	}, 12*time.Second, 200*time.Millisecond, "a route to one service")
+	for i := range 12 {
+		first := d.newStreamRequest(i%2, "/split/a", newID(), "")
+		readBody(t, d.send(first))
+		for _, resumes := range []string{first.ID, newID(), ""} {
+			next := d.newStreamRequest(i%2, "/split/a", newID(), "")
+			next.ResumeAfter, next.Resumes = "2", resumes
+			r := d.send(next)
+			r.Body.Close()
+			if resumes != first.ID {
+				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+				continue
+			}
+			require.Equal(t, http.StatusOK, r.StatusCode)
+			require.Equal(t, d.servicesOf(first.ID), d.servicesOf(next.ID))
+		}
+	}
+}
+
+// servicesOf returns the services whose endpoints ran a request.
+func (d *deployment) servicesOf(id string) map[string]bool {
+	services := map[string]bool{}
+	for _, e := range d.endpoints {
+		if e.RunCounts()[id] > 0 {
+			services[e.Service] = true
+		}
+	}
+	return services
+}
+
 // TestStreamOfVanishedVersionIsRefused takes a stream up once no endpoint of its version
 // is left.
 func TestStreamOfVanishedVersionIsRefused(t *testing.T) {
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -17,15 +17,17 @@
 	claims []origin.Claim
 	// window is how long ago the stream can have begun.
 	window cicadapitch.Millis
-	// asked is the number of other hosts that were asked.
-	asked int
+	// asked is the number of other hosts that were asked, services that of the services at which the
+	// stream may have begun.
+	asked, services int
 	// confirmErr says why the versions of the service could not be confirmed. It is nil if they
 	// were, or if that was not tried.
 	confirmErr error
 }
 
 // gatherEvidence asks this host, then other hosts for a record of the stream, and then the store
-// for the versions of the service, unless several are known already.
+// for the versions of the service, unless several are known already or the route leads to several
+// services.
 func (p *proxiedRequest) gatherEvidence(ctx context.Context) evidence {
 	g := p.g
 	e := evidence{window: p.streamLifetime() + origin.ListDelay}
@@ -37,7 +39,7 @@
 	var others []origin.Claim
 	others, e.asked = g.queryOrigin(ctx, query, p.request.ID)
 	e.claims = append(e.claims, others...)
-	if e.recorded() || len(e.versions()) > 1 {
+	if e.services = len(p.route.Services()); e.recorded() || e.services > 1 || len(e.versions()) > 1 {
 		return e
 	}
 	e.confirmErr = g.membership.ConfirmVersions(ctx, p.service.Name)
@@ -78,6 +80,6 @@
 	if source == origin.Recorded {
 		return
 	}
-	event.Int64("WindowMs", int64(e.window)).Strs("Seen", e.versions()).
+	event.Int64("WindowMs", int64(e.window)).Int("Services", e.services).Strs("Seen", e.versions()).
 		Bool("Confirmed", lo.SomeBy(e.claims, func(c origin.Claim) bool { return c.Confirmed })).Err(e.confirmErr)
 }
