entry: a silent stream is given up only if a retry may follow

TestSilentStreamIsNotGivenUpWithoutARetry failed before. The token of the budget is taken before the attempt is abandoned; without one, without a shard to choose or without attempts left the stream is watched on.

--- a/entry/hedging.go
+++ b/entry/hedging.go
@@ -64,7 +64,11 @@
 			c.hedgeDue = nil
 			c.hedge()
 		case <-c.stalled:
-			return cicadapitch.StageResult{}, c.failStalled()
+			if c.reserveRetry() {
+				return cicadapitch.StageResult{}, c.failStalled()
+			}
+			// The engine may go on.
+			c.stalled = c.watchStall(c.ctx, c.streaming.Load())
 		case <-c.ctx.Done():
 			return cicadapitch.StageResult{}, contextError(c.ctx, nil)
 		}
@@ -93,6 +97,21 @@
 	}
 }
 
+// reserveRetry reports whether another attempt may follow one whose stream has stalled, and takes
+// its token of the retry budget.
+func (c *concurrentAttempts) reserveRetry() bool {
+	left := c.request.deadline.Sub(c.server.clock.Now())
+	_, step := pipeline.DecideRetry(c.attemptCounts, cicadapitch.OutcomeUnknown, left, 0)
+	if step.Action != pipeline.Retry {
+		return false
+	}
+	if _, ok := c.server.chooseShard(c.request, c.stage, pipeline.ShardQuery{Avoid: c.avoid}); !ok {
+		return false
+	}
+	c.retryReserved = !step.NeedsBudget || c.server.budget.Withdraw()
+	return c.retryReserved
+}
+
 // failStalled abandons the attempt whose stream has stalled, so that the next
 // attempt resumes the stream.
 func (c *concurrentAttempts) failStalled() error {
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -33,6 +33,8 @@
 	// redirectOwner is the owner of the chosen shard that a redirect named, or
 	// nil. The next attempt goes to it.
 	redirectOwner *cicadapitch.Member
+	// retryReserved is true if the next retry has taken its token of the retry budget.
+	retryReserved bool
 	choice        pipeline.ShardChoice
 	// streaming is the current attempt that streams to the caller.
 	streaming atomic.Pointer[sentAttempt]
@@ -76,7 +78,9 @@
 	default:
 		return err
 	}
-	if step.NeedsBudget && !r.server.budget.Withdraw() {
+	reserved := r.retryReserved
+	r.retryReserved = false
+	if step.NeedsBudget && !reserved && !r.server.budget.Withdraw() {
 		return err
 	}
 	r.redirectOwner = nil
--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -13,10 +13,11 @@
 )
 
 // streamScript describes one attempt of the stage generate. The attempt waits,
-// streams some words, and then returns its result or hangs.
+// streams some words, is silent for the pause, and then returns its result or hangs.
 type streamScript struct {
 	delay cicadapitch.Millis
 	words int
+	pause cicadapitch.Millis
 	hangs bool
 	// pauses holds how long the attempt is silent after each of its first words.
 	pauses []cicadapitch.Millis
@@ -43,6 +44,9 @@
 				_ = clock.Sleep(ctx, next.pauses[i])
 			}
 		}
+		if clock.Sleep(ctx, next.pause) != nil {
+			return cicadapitch.StageResult{}, true, ctx.Err()
+		}
 		if next.hangs {
 			<-ctx.Done()
 			return cicadapitch.StageResult{}, true, ctx.Err()
@@ -90,6 +94,21 @@
 	}
 }
 
+// TestSilentStreamIsNotGivenUpWithoutARetry guards against streams that are given up since their engine
+// is silent for a time, though the retry budget allows no further attempt.
+func TestSilentStreamIsNotGivenUpWithoutARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.cfg.Pipelines[0].BetweenTokens = 47
+		f.cfg.Pipelines[0].FirstToken = 1400
+		f.runner = newScriptedRunner(f.clock, streamScript{words: 4, pause: 8000})
+		a, err := f.newServer(entry.WithRetryBudget(0, 0)).Serve(context.Background(), draft(), nil)
+		require.NoError(t, err)
+		require.Equal(t, strings.Join(words("encode(x)"), ""), a.Output)
+		require.Equal(t, 1, a.Stages[1].Attempts)
+	})
+}
+
 // TestOnlyOneAttemptStreams has the first chunks of two attempts with different
 // texts arrive at the same time. The caller must receive the text and the result of
 // the same attempt.
