platform: idle connections over a relay that leaves are closed at once

A host that stops waits for the connections that it relays. Hosts that are cut off kept idle ones over it for up to four seconds, so that it ended at the end of its grace though nobody used it.

Connections that would not be used again are now closed when the view of the deployment changes.

--- a/fronthost/stop_test.go
+++ b/fronthost/stop_test.go
@@ -291,6 +291,18 @@
 	require.True(t, traffic.endings[0].endedAt.Before(processEnd), "the relay ended first")
 }
 
+// TestIdleConnectionsOverARelayDoNotDelayItsEnd guards against hosts that wait for connections over them
+// which nobody uses.
+func TestIdleConnectionsOverARelayDoNotDelayItsEnd(t *testing.T) {
+	d := newCutDeployment(t, 2)
+	d.paths[1].Cut(platformtest.CutNew)
+	d.askAll(time.Second, 100*time.Millisecond)
+	stopAt := time.Now()
+	d.cancels[0]()
+	<-d.stopped[0]
+	require.Less(t, time.Since(stopAt), 2*time.Second)
+}
+
 // TestRepeatIsNotSentOnceItsAnswerCannotBeWhole lets first attempts fail while their host stops.
 func TestRepeatIsNotSentOnceItsAnswerCannotBeWhole(t *testing.T) {
 	d := newDeployment(t, 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,6 +187,8 @@
 
 // SetView applies a new view of the deployment.
 func (g *Gateway) SetView(v *fleet.View) {
+	// The caller holds a lock that this needs.
+	go g.endpoints.CloseOutdatedConnections()
 	g.shards.setView(v)
 	if v.Catalog == nil {
 		return
