soak: endpoints fall silent for a second beside faults of all kinds

TestSoak draws the silences from a source of its own, so that its seeds choose the same other faults as before.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,7 +1,7 @@
 // Package soak holds randomized tests of hosts that run as separate processes.
 //
 // TestSoak kills, terminates and pauses them, impairs their connections to the store and
-// to endpoints and changes the configuration. It then checks that callers got complete
+// to endpoints, makes endpoints silent and changes the configuration. It then checks that callers got complete
 // responses to their own requests, that refused requests did not run and that requests
 // which may run once did not run twice.
 //
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,8 @@
 	recoveryTimeout = 12 * time.Second
 	// cutShare is the number of faults with one of which hosts are cut off from the endpoints.
 	cutShare = 5
+	// silenceShare is the number of faults with one of which an endpoint falls silent.
+	silenceShare = 3
 	// maxTakeUps is how often a caller takes a broken stream up.
 	maxTakeUps = 4
 	// routeCount is the number of routes that no caller uses.
@@ -115,10 +117,12 @@
 	// streamRNG chooses the faults of streams, so that rng chooses the same other faults
 	// with and without them.
 	streamRNG *rand.Rand
-	// cutRNG chooses the hosts that are cut off from the endpoints, for the same reason.
-	cutRNG    *rand.Rand
-	store     *platformtest.Store
-	endpoints []*platformtest.Endpoint
+	// cutRNG chooses the hosts that are cut off from the endpoints, and silenceRNG the endpoints
+	// that fall silent, for the same reason.
+	cutRNG     *rand.Rand
+	silenceRNG *rand.Rand
+	store      *platformtest.Store
+	endpoints  []*platformtest.Endpoint
 	// relays holds the relay to the store and those to the endpoints.
 	relays    []*relay
 	processes []*hostProcess
@@ -127,7 +131,11 @@
 }
 
 func newTestbed(t *testing.T, seed uint64, l layout) *testbed {
-	s := &testbed{t: t, layout: l, rng: rand.New(rand.NewPCG(seed, 7)), streamRNG: rand.New(rand.NewPCG(seed, 8)), cutRNG: rand.New(rand.NewPCG(seed, 9)), store: platformtest.NewStore(platformtest.WithPageSize(storePageSize))}
+	newRNG := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+	s := &testbed{
+		t: t, layout: l, rng: newRNG(7), streamRNG: newRNG(8), cutRNG: newRNG(9), silenceRNG: newRNG(10),
+		store: platformtest.NewStore(platformtest.WithPageSize(storePageSize)),
+	}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
 	for id, service := range map[string]string{
@@ -236,6 +244,15 @@
 	e.AbortStreamsAfter(s.streamRNG.IntN(6))
 }
 
+// silenceEndpoint makes an endpoint fall silent for a second or so now and then, and go on.
+func (s *testbed) silenceEndpoint() {
+	if s.silenceRNG.IntN(silenceShare) > 0 {
+		return
+	}
+	e := s.endpoints[s.silenceRNG.IntN(len(s.endpoints))]
+	e.FallSilent(time.Duration(800+s.silenceRNG.IntN(700)) * time.Millisecond)
+}
+
 // endStreamFaults makes all streams complete again.
 func (s *testbed) endStreamFaults() {
 	for _, e := range s.endpoints {
@@ -273,6 +290,7 @@
 		time.AfterFunc(time.Duration(500+s.cutRNG.IntN(4000))*time.Millisecond, mend)
 		ends = append(ends, mend)
 		s.injectStreamFault()
+		s.silenceEndpoint()
 		time.Sleep(time.Duration(100+s.rng.IntN(900)) * time.Millisecond)
 	}
 	wg.Wait()
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -43,7 +43,8 @@
 
 // stopRegressions maps seeds that failed once to the cause of the failure.
 var stopRegressions = map[int]string{
-	2: "streams that wait for nothing were passed on until the listener closed, and so were plain requests whose endpoint needed more time than the host had left",
+	2:  "streams that wait for nothing were passed on until the listener closed, and so were plain requests whose endpoint needed more time than the host had left",
+	11: "a stream was cut off for a silence although the only other engine of its version was leaving",
 }
 
 func TestPlannedStops(t *testing.T) {
