--- a/gateway/request.go
+++ b/gateway/request.go
@@ -430,6 +430,7 @@
 		return
 	}
 	if p.answer.HeaderWritten() || callerGone {
+		p.logUnanswered(callerGone, err)
 		p.answer.Abort()
 	}
 	final := p.finalError(ctx, err)
