fronthost: streams of a test keep to the rate of the engines

TestStreamThatIsTakenUpGetsOnlyItsRest sent 15 requests within some 50 ms to two engines that take 26 a second with a burst of 3. What the test requires is unchanged.

--- a/fronthost/oddresume_test.go
+++ b/fronthost/oddresume_test.go
@@ -52,6 +52,8 @@
 	d := newDeployment(t, 1)
 	for _, odd := range []platformtest.OddResume{platformtest.JSONError, platformtest.HTMLPage, platformtest.PageAsEvents, platformtest.PartialContent, platformtest.EventAgain} {
 		t.Run(odd.String(), func(t *testing.T) {
+			// Without a pause the engines would refuse for their rate.
+			time.Sleep(2 * coldRatePause)
 			first := newID()
 			readBody(t, d.send(d.newStreamRequest(0, "/answer/a", first, "0,0")))
 			for _, e := range []string{"e1", "e2"} {
