daemon, entry: a planned stop takes no request that it would have to cut

Callers of the product's own daemon that kept using a host after its SIGTERM got their requests taken until the attempts on the host's own shards had ended, however late, and cut at the end of the grace: with a grace of 10 s, a longest deadline of 9 s and bookings of 3.5 s, 7 of 24 requests of a caller that sent one in 0.4 s were cut, sent 2.0 to 8.4 s after the signal; 3 connections were closed without a response and 4 bookings told OutcomeUnknown by the closing of the hosts' own connections.

Cause, the same as on the platform's hosts: the step that takes a request did not ask whether it can end in time, and new requests were refused only by entry.Drain, after endpoint.Owner.Drain, which may use up the grace. At the end nobody told the running requests.

From the signal on a request is taken only if its deadline lies before the end; the check and the count of running requests are one step.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,7 +46,9 @@
 	// state Ready, or 0 before. Only updateMemberPeriodically writes these two
 	// fields.
 	acceptsCallers atomic.Bool
-	readySince     cicadapitch.Instant
+	// leaving is true once the host shuts down.
+	leaving    atomic.Bool
+	readySince cicadapitch.Instant
 }
 
 // Option sets an option of a Daemon.
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -14,7 +14,7 @@
 )
 
 func (d *Daemon) newCallerServer() *http.Server {
-	return newHTTPServer(d.callerHandler())
+	return newHTTPServer(d.closeConnections(d.callerHandler()))
 }
 
 func (d *Daemon) newPeerHTTPServer() *http.Server {
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"cicadapitch.example/cicadapitch"
@@ -16,17 +17,20 @@
 	mu       sync.Mutex
 	running  int
 	draining bool
+	// latestDeadline is the latest deadline of new requests, or 0.
+	latestDeadline cicadapitch.Instant
 	// idle is closed once the host drains and no request is running.
 	idle chan struct{}
 }
 
 func newRunningRequests() *runningRequests { return &runningRequests{idle: make(chan struct{})} }
 
-// begin counts a new request. It returns a NotRun error while the host drains.
-func (r *runningRequests) begin() error {
+// begin counts a new request. It returns a NotRun error while the host drains, and for a
+// request whose deadline is later than the host runs.
+func (r *runningRequests) begin(deadline cicadapitch.Instant) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.draining {
+	if r.draining || r.latestDeadline > 0 && deadline > r.latestDeadline {
 		return &cicadapitch.Error{
 			Kind:       cicadapitch.NotRun,
 			Reason:     "the host is leaving",
@@ -46,6 +50,13 @@
 	r.running++
 }
 
+// limitDeadlines sets the latest deadline of new requests.
+func (r *runningRequests) limitDeadlines(latest cicadapitch.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latestDeadline = latest
+}
+
 func (r *runningRequests) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,6 +92,27 @@
 	return r.running
 }
 
+// LimitDeadlines makes the server refuse new requests whose deadline is later than latest,
+// when the host ends, with a NotRun error.
+func (s *Server) LimitDeadlines(latest cicadapitch.Instant) { s.running.limitDeadlines(latest) }
+
+// StopAccepting refuses new requests with a NotRun error, as Drain does.
+func (s *Server) StopAccepting() { s.running.close() }
+
+// errEnding is the cause with which the contexts of requests end that the host gives up.
+var errEnding = errors.New("the host ends")
+
+// GiveUp ends the running requests. Each gets an error that says whether its work may have
+// run.
+func (s *Server) GiveUp() { s.giveUp() }
+
+// withEnd returns a context that also ends with GiveUp.
+func (s *Server) withEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.givenUp, func() { cancel(errEnding) })
+	return ctx, func() { stop(); cancel(context.Canceled) }
+}
+
 // Drain refuses new requests with a NotRun error and waits until the running ones
 // have ended. It returns the error of ctx if ctx ends first. Retries of a request
 // that is already running still get its answer, and requests that belong to
--- a/entry/nonidempotent.go
+++ b/entry/nonidempotent.go
@@ -47,7 +47,7 @@
 // startDetached runs the request independently of its caller's connection. If the
 // connection breaks, the run continues and a retry finds its answer.
 func (s *Server) startDetached(ctx context.Context, e *idempotency.Entry, rr resolvedRequest, chunks *chunkSink) {
-	if err := s.running.begin(); err != nil {
+	if err := s.running.begin(rr.deadline); err != nil {
 		e.Finish(cicadapitch.Answer{}, err)
 		return
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,6 +12,8 @@
 func (s *Server) runStages(ctx context.Context, rr resolvedRequest, chunks *chunkSink) (cicadapitch.Answer, error) {
 	ctx, cancel := withTimeout(ctx, s.clock, rr.deadline.Sub(s.clock.Now()))
 	defer cancel()
+	ctx, end := s.withEnd(ctx)
+	defer end()
 	request := &requestRun{resolvedRequest: rr, chunks: chunks}
 	if err := s.admit(request); err != nil {
 		return cicadapitch.Answer{}, request.callerError(err)
--- a/entry/server.go
+++ b/entry/server.go
@@ -45,9 +45,12 @@
 	firstChunkTimes *durationEstimates
 	throttles       throttles
 	// budget is the retry budget of all requests.
-	budget   pipeline.SharedRetryBudget
-	random   *random
-	running  *runningRequests
+	budget  pipeline.SharedRetryBudget
+	random  *random
+	running *runningRequests
+	// givenUp ends with GiveUp, which calls giveUp.
+	givenUp  context.Context
+	giveUp   context.CancelFunc
 	sequence atomic.Uint64
 	idPrefix string
 }
@@ -82,6 +85,7 @@
 		running:         newRunningRequests(),
 		idPrefix:        fmt.Sprintf("%s-%x", self.Host, uint64(self.Incarnation)),
 	}
+	s.givenUp, s.giveUp = context.WithCancel(context.Background())
 	s.budget.Set(defaultRetryRatio, defaultRetryLimit)
 	for _, opt := range opts {
 		opt(s)
@@ -123,7 +127,7 @@
 
 // serveIdempotent runs a request that may be repeated.
 func (s *Server) serveIdempotent(ctx context.Context, rr resolvedRequest, chunks *chunkSink) (cicadapitch.Answer, error) {
-	if err := s.running.begin(); err != nil {
+	if err := s.running.begin(rr.deadline); err != nil {
 		return cicadapitch.Answer{}, err
 	}
 	defer s.running.end()
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -136,8 +136,11 @@
 // Its reason includes that of lastErr, the error of the last attempt.
 func contextError(ctx context.Context, lastErr error) error {
 	reason := "the caller has gone"
-	if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		reason = "the deadline has passed"
+	case errors.Is(cause, errEnding):
+		reason = "the host that took the request ends"
 	}
 	if e := cicadapitch.AsError(lastErr); e != nil && e.Kind != cicadapitch.DeadlineExceeded {
 		reason += " after: " + e.Reason
--- a/standin/service.go
+++ b/standin/service.go
@@ -38,7 +38,9 @@
 	// responsesToLose is the number of next calls that run but get no response:
 	// their connection is aborted.
 	responsesToLose int
-	bookings        []Booking
+	// delay is added to the duration of each call.
+	delay    cicadapitch.Millis
+	bookings []Booking
 	// answers holds the output by attempt id, for deduplication.
 	answers map[string]string
 }
@@ -135,6 +137,8 @@
 	Leaving bool
 	// SilentMillis is how long the service sends nothing from now on.
 	SilentMillis cicadapitch.Millis
+	// DelayMillis is added to the duration of each call.
+	DelayMillis cicadapitch.Millis
 }
 
 // handleFaults serves POST /faults.
@@ -152,7 +156,7 @@
 func (s *Service) SetFaults(f ServiceFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.responsesToLose, s.leaving = f.LoseAnswers, f.Leaving
+	s.responsesToLose, s.leaving, s.delay = f.LoseAnswers, f.Leaving, f.DelayMillis
 	s.FallSilent(f.SilentMillis)
 	s.recordLoad()
 }
--- a/standin/servicecall.go
+++ b/standin/servicecall.go
@@ -29,7 +29,7 @@
 	customer := cicadapitch.CustomerID(r.Header.Get(driver.HeaderCustomer))
 	run := s.recorder.start(attempt, customer, false)
 	out, lost := s.execute(attempt, customer, q)
-	err := s.clock.Sleep(r.Context(), s.serviceTime)
+	err := s.clock.Sleep(r.Context(), s.callTime())
 	s.recorder.end(run, err == nil && !lost)
 	s.release()
 	if lost {
@@ -41,6 +41,13 @@
 	writeJSON(w, ServiceAnswer{Output: out})
 }
 
+// callTime returns the duration of a call.
+func (s *Service) callTime() cicadapitch.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serviceTime + s.delay
+}
+
 // previousAnswer returns the output of an attempt that has already run, if the
 // service deduplicates attempts.
 func (s *Service) previousAnswer(attempt string) (string, bool) {
