membership: a host that leaves while it registers removes its entry

A host that got SIGTERM between the grant of its lease and the write of its entry, as after a start or once its lease had expired in an outage, stayed registered for up to 4 s after it had left: Leave found no lease to revoke, and the registration did not read that the host leaves before it ended.

TestHostThatLeavesWhileItRegistersIsNotListed failed before. The registration now revokes its lease if the host has begun to leave.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -347,18 +347,24 @@
 			return err
 		}
 	}
+	if m.leaving.Load() {
+		return nil
+	}
 	lease, err := m.store.Grant(ctx, max(leaseTTL, m.settings.Store.MinLease))
 	if err != nil {
 		return err
 	}
 	entry := cicadapitch.Write{Key: hostKeyPrefix + m.incarnation, Value: value, Lease: lease}
-	if _, err := m.store.Commit(ctx, nil, []cicadapitch.Write{entry}); err != nil {
-		return err
-	}
+	_, err = m.store.Commit(ctx, nil, []cicadapitch.Write{entry})
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.leaving.Load() {
+	leaving := m.leaving.Load()
+	if err == nil && !leaving {
 		m.lease = lease
 	}
-	return nil
+	m.mu.Unlock()
+	if leaving {
+		// Leave did not know the lease.
+		return m.store.Revoke(ctx, lease)
+	}
+	return err
 }
