--- a/cmd/cicadapitch-front/main.go
+++ b/cmd/cicadapitch-front/main.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -14,6 +16,8 @@
 )
 
 func main() {
+	// A hangup does not end the process, also before and after the host handles it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	path := platform.SettingsPath()
 	check := false
 	flaggy.SetName("cicadapitch-front")
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -138,7 +138,10 @@
 	defer stop()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go h.checkSettingsOnHangup(workCtx)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go h.checkSettings(workCtx, hangups)
 	h.log.Info().Str("Host", string(h.settings.Host)).Str("Zone", string(h.settings.Zone)).
 		Str("Incarnation", h.membership.Incarnation()).Str("Callers", h.settings.CallerListen).Msg("start")
 	callers, err := h.startListeners()
@@ -220,18 +223,14 @@
 	h.serve(&http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, l)
 }
 
-// checkSettingsOnHangup reads the settings file on each SIGHUP and logs whether it is
-// valid. The running host does not apply it; what may change while it runs is in the
-// store.
-func (h *Host) checkSettingsOnHangup(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// checkSettings reads the settings file on each hangup and logs whether it is valid. The
+// running host does not apply it; what may change while it runs is in the store.
+func (h *Host) checkSettings(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		}
 		_, err := platform.ReadSettings(platform.SettingsPath())
 		h.log.Info().Err(err).Msg("reload")
