gateway: a silent engine keeps its stream until another one has taken it

Callers of resumable streams still got a part of their stream where the engine was silent for more than 1.6 s, as it is when it preempts a request, and another engine was there, but the next attempt failed: the silent attempt was ended first, and only then ran the stages again, whose owner may reject them (a burst), and was the request sent to the other engine, which may be full. Whether another attempt can follow is known only once it has.

Once an answer has begun, the attempt at a silent engine goes on while the stages for another one run. The stream is sent there if the budget and the end of the host allow it; the silent engine is given up when the other one has begun to answer, at the latest 150 ms after the request was sent there, so that a refusal leaves the stream where it is. If the engine sends something meanwhile, the preparation ends. The silence counts as a failure of the engine at once, as before.

--- a/fronthost/silence_test.go
+++ b/fronthost/silence_test.go
@@ -192,3 +192,30 @@
 		})
 	}
 }
+
+// TestSilentStreamIsNotCutWhereTheNextAttemptFails guards against streams that are cut since their
+// engine is silent, though what the attempt at another one needs is refused.
+func TestSilentStreamIsNotCutWhereTheNextAttemptFails(t *testing.T) {
+	for name, refuse := range map[string]func(d *deployment){
+		"engine": func(d *deployment) { d.endpoints["e2"].SetFull(true) },
+		"stage":  func(d *deployment) { d.endpoints["s1"].SetFull(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1)
+			d.endpoints["e1"].SetStall(2500 * time.Millisecond)
+			// The stream begins at e1.
+			d.store.Set(platformtest.EndpointKey("e2"), d.endpoints["e2"].Entry("draining"))
+			time.Sleep(200 * time.Millisecond)
+			id := newID()
+			req := d.newStreamRequest(0, "/answer/a", id, "1,1")
+			req.Deadline = 4900
+			r := d.send(req)
+			require.Equal(t, http.StatusOK, r.StatusCode)
+			d.store.Set(platformtest.EndpointKey("e2"), d.endpoints["e2"].Entry("ready"))
+			refuse(d)
+			require.Equal(t, 6, strings.Count(readBody(t, r), "data: part"))
+			require.Equal(t, 1, d.runCount(id))
+		})
+	}
+}
--- /dev/null
+++ b/gateway/engineattempt.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/platform"
+)
+
+// engineAttempt is an attempt at an engine that has begun to answer.
+type engineAttempt struct {
+	endpoint fleet.Endpoint
+	inputs   engineInputs
+	reply    *platform.Reply
+	// resumeAfter is the id of the event after which the stream goes on, or empty.
+	resumeAfter string
+	sentAt      cicadapitch.Instant
+	// ctx ends with the attempt, which cancel ends.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+}
+
+// sendToEngine sends the request to an engine whose call is counted as running. The stream resumes
+// after events.lastID if set, else after the event id that the caller sent. The caller passes the
+// attempt to relayEngine.
+func (p *proxiedRequest) sendToEngine(ctx context.Context, e fleet.Endpoint, inputs engineInputs, events *eventSplitter) (*engineAttempt, error) {
+	if err := p.awaitTrial(ctx); err != nil {
+		p.recordCallEnd(e.ID)
+		return nil, err
+	}
+	a := &engineAttempt{endpoint: e, inputs: inputs, sentAt: p.g.clock.Now(), resumeAfter: p.request.ResumeAfter}
+	if events.lastID != "" {
+		a.resumeAfter = events.lastID
+	}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	p.exclude[e.ID] = true
+	silenceTimer := p.startSilenceTimer(a.ctx, a.cancel, e)
+	defer silenceTimer.Stop()
+	var err error
+	a.reply, err = p.send(a.ctx, e, inputs.handles, a.resumeAfter)
+	if err == nil {
+		return a, nil
+	}
+	if errors.Is(err, errInputLost) {
+		delete(p.exclude, e.ID)
+	}
+	if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
+		p.checkEndpoint(a.ctx, e, a.sentAt)
+	}
+	a.cancel(nil)
+	p.endTrial()
+	p.recordCallEnd(e.ID)
+	return nil, err
+}
+
+// relayEngine relays the answer of an attempt and ends the attempt. If its engine has fallen silent
+// and another one goes on with the stream, relayEngine returns the attempt there.
+func (p *proxiedRequest) relayEngine(ctx context.Context, a *engineAttempt, events *eventSplitter) (*engineAttempt, error) {
+	defer p.recordCallEnd(a.endpoint.ID)
+	defer p.endTrial()
+	defer a.inputs.freeAll()
+	defer a.cancel(nil)
+	defer a.reply.Close()
+	onFirstEvent := func() {
+		took := p.g.clock.Now().Sub(a.sentAt)
+		p.recordSuccess(a.endpoint.ID, took)
+		p.recordFirstEvent(took)
+		// The engine has fetched its inputs once it sends the first event.
+		a.inputs.freeAll()
+	}
+	reply := a.reply
+	if p.answer.HeaderWritten() && reply.Status >= 300 || reply.Status < 300 && p.route.Resumable && a.resumeAfter != "" && !reply.IsStream() {
+		p.recordBreak(a.ctx, a.endpoint.ID)
+		return nil, cicadapitch.NewOutcomeUnknown(string(a.endpoint.ID) + " did not go on with the stream: status " + strconv.Itoa(reply.Status) + ", type " + reply.ContentType())
+	}
+	var (
+		next *engineAttempt
+		err  error
+	)
+	if p.route.Resumable && reply.IsStream() {
+		events.startPart(a.resumeAfter)
+		next, err = p.relayEvents(ctx, a, events, func() {
+			onFirstEvent()
+			p.recordOrigin(a.endpoint)
+		})
+	} else {
+		err = p.relayStream(a.endpoint, reply, onFirstEvent)
+	}
+	if err != nil && !errors.Is(err, errNotRelayed) {
+		p.recordBreak(a.ctx, a.endpoint.ID)
+		p.checkEndpoint(a.ctx, a.endpoint, a.sentAt)
+	}
+	return next, err
+}
+
+// relayEvents relays a stream to the caller in complete events only, so that
+// another engine can resume it after the last of them. Its errors are those of
+// relayStream. If another engine goes on while this one is silent, relayEvents returns
+// the attempt there.
+func (p *proxiedRequest) relayEvents(ctx context.Context, a *engineAttempt, events *eventSplitter, onFirstEvent func()) (*engineAttempt, error) {
+	reads := startStreamReader(a.reply)
+	defer reads.stop(a.reply.Abort)
+	r := p.newReplacement(a)
+	defer r.stop()
+	proof := p.newAnswerProof(a.reply)
+	for begun := false; ; {
+		select {
+		case <-r.silence.C:
+			r.prepare(ctx)
+			continue
+		case prepared := <-r.prepared:
+			if next, err := r.takeOver(ctx, prepared, events); next != nil || err != nil {
+				return next, err
+			}
+			continue
+		case read := <-reads.results:
+			reads.ended = read.err != nil
+			r.heard()
+			complete, err := p.completeEvents(a.endpoint, read, events)
+			if err != nil {
+				return nil, err
+			}
+			if len(complete) > 0 || read.err == io.EOF {
+				if !begun {
+					begun = true
+					onFirstEvent()
+				}
+				if err := p.relayComplete(a.reply, complete); err != nil {
+					return nil, err
+				}
+			}
+			proof.add(len(read.b), read.err)
+			if done, err := p.checkStreamEnd(a.endpoint, read.err, events); done {
+				return nil, err
+			}
+		}
+	}
+}
+
+// completeEvents returns the events that are complete with a read.
+func (p *proxiedRequest) completeEvents(e fleet.Endpoint, read streamRead, events *eventSplitter) ([]byte, error) {
+	complete, err := events.add(read.b)
+	if err == nil && read.err == io.EOF && p.answer.HeaderWritten() {
+		err = events.end()
+	}
+	if err != nil {
+		return nil, cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: " + err.Error())
+	}
+	return complete, nil
+}
+
+// relayComplete relays complete events, after the head of the answer if they are the first.
+func (p *proxiedRequest) relayComplete(reply *platform.Reply, complete []byte) error {
+	if !p.answer.HeaderWritten() {
+		p.beginAnswer(reply.Status)
+		p.answer.WriteResumableHeader(reply)
+	}
+	return p.relayChunk(complete)
+}
+
+// checkStreamEnd reports whether the stream has ended with the error of a read, and returns that of
+// relayEvents.
+func (p *proxiedRequest) checkStreamEnd(e fleet.Endpoint, err error, events *eventSplitter) (bool, error) {
+	if err == io.EOF {
+		return true, nil
+	}
+	if err == nil && len(events.partial) > maxEventBytes {
+		err = errEventTooLong
+	}
+	if err != nil {
+		return true, cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
+	}
+	return false, nil
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
-	"time"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -90,76 +88,23 @@
 }
 
 // generateOnce makes one attempt at an engine, and chooses again while the chosen one has
-// left before the request was sent.
+// left before the request was sent. While the engine is silent, another one may go on.
 func (p *proxiedRequest) generateOnce(ctx context.Context, inputs engineInputs, events *eventSplitter) error {
 	for {
 		e, err := p.waitForEndpoint(ctx, inputs.zone)
 		if err != nil {
 			return err
 		}
-		err = p.generateAt(ctx, e, inputs, events)
+		a, err := p.sendToEngine(ctx, e, inputs, events)
+		for err == nil && a != nil {
+			a, err = p.relayEngine(ctx, a, events)
+		}
 		if !errors.Is(err, errChoiceOutdated) || ctx.Err() != nil {
 			return err
 		}
 	}
 }
 
-// generateAt sends the request to an engine and relays the stream. The stream resumes after
-// events.lastID if set, else after the event id that the caller sent.
-func (p *proxiedRequest) generateAt(ctx context.Context, e fleet.Endpoint, inputs engineInputs, events *eventSplitter) error {
-	defer p.recordCallEnd(e.ID)
-	if err := p.awaitTrial(ctx); err != nil {
-		return err
-	}
-	defer p.endTrial()
-	start := p.g.clock.Now()
-	resumeAfter := p.request.ResumeAfter
-	if events.lastID != "" {
-		resumeAfter = events.lastID
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := p.startSilenceTimer(ctx, cancel, e)
-	defer silenceTimer.Stop()
-	reply, err := p.send(ctx, e, inputs.handles, resumeAfter)
-	if err != nil {
-		if !errors.Is(err, errInputLost) {
-			p.exclude[e.ID] = true
-		}
-		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
-			p.checkEndpoint(ctx, e, start)
-		}
-		return err
-	}
-	defer reply.Close()
-	p.exclude[e.ID] = true
-	onFirstEvent := func() {
-		took := p.g.clock.Now().Sub(start)
-		p.recordSuccess(e.ID, took)
-		p.recordFirstEvent(took)
-		// The engine has fetched its inputs once it sends the first event.
-		inputs.freeAll()
-	}
-	if p.answer.HeaderWritten() && reply.Status >= 300 || reply.Status < 300 && p.route.Resumable && resumeAfter != "" && !reply.IsStream() {
-		p.recordBreak(ctx, e.ID)
-		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: status " + strconv.Itoa(reply.Status) + ", type " + reply.ContentType())
-	}
-	if p.route.Resumable && reply.IsStream() {
-		events.startPart(resumeAfter)
-		err = p.relayEvents(e, reply, events, silenceTimer, func() {
-			onFirstEvent()
-			p.recordOrigin(e)
-		})
-	} else {
-		err = p.relayStream(e, reply, onFirstEvent)
-	}
-	if err != nil && !errors.Is(err, errNotRelayed) {
-		p.recordBreak(ctx, e.ID)
-		p.checkEndpoint(ctx, e, start)
-	}
-	return err
-}
-
 // checkEndpoint starts a check whether the endpoint at which the answer broke off has
 // ended, unless the attempt was canceled.
 func (p *proxiedRequest) checkEndpoint(ctx context.Context, e fleet.Endpoint, sentAt cicadapitch.Instant) {
@@ -247,47 +192,5 @@
 	return nil
 }
 
-// relayEvents relays a stream to the caller in complete events only, so that
-// another engine can resume it after the last of them. Its errors are those of
-// relayStream.
-func (p *proxiedRequest) relayEvents(e fleet.Endpoint, reply *platform.Reply, events *eventSplitter, silenceTimer *time.Timer, onFirstEvent func()) error {
-	buf := make([]byte, streamBufferBytes)
-	proof := p.newAnswerProof(reply)
-	for begun := false; ; {
-		n, err := reply.Read(buf)
-		silenceTimer.Reset(p.silenceTimeout(true).Duration())
-		complete, orderErr := events.add(buf[:n])
-		if orderErr == nil && err == io.EOF && p.answer.HeaderWritten() {
-			orderErr = events.end()
-		}
-		if orderErr != nil {
-			return cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: " + orderErr.Error())
-		}
-		if len(complete) > 0 || err == io.EOF {
-			if !begun {
-				begun = true
-				onFirstEvent()
-			}
-			if !p.answer.HeaderWritten() {
-				p.beginAnswer(reply.Status)
-				p.answer.WriteResumableHeader(reply)
-			}
-			if err := p.relayChunk(complete); err != nil {
-				return err
-			}
-		}
-		proof.add(n, err)
-		if err == io.EOF {
-			return nil
-		}
-		if err == nil && len(events.partial) > maxEventBytes {
-			err = errEventTooLong
-		}
-		if err != nil {
-			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
-		}
-	}
-}
-
 // errEventTooLong means that an event of a resumable stream exceeds maxEventBytes.
 var errEventTooLong = errors.New("an event is too long")
--- a/gateway/silentstream.go
+++ b/gateway/silentstream.go
@@ -12,8 +12,9 @@
 )
 
 // startSilenceTimer starts a timer that cancels the attempt at e with errSilent if the engine
-// sends nothing for the silence timeout and another engine can go on with the stream. If none
-// can, the attempt goes on and the timer starts again.
+// does not begin to answer within the silence timeout and another engine can take the stream. If
+// none can, the attempt goes on and the timer starts again. Once the answer has begun, replacement
+// watches the engine.
 func (p *proxiedRequest) startSilenceTimer(ctx context.Context, cancel context.CancelCauseFunc, e fleet.Endpoint) *time.Timer {
 	if !p.route.Resumable || p.attempts+1 >= p.route.MaxAttempts {
 		// A timer without a function: no other attempt can resume the stream.
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -48,15 +48,20 @@
 // AllowRetry reports whether the budget allows one more retry, and counts the
 // retry if it does. hosts is the number of hosts that share the extra retries.
 func (b *RetryBudget) AllowRetry(now cicadapitch.Instant, hosts int) bool {
+	if !b.AllowsRetry(now, hosts) {
+		return false
+	}
+	b.counts[b.current%windowBuckets].retries++
+	return true
+}
+
+// AllowsRetry is AllowRetry without counting a retry.
+func (b *RetryBudget) AllowsRetry(now cicadapitch.Instant, hosts int) bool {
 	b.advance(now)
 	var requests, retries float64
 	for _, c := range b.counts {
 		requests += c.requests
 		retries += c.retries
 	}
-	if retries+1 > b.ratio*requests+b.extra/float64(max(hosts, 1)) {
-		return false
-	}
-	b.counts[b.current%windowBuckets].retries++
-	return true
+	return retries+1 <= b.ratio*requests+b.extra/float64(max(hosts, 1))
 }
