--- a/gateway/calltimes.go
+++ b/gateway/calltimes.go
@@ -11,7 +11,7 @@
 	callTimeSpan = 30 * cicadapitch.Second
 	// fewCalls is the number of calls of which the longest is half of what one more may last. The more
 	// calls there were, the closer is their longest to that.
-	fewCalls = 2
+	fewCalls = 5
 )
 
 // callTimes holds how long the calls of each route have lasted lately, from the first sending of a
--- a/gateway/calltimes_test.go
+++ b/gateway/calltimes_test.go
@@ -20,14 +20,14 @@
 	c.Record(0, "other", 500)
 	require.Zero(t, longest(0))
 	c.Record(0, "r", 400)
-	require.EqualValues(t, 1200, longest(0), "one call says little")
+	require.EqualValues(t, 2400, longest(0), "one call says little")
 	for range 99 {
 		c.Record(1000, "r", 100)
 	}
-	require.EqualValues(t, 408, longest(1000))
-	require.EqualValues(t, 408, longest(59_000), "at least for a span")
+	require.EqualValues(t, 420, longest(1000))
+	require.EqualValues(t, 420, longest(59_000), "at least for a span")
 	c.Record(59_000, "r", 50)
-	require.EqualValues(t, 407, longest(59_000))
-	require.EqualValues(t, 150, longest(90_000), "the slow call is forgotten")
+	require.EqualValues(t, 419, longest(59_000))
+	require.EqualValues(t, 300, longest(90_000), "the slow call is forgotten")
 	require.Zero(t, longest(200_000))
 }
