gateway: log how long a stopping host takes a call to last; a stream that goes on stays answering

The line sent of a stopping host did not say what the host decided by: NeedMs. An attempt that goes on with a stream whose head was sent set its state back to sent, so that RequestsEnded and ended told a cut stream for one that had not begun.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,8 @@
 	commitMu sync.Mutex
 	// committedAt is when the request was first sent to an endpoint, or 0.
 	committedAt cicadapitch.Instant
+	// committedNeed is how long the request might last when it was last sent by a host that stops.
+	committedNeed cicadapitch.Millis
 	// retryReserved is true if the next attempt was taken from the budget already.
 	retryReserved atomic.Bool
 	// mayHaveRun is true once an endpoint may have run the request.
@@ -311,7 +313,9 @@
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
-	p.g.stop.Load().log(event, p.g.clock.Now())
+	if s := p.g.stop.Load(); s != nil {
+		s.log(event, p.g.clock.Now()).Int64("NeedMs", int64(p.committedNeed))
+	}
 	if age, ok := p.g.membership.KnowledgeAge(); ok {
 		event.Int64("KnowledgeAgeMs", int64(age))
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -131,8 +131,11 @@
 	}
 	if p.g.stop.Load() != nil {
 		p.g.countStopping("Sent")
+		p.committedNeed = p.need(now)
+	}
+	if !p.answer.HeaderWritten() {
+		p.setState(stateSent)
 	}
-	p.setState(stateSent)
 	if p.committedAt == 0 {
 		p.committedAt = now
 	}
