batch: a call for a stream that is taken up is not held back

Cause, one of several: a planner with idle and busy endpoints holds a call that is not full, to spread the starts of calls.

Such a call starts at once now.

--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -332,3 +332,24 @@
 		require.Equal(t, batch.JobID(100), calls[0].Pieces[0].Job.ID)
 	}
 }
+
+// TestStreamsTakenUpAgainAreNotHeldBack guards against a call that waits for more pieces, to
+// spread the starts of calls, while it carries a job of a stream that is taken up again.
+func TestStreamsTakenUpAgainAreNotHeldBack(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		p := planner(2)
+		p.Submit(start, job(1, 8, 3000, 9000))
+		busy, _, _, _ := p.Plan(start)
+		require.Len(t, busy, 1)
+		j := job(2, 2, 3000, 9000)
+		j.Resumed = resumed
+		p.Submit(start.Add(10), j)
+		calls, _, _, _ := p.Plan(start.Add(10))
+		if !resumed {
+			require.Empty(t, calls, "the call waits for more pieces")
+			continue
+		}
+		require.Len(t, calls, 1)
+		require.Equal(t, batch.JobID(2), calls[0].Pieces[0].Job.ID)
+	}
+}
--- a/batch/stagger.go
+++ b/batch/stagger.go
@@ -41,8 +41,8 @@
 }
 
 // holdTime returns how long to hold a call for more pieces. A call is not held if
-// it is full, if it carries only some of a job's pieces, or if a job that is on time
-// would then have less than holdSlack left.
+// it is full, if it carries only some of a job's pieces, if a job that is on time
+// would then have less than holdSlack left, or for a stream that is taken up again.
 func (p *Planner) holdTime(now cicadapitch.Instant, refs []PieceRef) cicadapitch.Millis {
 	if len(refs) >= p.spec.MaxPieces {
 		return 0
@@ -55,6 +55,9 @@
 	pieces := map[JobID]int{}
 	for _, ref := range refs {
 		pieces[ref.Job.ID]++
+		if ref.Job.Resumed {
+			return 0
+		}
 		if end <= ref.Job.DueAt && end.Add(wait+holdSlack) > ref.Job.DueAt {
 			return 0
 		}
