gateway, membership: hosts go on with the same owner of stages after others were killed

Cause: a host that cannot reach the first two owners of a shard runs the stages itself. With four of six hosts killed both refuse connections, so each host became an owner of all shards for up to 1.6 s, and endpoints, which run one call at a time, got calls that waited for each other. Class: an ended process is treated like a slow one.

A refused connection says that the process has ended. Such a host is unavailable at once (as owner, in the directory, as holder of records) until its next heartbeat, and the next owner is asked; notices to owners, among them those that free results, go on to the next one too. A host whose address answers as another process is treated the same.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	OwnersOf(key string) []fleet.Host
 	// IsSelf reports whether h is this process.
 	IsSelf(h fleet.Host) bool
+	// RecordEnded records that a host's process has ended, so that another host owns its shards.
+	RecordEnded(h fleet.Host)
 	// Dialer returns the dialer for other hosts, or nil before this host can connect
 	// to them.
 	Dialer() *peer.Dialer
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
@@ -79,17 +81,18 @@
 	Key   string
 }
 
-// callOwner runs a stage at the owner of its shard. If a call fails, callOwner tries
-// the next owner, up to maxStageOwners hosts in all, and then runs the stage at this
+// callOwner runs a stage at the owner of its shard. If the owner's process has ended, the
+// next host owns the shard, so that all hosts go on with the same one. If a call fails
+// otherwise, callOwner tries the next owner, up to maxStageOwners hosts in all, and then runs the stage at this
 // host. If the service is no longer divided into
 // c.Shard, callOwner chooses another shard and stores it in c.Shard. The error is
 // that of RunStage at this host, or that of ctx.
 func (p *proxiedRequest) callOwner(ctx context.Context, c *StageCall) (StageReply, error) {
 	start := p.g.clock.Now()
-	for tries := 0; ; {
+	for tries, ended := 0, 0; ; {
 		elapsed := p.g.clock.Now().Sub(start)
 		attempt := *c
-		attempt.DueIn, attempt.ExpireIn, attempt.StandIn = c.DueIn-elapsed, c.ExpireIn-elapsed, tries > 0
+		attempt.DueIn, attempt.ExpireIn, attempt.StandIn = c.DueIn-elapsed, c.ExpireIn-elapsed, tries+ended > 0
 		h, self := p.ownerCandidate(c.Shard, tries)
 		var (
 			reply StageReply
@@ -112,6 +115,9 @@
 			if !slices.Contains(batch.ShardsOf(c.Shard.Service, p.g.membership.View()), c.Shard) {
 				c.Shard = p.chooseShard(c.Shard.Service, c.Zone, c.MoveBytes)
 			}
+		case errors.Is(err, syscall.ECONNREFUSED) && ended < maxEndedOwners:
+			ended++
+			p.g.membership.RecordEnded(h)
 		default:
 			tries++
 			p.g.log.Warn().Str("Id", string(c.Request)).Str("Owner", string(h.ID)).Err(err).Msg("call to the owner of a shard failed; trying the next host")
@@ -170,8 +176,8 @@
 }
 
 // notifyOwner runs local if this host owns the shard or has no dialer yet. Otherwise
-// it runs remote in the background, with the dialer and the owner's address. Failures
-// are logged and not retried.
+// it runs remote in the background, with the dialer and the owner's address, and again at
+// the next owner if the owner's process has ended. Other failures are logged and not retried.
 func (g *Gateway) notifyOwner(s batch.Shard, local func(), remote func(context.Context, *peer.Dialer, string) error) {
 	owner, self := g.ownerOf(s)
 	d := g.membership.Dialer()
@@ -182,8 +188,20 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout.Duration())
 		defer cancel()
-		if err := remote(ctx, d, owner.Peers); err != nil {
-			g.log.Warn().Str("Service", s.Key()).Str("Owner", string(owner.ID)).Err(err).Msg("notification of the shard owner failed")
+		for ended := 0; ; ended++ {
+			err := remote(ctx, d, owner.Peers)
+			switch {
+			case err == nil:
+				return
+			case !errors.Is(err, syscall.ECONNREFUSED) || ended == maxEndedOwners:
+				g.log.Warn().Str("Service", s.Key()).Str("Owner", string(owner.ID)).Err(err).Msg("notification of the shard owner failed")
+				return
+			}
+			g.membership.RecordEnded(owner)
+			if owner, self = g.ownerOf(s); self {
+				local()
+				return
+			}
 		}
 	}()
 }
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -45,6 +45,7 @@
 func (m *lockedMembership) Dialer() *peer.Dialer                  { return nil }
 func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
 func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
+func (m *lockedMembership) RecordEnded(fleet.Host)                {}
 func (m *lockedMembership) Relays() []fleet.Host                  { return nil }
 func (m *lockedMembership) Hosts() []fleet.Host {
 	m.mu.Lock()
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -20,6 +20,9 @@
 	// maxStageOwners limits the hosts tried as the owner of a shard before this host
 	// runs the stage itself.
 	maxStageOwners = 2
+	// maxEndedOwners limits the owners that a call goes past because their processes have
+	// ended. A refused connection costs little time.
+	maxEndedOwners = 16
 	// stageHandoverTime is the estimated time from the end of a stage to the start of
 	// the next one.
 	stageHandoverTime cicadapitch.Millis = 40
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"syscall"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -223,10 +224,16 @@
 		if timedOut {
 			m.knowledge.Unanswered()
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			m.RecordEnded(h)
+		}
 		m.logMissedHeartbeat(h, err)
 		return
 	}
 	hb = hb.Checked()
+	if hb.Incarnation != h.Incarnation {
+		m.RecordEnded(h)
+	}
 	m.receiveHeartbeat(hb)
 	current := m.knowledge.Hear(askedAt, m.clock.Now(), hb.Endpoints)
 	if current && hb.Revision <= m.revision() {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -145,6 +145,8 @@
 	receivedAt cicadapitch.Instant
 	// graceStart is when firstHeartbeatGrace began to run.
 	graceStart cicadapitch.Instant
+	// endedAt is when the host's process was last found to have ended, or 0.
+	endedAt cicadapitch.Instant
 }
 
 // Option configures a Membership.
@@ -358,13 +360,29 @@
 	}
 }
 
-// available reports whether another host takes callers. A host that is
+// RecordEnded records that a host's process has ended: its address refuses connections, or
+// another process answers there. The host is unavailable until its next heartbeat.
+func (m *Membership) RecordEnded(h fleet.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, now := m.peers[h.Incarnation], m.clock.Now()
+	if p == nil {
+		return
+	}
+	if p.endedAt <= p.receivedAt {
+		m.log.Info().Str("Host", string(h.ID)).Str("Incarnation", h.Incarnation).Msg("host ended")
+	}
+	p.endedAt = now
+}
+
+// available reports whether another host takes callers. A host whose process was found to
+// have ended less than downReportTTL ago is unavailable, unless it sent a heartbeat since. A host that is
 // not monitored and has sent no recent heartbeat is available unless it was reported
 // down less than downReportTTL ago. Every other host needs a recent heartbeat with
 // Ready, or a running firstHeartbeatGrace. The caller holds mu.
 func (m *Membership) available(now cicadapitch.Instant, h fleet.Host) bool {
 	p := m.peers[h.Incarnation]
-	if p == nil {
+	if p == nil || p.endedAt > p.receivedAt && now.Sub(p.endedAt) < downReportTTL {
 		return false
 	}
 	if !m.monitored[h.Incarnation] && now.Sub(p.receivedAt) >= livenessTimeout {
--- a/peer/call.go
+++ b/peer/call.go
@@ -14,7 +14,8 @@
 // never handed to a connection, OutcomeUnknown if it was but no response
 // arrived, and Invalid if the request is larger than the maximum message.
 // NotRun and OutcomeUnknown errors also match context.Canceled or
-// context.DeadlineExceeded if that ended the call. An error returned by the
+// context.DeadlineExceeded if that ended the call, and NotRun errors
+// syscall.ECONNREFUSED if no process listens at the address. An error returned by the
 // handler keeps its kind.
 func Call[Req, Resp any](ctx context.Context, d *Dialer, address, name string, req Req) (Resp, error) {
 	return CallStream[Req, struct{}, Resp](ctx, d, address, name, req, func(struct{}) {})
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 
 	"cicadapitch.example/cicadapitch"
 )
@@ -39,21 +40,21 @@
 
 // notRun returns the error of a request that was never handed to a connection.
 func notRun(address, name string, err error) error {
-	return withContextCause(cicadapitch.NewNotRun(
+	return withCause(cicadapitch.NewNotRun(
 		fmt.Sprintf("call %s to %s was not sent: %v", name, address, err), dialRetryAfter), err)
 }
 
 // outcomeUnknown returns the error of a sent request whose connection or caller
 // ended before the response arrived.
 func outcomeUnknown(address, name string, err error) error {
-	return withContextCause(cicadapitch.NewOutcomeUnknown(
+	return withCause(cicadapitch.NewOutcomeUnknown(
 		fmt.Sprintf("call %s to %s has no response: %v", name, address, err)), err)
 }
 
-// withContextCause returns e and, if cause is context.Canceled or
-// context.DeadlineExceeded, wraps that error too, so that errors.Is matches it.
-func withContextCause(e *cicadapitch.Error, cause error) error {
-	for _, known := range []error{context.Canceled, context.DeadlineExceeded} {
+// withCause returns e and, if cause is context.Canceled, context.DeadlineExceeded or
+// syscall.ECONNREFUSED, wraps that error too, so that errors.Is matches it.
+func withCause(e *cicadapitch.Error, cause error) error {
+	for _, known := range []error{context.Canceled, context.DeadlineExceeded, syscall.ECONNREFUSED} {
 		if errors.Is(cause, known) {
 			return fmt.Errorf("%w: %w", e, known)
 		}
