batch: streams that are taken up wait neither for other pieces nor for their zone

Both tests failed before (8 pieces in the call in place of 2; no call while the zone's endpoint was busy).

A call for streams that are taken up carries nothing else, and such pieces take the first endpoint that is free. Weighed: dividing such pieces evenly among the endpoints that will be free soon (which ones is not known after an owner ended).

--- a/batch/fill.go
+++ b/batch/fill.go
@@ -68,12 +68,13 @@
 
 // fillCall takes pieces from the queue for one call at an endpoint. It takes none
 // if the endpoint should rather wait for result memory. lacksMemory reports whether
-// a lack of result memory kept pieces out of the call.
+// a lack of result memory kept pieces out of the call. A call for streams that are taken up
+// again carries nothing else, which would make it take longer.
 func (p *Planner) fillCall(now cicadapitch.Instant, s *endpointState, jobs []*jobState) (refs []PieceRef, lacksMemory bool) {
 	free := cicadapitch.Bytes(maxMemoryShare*float64(p.spec.ResultCapacity)) - s.resultMemoryUsed
 	slowdown := s.currentSlowdown(now)
 	for _, job := range jobs {
-		if len(refs) == p.spec.MaxPieces {
+		if len(refs) == p.spec.MaxPieces || len(refs) > 0 && refs[0].Job.Resumed && !job.Resumed {
 			break
 		}
 		end := now.Add(cicadapitch.Millis(float64(p.ExpectedDuration(len(refs)+len(job.queued))) * slowdown))
@@ -82,7 +83,7 @@
 			continue
 		}
 		// A large transfer waits for an endpoint in its own zone.
-		if job.MoveBytes >= largeTransfer && job.Zone != s.Zone && p.localEndpointFreeInTime(now, job) {
+		if !job.Resumed && job.MoveBytes >= largeTransfer && job.Zone != s.Zone && p.localEndpointFreeInTime(now, job) {
 			continue
 		}
 		// An empty endpoint takes at least one piece, however large its result.
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -353,3 +353,41 @@
 		require.Equal(t, batch.JobID(2), calls[0].Pieces[0].Job.ID)
 	}
 }
+
+// TestStreamsTakenUpAgainDoNotWaitForOtherPieces guards against a call for a stream that is taken
+// up again which is filled with other work and so takes longer.
+func TestStreamsTakenUpAgainDoNotWaitForOtherPieces(t *testing.T) {
+	p := planner(1)
+	p.Submit(start, job(1, 6, 3000, 9000))
+	for id := 2; id <= 3; id++ {
+		j := job(id, 1, 3000, 9000)
+		j.Resumed = true
+		p.Submit(start, j)
+	}
+	calls, _, _, _ := p.Plan(start)
+	require.Len(t, calls, 1)
+	require.Len(t, calls[0].Pieces, 2)
+	for _, ref := range calls[0].Pieces {
+		require.True(t, ref.Job.Resumed)
+	}
+	p.FinishCall(start.Add(292), calls[0].ID, resultsOf(calls[0]), batch.NoFailure)
+	calls, _, _, _ = p.Plan(start.Add(292))
+	require.Len(t, calls, 1)
+	require.Len(t, calls[0].Pieces, 6)
+}
+
+// TestStreamsTakenUpAgainDoNotWaitForTheirZone guards against a stream that is taken up again and
+// waits for an endpoint in the zone of its inputs.
+func TestStreamsTakenUpAgainDoNotWaitForTheirZone(t *testing.T) {
+	p := planner(2)
+	j := job(1, 4, 3000, 9000)
+	j.Zone, j.MoveBytes, j.Resumed = "z1", 2_000_000, true
+	p.Submit(start, j)
+	calls, _, _, _ := p.Plan(start)
+	require.Len(t, calls, 1)
+	j.ID = 2
+	p.Submit(start.Add(10), j)
+	calls, _, _, _ = p.Plan(start.Add(10))
+	require.Len(t, calls, 1)
+	require.Equal(t, batch.JobID(2), calls[0].Pieces[0].Job.ID)
+}
