batch: a stream that is taken up uses slow endpoints once its objective is missed

Callers who took a stream up could wait until the endpoints of a stage had recovered.

Cause: a slow endpoint gets no job that would miss its objective there, unless the job misses it anyway. A stream that is taken up never counts as late, so it got no slow endpoint at all, though other late work did. After an owner has ended, all endpoints can look slow to the next one, since they still run its calls.

The test failed before: no call while the only endpoint was slow.

Whether a job misses its objective is now asked apart from whether it is served after others.

--- a/batch/estimate.go
+++ b/batch/estimate.go
@@ -109,13 +109,15 @@
 	return untilFree + cicadapitch.Millis(float64(queuedAhead)/max(rate-overtakingRate, minSpareShare*rate))
 }
 
-// isLate reports whether a job can no longer meet its objective. One of a stream that is taken
-// up again never counts as late. A job whose
-// request was refused before always counts as late: the time of its objective
+// isLate reports whether a job can no longer meet its objective and so is served after others. One
+// of a stream that is taken up again never is. A job whose
+// request was refused before always is: the time of its objective
 // began when the request first arrived.
 func (p *Planner) isLate(now cicadapitch.Instant, job *jobState) bool {
-	if job.Resumed {
-		return false
-	}
+	return !job.Resumed && p.missesObjective(now, job)
+}
+
+// missesObjective reports whether a job can no longer meet its objective.
+func (p *Planner) missesObjective(now cicadapitch.Instant, job *jobState) bool {
 	return job.Retried || now.Add(p.ExpectedDuration(len(job.queued))) > job.DueAt
 }
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -79,7 +79,7 @@
 		}
 		end := now.Add(cicadapitch.Millis(float64(p.ExpectedDuration(len(refs)+len(job.queued))) * slowdown))
 		// A slow endpoint gets no job that would become late there.
-		if slowdown >= slowThreshold && end > job.DueAt && !p.isLate(now, job) {
+		if slowdown >= slowThreshold && end > job.DueAt && !p.missesObjective(now, job) {
 			continue
 		}
 		// A large transfer waits for an endpoint in its own zone.
--- a/batch/planner_test.go
+++ b/batch/planner_test.go
@@ -391,3 +391,21 @@
 	require.Len(t, calls, 1)
 	require.Equal(t, batch.JobID(2), calls[0].Pieces[0].Job.ID)
 }
+
+// TestStreamsTakenUpAgainUseSlowEndpoints guards against a stream that is taken up again and gets
+// no call although it can no longer meet its objective, while all endpoints are slow.
+func TestStreamsTakenUpAgainUseSlowEndpoints(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		p := planner(1)
+		p.Submit(start, job(1, 1, 3000, 9000))
+		calls, _, _, _ := p.Plan(start)
+		p.Plan(start.Add(1000)) // the call is overdue
+		p.FinishCall(start.Add(1200), calls[0].ID, resultsOf(calls[0]), batch.NoFailure)
+		p.Plan(start.Add(1200))
+		j := job(2, 1, 1000, 9000)
+		j.Resumed = resumed
+		p.Submit(start.Add(1210), j)
+		calls, _, _, _ = p.Plan(start.Add(1210))
+		require.Len(t, calls, 1, "resumed: %t", resumed)
+	}
+}
