batch: inputs are kept while a call may wait for those of an earlier owner

Streams ended with 'an input is gone', or ran their stages again, after hosts had been killed.

Cause: 100 ms after a call has started its inputs count as fetched, and their owner frees them where room is tight. After an owner has ended, the endpoints first end its calls, of which the next owner knows nothing, so the inputs were freed before they were fetched. Class: what an own call does is taken for all that an endpoint does.

Inputs count as fetched only if the call before at that endpoint ended within the last 1.2 s, in its expected time and with room; else they are freed with the end of their stage.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -63,6 +63,9 @@
 	callRate float64
 	// pausedUntil is when the endpoint takes calls of this host again, by its own word.
 	pausedUntil cicadapitch.Instant
+	// promptAt is when the last call ended, if it took about the expected time, so that no calls of
+	// another owner ran at the endpoint, or 0.
+	promptAt cicadapitch.Instant
 	// lastStart is when the last call started.
 	lastStart cicadapitch.Instant
 	// memoryWaitSince is when the endpoint began to wait for result memory to be
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -46,7 +46,8 @@
 	minFillShare float64 = 0.4
 	// takeoverTime is the time after the planner's first job during which the
 	// endpoints may still run calls of an earlier owner. The durations of calls
-	// that start in this time don't count towards the slowdown.
+	// that start in this time don't count towards the slowdown. It is also the time
+	// after a call of this planner within which no other owner is assumed to have come and gone.
 	takeoverTime cicadapitch.Millis = 1200
 	// unknownResultLife is how long the memory of unknown results counts as used,
 	// about as long as a request needs its results.
@@ -261,6 +262,7 @@
 	c := s.calls[id]
 	delete(s.calls, id)
 	delete(p.calls, id)
+	s.promptAt = 0
 	if s.removed && len(s.calls) == 0 && p.endpoints[s.ID] == s {
 		delete(p.endpoints, s.ID)
 	}
@@ -271,8 +273,12 @@
 		s.startBackoff(now)
 	default:
 		s.backoff = 0
+		ratio := float64(now.Sub(c.started)) / float64(c.ExpectedDuration)
+		if ratio < slowThreshold {
+			s.promptAt = now
+		}
 		if c.started.Sub(p.firstJobAt) > takeoverTime {
-			s.recordSlowdown(now, float64(now.Sub(c.started))/float64(c.ExpectedDuration))
+			s.recordSlowdown(now, ratio)
 		}
 	}
 	for i, ref := range c.Pieces {
--- a/batch/results.go
+++ b/batch/results.go
@@ -22,7 +22,7 @@
 // endpoint must hold results that this planner does not know, those of an earlier
 // owner or of failed calls.
 func (p *Planner) countUnknownResults(now cicadapitch.Instant, s *endpointState, id CallID) {
-	s.backoffUntil = now.Add(noMemoryBackoff)
+	s.backoffUntil, s.promptAt = now.Add(noMemoryBackoff), 0
 	unknown := p.spec.ResultCapacity - s.resultMemoryUsed
 	if unknown <= 0 {
 		return
@@ -75,13 +75,16 @@
 // The caller must know that the call has read its inputs. Inputs of jobs that have
 // pieces outside of the call or inputs in several shards are left out. The result
 // is nil if the call is unknown or its endpoint is slow, since the call may then
-// run again elsewhere.
+// run again elsewhere, and if the call may have waited for those of an earlier owner.
 func (p *Planner) FetchedInputs(id CallID) map[Shard][]string {
 	s := p.calls[id]
 	if s == nil || s.slowdown >= slowThreshold {
 		return nil
 	}
 	c := s.calls[id]
+	if s.promptAt == 0 || c.started.Sub(s.promptAt) > takeoverTime {
+		return nil
+	}
 	pieces := map[JobID]int{}
 	for _, ref := range c.Pieces {
 		pieces[ref.Job.ID]++
