fleet: a restarted host replaces its earlier process

After kills, hosts disagreed for seconds on who owns a shard of stages: the store holds the entries of ended processes until their leases end, and each host took them for owners that could not be reached, or were reached as the new process at the same address, which does not believe that it owns the shard.

TestRestartedHostReplacesItsEarlierProcess failed before. Of several entries with one address only the latest counts now, by the store's revision.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 
 	"cicadapitch.example/cicadapitch"
@@ -25,7 +26,8 @@
 	Versions map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 	// Evacuated holds the zones that are out of service.
 	Evacuated map[cicadapitch.ZoneID]bool
-	// Hosts are sorted by incarnation.
+	// Hosts are sorted by incarnation. Of several processes at one address only the latest is
+	// among them.
 	Hosts []Host
 }
 
@@ -37,6 +39,8 @@
 	// Callers is the ip:port that callers connect to, Peers the one for other
 	// hosts.
 	Callers, Peers string
+	// Revision is the store's revision of the host's entry.
+	Revision cicadapitch.StoreRevision
 }
 
 // Endpoints returns the endpoints of a service that may get work, sorted by id.
@@ -136,13 +140,22 @@
 	for _, list := range v.endpoints {
 		slices.SortFunc(list, func(a, b Endpoint) int { return compareIDs(a.ID, b.ID) })
 	}
-	for _, h := range s.hosts {
-		v.Hosts = append(v.Hosts, h)
-	}
+	v.Hosts = s.currentHosts()
 	slices.SortFunc(v.Hosts, func(a, b Host) int { return compareIDs(a.Incarnation, b.Incarnation) })
 	return v
 }
 
+// currentHosts returns the hosts without those whose address a later process has taken.
+func (s *State) currentHosts() []Host {
+	latest := map[string]Host{}
+	for _, h := range s.hosts {
+		if other, ok := latest[h.Peers]; !ok || h.Revision > other.Revision {
+			latest[h.Peers] = h
+		}
+	}
+	return slices.Collect(maps.Values(latest))
+}
+
 // EndpointAt returns the endpoint with an address that takes requests.
 func (v *View) EndpointAt(address string) (Endpoint, bool) {
 	for _, list := range v.endpoints {
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -30,3 +30,21 @@
 	s.SetEvacuated("z2", false)
 	require.Len(t, s.View().Endpoints("s"), 2)
 }
+
+// TestRestartedHostReplacesItsEarlierProcess guards against a host that counts as two until the
+// lease of its earlier process ends, so that hosts disagree on owners.
+func TestRestartedHostReplacesItsEarlierProcess(t *testing.T) {
+	s := fleet.NewState()
+	s.SetHost("hosts/c", fleet.Host{ID: "host-1", Incarnation: "c", Peers: "10.0.0.1:7740", Revision: 5})
+	s.SetHost("hosts/a", fleet.Host{ID: "host-1", Incarnation: "a", Peers: "10.0.0.1:7740", Revision: 9})
+	s.SetHost("hosts/b", fleet.Host{ID: "host-2", Incarnation: "b", Peers: "10.0.0.2:7740", Revision: 4})
+	incarnations := func() (out []string) {
+		for _, h := range s.View().Hosts {
+			out = append(out, h.Incarnation)
+		}
+		return out
+	}
+	require.Equal(t, []string{"a", "b"}, incarnations())
+	s.RemoveHost("hosts/a")
+	require.Equal(t, []string{"b", "c"}, incarnations())
+}
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -288,6 +288,6 @@
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a host ignored")
 		return
 	}
-	m.state.SetHost(r.Key, fleet.Host{ID: h.Host, Incarnation: h.Incarnation, Zone: h.Zone, Callers: h.Callers, Peers: h.Peers})
+	m.state.SetHost(r.Key, fleet.Host{ID: h.Host, Incarnation: h.Incarnation, Zone: h.Zone, Callers: h.Callers, Peers: h.Peers, Revision: r.Revision})
 	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", int64(r.Revision)).Msg("host")
 }
