fronthost: a host opens its port for other hosts before it registers

A host that has just registered could refuse connections for some ms, and others take a host whose port is closed for ended, so that hosts did not agree on the owner of a shard.

Registration waits until calls to other hosts are enabled; that comes after the port is open now.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -197,8 +197,9 @@
 	}
 }
 
-// servePeers waits for the deployment's secret, enables calls to other hosts, and then
-// serves theirs. If the port is in use, it logs that and returns.
+// servePeers waits for the deployment's secret, opens the port for other hosts, enables calls to
+// them, and then serves theirs. The host registers once calls are enabled, and others take a host whose
+// port is closed for ended. If the port is in use, servePeers logs that and returns.
 func (h *Host) servePeers(ctx context.Context) {
 	secret, err := h.membership.Secret(ctx)
 	if err != nil {
@@ -211,8 +212,8 @@
 	}
 	newDialer := func() *peer.Dialer { return peer.NewDialer(h.settings.Host, secret, opts...) }
 	h.gateway.RegisterHandlers(server)
-	h.membership.EnablePeerCalls(server, membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()})
 	l, err := net.Listen("tcp", h.settings.PeerAddress())
+	h.membership.EnablePeerCalls(server, membership.Dialers{Requests: newDialer(), Control: newDialer(), Bulk: newDialer()})
 	if err != nil {
 		h.log.Error().Err(err).Msg("cannot listen for other hosts; they cannot connect to this host")
 		return
