gateway: an owner's own job is handed over once another host owns the shard

A job that a host runs since the owners before it have ended stayed there when hosts came back, beside the new owner's calls. Only a job whose owner could not be reached otherwise, or that runs at another host which may not know of the end yet, stays where it is.

--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -90,10 +90,10 @@
 func (p *proxiedRequest) callOwner(ctx context.Context, c *StageCall) (StageReply, error) {
 	start := p.g.clock.Now()
 	for tries, ended := 0, 0; ; {
+		h, self := p.ownerCandidate(c.Shard, tries)
 		elapsed := p.g.clock.Now().Sub(start)
 		attempt := *c
-		attempt.DueIn, attempt.ExpireIn, attempt.StandIn = c.DueIn-elapsed, c.ExpireIn-elapsed, tries+ended > 0
-		h, self := p.ownerCandidate(c.Shard, tries)
+		attempt.DueIn, attempt.ExpireIn, attempt.StandIn = c.DueIn-elapsed, c.ExpireIn-elapsed, tries > 0 || ended > 0 && !self
 		var (
 			reply StageReply
 			err   error
