batch: streams that are taken up together share the idle endpoints of a stage

After the end of a host many callers take their streams up within some ms.

TestStreamsTakenUpTogetherShareTheFreeEndpoints failed before: one of eight jobs at each of four endpoints, four waited.

While several endpoints are idle, a call for such streams waits up to 15 ms for those that come together, and takes its share of them.

--- a/batch/fill.go
+++ b/batch/fill.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 )
 
@@ -69,12 +71,14 @@
 // fillCall takes pieces from the queue for one call at an endpoint. It takes none
 // if the endpoint should rather wait for result memory. lacksMemory reports whether
 // a lack of result memory kept pieces out of the call. A call for streams that are taken up
-// again carries nothing else, which would make it take longer.
-func (p *Planner) fillCall(now cicadapitch.Instant, s *endpointState, jobs []*jobState) (refs []PieceRef, lacksMemory bool) {
+// again carries nothing else, which would make it take longer, and its share of them where
+// several endpoints are idle.
+func (p *Planner) fillCall(now cicadapitch.Instant, s *endpointState, jobs []*jobState, idle int) (refs []PieceRef, lacksMemory bool) {
 	free := cicadapitch.Bytes(maxMemoryShare*float64(p.spec.ResultCapacity)) - s.resultMemoryUsed
 	slowdown := s.currentSlowdown(now)
+	share := min(p.spec.MaxPieces, (resumedPieces(jobs)+idle-1)/idle)
 	for _, job := range jobs {
-		if len(refs) == p.spec.MaxPieces || len(refs) > 0 && refs[0].Job.Resumed && !job.Resumed {
+		if len(refs) == p.spec.MaxPieces || len(refs) > 0 && refs[0].Job.Resumed && (!job.Resumed || len(refs) >= share) {
 			break
 		}
 		end := now.Add(cicadapitch.Millis(float64(p.ExpectedDuration(len(refs)+len(job.queued))) * slowdown))
@@ -101,6 +105,16 @@
 	return refs, lacksMemory
 }
 
+// resumedPieces returns the number of queued pieces of streams that are taken up again.
+func resumedPieces(jobs []*jobState) int {
+	return lo.SumBy(jobs, func(job *jobState) int {
+		if !job.Resumed {
+			return 0
+		}
+		return len(job.queued)
+	})
+}
+
 // waitForMemory starts, continues or ends the wait for result memory of an endpoint
 // whose next call would have the given number of pieces, and reports whether the
 // wait goes on. After maxMemoryWait only an empty call keeps the endpoint waiting.
--- a/batch/job.go
+++ b/batch/job.go
@@ -122,6 +122,7 @@
 // jobState is a job and its progress.
 type jobState struct {
 	Job
+	submittedAt cicadapitch.Instant
 	// handles holds the result handle of each piece, or "" if there is none yet.
 	handles []string
 	// zones counts the results in each zone.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -186,7 +186,7 @@
 	if p.firstJobAt == 0 {
 		p.firstJobAt = now
 	}
-	job := &jobState{Job: j, handles: make([]string, j.Pieces), remaining: j.Pieces, zones: map[cicadapitch.ZoneID]int{}}
+	job := &jobState{Job: j, submittedAt: now, handles: make([]string, j.Pieces), remaining: j.Pieces, zones: map[cicadapitch.ZoneID]int{}}
 	for i := range j.Pieces {
 		job.queued = append(job.queued, i)
 	}
@@ -365,13 +365,14 @@
 	p.hedgeOverdueCalls(now)
 	p.evictFetched()
 	var held cicadapitch.Millis
-	jobs := p.sortedJobs(now)
-	for _, s := range p.freeEndpoints(now) {
-		refs, lacksMemory := p.fillCall(now, s, jobs)
+	jobs, free := p.sortedJobs(now), p.freeEndpoints(now)
+	for i, s := range free {
+		idle := len(free) - i
+		refs, lacksMemory := p.fillCall(now, s, jobs, idle)
 		if len(refs) == 0 {
 			continue
 		}
-		if held = p.holdTime(now, refs); held > 0 && !lacksMemory {
+		if held = p.holdTime(now, refs, idle); held > 0 && !lacksMemory {
 			p.requeueUnsent(refs)
 			break
 		}
--- a/batch/stagger.go
+++ b/batch/stagger.go
@@ -40,13 +40,21 @@
 	return max((next-elapsed*cicadapitch.Millis(idle))/cicadapitch.Millis(idle+1), 0)
 }
 
+// gatherTime is how long a call for streams that are taken up again is held while several endpoints are
+// idle, so that those that arrive together share them.
+const gatherTime cicadapitch.Millis = 15
+
 // holdTime returns how long to hold a call for more pieces. A call is not held if
-// it is full, if it carries only some of a job's pieces, if a job that is on time
-// would then have less than holdSlack left, or for a stream that is taken up again.
-func (p *Planner) holdTime(now cicadapitch.Instant, refs []PieceRef) cicadapitch.Millis {
+// it is full, if it carries only some of a job's pieces, or if a job that is on time
+// would then have less than holdSlack left. A call for streams that are taken up again is held for
+// gatherTime at most. idle is the number of endpoints that can start it.
+func (p *Planner) holdTime(now cicadapitch.Instant, refs []PieceRef, idle int) cicadapitch.Millis {
 	if len(refs) >= p.spec.MaxPieces {
 		return 0
 	}
+	if refs[0].Job.Resumed {
+		return p.gatherDelay(now, refs, idle)
+	}
 	wait := p.staggerDelay(now)
 	if wait <= 0 {
 		return 0
@@ -55,9 +63,6 @@
 	pieces := map[JobID]int{}
 	for _, ref := range refs {
 		pieces[ref.Job.ID]++
-		if ref.Job.Resumed {
-			return 0
-		}
 		if end <= ref.Job.DueAt && end.Add(wait+holdSlack) > ref.Job.DueAt {
 			return 0
 		}
@@ -69,3 +74,15 @@
 	}
 	return wait
 }
+
+// gatherDelay returns how long to hold a call for streams that are taken up again.
+func (p *Planner) gatherDelay(now cicadapitch.Instant, refs []PieceRef, idle int) cicadapitch.Millis {
+	if idle < 2 {
+		return 0
+	}
+	first := now
+	for _, ref := range refs {
+		first = min(first, p.jobs[ref.Job.ID].submittedAt)
+	}
+	return max(first.Add(gatherTime).Sub(now), 0)
+}
