batch: streams that are taken up get the memory of unfinished jobs

Cause: results that nobody frees any more, those of ended hosts' requests and calls, take much of the endpoints' memory until they expire. The rest was taken by new jobs that got some of their pieces and waited for memory for the others, and streams that were taken up waited behind them although they are served first. Class: hold and wait.

While pieces of such streams lack memory, results of unfinished jobs are freed, of those that are served last first, and made again.

--- a/batch/fill.go
+++ b/batch/fill.go
@@ -74,7 +74,7 @@
 // again carries nothing else, which would make it take longer, and its share of them where
 // several endpoints are idle.
 func (p *Planner) fillCall(now cicadapitch.Instant, s *endpointState, jobs []*jobState, idle int) (refs []PieceRef, lacksMemory bool) {
-	free := cicadapitch.Bytes(maxMemoryShare*float64(p.spec.ResultCapacity)) - s.resultMemoryUsed
+	free := p.freeMemory(s)
 	slowdown := s.currentSlowdown(now)
 	share := min(p.spec.MaxPieces, (resumedPieces(jobs)+idle-1)/idle)
 	for _, job := range jobs {
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -364,6 +364,7 @@
 	p.expireJobsAndResults(now)
 	p.hedgeOverdueCalls(now)
 	p.evictFetched()
+	p.reclaimMemory(now)
 	var held cicadapitch.Millis
 	jobs, free := p.sortedJobs(now), p.freeEndpoints(now)
 	for i, s := range free {
--- a/batch/results.go
+++ b/batch/results.go
@@ -15,6 +15,8 @@
 	// fetched is set once the next stage has read the result. evictFetched clears
 	// it when it adds the result to toFree.
 	fetched bool
+	// reclaimed is set while the result of an unfinished job is being freed.
+	reclaimed bool
 }
 
 // countUnknownResults is called after an endpoint refused a result for lack of
