batch: inputs are kept where result memory is short

Streams ran all their stages again, or ended with 'an input is gone', while endpoints had no memory for results.

Cause: the inputs of a call count as fetched after 100 ms and are freed where memory is tight. If the call then gets no memory for some of its results, these pieces run again without inputs.

TestInputsAreNotFreedWhileResultMemoryIsShort failed before.

After an endpoint had no memory for a result, inputs of its calls do not count as fetched until those results have expired; they are freed with the end of their stage.

--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -66,6 +66,8 @@
 	// promptAt is when the last call ended, if it took about the expected time, so that no calls of
 	// another owner ran at the endpoint, or 0.
 	promptAt cicadapitch.Instant
+	// noMemoryAt is when the endpoint last had no memory for a result, or 0.
+	noMemoryAt cicadapitch.Instant
 	// lastStart is when the last call started.
 	lastStart cicadapitch.Instant
 	// memoryWaitSince is when the endpoint began to wait for result memory to be
--- a/batch/fetched_test.go
+++ b/batch/fetched_test.go
@@ -32,3 +32,31 @@
 	require.NotEmpty(t, run(5, 1600, 266))
 	require.Empty(t, run(6, 9000, 266), "another owner may have come and gone")
 }
+
+// TestInputsAreNotFreedWhileResultMemoryIsShort guards against inputs that are freed although their
+// call gets no memory for some of its results, so that these pieces have to run again.
+func TestInputsAreNotFreedWhileResultMemoryIsShort(t *testing.T) {
+	p := planner(1)
+	run := func(id int, at cicadapitch.Millis, noRoom bool) map[batch.Shard][]string {
+		j := job(id, 1, 20_000, 30_000)
+		j.Inputs, j.InputShards = []string{"10.0.1.1:80/in"}, []batch.Shard{{Service: "before"}}
+		p.Submit(start.Add(at), j)
+		calls, _, _, _ := p.Plan(start.Add(at))
+		require.Len(t, calls, 1)
+		fetched := p.FetchedInputs(calls[0].ID)
+		results := resultsOf(calls[0])
+		if noRoom {
+			results = []batch.PieceResult{{NoRoom: true}}
+		}
+		p.FinishCall(start.Add(at+266), calls[0].ID, results, batch.NoFailure)
+		p.Cancel(batch.JobID(id))
+		return fetched
+	}
+	run(1, 0, false)
+	require.NotEmpty(t, run(2, 300, false))
+	run(3, 600, true)
+	run(4, 1800, false)
+	require.Empty(t, run(5, 2100, false), "memory was short 1.2 s ago")
+	run(6, 4500, false)
+	require.NotEmpty(t, run(7, 4900, false), "those results have expired")
+}
--- a/batch/results.go
+++ b/batch/results.go
@@ -24,7 +24,7 @@
 // endpoint must hold results that this planner does not know, those of an earlier
 // owner or of failed calls.
 func (p *Planner) countUnknownResults(now cicadapitch.Instant, s *endpointState, id CallID) {
-	s.backoffUntil, s.promptAt = now.Add(noMemoryBackoff), 0
+	s.backoffUntil, s.noMemoryAt = now.Add(noMemoryBackoff), now
 	unknown := p.spec.ResultCapacity - s.resultMemoryUsed
 	if unknown <= 0 {
 		return
@@ -77,14 +77,15 @@
 // The caller must know that the call has read its inputs. Inputs of jobs that have
 // pieces outside of the call or inputs in several shards are left out. The result
 // is nil if the call is unknown or its endpoint is slow, since the call may then
-// run again elsewhere, and if the call may have waited for those of an earlier owner.
+// run again elsewhere, if the call may have waited for those of an earlier owner, and if the
+// endpoint lacked memory for results that may still be there.
 func (p *Planner) FetchedInputs(id CallID) map[Shard][]string {
 	s := p.calls[id]
 	if s == nil || s.slowdown >= slowThreshold {
 		return nil
 	}
 	c := s.calls[id]
-	if s.promptAt == 0 || c.started.Sub(s.promptAt) > takeoverTime {
+	if s.promptAt == 0 || c.started.Sub(s.promptAt) > takeoverTime || s.noMemoryAt > 0 && c.started.Sub(s.noMemoryAt) < p.spec.ResultTTL {
 		return nil
 	}
 	pieces := map[JobID]int{}
