--- a/batch/results.go
+++ b/batch/results.go
@@ -78,14 +78,14 @@
 // pieces outside of the call or inputs in several shards are left out. The result
 // is nil if the call is unknown or its endpoint is slow, since the call may then
 // run again elsewhere, if the call may have waited for those of an earlier owner, and if the
-// endpoint lacked memory for results that may still be there.
+// endpoint lacked memory for a result a short time ago.
 func (p *Planner) FetchedInputs(id CallID) map[Shard][]string {
 	s := p.calls[id]
 	if s == nil || s.slowdown >= slowThreshold {
 		return nil
 	}
 	c := s.calls[id]
-	if s.promptAt == 0 || c.started.Sub(s.promptAt) > takeoverTime || s.noMemoryAt > 0 && c.started.Sub(s.noMemoryAt) < p.spec.ResultTTL {
+	if s.promptAt == 0 || c.started.Sub(s.promptAt) > takeoverTime || s.noMemoryAt > 0 && c.started.Sub(s.noMemoryAt) < takeoverTime {
 		return nil
 	}
 	pieces := map[JobID]int{}
