fronthost: a test that a new version is soon used by all hosts

Streams begin only at versions that the store lists. The test replaces all engines of a service at once in fleets of 3 and 20 hosts, and while each of 4 hosts is cut off from the others and the store in turn, so that another one has to list the version: every other host serves within 1.5, 5 and 4 s.

--- a/fronthost/outofstep_test.go
+++ b/fronthost/outofstep_test.go
@@ -92,3 +92,52 @@
 	wg.Wait()
 	require.NotZero(t, takenUp.Load(), "no stream began at the new version")
 }
+
+// TestNewVersionIsSoonUsedByAllHosts guards against streams that wait for the store's list of versions: all
+// engines of a service are replaced at once, in a fleet so large that few hosts follow the store, and where
+// the host that has to list the version is cut off.
+func TestNewVersionIsSoonUsedByAllHosts(t *testing.T) {
+	for name, c := range map[string]struct {
+		hosts   int
+		isolate bool
+		within  time.Duration
+	}{
+		"few hosts":                        {3, false, 1500 * time.Millisecond},
+		"few hosts, each cut off in turns": {4, true, 4 * time.Second},
+		"many hosts":                       {20, false, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newPathDeployment(t, c.hosts, fronthost.WithSystemDial)
+			time.Sleep(time.Second)
+			for cut := range c.hosts {
+				if cut > 0 && !c.isolate {
+					break
+				}
+				if c.isolate {
+					d.isolate(cut, platformtest.CutReset)
+				}
+				for _, id := range []string{"e1", "e2"} {
+					d.setVersion(id, fmt.Sprint("next-", cut))
+				}
+				replacedAt := time.Now()
+				for i := range c.hosts {
+					if c.isolate && i == cut {
+						continue
+					}
+					for {
+						_, status := d.tryBeginStream(i, fmt.Sprint(i))
+						if status == http.StatusOK {
+							break
+						}
+						require.Less(t, time.Since(replacedAt), c.within, "host %d", i)
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				for _, p := range d.paths {
+					p.Mend()
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+	}
+}
