--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -31,7 +31,7 @@
 	maxIdle   = 8 * time.Second
 	// lossSlack is the time from the last byte of a request after which a host that closes the
 	// connection has read it.
-	lossSlack = 500 * time.Millisecond
+	lossSlack = 200 * time.Millisecond
 	// deadlineSlack is the time before the deadline from which answers may be cut off.
 	deadlineSlack = 100 * time.Millisecond
 )
