standin: a test of silent engines gives tokens a time

TestDriverWaitsForSilentEndpoints asked an engine to fall silent at its fourth token, which had sent all of them by then: 7 of 40 runs failed ('3.2 ms is not greater than or equal to 900 ms'). What the test requires is unchanged.

--- a/standin/silence_test.go
+++ b/standin/silence_test.go
@@ -17,7 +17,7 @@
 func TestDriverWaitsForSilentEndpoints(t *testing.T) {
 	const silent = 900
 	clock := cicadapitch.NewSystemClock()
-	engine, service := standin.NewEngine(clock), standin.NewService(clock)
+	engine, service := standin.NewEngine(clock, standin.WithTokenTime(20, 0)), standin.NewService(clock)
 	engineServer, serviceServer := httptest.NewServer(engine), httptest.NewServer(service)
 	defer engineServer.Close()
 	defer serviceServer.Close()
