--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -22,9 +22,8 @@
 	streamBufferBytes = 8 << 10
 	// maxEventBytes limits one event of a resumable stream.
 	maxEventBytes = 1 << 20
-	// minSilenceTimeout is the lower limit of the silence timeout. A sound endpoint may be
-	// silent for somewhat more than a second.
-	minSilenceTimeout cicadapitch.Millis = 1600
+	// minSilenceTimeout is the lower limit of the silence timeout.
+	minSilenceTimeout = soundSilence
 	// silenceFirstEventFactor multiplies the expected time to the first event to give
 	// the silence timeout before the first event.
 	silenceFirstEventFactor cicadapitch.Millis = 5
