gateway: a stopping host allows for calls that still run

What callers saw: bookings that a stopping host had passed on were given up at the end of the grace (502, it is unknown whether they ran), though calls of the same route had already run for longer than the host expected one to last.

Cause: a stopping host bounds a call by the longest that has ended lately. Calls that still run do not count, so the bound holds only for calls that are short enough to have ended: on a host that started a few seconds ago, as in a roll that comes twice, and while endpoints become slow.

Evidence: TestStoppingHostAllowsForCallsThatStillRun failed before: 40 short bookings have ended, four have been running for 2 s when the host stops, and the later ones are passed on and answered 502 after 2602 ms.

Change: the host records which calls run. One that has outlasted the bound disproves it, and the time that the request has left counts instead, as on a host without any call.

What remains: calls of at most the host's age, with ended ones nearly as long, still give too short a bound for longer ones.

--- a/fronthost/stop_test.go
+++ b/fronthost/stop_test.go
@@ -335,3 +335,33 @@
 		require.LessOrEqual(t, d.runCount(e.id), 1, "the repeat would have outlasted the process")
 	}
 }
+
+// TestStoppingHostAllowsForCallsThatStillRun guards against bookings that are cut since only short calls
+// have ended yet, as on a host that has just started or whose endpoints have become slow.
+func TestStoppingHostAllowsForCallsThatStillRun(t *testing.T) {
+	d := newDeployment(t, 1)
+	client := newClient(t, false)
+	book := func(traffic *stopTraffic, n int, pause time.Duration) {
+		for range n {
+			req := d.newRequest(0, "POST", "/book/a", newID())
+			req.Deadline = 3900
+			traffic.send(client, req)
+			time.Sleep(pause)
+		}
+	}
+	short := &stopTraffic{d: d}
+	book(short, 40, 10*time.Millisecond)
+	short.wg.Wait()
+	for _, id := range []string{"p1", "p2"} {
+		d.endpoints[id].SetDelay(3600 * time.Millisecond)
+	}
+	traffic := &stopTraffic{d: d}
+	book(traffic, 4, 10*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	stopAt, ended := time.Now(), make(chan time.Time, 1)
+	go func() { ended <- d.stop() }()
+	book(traffic, 20, 25*time.Millisecond)
+	served, refused := traffic.requireTrueEndings(t, false, stopAt, <-ended)
+	require.Equal(t, 4, served)
+	require.Equal(t, 20, refused)
+}
--- a/gateway/calltimes.go
+++ b/gateway/calltimes.go
@@ -21,10 +21,13 @@
 	routes map[string]*routeTimes
 }
 
-// routeTimes are the calls of one route in this span and in the one before.
+// routeTimes are the calls of one route that have ended in this span and in the one before, and those
+// that still run.
 type routeTimes struct {
 	begunAt       cicadapitch.Instant
 	current, last callSpan
+	// running holds when each call that still runs was sent.
+	running map[*proxiedRequest]cicadapitch.Instant
 }
 
 type callSpan struct {
@@ -34,16 +37,48 @@
 
 func newCallTimes() *callTimes { return &callTimes{routes: map[string]*routeTimes{}} }
 
-// record records how long a call has lasted.
-func (c *callTimes) record(now cicadapitch.Instant, route string, took cicadapitch.Millis) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// route returns the times of a route. The caller holds mu.
+func (c *callTimes) route(now cicadapitch.Instant, route string) *routeTimes {
 	r := c.routes[route]
 	if r == nil {
-		r = &routeTimes{begunAt: now}
+		r = &routeTimes{begunAt: now, running: map[*proxiedRequest]cicadapitch.Instant{}}
 		c.routes[route] = r
 	}
 	r.turn(now)
+	return r
+}
+
+// begin records that a request was sent.
+func (c *callTimes) begin(now cicadapitch.Instant, p *proxiedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.route(now, p.route.Name).running[p] = now
+}
+
+// end records that a request has ended.
+func (c *callTimes) end(now cicadapitch.Instant, p *proxiedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.route(now, p.route.Name).running, p)
+}
+
+// outlasted reports whether a call still runs that has lasted for longer than m.
+func (c *callTimes) outlasted(now cicadapitch.Instant, route string, m cicadapitch.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, at := range c.route(now, route).running {
+		if now.Sub(at) > m {
+			return true
+		}
+	}
+	return false
+}
+
+// record records how long a call has lasted.
+func (c *callTimes) record(now cicadapitch.Instant, route string, took cicadapitch.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.route(now, route)
 	r.current.count++
 	r.current.longest = max(r.current.longest, took)
 }
@@ -69,8 +104,8 @@
 func (r *routeTimes) turn(now cicadapitch.Instant) {
 	switch age := now.Sub(r.begunAt); {
 	case age >= 2*callTimeSpan:
-		*r = routeTimes{begunAt: now}
+		*r = routeTimes{begunAt: now, running: r.running}
 	case age >= callTimeSpan:
-		*r = routeTimes{begunAt: now, last: r.current}
+		*r = routeTimes{begunAt: now, last: r.current, running: r.running}
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -422,6 +422,9 @@
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Histogram("Latency", latencyBuckets).RecordDuration(took.Duration())
 	state, end := requestState(p.state.Load()), p.endOf(ctx, err)
 	callerGone := end == endedByCaller
+	if p.committedAt > 0 {
+		g.callTimes.end(now, p)
+	}
 	if p.committedAt > 0 && (end == endedByAnswer || end == endedByDeadline || end == endedByEndpoint) {
 		g.callTimes.record(now, p.route.Name, now.Sub(p.committedAt))
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -90,13 +90,18 @@
 }
 
 // need returns the longest time that the request may still take once it is sent. At its deadline the
-// caller gets an answer in any case.
+// caller gets an answer in any case. Calls that have ended say nothing of those that outlast them.
 func (p *proxiedRequest) need(now cicadapitch.Instant) cicadapitch.Millis {
 	left := p.deadline.Sub(now)
-	if longest, ok := p.g.callTimes.longest(now, p.route.Name); ok {
-		return min(left, longest+soundSilence+wayBackMargin)
+	longest, ok := p.g.callTimes.longest(now, p.route.Name)
+	if !ok {
+		return left
 	}
-	return left
+	need := longest + soundSilence + wayBackMargin
+	if need >= left || p.g.callTimes.outlasted(now, p.route.Name, need) {
+		return left
+	}
+	return need
 }
 
 // checkStop returns errStopping if the host stops before a request that still needs the given time
@@ -138,6 +143,7 @@
 	}
 	if p.committedAt == 0 {
 		p.committedAt = now
+		p.g.callTimes.begin(now, p)
 	}
 	return nil
 }
