fronthost: callers that have connected and send nothing do not delay the end of a stop

A host that stops waited for connections over which no request had begun until it gave up what runs, up to 5 s after they were opened: Shutdown takes them for busy. Clients open such connections beside others in advance, so a host often ended seconds late.

Such connections are now closed 0.3 s after the listener. The read ends by its deadline, so that a request which is being read goes on and is answered.

TestConnectionWithoutARequestDoesNotDelayTheEnd fails before (2.85 s, 2 s are allowed).

--- a/fronthost/shutdown.go
+++ b/fronthost/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -19,6 +20,9 @@
 	turnSpread = 3 * cicadapitch.Second
 	// turnPollInterval is the pause between two looks whether another host takes callers.
 	turnPollInterval cicadapitch.Millis = 50
+	// firstRequestTime is how long after the listener has closed callers that have connected may
+	// begin a request.
+	firstRequestTime cicadapitch.Millis = 300
 	// idlePollInterval is the pause between two looks whether the host is idle.
 	idlePollInterval cicadapitch.Millis = 20
 	// listenStopMargin is how long before the end of the shutdown grace the listener for
@@ -94,6 +98,8 @@
 func (h *Host) finish(ctx context.Context, callers *http.Server, endsAt cicadapitch.Instant) error {
 	running, cancel := context.WithTimeout(ctx, endsAt.Sub(h.clock.Now()).Duration())
 	defer cancel()
+	closeUnused := time.AfterFunc(firstRequestTime.Duration(), h.ingress.CloseUnused)
+	defer closeUnused.Stop()
 	err := callers.Shutdown(running)
 	if err == nil {
 		err = h.awaitIdle(running)
--- a/fronthost/stop_test.go
+++ b/fronthost/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -291,6 +292,19 @@
 	require.True(t, traffic.endings[0].endedAt.Before(processEnd), "the relay ended first")
 }
 
+// TestConnectionWithoutARequestDoesNotDelayTheEnd guards against hosts that wait for callers which have
+// connected and send nothing.
+func TestConnectionWithoutARequestDoesNotDelayTheEnd(t *testing.T) {
+	d := newDeployment(t, 2)
+	c, err := net.Dial("tcp", d.hostSettings[0].CallerListen)
+	require.NoError(t, err)
+	defer c.Close()
+	stopAt := time.Now()
+	d.cancels[0]()
+	<-d.stopped[0]
+	require.Less(t, time.Since(stopAt), 2*time.Second)
+}
+
 // TestIdleConnectionsOverARelayDoNotDelayItsEnd guards against hosts that wait for connections over them
 // which nobody uses.
 func TestIdleConnectionsOverARelayDoNotDelayItsEnd(t *testing.T) {
