--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -58,7 +58,6 @@
 	var events eventSplitter
 	for reruns, connectFailures := 0, 0; ; {
 		p.awaitAttempt()
-		p.queueWaits = p.g.membership.Waits()
 		inputs, err := p.runStages(ctx, likelyEngine.Zone)
 		if errors.Is(err, errInputLost) && reruns < maxStageReruns && ctx.Err() == nil {
 			reruns++
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -73,7 +73,6 @@
 	if p.trial != "" || state != quarantine.Clear || !p.mayRetryElsewhere() {
 		return
 	}
-	p.queueWaits = p.g.membership.Waits()
 	prepared := make(chan preparedInputs, 1)
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.prepared = prepared
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,9 +76,6 @@
 	retryReserved atomic.Bool
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
-	// queueWaits are the queue waits by shard key that the owners had reported before
-	// the stages started.
-	queueWaits map[string]QueueWaits
 	// keys are the keys of the request in the quarantine: those of the prompt's parts but for
 	// the last, and that of the request as a whole.
 	keys []string
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -40,7 +40,7 @@
 // zone is the likely zone of the engine. If a stage fails, all results are freed.
 func (p *proxiedRequest) runStages(ctx context.Context, zone cicadapitch.ZoneID) (engineInputs, error) {
 	held := &heldResults{request: p, handles: map[int][]string{}, zones: map[int]cicadapitch.ZoneID{}, shards: map[int]batch.Shard{}}
-	pieces := p.pieceCounts()
+	pieces, waits := p.pieceCounts(), p.g.membership.Waits()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan stageOutcome, len(p.route.Stages))
@@ -53,8 +53,8 @@
 			}
 			started[i] = true
 			running++
-			refusedBefore := p.refusedBefore
-			go func() { outcomes <- p.runStage(ctx, stageArgs{i, refusedBefore, zone}, pieces, held) }()
+			args := stageArgs{i, p.refusedBefore, zone, waits}
+			go func() { outcomes <- p.runStage(ctx, args, pieces, held) }()
 		}
 	}
 	startReady()
@@ -167,6 +167,9 @@
 	refusedBefore bool
 	// zone is the likely zone of the engine.
 	zone cicadapitch.ZoneID
+	// waits are the queue waits by shard key that the owners had reported before the stages
+	// started.
+	waits map[string]QueueWaits
 }
 
 // runStage runs one stage through the owner of its shard. The error of the outcome
@@ -176,12 +179,13 @@
 	s := p.route.Stages[stage]
 	now := p.g.clock.Now()
 	firstEvent := p.expectedFirstEvent()
-	downstream := p.downstreamTime(stage, pieces, p.reportedWait)
+	reported := p.reportedWait(args.waits)
+	downstream := p.downstreamTime(stage, pieces, reported)
 	// If the request is going to miss its latency objective, the later stages queue it
 	// as late work.
 	lateDownstream := downstream
-	if now.Add(p.estimateStageTime(s.Service, p.reportedWait)+downstream+firstEvent) > p.due {
-		lateDownstream = p.downstreamTime(stage, pieces, p.reportedLateWait)
+	if now.Add(p.estimateStageTime(s.Service, reported)+downstream+firstEvent) > p.due {
+		lateDownstream = p.downstreamTime(stage, pieces, p.reportedLateWait(args.waits))
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
@@ -242,11 +246,11 @@
 	if len(p.route.Stages) == 0 {
 		return 0
 	}
-	p.queueWaits = p.g.membership.Waits()
+	reported := p.reportedWait(p.g.membership.Waits())
 	pieces, longest := p.pieceCounts(), cicadapitch.Millis(0)
 	for i, s := range p.route.Stages {
 		if pieces[i] > 0 && len(s.After) == 0 {
-			longest = max(longest, p.estimateStageTime(s.Service, p.reportedWait)+p.downstreamTime(i, pieces, p.reportedWait))
+			longest = max(longest, p.estimateStageTime(s.Service, reported)+p.downstreamTime(i, pieces, reported))
 		}
 	}
 	return longest
@@ -270,13 +274,15 @@
 }
 
 // reportedWait returns the queue wait for the request's priority that the owner of a
-// shard had reported before the stages started, or 0 if it reported none. Streams that are
-// taken up again do not wait behind others.
-func (p *proxiedRequest) reportedWait(s batch.Shard) cicadapitch.Millis {
-	if p.resumed() {
-		return 0
+// shard had reported in waits, or 0 if it reported none. Streams that are taken up again do
+// not wait behind others.
+func (p *proxiedRequest) reportedWait(waits map[string]QueueWaits) func(batch.Shard) cicadapitch.Millis {
+	return func(s batch.Shard) cicadapitch.Millis {
+		if p.resumed() {
+			return 0
+		}
+		return p.waitForPriority(waits, s)
 	}
-	return p.waitForPriority(p.queueWaits, s)
 }
 
 // waitForPriority returns the queue wait of a shard for the request's priority from
@@ -289,14 +295,15 @@
 	return w[min(max(p.priority, 0), len(w)-2)]
 }
 
-// reportedLateWait returns the queue wait for late work that the owner of a shard had
-// reported before the stages started, or 0 if it reported none.
-func (p *proxiedRequest) reportedLateWait(s batch.Shard) cicadapitch.Millis {
-	w := p.queueWaits[s.Key()]
-	if len(w) == 0 || p.resumed() {
-		return 0
+// reportedLateWait is reportedWait for late work.
+func (p *proxiedRequest) reportedLateWait(waits map[string]QueueWaits) func(batch.Shard) cicadapitch.Millis {
+	return func(s batch.Shard) cicadapitch.Millis {
+		w := waits[s.Key()]
+		if len(w) == 0 || p.resumed() {
+			return 0
+		}
+		return w[len(w)-1]
 	}
-	return w[len(w)-1]
 }
 
 // chooseShard chooses a shard of a service by the zone, the bytes to transfer to
