gateway: a stage takes its inputs when it is found to be ready

Pieces of a stage could be asked for without the inputs that they need, so that they were made of nothing but the request's key (MIXED). Cause: a stage that had become ready read the results that it needs in a goroutine of its own. If another stage of the request failed, or the request was ended, just then, they had been freed, and the stage went on with none. Class: a decision that the committing step does not read. So that this was the cause there is suspected, not shown. Change: the results are taken before the goroutine starts. If they are freed later, the endpoint says that an input is gone.

--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/catalog"
@@ -53,7 +55,7 @@
 			}
 			started[i] = true
 			running++
-			args := stageArgs{i, p.refusedBefore, zone, waits}
+			args := stageArgs{i, p.refusedBefore, zone, p.takeInputs(i, held), waits}
 			go func() { outcomes <- p.runStage(ctx, args, pieces, held) }()
 		}
 	}
@@ -166,12 +168,29 @@
 	// refusedBefore is true if the caller is retrying after a refusal.
 	refusedBefore bool
 	// zone is the likely zone of the engine.
-	zone cicadapitch.ZoneID
+	zone   cicadapitch.ZoneID
+	inputs []stageInput
 	// waits are the queue waits by shard key that the owners had reported before the stages
 	// started.
 	waits map[string]QueueWaits
 }
 
+// stageInput holds the results of one stage that another needs.
+type stageInput struct {
+	stage   int
+	handles []string
+	zone    cicadapitch.ZoneID
+	shard   batch.Shard
+}
+
+// takeInputs returns the results that a stage needs. They have to be taken when the stage is found
+// to be ready: if another stage fails, they are freed.
+func (p *proxiedRequest) takeInputs(stage int, held *heldResults) []stageInput {
+	return lo.Map(p.route.Stages[stage].After, func(dep, _ int) stageInput {
+		return stageInput{dep, held.handlesOf(dep), held.zoneOf(dep), held.shardOf(dep)}
+	})
+}
+
 // runStage runs one stage through the owner of its shard. The error of the outcome
 // is errInputLost if an input is lost, and a NotRun error if the owner refused.
 func (p *proxiedRequest) runStage(ctx context.Context, args stageArgs, pieces []int, held *heldResults) stageOutcome {
@@ -196,14 +215,13 @@
 	if slices.Contains(p.route.FinalStages(pieces), stage) {
 		c.MoveBytes = s.ResultBytes * cicadapitch.Bytes(c.Pieces)
 	}
-	for _, dep := range s.After {
-		inputs := held.handlesOf(dep)
-		c.Inputs = append(c.Inputs, inputs...)
-		c.InputShards = append(c.InputShards, held.shardOf(dep))
+	for _, in := range args.inputs {
+		c.Inputs = append(c.Inputs, in.handles...)
+		c.InputShards = append(c.InputShards, in.shard)
 		// Each piece fetches all inputs.
-		bytes := p.route.Stages[dep].ResultBytes * cicadapitch.Bytes(len(inputs)*c.Pieces)
+		bytes := p.route.Stages[in.stage].ResultBytes * cicadapitch.Bytes(len(in.handles)*c.Pieces)
 		if bytes > c.MoveBytes {
-			c.MoveBytes, c.Zone = bytes, held.zoneOf(dep)
+			c.MoveBytes, c.Zone = bytes, in.zone
 		}
 	}
 	if len(c.Inputs) == 0 {
