gateway: the watch of an engine before its answer ends with the wait

What callers saw: a stream that is sent to a second engine in the middle though its own is never silent for long.

Cause: a timer ends an attempt whose engine does not begin to answer. Where no other engine can take the stream, its function starts the timer again.

Change: a goroutine watches, as for plain services, and the attempt goes on once it has ended.

--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -38,10 +38,10 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	p.exclude[e.ID] = true
-	silenceTimer := p.startSilenceTimer(a.ctx, a.cancel, e)
-	defer silenceTimer.Stop()
+	stopWatching := p.watchSilence(a.ctx, a.cancel, e)
 	var err error
 	a.reply, err = p.send(a.ctx, e, inputs.handles, a.resumeAfter)
+	stopWatching()
 	if err == nil {
 		return a, nil
 	}
--- a/gateway/silentstream.go
+++ b/gateway/silentstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"time"
 
 	"github.com/samber/lo"
 
@@ -11,29 +10,29 @@
 	"cicadapitch.example/cicadapitch/fleet"
 )
 
-// startSilenceTimer starts a timer that cancels the attempt at e with errSilent if the engine
-// does not begin to answer within the silence timeout and another engine can take the stream. If
-// none can, the attempt goes on and the timer starts again. Once the answer has begun, replacement
+// watchSilence cancels the attempt at e with errSilent if the engine does not begin to answer within
+// the silence timeout and another engine can take the stream. If none can, the attempt goes on and
+// the wait starts again. The returned function ends the watch. Once the answer has begun, replacement
 // watches the engine.
-func (p *proxiedRequest) startSilenceTimer(ctx context.Context, cancel context.CancelCauseFunc, e fleet.Endpoint) *time.Timer {
+func (p *proxiedRequest) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, e fleet.Endpoint) func() {
 	if !p.route.Resumable || p.attempts+1 >= p.route.MaxAttempts {
-		// A timer without a function: no other attempt can resume the stream.
-		return time.NewTimer(p.remaining().Duration() + time.Hour)
+		return func() {} // no other attempt can resume the stream
 	}
 	r := streamRetry{exclude: maps.Clone(p.exclude), resumed: p.origin != nil, silent: e}
 	r.exclude[e.ID] = true
-	var timer *time.Timer
-	timer = time.AfterFunc(time.Hour, func() {
-		switch {
-		case ctx.Err() != nil:
-		case p.reserveStreamRetry(r):
-			cancel(errSilent)
-		default:
-			timer.Reset(minSilenceTimeout.Duration())
+	timeout := p.silenceTimeout(false)
+	watch, stop := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		for ; p.g.clock.Sleep(watch, timeout) == nil; timeout = minSilenceTimeout {
+			if p.reserveStreamRetry(r) {
+				cancel(errSilent)
+				return
+			}
 		}
-	})
-	timer.Reset(p.silenceTimeout(false).Duration())
-	return timer
+	}()
+	return func() { stop(); <-watched }
 }
 
 // streamRetry is an attempt that may follow one at a silent engine.
