fronthost, KNOWN-RED: look-ups at silent endpoints whose retry is refused

What callers see: a look-up is answered 502 though its endpoint was silent for 0.8 to 1.5 s only and goes on.

Cause, by the code: silentAttempt ends the attempt at the silent endpoint as soon as another one has room by this host's count. If that one refuses, both attempts are used up. Streams keep their engine until another one has taken them; plain requests do not.

Not fixed here: the first attempt has to go on beside the second one, as in replacement.

--- a/fronthost/silence_test.go
+++ b/fronthost/silence_test.go
@@ -219,3 +219,16 @@
 		})
 	}
 }
+
+// TestLookUpIsAnsweredByASilentEndpointWhereTheRetryIsRefused guards against look-ups that fail since
+// their endpoint is silent for a second, though it goes on and the one that got the retry refuses.
+func TestLookUpIsAnsweredByASilentEndpointWhereTheRetryIsRefused(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.store.Set(platformtest.EndpointKey("p2"), d.endpoints["p2"].Entry("draining"))
+	time.Sleep(300 * time.Millisecond)
+	d.endpoints["p1"].SetSilence(1, 1, platformtest.BeforeHead)
+	d.endpoints["p2"].SetFull(true)
+	time.AfterFunc(30*time.Millisecond, func() { d.store.Set(platformtest.EndpointKey("p2"), d.endpoints["p2"].Entry("ready")) })
+	d.requireWholeAnswer(d.newRequest(0, "GET", "/look/a", newID()))
+	require.Equal(t, 1, d.silences("plain"))
+}
