gateway: the trial of a suspected part lasts while another engine goes on with the stream

What happened: two requests with a part that may crash endpoints were sent at once, where one at a time is allowed.

Cause: if an engine is silent and another one takes its stream, the attempt there may have got the trial of a part that was suspected meanwhile. The end of the attempt at the silent engine, which follows, ended the trial of the request, whoever had it.

Evidence: TestTrialLastsWhileAnotherEngineGoesOnWithTheStream fails in 2 of 2 runs without the change and passes in 2 of 2 with it.

Change: the trial ends with the attempt that has it.

--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -59,9 +59,13 @@
 
 // relayEngine relays the answer of an attempt and ends the attempt. If its engine has fallen silent
 // and another one goes on with the stream, relayEngine returns the attempt there.
-func (p *proxiedRequest) relayEngine(ctx context.Context, a *engineAttempt, events *eventSplitter) (*engineAttempt, error) {
+func (p *proxiedRequest) relayEngine(ctx context.Context, a *engineAttempt, events *eventSplitter) (next *engineAttempt, err error) {
 	defer p.recordCallEnd(a.endpoint.ID)
-	defer p.endTrial()
+	defer func() {
+		if next == nil { // else the trial is that of the next attempt
+			p.endTrial()
+		}
+	}()
 	defer a.inputs.freeAll()
 	defer a.cancel(nil)
 	defer a.reply.Close()
@@ -77,10 +81,6 @@
 		p.recordBreak(a.ctx, a.endpoint.ID)
 		return nil, cicadapitch.NewOutcomeUnknown(string(a.endpoint.ID) + " did not go on with the stream: status " + strconv.Itoa(reply.Status) + ", type " + reply.ContentType())
 	}
-	var (
-		next *engineAttempt
-		err  error
-	)
 	if p.route.Resumable && reply.IsStream() {
 		events.startPart(a.resumeAfter)
 		next, err = p.relayEvents(ctx, a, events, func() {
