--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,9 +38,6 @@
 	maxTakeUps = 4
 	// routeCount is the number of routes that no caller uses.
 	routeCount = 400
-	// storePageSize is the size of pages of the platform's store. Hosts that restart often leave
-	// more entries than the budget of store calls suffices for in small pages.
-	storePageSize = 500
 	// callerDeadline is the deadline that callers state, callerTimeout how long they wait.
 	callerDeadline = 4 * time.Second
 	callerTimeout  = 5 * time.Second
@@ -104,10 +101,12 @@
 	// grace is the time from SIGTERM to SIGKILL and idleTimeout how long callers may keep an
 	// idle connection.
 	grace, idleTimeout time.Duration
+	// storePageSize is the size of pages of the platform's store.
+	storePageSize int
 }
 
 // defaultLayout is that of runs with faults of all kinds.
-var defaultLayout = layout{hosts: hostCount, grace: 4 * time.Second, idleTimeout: 2 * time.Second}
+var defaultLayout = layout{hosts: hostCount, grace: 4 * time.Second, idleTimeout: 2 * time.Second, storePageSize: 3}
 
 // testbed holds the platform and the hosts of one seed.
 type testbed struct {
@@ -134,7 +133,7 @@
 	newRNG := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 	s := &testbed{
 		t: t, layout: l, rng: newRNG(7), streamRNG: newRNG(8), cutRNG: newRNG(9), silenceRNG: newRNG(10),
-		store: platformtest.NewStore(platformtest.WithPageSize(storePageSize)),
+		store: platformtest.NewStore(platformtest.WithPageSize(l.storePageSize)),
 	}
 	t.Cleanup(s.store.Close)
 	s.relays = append(s.relays, newRelay(t, s.store.Address()))
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -36,9 +36,10 @@
 	deadlineSlack = 100 * time.Millisecond
 )
 
-// stopsLayout is that of runs in which hosts are stopped as planned.
+// stopsLayout is that of runs in which hosts are stopped as planned. Hosts that restart often leave
+// more entries than the budget of store calls suffices for in small pages.
 func stopsLayout() layout {
-	return layout{hosts: envInt("SOAK_HOSTS", stopHosts), grace: 8 * time.Second, idleTimeout: 20 * time.Second}
+	return layout{hosts: envInt("SOAK_HOSTS", stopHosts), grace: 8 * time.Second, idleTimeout: 20 * time.Second, storePageSize: 500}
 }
 
 // stopRegressions maps seeds that failed once to the cause of the failure.
