--- a/gateway/silentstream_test.go
+++ b/gateway/silentstream_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/gateway"
 	"cicadapitch.example/cicadapitch/origin"
@@ -37,6 +38,16 @@
 	return m.lockedMembership.HostCount()
 }
 
+// addEndpoint starts an endpoint of a service and adds its entry to the state.
+func addEndpoint(t *testing.T, state *fleet.State, id, service string) (*platformtest.Endpoint, catalog.Endpoint) {
+	e := platformtest.NewEndpoint(id, service)
+	t.Cleanup(e.Close)
+	entry, err := platform.DecodeEndpoint(cicadapitch.EndpointID(id), encodeEntry(t, e.Entry("ready")), 1)
+	require.NoError(t, err)
+	state.SetEndpoint(cicadapitch.NewSystemClock().Now(), entry)
+	return e, entry
+}
+
 // TestStreamThatBeginsAtTheEndOfTheSilenceTimeoutIsNotCut guards against streams that are cut in the
 // middle since the watch of the time before their beginning goes on.
 func TestStreamThatBeginsAtTheEndOfTheSilenceTimeoutIsNotCut(t *testing.T) {
@@ -49,11 +60,7 @@
 	bounds := platform.Bounds{RetryExtra: 50, RetryWindow: 10_000}
 	g := gateway.New(&platform.Settings{Host: "h", Zone: "z1", Bounds: bounds}, m)
 	addEngine := func(id string) *platformtest.Endpoint {
-		e := platformtest.NewEndpoint(id, "engine")
-		t.Cleanup(e.Close)
-		entry, err := platform.DecodeEndpoint(cicadapitch.EndpointID(id), encodeEntry(t, e.Entry("ready")), 1)
-		require.NoError(t, err)
-		state.SetEndpoint(clock.Now(), entry)
+		e, entry := addEndpoint(t, state, id, "engine")
 		m.current.Store(state.View())
 		g.SetView(state.View())
 		g.Origins().ApplyVersions(clock.Now(), "engine", []origin.StoredVersion{{Version: entry.Version}})
@@ -93,12 +100,7 @@
 	state.SetCatalog(c)
 	endpoints := map[string]*platformtest.Endpoint{}
 	for id, service := range map[string]string{"e1": "engine", "e2": "engine", "s1": "stage"} {
-		e := platformtest.NewEndpoint(id, service)
-		t.Cleanup(e.Close)
-		entry, err := platform.DecodeEndpoint(cicadapitch.EndpointID(id), encodeEntry(t, e.Entry("ready")), 1)
-		require.NoError(t, err)
-		state.SetEndpoint(clock.Now(), entry)
-		endpoints[id] = e
+		endpoints[id], _ = addEndpoint(t, state, id, service)
 	}
 	ledger, part := quarantine.NewLedger(), []string{quarantine.Key("bad")}
 	bounds := platform.Bounds{RetryExtra: 50, RetryWindow: 10_000}
