--- a/placement/brittle_test.go
+++ b/placement/brittle_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/placement"
@@ -61,3 +62,33 @@
 	require.True(t, c.Paused(start.Add(1999), e.ID))
 	require.False(t, c.Paused(start.Add(2000), e.ID))
 }
+
+// TestRestartedBrittleEndpointIsPresumedBrittle guards against hosts that push an endpoint over
+// again between its restart and its first answer.
+func TestRestartedBrittleEndpointIsPresumedBrittle(t *testing.T) {
+	before := catalog.Endpoint{ID: "e", Service: "plain", Slots: 8, Started: 1}
+	restarted, other := before, catalog.Endpoint{ID: "o", Service: "other", Slots: 8}
+	restarted.Started = 2
+	replaced := catalog.Endpoint{ID: "r", Service: "plain", Slots: 8, Started: 3}
+	limits, remote := placement.NewRateLimits(), placement.NewRateLimits()
+	limits.Record(start, start, before, placement.Said{Brittle: true, Refusals: 2})
+	remote.Merge(start, limits.Reports(start))
+	for _, l := range []*placement.RateLimits{limits, remote} {
+		l.Retain(start, func(cicadapitch.EndpointID) bool { return false })
+		for _, e := range []catalog.Endpoint{restarted, replaced} {
+			refusals, brittle := l.Refusals(e)
+			require.True(t, brittle)
+			require.EqualValues(t, 2, refusals)
+		}
+		_, brittle := l.Refusals(other)
+		require.False(t, brittle)
+		l.Record(start.Add(10), start.Add(5), restarted, placement.Said{})
+		_, brittle = l.Refusals(restarted)
+		require.False(t, brittle, "the process has answered without saying so")
+		_, brittle = l.Refusals(replaced)
+		require.True(t, brittle)
+		l.Record(start.Add(cicadapitch.Minute), start.Add(cicadapitch.Minute), other, placement.Said{Limited: true, PerSecond: 1})
+		_, brittle = l.Refusals(replaced)
+		require.False(t, brittle, "no endpoint has said so for long")
+	}
+}
