gateway: a look-up at a silent endpoint stays there until another endpoint answers

Callers whose endpoint was silent for a second and went on got a 502: the attempt was ended for a retry, and the endpoint of the retry refused.

Cause: the retry was only reserved when the attempt ended; whether its endpoint takes it is known later. The same holds where the connection to that endpoint fails or its answer is a failure. Ruled out: the choice of the retry's endpoint (it is the only other one; its refusal is new). Change: the request is sent to the other endpoint while the silent one keeps it; the first of them that begins an answer serves the caller, the other call is ended. Budget, attempts, quarantine, stop and knowledge are asked as before, a refused retry counts as an attempt. A suspected request is still sent once at a time.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -31,27 +31,34 @@
 	if err := p.g.membership.AwaitKnowledge(ctx); err != nil {
 		return err
 	}
-	var retry *reservedRetry
+	var next *plainAttempt
 	for connectFailures := 0; ; {
-		p.awaitAttempt()
-		e, err := p.choosePlainEndpoint(ctx, retry)
-		if err != nil {
-			return err
-		}
-		if err := p.awaitTrial(ctx); err != nil {
-			p.recordCallEnd(e.ID)
-			return err
+		attempt := next
+		if attempt == nil {
+			p.awaitAttempt()
+			e, err := p.choosePlainEndpoint(ctx)
+			if err != nil {
+				return err
+			}
+			if err := p.awaitTrial(ctx); err != nil {
+				p.recordCallEnd(e.ID)
+				return err
+			}
+			attempt = p.newPlainAttempt(ctx, e, p.chosenAt)
 		}
-		attempt := p.watchAttempt(ctx, e)
-		done, err := p.attemptPlain(attempt, e)
-		attempt.end()
+		p.watch(ctx, attempt)
+		done, err := p.attemptPlain(attempt)
+		p.end(attempt)
 		p.endTrial()
-		retry = attempt.retry
+		next = attempt.retry
 		if done || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) {
-			p.releaseRetry(retry)
+			p.release(next)
 			return err
 		}
-		p.exclude[e.ID] = true
+		p.exclude[attempt.endpoint.ID] = true
+		if next != nil {
+			continue
+		}
 		if errors.Is(err, errChoiceOutdated) && ctx.Err() == nil {
 			continue
 		}
@@ -60,19 +67,15 @@
 			connectFailures++
 			continue
 		}
-		if retry == nil && (ctx.Err() != nil || !p.takeRetry()) {
+		if ctx.Err() != nil || !p.takeRetry() {
 			return err
 		}
 	}
 }
 
-// choosePlainEndpoint chooses an endpoint of a plain service, that of retry if it is set. While
-// all are brittle and full, the request waits here, since none may wait there.
-func (p *proxiedRequest) choosePlainEndpoint(ctx context.Context, retry *reservedRetry) (fleet.Endpoint, error) {
-	if retry != nil {
-		p.chosenAt = retry.chosenAt
-		return retry.endpoint, nil
-	}
+// choosePlainEndpoint chooses an endpoint of a plain service. While all are brittle and full, the
+// request waits here, since none may wait there.
+func (p *proxiedRequest) choosePlainEndpoint(ctx context.Context) (fleet.Endpoint, error) {
 	brittle := slices.ContainsFunc(p.candidates(), func(e fleet.Endpoint) bool {
 		_, brittle := p.g.limits.Refusals(e.Endpoint)
 		return brittle
@@ -83,18 +86,24 @@
 	return p.chooseEndpoint(false, "")
 }
 
-// attemptPlain sends the request to one endpoint of a plain service. The result is
-// true if the answer to the caller has begun; the error is then that of relaying the
-// rest. Otherwise the error says why the attempt failed.
-func (p *proxiedRequest) attemptPlain(attempt *silentAttempt, e fleet.Endpoint) (bool, error) {
+// attemptPlain sends the request to one endpoint of a plain service, unless its answer has begun
+// already. The result is true if the answer to the caller has begun; the error is then that of
+// relaying the rest. Otherwise the error says why the attempt failed.
+func (p *proxiedRequest) attemptPlain(attempt *plainAttempt) (bool, error) {
+	e, ctx, start := attempt.endpoint, attempt.ctx, attempt.startedAt
 	defer p.recordCallEnd(e.ID)
-	ctx, start := attempt.ctx, p.g.clock.Now()
-	reply, err := p.send(ctx, e, nil, "")
-	if err != nil {
-		if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
-			p.checkPlainEndpoint(ctx, e, start)
+	reply := attempt.reply
+	if reply == nil {
+		var err error
+		if reply, err = p.send(ctx, e, nil, ""); err != nil {
+			if cicadapitch.KindOf(err) == cicadapitch.OutcomeUnknown {
+				p.checkPlainEndpoint(ctx, e, start)
+			}
+			return false, err
 		}
-		return false, err
+	} else {
+		p.attempts++
+		p.mayHaveRun = true
 	}
 	defer reply.Close()
 	body, err := p.readBuffered(reply)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -272,10 +272,7 @@
 // answer.
 func (p *proxiedRequest) send(ctx context.Context, e fleet.Endpoint, inputs []string, resumeAfter string) (*platform.Reply, error) {
 	sinceChoice := p.g.clock.Now().Sub(p.chosenAt)
-	reply, err := p.g.endpoints.Send(ctx, platform.Call{
-		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
-		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: p.commit,
-	})
+	reply, err := p.g.endpoints.Send(ctx, p.newCall(e, inputs, resumeAfter, p.commit))
 	p.logSent(e, sinceChoice, len(inputs), resumeAfter, reply, err)
 	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) || errors.Is(err, errQuarantined) {
 		return nil, err
@@ -304,6 +301,14 @@
 	return reply, nil
 }
 
+// newCall returns a call of an endpoint that commit decides on. The other parameters are those of send.
+func (p *proxiedRequest) newCall(e fleet.Endpoint, inputs []string, resumeAfter string, commit func() error) platform.Call {
+	return platform.Call{
+		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
+		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: commit,
+	}
+}
+
 // logSent logs a call of an endpoint that was chosen sinceChoice before it began to wait for
 // its connection. reply is nil if err is not.
 func (p *proxiedRequest) logSent(e fleet.Endpoint, sinceChoice cicadapitch.Millis, inputs int, resumeAfter string, reply *platform.Reply, err error) {
@@ -311,7 +316,10 @@
 		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
 	if s := p.g.stop.Load(); s != nil {
-		s.log(event, p.g.clock.Now()).Int64("NeedMs", int64(p.committedNeed))
+		p.commitMu.Lock()
+		need := p.committedNeed
+		p.commitMu.Unlock()
+		s.log(event, p.g.clock.Now()).Int64("NeedMs", int64(need))
 	}
 	if age, ok := p.g.membership.KnowledgeAge(); ok {
 		event.Int64("KnowledgeAgeMs", int64(age))
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -134,10 +134,7 @@
 	if err := p.rejectQuarantined(); err != nil {
 		return err
 	}
-	if p.g.stop.Load() != nil {
-		p.g.countStopping("Sent")
-		p.committedNeed = p.need(now)
-	}
+	p.recordNeed(now)
 	if !p.answer.HeaderWritten() {
 		p.setState(stateSent)
 	}
@@ -148,6 +145,31 @@
 	return nil
 }
 
+// commitRetry decides whether the request is sent to another endpoint while one has it already.
+func (p *proxiedRequest) commitRetry() error {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	now := p.g.clock.Now()
+	if !p.g.stop.Load().admits(now, p.need(now)) {
+		return errStopping
+	}
+	if err := p.rejectQuarantined(); err != nil {
+		return err
+	}
+	p.recordNeed(now)
+	return nil
+}
+
+// recordNeed records how long the request that is being sent by a host that stops might last. The caller
+// holds commitMu.
+func (p *proxiedRequest) recordNeed(now cicadapitch.Instant) {
+	if p.g.stop.Load() == nil {
+		return
+	}
+	p.g.countStopping("Sent")
+	p.committedNeed = p.need(now)
+}
+
 // untilGivenUp returns a context that ends with errGivenUp once the host gives up what still runs.
 func (g *Gateway) untilGivenUp(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
