membership: probers ask the store by turns

Operators pay for store calls, the largest price on the users' larger deployments. Six hosts of a fleet of any size asked the store every 0.4 to 0.8 s each, though one that has just asked can tell the others.

Change: the first prober asks the store, the others ask those before them and turn to the store if these know nothing young. A host that is no prober asks the store itself only once its knowledge is nearly too old to send on. The bound on the age (half of drain_ms) holds as before.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -89,7 +89,7 @@
 // Start starts a fleet and waits until all hosts have the first configuration and know each
 // other. The caller must call Close.
 func Start(c Case) (*Fleet, error) {
-	f := &Fleet{c: c, store: platformtest.NewStore(), routes: c.Routes, subnet: nextSubnet.Add(1), busy: make(chan struct{})}
+	f := &Fleet{c: c, store: platformtest.NewStore(platformtest.WithPageSize(50)), routes: c.Routes, subnet: nextSubnet.Add(1), busy: make(chan struct{})}
 	if !c.calmStart {
 		close(f.busy)
 	}
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -20,12 +20,15 @@
 	// the way of the request.
 	knowledgeDivisor = 2
 	// refreshDivisor divides that age again: older knowledge is refreshed in the background.
-	// proberDivisor is that of hosts that ask the store for all others, unless they have heard from
-	// another one.
+	// proberDivisor is that of the probers, the hosts that keep knowledge young for all others.
 	refreshDivisor = 2
 	proberDivisor  = 4
-	// proberCount is the number of hosts of a small fleet that ask the store again and again
-	// whether endpoints have changed. In a large one the hosts that watch the store do.
+	// ownPollShare is the share of that age from which a host that is no prober asks the store
+	// itself.
+	ownPollShare = 0.75
+	// proberCount is the number of probers of a small fleet. In a large one they are the hosts that
+	// watch the store. The first one asks the store again and again whether endpoints have changed,
+	// the others ask those before them and then the store.
 	proberCount = 3
 	// probersAsked is how many of them a host asks before it turns to the store.
 	probersAsked = 2
@@ -144,7 +147,8 @@
 	}
 }
 
-// probers returns the hosts that ask the store for all others whether endpoints have changed.
+// probers returns the hosts that keep the knowledge of endpoints young for all others, in the order in
+// which they ask the store.
 func (m *Membership) probers() []fleet.Host {
 	if !m.allWatch() {
 		return m.watchers()
@@ -178,23 +182,39 @@
 	return done
 }
 
-// refreshKnowledge asks hosts that ask the store, unless this one is among them, and then the store
-// whether endpoints have changed.
+// refreshKnowledge asks probers whether endpoints have changed, and then the store, unless this host is
+// no prober and its knowledge may still be used for a while: the probers ask the store for all.
 func (m *Membership) refreshKnowledge(ctx context.Context) {
 	probers := m.probers()
-	if d := m.dialers.Load(); d != nil && !slices.ContainsFunc(probers, m.IsSelf) {
-		for _, i := range rand.Perm(len(probers))[:min(probersAsked, len(probers))] {
-			askCtx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-			err := m.fetchChanges(askCtx, d.Control, probers[i])
-			cancel()
-			if age, ok := m.KnowledgeAge(); err == nil && ok && age <= m.knowledgeLimit()/refreshDivisor {
-				return
-			}
+	rank := slices.IndexFunc(probers, m.IsSelf)
+	d := m.dialers.Load()
+	for _, h := range askedProbers(probers, rank) {
+		if d == nil {
+			break
 		}
+		askCtx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+		err := m.fetchChanges(askCtx, d.Control, h)
+		cancel()
+		if age, ok := m.KnowledgeAge(); err == nil && ok && age <= m.knowledgeLimit()/refreshDivisor {
+			return
+		}
+	}
+	age, ok := m.KnowledgeAge()
+	if len(probers) > 0 && rank < 0 && ok && float64(age) < ownPollShare*float64(m.knowledgeLimit()) {
+		return
 	}
 	m.pollStore(ctx)
 }
 
+// askedProbers returns the probers that a host asks: those before it in their order, or any if it
+// is none of them and its rank -1.
+func askedProbers(probers []fleet.Host, rank int) []fleet.Host {
+	if rank >= 0 {
+		return probers[:min(rank, probersAsked)]
+	}
+	return lo.Map(rand.Perm(len(probers))[:min(probersAsked, len(probers))], func(i, _ int) fleet.Host { return probers[i] })
+}
+
 // pollStore asks the store for the changes of endpoints that this host lacks.
 func (m *Membership) pollStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
