membership: a host that starts reads a listing that may be old, and the secret from it

If the changes are gone, or the store went back, the host lists as before. The secret is taken from the listing; hosts wait a different time each before they create it. The hosts that watch the whole store for a large fleet pause 300 ms between answers; the entries of endpoints keep their own watch.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -63,6 +63,12 @@
 // before the first change.
 func (m *Mirror) Revision() cicadapitch.StoreRevision { return m.revision }
 
+// Value returns the value of a key, and false if the copy has none.
+func (m *Mirror) Value(key string) ([]byte, bool) {
+	stored, ok := m.records[key]
+	return stored.Value, ok && !stored.Removed
+}
+
 // Apply merges changes. With them, the copy is complete up to the revision upTo.
 // It ignores records that are not newer than the stored ones and returns the
 // others.
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -73,11 +73,12 @@
 	}
 	injector := do.New()
 	do.ProvideValue(injector, o.dial)
-	do.ProvideValue(injector, o.newStore(s))
+	metrics := tally.NewTestScope("", nil)
+	do.ProvideValue(injector, o.newStore(s, metrics))
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, log)
 	do.ProvideValue[cicadapitch.Clock](injector, clock)
-	do.ProvideValue(injector, tally.NewTestScope("", nil))
+	do.ProvideValue(injector, metrics)
 	do.ProvideValue(injector, quarantine.NewLedger())
 	do.ProvideValue(injector, placement.NewRateLimits())
 	do.Provide(injector, newMembership)
@@ -95,8 +96,8 @@
 }
 
 // newStore returns a client of the store in the settings.
-func (o options) newStore(s *platform.Settings) *platform.Store {
-	var opts []platform.StoreOption
+func (o options) newStore(s *platform.Settings, metrics tally.Scope) *platform.Store {
+	opts := []platform.StoreOption{platform.WithStoreMetrics(metrics)}
 	if o.systemDial != nil {
 		opts = append(opts, platform.WithDialContext(o.systemDial))
 	}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 
@@ -25,6 +26,9 @@
 	// registrablePollInterval is the pause between two looks whether a host that has started can
 	// register.
 	registrablePollInterval cicadapitch.Millis = 50
+	// maxSecretWait bounds how long a host that has started waits for another one to create the
+	// deployment's secret.
+	maxSecretWait cicadapitch.Millis = 500
 	// syncDelay is how long a host that watches the store waits for a change to arrive
 	// from the store before it fetches the change from another host.
 	syncDelay cicadapitch.Millis = 250
@@ -33,11 +37,20 @@
 	syncTimeout cicadapitch.Millis = 1000
 )
 
-// Secret reads the deployment's secret, 32 hexadecimal digits, from the store, and
-// creates it if there is none. It retries failed store calls until ctx ends; its only
-// error is that of ctx.
+// Secret returns the deployment's secret, 32 hexadecimal digits. It takes the one that FollowStore has read.
+// If that is missing for a time that differs between hosts, Secret reads the store itself and creates the
+// secret if there is none. It retries failed store calls until ctx ends; its only error is that of ctx.
 func (m *Membership) Secret(ctx context.Context) ([]byte, error) {
-	for {
+	start, own := m.clock.Now(), cicadapitch.Millis(rand.Int64N(int64(maxSecretWait)))
+	for ; ; own += retryMinDelay {
+		for m.clock.Now().Sub(start) < own {
+			if v, ok := m.storedValue(secretStoreKey); ok {
+				return v, nil
+			}
+			if err := m.clock.Sleep(ctx, registrablePollInterval); err != nil {
+				return nil, err
+			}
+		}
 		items, _, err := m.store.List(ctx, secretStoreKey)
 		if err == nil && len(items) > 0 {
 			return items[0].Value, nil
@@ -45,16 +58,26 @@
 		if err == nil {
 			secret := []byte(randomID() + randomID())
 			_, err = m.store.Commit(ctx, []cicadapitch.Condition{{Key: secretStoreKey}}, []cicadapitch.Write{{Key: secretStoreKey, Value: secret}})
+			if err == nil {
+				return secret, nil
+			}
 		}
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, platform.ErrConflict) {
 			m.markStoreDown(err)
 		}
-		if err := m.clock.Sleep(ctx, retryMinDelay); err != nil {
-			return nil, err
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
 	}
 }
 
+// storedValue returns the value of a key of the store, as far as this host has read it.
+func (m *Membership) storedValue(key string) ([]byte, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mirror.Value(key)
+}
+
 // Dialers make the calls to other hosts, each over connections of its own, so that calls of
 // one kind do not wait behind those of another.
 type Dialers struct {
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 
@@ -18,6 +19,8 @@
 	// in quick succession arrive together. It is much shorter than the time within which
 	// a change has to be in force.
 	watchBatchDelay cicadapitch.Millis = 150
+	// fleetWatchBatchDelay is that of the hosts that watch the whole store for a large fleet.
+	fleetWatchBatchDelay cicadapitch.Millis = 300
 	// retryMinDelay and retryMaxDelay bound the backoff after failed store calls.
 	retryMinDelay cicadapitch.Millis = 100
 	retryMaxDelay cicadapitch.Millis = 600
@@ -56,14 +59,13 @@
 // syncFrom. The error is platform.ErrCompacted if the store has to be listed again at
 // once.
 func (m *Membership) listAndWatch(ctx context.Context) error {
-	askedAt := m.clock.Now()
-	pairs, revision, err := m.store.List(ctx, "")
-	if err != nil {
+	if err := m.listStore(ctx); err != nil {
 		return err
 	}
-	m.markStoreUp()
-	m.announceEndpoints(m.applyListing(recordsOfPairs(pairs), revision))
-	m.confirmKnowledge(askedAt, revision)
+	var (
+		askedAt  cicadapitch.Instant
+		revision cicadapitch.StoreRevision
+	)
 	for {
 		if !m.shouldWatchStore() {
 			if err := m.clock.Sleep(ctx, heartbeatInterval); err != nil {
@@ -84,12 +86,68 @@
 		}
 		m.announceEndpoints(m.applyChanges(recordsOfEvents(events), nextRevision, storeWatch))
 		m.confirmKnowledge(askedAt, nextRevision)
-		if len(events) > 0 && m.clock.Sleep(ctx, watchBatchDelay) != nil {
+		if len(events) > 0 && m.clock.Sleep(ctx, m.watchPause()) != nil {
 			return ctx.Err()
 		}
 	}
 }
 
+// watchPause returns the pause after a watch response with changes. In a large fleet, the entries of
+// endpoints have a watch of their own.
+func (m *Membership) watchPause() cicadapitch.Millis {
+	if m.allWatch() {
+		return watchBatchDelay
+	}
+	return fleetWatchBatchDelay
+}
+
+// listStore reads all keys of the store. A host that has just started reads a listing that may be old,
+// and then what has changed since: where many hosts start together, that spares the store most of the
+// work.
+func (m *Membership) listStore(ctx context.Context) error {
+	if m.revision() == 0 && m.listStale(ctx) {
+		return nil
+	}
+	askedAt := m.clock.Now()
+	pairs, revision, err := m.store.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	m.markStoreUp()
+	m.announceEndpoints(m.applyListing(recordsOfPairs(pairs), revision))
+	m.confirmKnowledge(askedAt, revision)
+	return nil
+}
+
+// listStale reads a listing that may be old and the changes since, and reports whether it has both. Then
+// this host knows all that the store had when it asked for the changes.
+func (m *Membership) listStale(ctx context.Context) bool {
+	pairs, listedAt, err := m.store.ListStale(ctx, "")
+	if err != nil || listedAt == 0 {
+		return false
+	}
+	askedAt := m.clock.Now()
+	events, revision, err := m.store.Poll(ctx, "", listedAt)
+	if err != nil || revision < listedAt || len(events) == 0 && revision > listedAt {
+		return false
+	}
+	m.markStoreUp()
+	m.applyListing(mergeChanges(recordsOfPairs(pairs), recordsOfEvents(events)), revision)
+	m.confirmKnowledge(askedAt, revision)
+	return true
+}
+
+// mergeChanges returns a listing of keys with later changes of them applied.
+func mergeChanges(listing, changes []fleet.Record) []fleet.Record {
+	latest := map[string]fleet.Record{}
+	for _, r := range slices.Concat(listing, changes) {
+		if known, ok := latest[r.Key]; !ok || r.Revision > known.Revision {
+			latest[r.Key] = r
+		}
+	}
+	return lo.Filter(lo.Values(latest), func(r fleet.Record, _ int) bool { return !r.Removed })
+}
+
 func (m *Membership) revision() cicadapitch.StoreRevision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
