membership: the watches of the store wait for 10 s, and end when they are silent

Change: a host that sends heartbeats watches for up to 10 s. The prober, which asks for the changes of endpoints anyway, compares the store's revision with its own: if its watch lacks a change for 1.5 s, it ends the watch and asks at once. Others hear of a later revision from heartbeats, as before. After a failed watch the changes since are asked for; the store is listed again only if it has dropped them. Ruled out: fewer watchers (each notice comes from three of the six).

--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -239,4 +239,5 @@
 	}
 	m.announceEndpoints(m.applyPart(recordsOfEvents(events), storePoll))
 	m.confirmKnowledge(askedAt, revision)
+	m.endSilentWatch(revision)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -92,6 +92,13 @@
 	loggedStale bool
 	// dialers is nil before EnablePeerCalls.
 	dialers atomic.Pointer[Dialers]
+	// mustList is true while the changes since the last call do not suffice to follow the store,
+	// watchWasSilent if the last watch was ended for its silence. Only FollowStore uses them.
+	mustList, watchWasSilent bool
+	// sendsHeartbeats is true once RunHeartbeats runs.
+	sendsHeartbeats atomic.Bool
+	// endWatch ends the watch of the whole store that runs, or is nil.
+	endWatch atomic.Pointer[context.CancelCauseFunc]
 	// syncing is true while store changes are fetched from another host.
 	syncing atomic.Bool
 
@@ -116,6 +123,8 @@
 	seenAt map[cicadapitch.HostID]cicadapitch.Instant
 	// peerWaits holds the latest queue waits that other hosts reported, by shard key.
 	peerWaits map[string]timedWaits
+	// dueRevision is what the watch of the whole store has to bring.
+	dueRevision dueRevision
 	// pendingRemovals holds the endpoints whose entries may have expired during an
 	// outage of the store, with the time at which they are removed unless they
 	// register again.
@@ -196,6 +205,7 @@
 		downAt: map[string]cicadapitch.Instant{}, cutOffAt: map[string]cicadapitch.Instant{}, peerWaits: map[string]timedWaits{},
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		versionReads: versionReads{queued: map[catalog.ServiceID]*versionRead{}},
+		mustList:     true,
 		peers:        map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
 	}
 	m.leaveCtx, m.cancelLeaveCtx = context.WithCancel(context.Background())
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -21,6 +21,9 @@
 	watchBatchDelay cicadapitch.Millis = 150
 	// fleetWatchBatchDelay is that of the hosts that watch the whole store for a large fleet.
 	fleetWatchBatchDelay cicadapitch.Millis = 300
+	// silentWatchTime is how long a watch may lack a change that the store has. It is longer than a slow
+	// store takes to answer.
+	silentWatchTime cicadapitch.Millis = 1500
 	// retryMinDelay and retryMaxDelay bound the backoff after failed store calls.
 	retryMinDelay cicadapitch.Millis = 100
 	retryMaxDelay cicadapitch.Millis = 600
@@ -43,7 +46,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil || errors.Is(err, platform.ErrCompacted) {
+		if err == nil || errors.Is(err, platform.ErrCompacted) || errors.Is(err, errWatchSilent) {
 			pause = retryMinDelay
 			continue
 		}
@@ -54,13 +57,16 @@
 	}
 }
 
-// listAndWatch lists the store and then watches it until a call fails. While
-// shouldWatchStore is false, it only waits; changes then come with heartbeats, through
-// syncFrom. The error is platform.ErrCompacted if the store has to be listed again at
-// once.
+// listAndWatch watches the store until a call fails, after it has listed it unless the changes since the
+// last call suffice. While shouldWatchStore is false, it only waits; changes then come with heartbeats,
+// through syncFrom. The error is platform.ErrCompacted if the store has to be listed again at
+// once, and errWatchSilent if it only has to be asked again.
 func (m *Membership) listAndWatch(ctx context.Context) error {
-	if err := m.listStore(ctx); err != nil {
-		return err
+	if m.mustList {
+		if err := m.listStore(ctx); err != nil {
+			return err
+		}
+		m.mustList = false
 	}
 	var (
 		askedAt  cicadapitch.Instant
@@ -75,15 +81,17 @@
 		}
 		revision = m.revision()
 		askedAt = m.clock.Now()
-		events, nextRevision, err := m.store.Changes(ctx, "", revision)
+		events, nextRevision, err := m.watchStore(ctx, revision)
+		if err == nil && len(events) == 0 && nextRevision > revision {
+			// The revision moved on without an event, so the watch missed changes.
+			err = platform.ErrCompacted
+		}
+		m.mustList = errors.Is(err, platform.ErrCompacted)
+		m.watchWasSilent = errors.Is(err, errWatchSilent)
 		if err != nil {
 			return err
 		}
 		m.markStoreUp()
-		if len(events) == 0 && nextRevision > revision {
-			// The revision moved on without an event, so the watch missed changes.
-			return platform.ErrCompacted
-		}
 		m.announceEndpoints(m.applyChanges(recordsOfEvents(events), nextRevision, storeWatch))
 		m.confirmKnowledge(askedAt, nextRevision)
 		if len(events) > 0 && m.clock.Sleep(ctx, m.watchPause()) != nil {
@@ -92,6 +100,60 @@
 	}
 }
 
+// errWatchSilent means that a watch brought no changes though there were some.
+var errWatchSilent = errors.New("the watch of the store is silent")
+
+// watchStore waits for changes after a revision, or asks for those there are if the last watch was silent. The
+// error is errWatchSilent if endSilentWatch has ended the call.
+func (m *Membership) watchStore(ctx context.Context, after cicadapitch.StoreRevision) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
+	if m.watchWasSilent {
+		return m.store.Poll(ctx, "", after)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	m.endWatch.Store(&cancel)
+	defer m.endWatch.Store(nil)
+	events, next, err := m.changes(ctx, "", after)
+	if err != nil && errors.Is(context.Cause(ctx), errWatchSilent) {
+		err = errWatchSilent
+	}
+	return events, next, err
+}
+
+// changes waits for changes of keys with a prefix after a revision. Once this host sends heartbeats, it learns
+// otherwise whether there are changes, and asks less often.
+func (m *Membership) changes(ctx context.Context, prefix string, after cicadapitch.StoreRevision) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
+	if m.sendsHeartbeats.Load() {
+		return m.store.LongChanges(ctx, prefix, after)
+	}
+	return m.store.Changes(ctx, prefix, after)
+}
+
+// endSilentWatch ends the watch of the whole store if it has not brought for silentWatchTime the changes up
+// to a revision that the store named when it was asked otherwise: its connection may have fallen silent.
+// polled is the revision that the store names now.
+func (m *Membership) endSilentWatch(polled cicadapitch.StoreRevision) {
+	now, revision := m.clock.Now(), m.revision()
+	m.mu.Lock()
+	due := m.dueRevision
+	silent := revision < due.revision && now.Sub(due.since) >= silentWatchTime
+	if revision >= due.revision || silent {
+		m.dueRevision = dueRevision{polled, now}
+	}
+	m.mu.Unlock()
+	if end := m.endWatch.Load(); silent && end != nil {
+		m.log.Info().Int64("Revision", int64(revision)).Int64("Latest", int64(due.revision)).Msg("watch of the store is silent")
+		m.metrics.Counter("SilentWatches").Inc(1)
+		(*end)(errWatchSilent)
+	}
+}
+
+// dueRevision is a revision of the store, and since when it has to be known.
+type dueRevision struct {
+	revision cicadapitch.StoreRevision
+	since    cicadapitch.Instant
+}
+
 // watchPause returns the pause after a watch response with changes. In a large fleet, the entries of
 // endpoints have a watch of their own.
 func (m *Membership) watchPause() cicadapitch.Millis {
