gateway: why an attempt is not served, in the log, as a counter and as a table

Operators could not tell from logs or metrics what takes their nines away: the line of a request names what ended it, not why it was not served.

Change: the cause (Configuration, Stage, Capacity, Endpoint, Break, Deadline, Caller, Stop, Knowledge, Quarantine) is in the lines ended and refused and in the counter Unserved{Route,Cause}; cicadapitch unserved prints the table from the logs of all hosts, with an id for explain.

--- a/cmd/cicadapitch/command.go
+++ b/cmd/cicadapitch/command.go
@@ -26,6 +26,7 @@
 		newReport(),
 		newLoad(),
 		newExplain(),
+		newUnserved(),
 	}
 }
 
--- /dev/null
+++ b/cmd/cicadapitch/unserved.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"text/tabwriter"
+
+	"cicadapitch.example/cicadapitch/requestlog"
+)
+
+func newUnserved() command {
+	var file string
+	c := newSubcommand("unserved", "counts the attempts of callers that were not served, by route and cause",
+		func(_ context.Context, w io.Writer) error {
+			f, err := os.Open(file)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			losses, attempts, err := requestlog.Losses(f)
+			if err != nil {
+				return err
+			}
+			return printLosses(w, losses, attempts)
+		})
+	c.sub.String(&file, "l", "log", "file with the logs of all hosts (required)")
+	return c
+}
+
+// printLosses prints a table of losses, and the share of the attempts that was served, also in nines.
+func printLosses(w io.Writer, losses []requestlog.Loss, attempts int) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ROUTE\tCAUSE\tCOUNT\tMEDIAN MS\tLONGEST MS\tFIRST ID")
+	lost := 0
+	for _, l := range losses {
+		lost += l.Count
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\n", l.Route, l.Cause, l.Count, l.Took, l.Longest, l.First)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if attempts == 0 {
+		_, err := fmt.Fprintln(w, "no attempts")
+		return err
+	}
+	nines := "no loss"
+	if lost > 0 {
+		nines = fmt.Sprintf("%.2f nines", -math.Log10(float64(lost)/float64(attempts)))
+	}
+	_, err := fmt.Fprintf(w, "%d of %d attempts served, %s\n", attempts-lost, attempts, nines)
+	return err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -322,6 +322,10 @@
 	if lag := g.membership.CatalogLag(); lag.Latest > 0 {
 		event = event.Int64("Config", lag.Version).Int64("Latest", lag.Latest).Int64("BehindMs", int64(lag.Age))
 	}
+	if cicadapitch.KindOf(err) == cicadapitch.NotRun {
+		event = event.Stringer("Loss", lossByConfiguration)
+		g.countLoss("", lossByConfiguration)
+	}
 	event.Err(err).Msg("refused")
 	g.metrics.Tagged(map[string]string{"Kind": cicadapitch.KindOf(err).String()}).Counter("Refusals").Inc(1)
 	a.WriteError(err)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -434,8 +434,10 @@
 		g.callTimes.record(now, p.route.Name, now.Sub(p.committedAt))
 	}
 	g.metrics.Tagged(map[string]string{"By": end.String(), "State": state.String()}).Counter("RequestsEnded").Inc(1)
+	loss := p.lossOf(ctx, err)
+	g.countLoss(p.route.Name, loss)
 	event := g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
-		Stringer("By", end).Stringer("State", state)
+		Stringer("By", end).Stringer("State", state).Stringer("Loss", loss)
 	g.stop.Load().log(event, now).Int64("Config", p.view.Catalog.Version).Int("Status", p.status).Int64("Bytes", p.answer.BytesWritten()).Int("Sent", p.attempts).Bool("MayRun", p.mayHaveRun).
 		Bool("CallerGone", callerGone).Int64("TookMs", int64(took)).Err(err).Msg("ended")
 	if err == nil {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -239,7 +239,7 @@
 		err = errInputLost
 	}
 	if err == nil && reply.Handles == nil {
-		err = cicadapitch.NewNotRun("stage of "+string(s.Service)+": "+reply.Reason, max(reply.RetryAfter, fullRetryAfter))
+		err = stageRefusal{cicadapitch.NewNotRun("stage of "+string(s.Service)+": "+reply.Reason, max(reply.RetryAfter, fullRetryAfter))}
 	}
 	return stageOutcome{stage, reply, err}
 }
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -37,6 +37,9 @@
 	Endpoint cicadapitch.EndpointID
 	Service  string
 	Call     uint64
+	Route    string
+	Loss     string
+	TookMs   cicadapitch.Millis
 }
 
 // Filter reads the combined logs of hosts from r and returns the lines about the request
