membership: hosts with a recent heartbeat are counted with the ranking

Change: who watches the store is asked with each heartbeat, sent and received, and counted all peers each time; the count is now part of the ranking that is kept for 100 ms. Measured: in a profile of 150 hosts that start in one process the count was 3.4% of the processor time and the question 5.4%; not profiled again. Tests of membership pass with the race detector.

--- a/membership/ranking.go
+++ b/membership/ranking.go
@@ -14,9 +14,10 @@
 // hostRanking holds the available hosts, and their ranks for the keys that were asked for.
 type hostRanking struct {
 	madeAt cicadapitch.Instant
-	// hosts is not modified.
-	hosts []fleet.Host
-	mu    sync.Mutex
+	// hosts is not modified. recentPeers is the number of other hosts with a recent heartbeat.
+	hosts       []fleet.Host
+	recentPeers int
+	mu          sync.Mutex
 	// ranked holds immutable lists by key.
 	ranked map[string][]fleet.Host
 }
@@ -28,7 +29,7 @@
 	if r := m.ranking.Load(); r != nil && now.Sub(r.madeAt) < rankingLife {
 		return r
 	}
-	r := &hostRanking{madeAt: now, hosts: m.availableHosts(now), ranked: map[string][]fleet.Host{}}
+	r := &hostRanking{madeAt: now, hosts: m.availableHosts(now), recentPeers: m.countRecentPeers(now), ranked: map[string][]fleet.Host{}}
 	m.ranking.Store(r)
 	if m.rankingChanges.Load() != changes {
 		m.ranking.CompareAndSwap(r, nil)
--- a/membership/storewatchers.go
+++ b/membership/storewatchers.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 )
 
@@ -26,7 +27,7 @@
 // fleet, with few recent heartbeats, or as one of the highest ranked hosts. The caller must
 // not hold mu.
 func (m *Membership) shouldWatchStore() bool {
-	if m.allWatch() || m.countRecentPeers() < minRecentPeers {
+	if m.allWatch() || m.rankedHosts().recentPeers < minRecentPeers {
 		return true
 	}
 	return slices.ContainsFunc(m.watchers(), m.IsSelf)
@@ -55,8 +56,7 @@
 }
 
 // countRecentPeers counts the other hosts with a heartbeat within livenessTimeout.
-func (m *Membership) countRecentPeers() int {
-	now := m.clock.Now()
+func (m *Membership) countRecentPeers(now cicadapitch.Instant) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 0
