gateway: results that an engine has fetched make room before its first event

Cause: an engine fetches its inputs before it reads the prompt; they were freed with its first event, 0.1 to 0.5 s later. Change: 30 ms after a request was sent to an engine with at least half of its slots free, its inputs are marked as fetched; they are freed where their endpoint lacks memory, as those of stages are. Ruled out: freeing them at once (the request may have to run again elsewhere).

--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -38,10 +39,11 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	p.exclude[e.ID] = true
-	stopWatching := p.watchSilence(a.ctx, a.cancel, e)
+	stopWatching, stopMarking := p.watchSilence(a.ctx, a.cancel, e), p.markInputsFetched(e, inputs)
 	var err error
 	a.reply, err = p.send(a.ctx, e, inputs.handles, a.resumeAfter)
 	stopWatching()
+	stopMarking()
 	if err == nil {
 		return a, nil
 	}
@@ -57,6 +59,37 @@
 	return nil, err
 }
 
+const (
+	// maxFetchingShare is the share of an engine's slots up to which it admits a request at once, and so
+	// fetches its inputs.
+	maxFetchingShare = 0.5
+	// engineFetchTime is the time after which such an engine is assumed to have fetched them.
+	engineFetchTime cicadapitch.Millis = 30
+)
+
+// markInputsFetched marks the inputs as fetched engineFetchTime from now if the request was sent by then to an
+// engine that admits it at once: results that wait for its first event would keep the next calls from
+// their memory. The returned function ends that.
+func (p *proxiedRequest) markInputsFetched(e fleet.Endpoint, inputs engineInputs) func() {
+	if len(inputs.handles) == 0 || !p.admitsAtOnce(e) {
+		return func() {}
+	}
+	t := time.AfterFunc(engineFetchTime.Duration(), func() {
+		if requestState(p.state.Load()) != stateWaiting {
+			inputs.markFetched()
+		}
+	})
+	return func() { t.Stop() }
+}
+
+// admitsAtOnce reports whether an engine has free slots, as far as is known.
+func (p *proxiedRequest) admitsAtOnce(e fleet.Endpoint) bool {
+	others := p.g.membership.Loads()[e.ID]
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	return float64(others+p.g.chooser.Health(e.ID).Running) <= maxFetchingShare*float64(e.Slots)
+}
+
 // relayEngine relays the answer of an attempt and ends the attempt. If its engine has fallen silent
 // and another one goes on with the stream, relayEngine returns the attempt there.
 func (p *proxiedRequest) relayEngine(ctx context.Context, a *engineAttempt, events *eventSplitter) (next *engineAttempt, err error) {
--- a/gateway/heldresults.go
+++ b/gateway/heldresults.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// markFetched tells the owners of the results that are still held that the engine has most likely
+// fetched them. They are freed where their endpoint lacks memory.
+func (h *heldResults) markFetched() {
+	h.mu.Lock()
+	var calls []FreeCall
+	for s, handles := range h.handles {
+		if len(handles) > 0 {
+			calls = append(calls, FreeCall{Shard: h.shards[s], Handles: handles, IfNeeded: true})
+		}
+	}
+	h.mu.Unlock()
+	for _, c := range calls {
+		h.request.g.freeResults(c)
+	}
+}
+
 // freeLateResults receives n more outcomes of stages and frees the results in them.
 func (h *heldResults) freeLateResults(outcomes <-chan stageOutcome, n int) {
 	for range n {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -74,7 +74,7 @@
 		p.freeConsumed(pieces, held)
 		startReady()
 	}
-	out := engineInputs{freeAll: held.freeAll}
+	out := engineInputs{freeAll: held.freeAll, markFetched: held.markFetched}
 	var maxBytes cicadapitch.Bytes
 	for _, i := range p.route.FinalStages(pieces) {
 		handles := held.handlesOf(i)
@@ -124,8 +124,9 @@
 	// zone is the zone in which the engine should be, that of the largest results. It
 	// is empty if the results are too small to matter.
 	zone cicadapitch.ZoneID
-	// freeAll frees all results that are still held.
-	freeAll func()
+	// freeAll frees all results that are still held, markFetched lets their owners free them where
+	// memory is short.
+	freeAll, markFetched func()
 }
 
 // inputsReady reports whether all stages that a stage depends on have results.
