membership: renewals and questions tell whether the store is away

With watches of 10 s, a host noticed an outage in which the store does not answer only at the end of its watch. Entries that expired meanwhile were then taken for removed ones, and callers lost all endpoints until these had registered again.

Change: a renewal of the lease, every 1.2 s, and a question for changes that fails or succeeds says that the store is away or back; both say so before what they bring is applied. Measured: TestSilentOutageOfTheStoreIsNoticedDuringALongWatch fails on (0 of 2 endpoints left), passes; tests of membership pass with the race detector.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -383,9 +383,15 @@
 	m.mu.Unlock()
 	if lease != 0 {
 		_, err := m.store.Renew(ctx, lease)
-		if !errors.Is(err, platform.ErrNoLease) {
+		if err != nil && !errors.Is(err, platform.ErrNoLease) {
+			m.markStoreDown(err)
 			return err
 		}
+		// A watch may wait for long after the store is back.
+		m.markStoreUp()
+		if err == nil {
+			return nil
+		}
 	}
 	if m.leaving.Load() {
 		return nil
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -234,9 +234,11 @@
 	}
 	if err != nil {
 		m.knowledge.StoreFailed(m.clock.Now())
+		m.markStoreDown(err)
 		m.log.Warn().Int64("TookMs", int64(m.clock.Now().Sub(askedAt))).Err(err).Msg("asking the store for changes of endpoints failed")
 		return
 	}
+	m.markStoreUp()
 	m.announceEndpoints(m.applyPart(recordsOfEvents(events), storePoll))
 	m.confirmKnowledge(askedAt, revision)
 	m.endSilentWatch(revision)
--- a/membership/silentwatch_test.go
+++ b/membership/silentwatch_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -74,3 +76,45 @@
 	require.True(t, ok)
 	require.Less(t, age, 4*cicadapitch.Second)
 }
+
+// TestSilentOutageOfTheStoreIsNoticedDuringALongWatch guards against hosts that take entries which expired
+// while the store did not answer for entries that their writers removed, since their watch still waits.
+func TestSilentOutageOfTheStoreIsNoticedDuringALongWatch(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set(platformtest.ConfigKey, platformtest.Config(1, "", 14))
+	for i, id := range []string{"a", "b"} {
+		s.Set(platformtest.EndpointKey(id), []byte(fmt.Sprintf(endpointEntry, i+1, "ready", 1)))
+	}
+	var generation atomic.Int64
+	var away atomic.Bool
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if away.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &silenceableConn{c, generation.Load(), &generation, make(chan struct{})}, nil
+	}
+	store := platform.NewStore([]string{"http://" + s.Address()}, platform.WithDialContext(dial))
+	settings := newPeerSettings(s.Address())
+	h, stop := startHostAt(t, settings, platformtest.NewLink(fastMbps), membership.WithStore(store))
+	t.Cleanup(stop)
+	eventually(t, 3000, func() bool { return endpointCount(h.Membership) == 2 && len(h.View().Hosts) == 1 })
+	time.Sleep(time.Second)
+	away.Store(true)
+	generation.Add(1)
+	time.Sleep(4 * time.Second)
+	s.Remove(platformtest.EndpointKey("a"))
+	s.Remove(platformtest.EndpointKey("b"))
+	away.Store(false)
+	for range 10 {
+		require.Equal(t, 2, endpointCount(h.Membership))
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.Set(platformtest.EndpointKey("a"), []byte(fmt.Sprintf(endpointEntry, 1, "ready", 2)))
+	eventually(t, 5000, func() bool { v := h.View().Endpoints("s"); return len(v) == 1 && v[0].ID == "a" })
+}
