membership: a watch whose answer has begun is not silent

Beside load, two changes of 1,400 routes were in force on 88 hosts only after 6.5 to 21 s (allowed are 3 s): the watch that read the large configuration over a slow link was ended after 1.5 s as silent, and the transfer began anew.

Ruled out: the longer pause of the watch (the test passes with it).

--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -113,7 +113,8 @@
 	defer cancel(nil)
 	m.endWatch.Store(&cancel)
 	defer m.endWatch.Store(nil)
-	events, next, err := m.changes(ctx, "", after)
+	// A response that has begun is not silent: a large one takes a while on a slow link.
+	events, next, err := m.changes(ctx, "", after, func() { m.endWatch.Store(nil) })
 	if err != nil && errors.Is(context.Cause(ctx), errWatchSilent) {
 		err = errWatchSilent
 	}
@@ -121,10 +122,10 @@
 }
 
 // changes waits for changes of keys with a prefix after a revision. Once this host sends heartbeats, it learns
-// otherwise whether there are changes, and asks less often.
-func (m *Membership) changes(ctx context.Context, prefix string, after cicadapitch.StoreRevision) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
+// otherwise whether there are changes, and asks less often; onAnswer is then called when the answer begins.
+func (m *Membership) changes(ctx context.Context, prefix string, after cicadapitch.StoreRevision, onAnswer func()) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
 	if m.sendsHeartbeats.Load() {
-		return m.store.LongChanges(ctx, prefix, after)
+		return m.store.LongChanges(ctx, prefix, after, onAnswer)
 	}
 	return m.store.Changes(ctx, prefix, after)
 }
