--- a/gateway/silentattempt.go
+++ b/gateway/plainattempt.go
@@ -14,9 +14,8 @@
 // plainAttempt is an attempt at an endpoint of a plain service. If the endpoint is silent for long,
 // the request is sent to another one too. The first of them that answers serves the request.
 type plainAttempt struct {
-	endpoint fleet.Endpoint
-	startedAt,
-	chosenAt cicadapitch.Instant
+	endpoint            fleet.Endpoint
+	startedAt, chosenAt cicadapitch.Instant
 	// ctx is the context of the attempt.
 	ctx       context.Context
 	endedWith context.CancelCauseFunc
