membership: busy hosts neither end their watches early nor report the store as away

A question for changes waits for 0.5 s; its time-out said that the store is away, so that 18 hosts instead of six followed it; and a watch whose answer had not begun after 1.5 s was ended, and the configuration read again.

Change: only renewals and watches say that the store is away, and a watch has 2.5 s, as long as watches lasted before.

--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -234,7 +234,6 @@
 	}
 	if err != nil {
 		m.knowledge.StoreFailed(m.clock.Now())
-		m.markStoreDown(err)
 		m.log.Warn().Int64("TookMs", int64(m.clock.Now().Sub(askedAt))).Err(err).Msg("asking the store for changes of endpoints failed")
 		return
 	}
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -22,8 +22,8 @@
 	// fleetWatchBatchDelay is that of the hosts that watch the whole store for a large fleet.
 	fleetWatchBatchDelay cicadapitch.Millis = 300
 	// silentWatchTime is how long a watch may lack a change that the store has. It is longer than a slow
-	// store takes to answer.
-	silentWatchTime cicadapitch.Millis = 1500
+	// store, or a busy host, takes for an answer.
+	silentWatchTime cicadapitch.Millis = 2500
 	// retryMinDelay and retryMaxDelay bound the backoff after failed store calls.
 	retryMinDelay cicadapitch.Millis = 100
 	retryMaxDelay cicadapitch.Millis = 600
