--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -201,6 +201,7 @@
 // RunHeartbeats sends heartbeats to the monitored hosts until ctx ends. It sends none
 // until EnablePeerCalls has been called.
 func (m *Membership) RunHeartbeats(ctx context.Context) {
+	m.runCtx.Store(&ctx)
 	m.sendsHeartbeats.Store(true)
 	for m.awaitNextHeartbeat(ctx) {
 		m.keepKnowledgeYoung()
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -172,8 +172,12 @@
 		return done
 	}
 	r.running = done
+	ctx := context.Background()
+	if run := m.runCtx.Load(); run != nil {
+		ctx = *run
+	}
 	go func() {
-		m.refreshKnowledge(context.Background())
+		m.refreshKnowledge(ctx)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.running, r.endedAt = nil, m.clock.Now()
@@ -216,8 +220,8 @@
 }
 
 // pollStore asks the store for the changes of endpoints that this host lacks.
-func (m *Membership) pollStore(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+func (m *Membership) pollStore(run context.Context) {
+	ctx, cancel := context.WithTimeout(run, pollTimeout.Duration())
 	defer cancel()
 	after := m.knowledge.UpTo()
 	if after == 0 {
@@ -232,6 +236,9 @@
 			revision = listedAt
 		}
 	}
+	if run.Err() != nil {
+		return // the host ends
+	}
 	if err != nil {
 		m.knowledge.StoreFailed(m.clock.Now())
 		m.log.Warn().Int64("TookMs", int64(m.clock.Now().Sub(askedAt))).Err(err).Msg("asking the store for changes of endpoints failed")
