--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -202,7 +202,6 @@
 // until EnablePeerCalls has been called.
 func (m *Membership) RunHeartbeats(ctx context.Context) {
 	m.runCtx.Store(&ctx)
-	m.sendsHeartbeats.Store(true)
 	for m.awaitNextHeartbeat(ctx) {
 		m.keepKnowledgeYoung()
 		d := m.dialers.Load()
