--- a/membership/membership.go
+++ b/membership/membership.go
@@ -97,9 +97,6 @@
 	mustList, watchWasSilent bool
 	// runCtx is the context of RunHeartbeats, or nil before that.
 	runCtx atomic.Pointer[context.Context]
-	// sendsHeartbeats lets the watches of the store wait for longer. It is not set yet: a new route
-	// came late on a second host (TestStreamOfUnknownServiceIsRefused).
-	sendsHeartbeats atomic.Bool
 	// endWatch ends the watch of the whole store that runs, or is nil.
 	endWatch atomic.Pointer[context.CancelCauseFunc]
 	// syncing is true while store changes are fetched from another host.
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -121,10 +121,10 @@
 	return events, next, err
 }
 
-// changes waits for changes of keys with a prefix after a revision. Once this host sends heartbeats, it learns
-// otherwise whether there are changes, and asks less often; onAnswer is then called when the answer begins.
+// changes waits for changes of keys with a prefix after a revision. onAnswer, if set, is called when the
+// answer begins.
 func (m *Membership) changes(ctx context.Context, prefix string, after cicadapitch.StoreRevision, onAnswer func()) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
-	if m.sendsHeartbeats.Load() {
+	if onAnswer != nil {
 		return m.store.LongChanges(ctx, prefix, after, onAnswer)
 	}
 	return m.store.Changes(ctx, prefix, after)
