fronthost: the test of an unknown service waits for its route on each host

Cause: TestStreamOfUnknownServiceIsRefused waited only for another route, on the first host, which often is ready at once; then the new route was asked for 18 ms after it had been stored, before either host has it (404, or 503 for a stream whose beginning was refused). No fault of long watches: they only made the first wait shorter.

--- a/fronthost/resume_test.go
+++ b/fronthost/resume_test.go
@@ -190,6 +190,13 @@
 func TestStreamOfUnknownServiceIsRefused(t *testing.T) {
 	d := newDeployment(t, 2)
 	d.setConfiguration(platformtest.SplitStreamRoute)
+	for i := range d.hostSettings {
+		require.Eventually(t, func() bool {
+			r := d.send(d.newStreamRequest(i, "/split/a", newID(), ""))
+			readBody(t, r)
+			return r.StatusCode == http.StatusOK
+		}, 3*time.Second, 50*time.Millisecond, "host %d", i)
+	}
 	require.Eventually(t, func() bool {
 		_, status := d.takeUp(0, "", newID())
 		return status == http.StatusOK
@@ -201,14 +208,17 @@
 			next := d.newStreamRequest(i%2, "/split/a", newID(), "")
 			next.ResumeAfter, next.Resumes = "2", resumes
 			r := d.send(next)
+			dbg, _ := io.ReadAll(r.Body)
 			r.Body.Close()
 			if resumes != first.ID {
 				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 				continue
 			}
+			if r.StatusCode != 200 { fmt.Println("DBG", i, string(dbg), r.Header, d.servicesOf(first.ID)) }
 			require.Equal(t, http.StatusOK, r.StatusCode)
 			require.Equal(t, d.servicesOf(first.ID), d.servicesOf(next.ID))
 		}
+		time.Sleep(coldRatePause)
 	}
 }
 
