relay: a refused relay does not end the search for one that connects

Cause: a host whose connection to an endpoint was refused asked one relay; where that was refused too, the endpoint counted as down for a second, though other hosts reached it. The same answer told the quarantine that a process has ended. Change: up to four relays are asked while they are refused.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -24,8 +24,11 @@
 	hedgeDelay cicadapitch.Millis = 150
 	// relayTimeout bounds the attempt to connect over one relay.
 	relayTimeout cicadapitch.Millis = 600
-	// maxRelays is the number of relays that are asked for a connection.
+	// maxRelays is the number of relays that are asked for a connection in vain, unless they are refused.
 	maxRelays = 2
+	// maxRefusals is the number of refused relays from which on an endpoint counts as down. Relays may be
+	// cut off too.
+	maxRefusals = 4
 	// probeTimeout bounds a direct attempt that only tests a path.
 	probeTimeout cicadapitch.Millis = 300
 	// probeConcurrency is the number of such attempts at once.
@@ -165,22 +168,34 @@
 	if dialer == nil || len(relays) == 0 {
 		return nil, errNoRelay
 	}
-	var err error
-	for _, h := range relays[:min(len(relays), maxRelays)] {
-		var c net.Conn
-		if c, err = d.openAt(ctx, dialer, h, address); err == nil {
+	var (
+		lastErr         error
+		failed, refused int
+	)
+	for _, h := range relays {
+		c, err := d.openAt(ctx, dialer, h, address)
+		if err == nil {
 			d.record(func() { d.table.RecordRelayed(d.clock.Now(), address, true) })
 			return c, nil
 		}
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
+		lastErr = err
 		if errors.Is(err, errRefused) {
+			refused++
+		} else {
+			failed++
+		}
+		if failed == maxRelays || refused == maxRefusals {
 			break
 		}
 	}
+	if refused > 0 {
+		lastErr = errRefused
+	}
 	d.record(func() { d.table.RecordRelayed(d.clock.Now(), address, false) })
-	return nil, err
+	return nil, lastErr
 }
 
 // record runs a change of the table, and tests the paths to the other endpoints if the host
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -192,6 +192,26 @@
 	require.True(t, d.Refuses(t.Context(), alive), "without other hosts this one decides")
 }
 
+// TestRelaysThatAreRefusedDoNotEndTheSearch guards against hosts that are cut off with resets and confirm to
+// each other that endpoints are down while another host reaches them.
+func TestRelaysThatAreRefusedDoNotEndTheSearch(t *testing.T) {
+	_, d, table, h := newRelay(t, platform.DialEndpoint)
+	reaching := h.relays
+	h.relays = nil
+	for range 3 {
+		_, _, _, cut := newRelay(t, refused)
+		h.relays = append(h.relays, cut.relays...)
+	}
+	alive := listen(t, func(c *net.TCPConn) { c.Close() })
+	require.True(t, d.Refuses(t.Context(), alive), "all relays are refused")
+	h.relays = slices.Concat(h.relays, reaching)
+	require.False(t, d.Refuses(t.Context(), alive))
+	c, err := d.DialContext(t.Context(), "tcp", alive)
+	require.NoError(t, err)
+	c.Close()
+	require.Equal(t, relay.Relayed, table.State(cicadapitch.NewSystemClock().Now(), alive))
+}
+
 // TestRelayThatKnowsOfTheEndConfirmsIt guards against hosts that find out at the same time that
 // an endpoint has ended, and refuse to confirm it to each other.
 func TestRelayThatKnowsOfTheEndConfirmsIt(t *testing.T) {
