--- a/fronthost/resume_test.go
+++ b/fronthost/resume_test.go
@@ -214,7 +214,9 @@
 				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 				continue
 			}
-			if r.StatusCode != 200 { fmt.Println("DBG", i, string(dbg), r.Header, d.servicesOf(first.ID)) }
+			if r.StatusCode != 200 {
+				fmt.Println("DBG", i, string(dbg), r.Header, d.servicesOf(first.ID))
+			}
 			require.Equal(t, http.StatusOK, r.StatusCode)
 			require.Equal(t, d.servicesOf(first.ID), d.servicesOf(next.ID))
 		}
