membership: the watches of the store wait for 10 s once heartbeats run

Measured: tests of membership and platform, and those of fronthost for routes, versions and cuts, pass with the race detector.

--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -114,20 +114,22 @@
 	m.endWatch.Store(&cancel)
 	defer m.endWatch.Store(nil)
 	// A response that has begun is not silent: a large one takes a while on a slow link.
-	events, next, err := m.changes(ctx, "", after, func() { m.endWatch.Store(nil) })
+	events, next, err := m.changes(ctx, "", after, platform.WithOnAnswer(func() { m.endWatch.Store(nil) }))
 	if err != nil && errors.Is(context.Cause(ctx), errWatchSilent) {
 		err = errWatchSilent
 	}
 	return events, next, err
 }
 
-// changes waits for changes of keys with a prefix after a revision. onAnswer, if set, is called when the
-// answer begins.
-func (m *Membership) changes(ctx context.Context, prefix string, after cicadapitch.StoreRevision, onAnswer func()) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
-	if onAnswer != nil {
-		return m.store.LongChanges(ctx, prefix, after, onAnswer)
-	}
-	return m.store.Changes(ctx, prefix, after)
+// changes waits for changes of keys with a prefix after a revision, for longer once this host sends heartbeats:
+// then it also learns otherwise whether there are any.
+func (m *Membership) changes(
+	ctx context.Context, prefix string, after cicadapitch.StoreRevision, opts ...platform.WatchOption,
+) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
+	if m.runCtx.Load() != nil {
+		opts = append(opts, platform.WithLongWait())
+	}
+	return m.store.Changes(ctx, prefix, after, opts...)
 }
 
 // endSilentWatch ends the watch of the whole store if it has not brought for silentWatchTime the changes up
