gateway: idle connections to an endpoint stay within what it accepts from all hosts

Cause: each host kept up to 12 idle connections to an endpoint, whatever the fleet's size; max_connections was read and used for nothing. Change: hosts together keep at most 0.8 of what the endpoint accepts: an equal number each, or one each at the first hosts in the rendezvous order where that is less than one.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -104,9 +104,10 @@
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name ServiceID
-	// HealthPath and MaxConnections hold health_path and max_connections of the
-	// configuration. Nothing applies them.
-	HealthPath     string
+	// HealthPath holds health_path of the configuration. Nothing applies it.
+	HealthPath string
+	// MaxConnections is the number of connections that each endpoint accepts from all hosts
+	// together, or 0 if that is not known.
 	MaxConnections int
 	// ColdStart is how long the cold start of an endpoint takes, and
 	// ColdPerSecond the request rate that the endpoint can handle during it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,7 +157,8 @@
 	g.relayDialer = relay.NewDialer(s.Host, g.dial, g.paths, relayFleet{g}, g.clock, g.log)
 	g.relays = relay.NewServer(g.dial, g.paths, g.clock, g.log)
 	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit),
-		platform.WithEndpointDial(g.relayDialer.DialContext), platform.WithSendCheck(g.checkSend))
+		platform.WithEndpointDial(g.relayDialer.DialContext), platform.WithSendCheck(g.checkSend),
+		platform.WithIdleLimit(g.idleLimit))
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
--- /dev/null
+++ b/gateway/idlelimit.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"slices"
+
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/placement"
+)
+
+// idleLimit returns how many idle connections to an endpoint this host keeps.
+func (g *Gateway) idleLimit(e catalog.Endpoint) int {
+	accepted := 0
+	if c := g.membership.View().Catalog; c != nil && c.Services[e.Service] != nil {
+		accepted = c.Services[e.Service].MaxConnections
+	}
+	return placement.IdleConnections(accepted, g.hostCount(), func() int {
+		return slices.IndexFunc(g.membership.OwnersOf(string(e.ID)), g.membership.IsSelf)
+	})
+}
