--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -67,6 +67,7 @@
 			return err
 		}
 		m.mustList = false
+		m.listedAt.CompareAndSwap(0, int64(m.clock.Now()))
 	}
 	var (
 		askedAt  cicadapitch.Instant
