fleet: ranks are computed without sorting what they rank

Each choice of an engine sorted all engines of the service, records of 200 bytes, with an allocation each; each cold endpoint had all hosts sorted for it. The order is that of earlier builds, which a test compares.

--- a/gateway/idlelimit.go
+++ b/gateway/idlelimit.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"slices"
-
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/placement"
 )
@@ -14,6 +12,6 @@
 		accepted = c.Services[e.Service].MaxConnections
 	}
 	return placement.IdleConnections(accepted, g.hostCount(), func() int {
-		return slices.IndexFunc(g.membership.OwnersOf(string(e.ID)), g.membership.IsSelf)
+		return g.positionAmong(g.membership.Hosts())(string(e.ID))
 	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -194,9 +194,18 @@
 		// A host that hears of no other one cannot tell whether they have ended.
 		hosts = registered
 	}
+	return p.g.positionAmong(hosts)
+}
+
+// positionAmong returns a function that returns this host's position among hosts in the rendezvous order for
+// a key, or -1 if it is not among them.
+func (g *Gateway) positionAmong(hosts []fleet.Host) func(key string) int {
+	i := slices.IndexFunc(hosts, g.membership.IsSelf)
+	if i < 0 {
+		return func(string) int { return -1 }
+	}
 	return func(key string) int {
-		owners := fleet.Rank(key, hosts, func(h fleet.Host) string { return h.Incarnation })
-		return slices.IndexFunc(owners, p.g.membership.IsSelf)
+		return fleet.Position(key, hosts, func(h fleet.Host) string { return h.Incarnation }, hosts[i].Incarnation)
 	}
 }
 
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -141,18 +141,12 @@
 	if local := c.preferredWithinBound(usable, criteria, bound); len(local) > 0 {
 		usable = local
 	}
-	ranked := fleet.Rank(criteria.Session, usable, func(e fleet.Endpoint) string { return string(e.ID) })
-	best, leastLoad := ranked[0], c.load(ranked[0].ID, criteria)
-	for _, e := range ranked {
-		n := c.load(e.ID, criteria)
-		if float64(n) <= bound {
-			return e, true
-		}
-		if n < leastLoad {
-			best, leastLoad = e, n
-		}
+	id := func(e fleet.Endpoint) string { return string(e.ID) }
+	if e, ok := fleet.First(criteria.Session, usable, id, func(e fleet.Endpoint) bool { return float64(c.load(e.ID, criteria)) <= bound }); ok {
+		return e, true
 	}
-	return best, true
+	least := lo.Min(lo.Map(usable, func(e fleet.Endpoint, _ int) int { return c.load(e.ID, criteria) }))
+	return fleet.First(criteria.Session, usable, id, func(e fleet.Endpoint) bool { return c.load(e.ID, criteria) == least })
 }
 
 // preferredWithinBound returns the engines in the preferred zone whose load is at
