fleet: a view costs what has changed, not what there is

Cause: with each change of the store a host listed and sorted all endpoints, compared all its peers with all hosts, and noted all endpoints once more. Change: the state keeps the endpoints of each service sorted; a view shares with the one before what has not changed.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -26,7 +27,7 @@
 	Versions map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 	// Evacuated holds the zones that are out of service.
 	Evacuated map[cicadapitch.ZoneID]bool
-	// Hosts are sorted by incarnation. Of several processes at one address only the latest is
+	// Hosts are sorted by incarnation and must not be modified. Of several processes at one address only the latest is
 	// among them.
 	Hosts []Host
 }
@@ -59,17 +60,22 @@
 // State is the current state of the deployment. Its methods apply changes, and View
 // returns a snapshot. It is not safe for concurrent use.
 type State struct {
-	catalog   *catalog.Catalog
-	endpoints map[cicadapitch.EndpointID]Endpoint
+	catalog  *catalog.Catalog
+	services map[catalog.ServiceID]*serviceState
+	// serviceOf maps each endpoint to its service.
+	serviceOf map[cicadapitch.EndpointID]catalog.ServiceID
 	evacuated map[cicadapitch.ZoneID]bool
 	// hosts maps the key of a host in the store to its record.
 	hosts map[string]Host
+	// current holds the hosts as a view lists them, or is nil if they have changed.
+	current []Host
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		endpoints: map[cicadapitch.EndpointID]Endpoint{},
+		services:  map[catalog.ServiceID]*serviceState{},
+		serviceOf: map[cicadapitch.EndpointID]catalog.ServiceID{},
 		evacuated: map[cicadapitch.ZoneID]bool{},
 		hosts:     map[string]Host{},
 	}
@@ -88,64 +94,85 @@
 // SetEndpoint adds an endpoint or replaces its record. The endpoint is cold for
 // e.ColdFor from now.
 func (s *State) SetEndpoint(now cicadapitch.Instant, e catalog.Endpoint) {
-	s.endpoints[e.ID] = Endpoint{Endpoint: e, WarmAt: now.Add(e.ColdFor)}
+	if before, ok := s.serviceOf[e.ID]; ok && before != e.Service {
+		s.RemoveEndpoint(e.ID)
+	}
+	if s.services[e.Service] == nil {
+		s.services[e.Service] = &serviceState{}
+	}
+	s.serviceOf[e.ID] = e.Service
+	s.services[e.Service].set(Endpoint{Endpoint: e, WarmAt: now.Add(e.ColdFor)})
 }
 
 // RemoveEndpoint removes an endpoint.
-func (s *State) RemoveEndpoint(id cicadapitch.EndpointID) { delete(s.endpoints, id) }
+func (s *State) RemoveEndpoint(id cicadapitch.EndpointID) {
+	service, ok := s.serviceOf[id]
+	if !ok {
+		return
+	}
+	delete(s.serviceOf, id)
+	s.services[service].remove(id)
+	if len(s.services[service].all) == 0 {
+		delete(s.services, service)
+	}
+}
 
 // Leaving reports whether an endpoint has said that it leaves.
-func (s *State) Leaving(id cicadapitch.EndpointID) bool { return s.endpoints[id].Leaving }
+func (s *State) Leaving(id cicadapitch.EndpointID) bool {
+	service := s.services[s.serviceOf[id]]
+	if service == nil {
+		return false
+	}
+	i, ok := findEndpoint(service.all, id)
+	return ok && service.all[i].Leaving
+}
 
 // SetEvacuated takes a zone out of service if out is true, or puts it back into
 // service.
 func (s *State) SetEvacuated(z cicadapitch.ZoneID, out bool) {
+	if s.evacuated[z] == out {
+		return
+	}
 	if out {
 		s.evacuated[z] = true
 	} else {
 		delete(s.evacuated, z)
 	}
+	for _, service := range s.services {
+		service.listed = nil
+	}
 }
 
 // SetHost adds a host or replaces its record. key is the host's key in the store.
-func (s *State) SetHost(key string, h Host) { s.hosts[key] = h }
+func (s *State) SetHost(key string, h Host) { s.hosts[key], s.current = h, nil }
 
 // RemoveHost removes the host with the given store key.
-func (s *State) RemoveHost(key string) { delete(s.hosts, key) }
+func (s *State) RemoveHost(key string) {
+	delete(s.hosts, key)
+	s.current = nil
+}
 
-// View returns a snapshot of the current state.
+// View returns a snapshot of the current state. It shares with earlier ones what has not changed.
 func (s *State) View() *View {
 	v := &View{
 		Catalog:        s.catalog,
 		endpoints:      map[catalog.ServiceID][]Endpoint{},
 		endpointCounts: map[catalog.ServiceID]map[cicadapitch.ZoneID]int{},
 		Versions:       map[catalog.ServiceID][]cicadapitch.SoftwareVersion{},
-		Evacuated:      map[cicadapitch.ZoneID]bool{},
-	}
-	for z := range s.evacuated {
-		v.Evacuated[z] = true
+		Evacuated:      maps.Clone(s.evacuated),
 	}
-	for _, e := range s.endpoints {
-		if v.endpointCounts[e.Service] == nil {
-			v.endpointCounts[e.Service] = map[cicadapitch.ZoneID]int{}
-		}
-		v.endpointCounts[e.Service][e.Zone]++
-		if !slices.Contains(v.Versions[e.Service], e.Version) {
-			v.Versions[e.Service] = append(v.Versions[e.Service], e.Version)
-		}
-		if !e.Leaving && !s.evacuated[e.Zone] {
-			v.endpoints[e.Service] = append(v.endpoints[e.Service], e)
-		}
+	for id, service := range s.services {
+		l := service.list(s.evacuated)
+		v.endpoints[id], v.endpointCounts[id], v.Versions[id] = l.endpoints, l.counts, l.versions
 	}
-	for _, list := range v.endpoints {
-		slices.SortFunc(list, func(a, b Endpoint) int { return compareIDs(a.ID, b.ID) })
+	if s.current == nil {
+		s.current = s.currentHosts()
 	}
-	v.Hosts = s.currentHosts()
-	slices.SortFunc(v.Hosts, func(a, b Host) int { return compareIDs(a.Incarnation, b.Incarnation) })
+	v.Hosts = s.current
 	return v
 }
 
-// currentHosts returns the hosts without those whose address a later process has taken.
+// currentHosts returns the hosts without those whose address a later process has taken, sorted.
 func (s *State) currentHosts() []Host {
 	latest := map[string]Host{}
 	for _, h := range s.hosts {
@@ -153,7 +180,7 @@
 			latest[h.Peers] = h
 		}
 	}
-	return slices.Collect(maps.Values(latest))
+	return slices.SortedFunc(maps.Values(latest), func(a, b Host) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 }
 
 // EndpointAt returns the endpoint with an address that takes requests.
@@ -166,6 +193,16 @@
 	return Endpoint{}, false
 }
 
+// Contains reports whether an endpoint takes requests.
+func (v *View) Contains(id cicadapitch.EndpointID) bool {
+	for _, list := range v.endpoints {
+		if _, ok := findEndpoint(list, id); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Addresses returns the addresses of the endpoints that take requests.
 func (v *View) Addresses() []string {
 	var out []string
@@ -180,16 +217,6 @@
 // Takes reports whether the endpoint's process still takes requests at the same address.
 func (v *View) Takes(e catalog.Endpoint) bool {
 	list := v.endpoints[e.Service]
-	i, ok := slices.BinarySearchFunc(list, e.ID, func(e Endpoint, id cicadapitch.EndpointID) int { return compareIDs(e.ID, id) })
+	i, ok := findEndpoint(list, e.ID)
 	return ok && list[i].Address == e.Address && list[i].Started == e.Started
 }
-
-func compareIDs[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,16 +197,10 @@
 		return
 	}
 	g.origins.history.Observe(g.clock.Now(), v.Versions)
-	known := map[cicadapitch.EndpointID]bool{}
-	for s := range v.Catalog.Services {
-		for _, e := range v.Endpoints(s) {
-			known[e.ID] = true
-		}
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.chooser.Retain(func(id cicadapitch.EndpointID) bool { return known[id] })
-	g.limits.Retain(g.clock.Now(), func(id cicadapitch.EndpointID) bool { return known[id] })
+	g.chooser.Retain(v.Contains)
+	g.limits.Retain(g.clock.Now(), v.Contains)
 }
 
 // Loads returns this host's running calls by endpoint.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -530,15 +530,15 @@
 		m.seenAt[h.ID] = now
 	}
 	maps.DeleteFunc(m.seenAt, func(_ cicadapitch.HostID, at cicadapitch.Instant) bool { return now.Sub(at) >= recentHostTime })
+	listed := make(map[string]bool, len(v.Hosts))
 	for _, h := range v.Hosts {
 		m.seenAt[h.ID] = now
+		listed[h.Incarnation] = true
 		if m.peers[h.Incarnation] == nil {
 			m.peers[h.Incarnation] = &peerState{graceStart: now}
 		}
 	}
-	maps.DeleteFunc(m.peers, func(incarnation string, _ *peerState) bool {
-		return !slices.ContainsFunc(v.Hosts, func(h fleet.Host) bool { return h.Incarnation == incarnation })
-	})
+	maps.DeleteFunc(m.peers, func(incarnation string, _ *peerState) bool { return !listed[incarnation] })
 	maps.DeleteFunc(m.cutOffAt, func(_ string, at cicadapitch.Instant) bool { return now.Sub(at) >= cutOffReportTTL })
 	maps.DeleteFunc(m.downAt, func(_ string, at cicadapitch.Instant) bool { return now.Sub(at) >= downReportTTL })
 	m.view.Store(v)
