fleet: the changes since a revision are found among those stored last

Cause: the hosts that follow the store answer all others with the changes since a revision, 49 each for every change at 300 hosts; each answer, and each change, went through all keys. Change: a mirror remembers the keys stored last and the removals in their order. Measured: the last change among 3,300 keys 61 µs before, 0.75 µs after (BenchmarkChangesSince); a property test compares with all keys, across what is remembered and forgotten.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -34,8 +34,23 @@
 	// that a listing skipped.
 	knownFrom cicadapitch.StoreRevision
 	gaps      []span
+	// recent holds the keys and revisions that were stored last. All others are of recentFrom or
+	// before.
+	recent     []storedKey
+	recentFrom cicadapitch.StoreRevision
+	// removed holds the removed keys in the order in which their removals were stored.
+	removed []storedKey
 }
 
+// storedKey says that a key was stored with a revision. A later one may have replaced that.
+type storedKey struct {
+	key      string
+	revision cicadapitch.StoreRevision
+}
+
+// maxRecent bounds the keys that a Mirror remembers as stored last.
+const maxRecent = 512
+
 // span is the revisions between two others.
 type span struct{ after, next cicadapitch.StoreRevision }
 
@@ -79,8 +94,13 @@
 			continue
 		}
 		m.records[r.Key] = storedRecord{r, now}
+		m.recent = append(m.recent, storedKey{r.Key, r.Revision})
+		if r.Removed {
+			m.removed = append(m.removed, storedKey{r.Key, r.Revision})
+		}
 		applied = append(applied, r)
 	}
+	m.trimRecent()
 	m.revision = max(m.revision, upTo)
 	m.removeTombstones(now)
 	return applied
@@ -156,6 +176,17 @@
 // removals, in no particular order.
 func (m *Mirror) ChangesSince(revision cicadapitch.StoreRevision) []Record {
 	var changes []Record
+	if revision >= m.recentFrom {
+		for _, k := range m.recent {
+			if k.revision <= revision {
+				continue
+			}
+			if stored, ok := m.records[k.key]; ok && stored.Revision == k.revision {
+				changes = append(changes, stored.Record)
+			}
+		}
+		return changes
+	}
 	for _, stored := range m.records {
 		if stored.Revision > revision {
 			changes = append(changes, stored.Record)
@@ -164,13 +195,30 @@
 	return changes
 }
 
+// trimRecent forgets the first of the recent keys if there are twice as many as are kept.
+func (m *Mirror) trimRecent() {
+	if len(m.recent) <= 2*maxRecent {
+		return
+	}
+	older := len(m.recent) - maxRecent
+	for _, k := range m.recent[:older] {
+		m.recentFrom = max(m.recentFrom, k.revision)
+	}
+	m.recent = slices.Clone(m.recent[older:])
+}
+
 // removeTombstones deletes the records of keys that were removed more than
 // tombstoneLife ago. Changes from before their removal are no longer known.
 func (m *Mirror) removeTombstones(now cicadapitch.Instant) {
-	for k, stored := range m.records {
-		if stored.Removed && now.Sub(stored.storedAt) > tombstoneLife {
-			delete(m.records, k)
-			m.knownFrom = max(m.knownFrom, stored.Revision)
+	for len(m.removed) > 0 {
+		k := m.removed[0]
+		if stored, ok := m.records[k.key]; ok && stored.Removed && stored.Revision == k.revision {
+			if now.Sub(stored.storedAt) <= tombstoneLife {
+				return
+			}
+			delete(m.records, k.key)
+			m.knownFrom = max(m.knownFrom, k.revision)
 		}
+		m.removed = m.removed[1:]
 	}
 }
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -1,8 +1,13 @@
 package fleet_test
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -78,3 +83,50 @@
 	require.Equal(t, fleet.Listing, scopeSince(12), "the removal of a is forgotten")
 	require.Equal(t, fleet.AllChanges, scopeSince(20))
 }
+
+// TestChangesSinceAreThoseOfAllKeys covers more keys than a mirror remembers as stored last, that arrive out of
+// order, and removals that are forgotten.
+func TestChangesSinceAreThoseOfAllKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := fleet.NewMirror()
+		all, removedAt := map[string]fleet.Record{}, map[string]cicadapitch.Instant{}
+		next, now := cicadapitch.StoreRevision(0), start
+		for range rapid.IntRange(1, 12).Draw(t, "batches") {
+			now = now.Add(cicadapitch.Millis(rapid.IntRange(0, 30_000).Draw(t, "pause")))
+			var batch []fleet.Record
+			for range rapid.IntRange(0, 600).Draw(t, "changes") {
+				next++
+				key := fmt.Sprint("k", int(next)*7919%1500)
+				batch = append(batch, fleet.Record{Key: key, Revision: next, Removed: next%5 == 0})
+			}
+			if rapid.Bool().Draw(t, "reversed") {
+				slices.Reverse(batch)
+			}
+			m.Apply(now, batch, next)
+			for _, r := range batch {
+				if r.Revision > all[r.Key].Revision {
+					all[r.Key], removedAt[r.Key] = r, now
+				}
+			}
+			maps.DeleteFunc(all, func(key string, r fleet.Record) bool {
+				return r.Removed && now.Sub(removedAt[key]) > cicadapitch.Minute
+			})
+			since := cicadapitch.StoreRevision(rapid.Int64Range(0, int64(next)).Draw(t, "since"))
+			expected := lo.PickBy(all, func(_ string, r fleet.Record) bool { return r.Revision > since })
+			byRevision := func(a, b fleet.Record) int { return cmp.Compare(a.Revision, b.Revision) }
+			require.Equal(t, slices.SortedFunc(maps.Values(expected), byRevision), slices.SortedFunc(slices.Values(m.ChangesSince(since)), byRevision))
+		}
+	})
+}
+
+// BenchmarkChangesSince measures the answer to a host that lacks the last change of a large deployment.
+func BenchmarkChangesSince(b *testing.B) {
+	m := fleet.NewMirror()
+	const keys = 3300
+	for i := range cicadapitch.StoreRevision(keys) {
+		m.Apply(start, []fleet.Record{record(fmt.Sprint("k", i), i+1)}, i+1)
+	}
+	for b.Loop() {
+		m.ChangesSince(keys - 1)
+	}
+}
