fleet: an append to a list of a view copies it

Cause: lets views share lists that had room to append to, so that a reader that appends would write into another view's list. None does today. Change: the lists have no room left. Measured: the new test failed before and passes.

--- a/fleet/servicestate.go
+++ b/fleet/servicestate.go
@@ -56,6 +56,8 @@
 			l.endpoints = append(l.endpoints, e)
 		}
 	}
+	// Views share the lists, so that an append has to copy them.
+	l.endpoints, l.versions = slices.Clip(l.endpoints), slices.Clip(l.versions)
 	s.listed = l
 	return l
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -180,7 +180,7 @@
 			latest[h.Peers] = h
 		}
 	}
-	return slices.SortedFunc(maps.Values(latest), func(a, b Host) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return slices.Clip(slices.SortedFunc(maps.Values(latest), func(a, b Host) int { return cmp.Compare(a.Incarnation, b.Incarnation) }))
 }
 
 // EndpointAt returns the endpoint with an address that takes requests.
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 )
@@ -48,3 +49,17 @@
 	s.RemoveHost("hosts/a")
 	require.Equal(t, []string{"b", "c"}, incarnations())
 }
+
+// TestViewsDoNotShareWhatAnAppendWrites guards against a reader of one view that changes another.
+func TestViewsDoNotShareWhatAnAppendWrites(t *testing.T) {
+	s := fleet.NewState()
+	for i := range 5 {
+		id := string(rune('a' + i))
+		s.SetEndpoint(start, catalog.Endpoint{ID: cicadapitch.EndpointID(id), Service: "s", Leaving: i > 2})
+		s.SetHost("hosts/"+id, fleet.Host{Incarnation: id, Peers: id})
+	}
+	v := s.View()
+	require.Equal(t, len(v.Endpoints("s")), cap(v.Endpoints("s")))
+	require.Equal(t, len(v.Versions["s"]), cap(v.Versions["s"]))
+	require.Equal(t, len(v.Hosts), cap(v.Hosts))
+}
