--- a/bench/propagation/idle.go
+++ b/bench/propagation/idle.go
@@ -9,8 +9,8 @@
 // IdleResult is what a fleet costs that serves nothing.
 type IdleResult struct {
 	Hosts int
-	// StartCalls is the number of calls to the store until idleSettleTime after all hosts were ready,
-	// renewals of leases apart.
+	// StartCalls is the number of calls to the store until all hosts were ready, renewals of leases
+	// apart.
 	StartCalls int64
 	// ReadsPerSecond counts reads, polls and watches of the store by all hosts, RenewalsPerSecond
 	// renewals of leases, WritesPerSecond other writes.
@@ -34,9 +34,9 @@
 	}
 	defer f.Close()
 	r := IdleResult{Hosts: c.Hosts}
-	time.Sleep(idleSettleTime.Duration())
 	calls := f.store.Calls()
 	r.StartCalls = calls.Total() - calls.Renew
+	time.Sleep(idleSettleTime.Duration())
 	before, start, used := f.store.Calls(), time.Now(), processorTime()
 	bytes, _ := f.usage()
 	var ages []cicadapitch.Millis
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -95,8 +95,6 @@
 	// mustList is true while the changes since the last call do not suffice to follow the store,
 	// watchWasSilent if the last watch was ended for its silence. Only FollowStore uses them.
 	mustList, watchWasSilent bool
-	// listedAt is when FollowStore first listed the store, or 0.
-	listedAt atomic.Int64
 	// runCtx is the context of RunHeartbeats, or nil before that.
 	runCtx atomic.Pointer[context.Context]
 	// endWatch ends the watch of the whole store that runs, or is nil.
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -67,7 +67,6 @@
 			return err
 		}
 		m.mustList = false
-		m.listedAt.CompareAndSwap(0, int64(m.clock.Now()))
 	}
 	var (
 		askedAt  cicadapitch.Instant
--- a/membership/storewatchers.go
+++ b/membership/storewatchers.go
@@ -19,23 +19,17 @@
 	// minRecentPeers is the number of other hosts with a recent heartbeat below
 	// which a host watches the store itself.
 	minRecentPeers = 4
-	// firstHeartbeatsTime is how long a host of a large fleet that has started waits for heartbeats
-	// before it watches the store itself.
-	firstHeartbeatsTime cicadapitch.Millis = 1500
 	// watcherRankKey is the key by which the watchers are chosen with fleet.Rank.
 	watcherRankKey = "store"
 )
 
 // shouldWatchStore reports whether this host has to watch the store itself: in a small
-// fleet, with few recent heartbeats some time after its start, or as one of the highest ranked hosts.
-// The caller must not hold mu.
+// fleet, with few recent heartbeats, or as one of the highest ranked hosts. The caller must
+// not hold mu.
 func (m *Membership) shouldWatchStore() bool {
-	if m.allWatch() {
+	if m.allWatch() || m.rankedHosts().recentPeers < minRecentPeers {
 		return true
 	}
-	if m.rankedHosts().recentPeers < minRecentPeers {
-		return m.clock.Now().Sub(cicadapitch.Instant(m.listedAt.Load())) >= firstHeartbeatsTime
-	}
 	return slices.ContainsFunc(m.watchers(), m.IsSelf)
 }
 
