--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -124,10 +124,9 @@
 }
 
 // ChooseEngine chooses a model engine: the first one in the session's rendezvous
-// order whose load is at most maxLoadFactor times the mean plus maxLoadSlack, or
-// the least loaded one if all loads are above this bound. Only engines in the
-// preferred zone are considered if one of them is within the bound. It returns
-// false if no engine may get a call now.
+// order whose load is at most maxLoadFactor times the mean plus maxLoadSlack. The least
+// loaded one always is. Only engines in the preferred zone are considered if one of them
+// is within the bound. ChooseEngine returns false if no engine may get a call now.
 func (c *Chooser) ChooseEngine(now cicadapitch.Instant, list []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, bool) {
 	usable := c.usable(now, list, criteria)
 	if len(usable) == 0 {
@@ -141,12 +140,8 @@
 	if local := c.preferredWithinBound(usable, criteria, bound); len(local) > 0 {
 		usable = local
 	}
-	id := func(e fleet.Endpoint) string { return string(e.ID) }
-	if e, ok := fleet.First(criteria.Session, usable, id, func(e fleet.Endpoint) bool { return float64(c.load(e.ID, criteria)) <= bound }); ok {
-		return e, true
-	}
-	least := lo.Min(lo.Map(usable, func(e fleet.Endpoint, _ int) int { return c.load(e.ID, criteria) }))
-	return fleet.First(criteria.Session, usable, id, func(e fleet.Endpoint) bool { return c.load(e.ID, criteria) == least })
+	withinBound := func(e fleet.Endpoint) bool { return float64(c.load(e.ID, criteria)) <= bound }
+	return fleet.First(criteria.Session, usable, func(e fleet.Endpoint) string { return string(e.ID) }, withinBound)
 }
 
 // preferredWithinBound returns the engines in the preferred zone whose load is at
