gateway: the cause of a loss follows from the end that is logged beside it

Cause: lossOf asked once more what had ended the request, so that a line could name an end and a cause of another moment. Change: it takes the end, and depends on its arguments only. Behaviour as before, but for that moment. Measured: tests of gateway pass with the race detector.

--- a/gateway/losscause.go
+++ b/gateway/losscause.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 
@@ -49,12 +48,12 @@
 // Unwrap returns the refusal.
 func (e stageRefusal) Unwrap() error { return e.refusal }
 
-// lossOf returns why the request was not served that ended with an error, or with the answer of an
-// endpoint if err is nil.
-func (p *proxiedRequest) lossOf(ctx context.Context, err error) lossCause {
+// lossOf returns why a request was not served that ended with an error, or with an answer of the given
+// status if err is nil.
+func lossOf(end requestEnd, status int, err error) lossCause {
 	var stage stageRefusal
-	switch end := p.endOf(ctx, err); {
-	case end == endedByAnswer && p.status >= http.StatusInternalServerError:
+	switch {
+	case end == endedByAnswer && status >= http.StatusInternalServerError:
 		return lossByEndpoint
 	case end == endedByAnswer:
 		return lossByNothing
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -445,7 +445,7 @@
 		g.callTimes.record(now, p.route.Name, now.Sub(p.committedAt))
 	}
 	g.metrics.Tagged(map[string]string{"By": end.String(), "State": state.String()}).Counter("RequestsEnded").Inc(1)
-	loss := p.lossOf(ctx, err)
+	loss := lossOf(end, p.status, err)
 	g.countLoss(p.route.Name, loss)
 	event := g.log.Info().Str("Id", string(p.request.ID)).Str("Route", p.route.Name).Str("Customer", string(p.customer)).
 		Stringer("By", end).Stringer("State", state).Stringer("Loss", loss)
