membership: the first hosts of a ranking, and a host's place in it, are found in one way

Cause: three callers cut the ranking of the hosts themselves, the id by which hosts are ranked stood in six places, and a notice ranked the hosts that follow the store once for each host to find the place of one. Change: hostRanking.first, fleet.HostIncarnation and fleet.Position serve them. Behaviour as before.

--- a/bench/propagation/fleet.go
+++ b/bench/propagation/fleet.go
@@ -252,7 +252,7 @@
 		case <-t.C:
 		}
 		incarnation := h.membership.Incarnation()
-		hosts := fleet.Rank(incarnation, h.membership.Hosts(), func(h fleet.Host) string { return h.Incarnation })
+		hosts := fleet.Rank(incarnation, h.membership.Hosts(), fleet.HostIncarnation)
 		if len(hosts) == 0 {
 			continue
 		}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,8 +27,8 @@
 	Versions map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 	// Evacuated holds the zones that are out of service.
 	Evacuated map[cicadapitch.ZoneID]bool
-	// Hosts are sorted by incarnation and must not be modified. Of several processes at one address only the latest is
-	// among them.
+	// Hosts are sorted by incarnation and must not be modified. Of several processes at one
+	// address only the latest is among them.
 	Hosts []Host
 }
 
@@ -44,6 +44,9 @@
 	Revision cicadapitch.StoreRevision
 }
 
+// HostIncarnation is the id by which hosts are ranked.
+func HostIncarnation(h Host) string { return h.Incarnation }
+
 // Endpoints returns the endpoints of a service that may get work, sorted by id.
 // Endpoints that are leaving or in a zone out of service are not among them.
 func (v *View) Endpoints(s catalog.ServiceID) []Endpoint { return v.endpoints[s] }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -205,7 +205,7 @@
 		return func(string) int { return -1 }
 	}
 	return func(key string) int {
-		return fleet.Position(key, hosts, func(h fleet.Host) string { return h.Incarnation }, hosts[i].Incarnation)
+		return fleet.Position(key, hosts, fleet.HostIncarnation, hosts[i].Incarnation)
 	}
 }
 
--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -86,8 +86,8 @@
 	watchers := m.watchers()
 	notice := EndpointNotice{m.settings.Host, records}
 	for _, h := range m.View().Hosts {
-		senders := fleet.Rank(h.Incarnation, watchers, func(w fleet.Host) string { return w.Incarnation })
-		if m.IsSelf(h) || !lo.ContainsBy(senders[:min(noticeCopies, len(senders))], m.IsSelf) {
+		position := fleet.Position(h.Incarnation, watchers, fleet.HostIncarnation, m.incarnation)
+		if m.IsSelf(h) || position < 0 || position >= noticeCopies {
 			continue
 		}
 		go m.notify(d, h, notice)
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -48,7 +48,7 @@
 	if len(others) <= fanout {
 		return others
 	}
-	return fleet.Rank(incarnation, others, func(h fleet.Host) string { return h.Incarnation })[:fanout]
+	return fleet.Rank(incarnation, others, fleet.HostIncarnation)[:fanout]
 }
 
 // mergeReports stores the down reports and the queue waits of a heartbeat that are
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -153,8 +153,7 @@
 	if !m.allWatch() {
 		return m.watchers()
 	}
-	ranked := m.rankedHosts().rank(watcherRankKey)
-	return ranked[:min(proberCount, len(ranked))]
+	return m.rankedHosts().first(watcherRankKey, proberCount)
 }
 
 // refresh starts a refresh of the knowledge, unless one runs or has just ended in vain, and returns
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -281,12 +281,11 @@
 	if m.allWatch() || m.dialers.Load() == nil {
 		return fleet.Host{}, false
 	}
-	collectors := m.rankedHosts().rank(originRankKey)
-	collectors = collectors[:min(originCollectors, len(collectors))]
+	collectors := m.rankedHosts().first(originRankKey, originCollectors)
 	if len(collectors) == 0 || slices.ContainsFunc(collectors, m.IsSelf) {
 		return fleet.Host{}, false
 	}
-	return fleet.Rank(m.incarnation, collectors, func(h fleet.Host) string { return h.Incarnation })[0], true
+	return fleet.Rank(m.incarnation, collectors, fleet.HostIncarnation)[0], true
 }
 
 // renewOriginLease grants another lease if the keys of the records would not outlive them. Such
--- a/membership/ranking.go
+++ b/membership/ranking.go
@@ -43,6 +43,12 @@
 	m.ranking.Store(nil)
 }
 
+// first returns the first n of the available hosts, or fewer, in the order of rank.
+func (r *hostRanking) first(key string, n int) []fleet.Host {
+	ranked := r.rank(key)
+	return ranked[:min(n, len(ranked))]
+}
+
 // rank returns the available hosts in the rendezvous order for a key. The caller must not modify the
 // result.
 func (r *hostRanking) rank(key string) []fleet.Host {
@@ -50,7 +56,7 @@
 	defer r.mu.Unlock()
 	ranked, ok := r.ranked[key]
 	if !ok {
-		ranked = fleet.Rank(key, r.hosts, func(h fleet.Host) string { return h.Incarnation })
+		ranked = fleet.Rank(key, r.hosts, fleet.HostIncarnation)
 		r.ranked[key] = ranked
 	}
 	return ranked
--- a/membership/storewatchers.go
+++ b/membership/storewatchers.go
@@ -43,8 +43,7 @@
 	if m.outageReported() {
 		n = spareWatcherCount
 	}
-	ranked := m.rankedHosts().rank(watcherRankKey)
-	return ranked[:min(n, len(ranked))]
+	return m.rankedHosts().first(watcherRankKey, n)
 }
 
 // outageReported reports whether a host that has to watch the store said lately that it
