membership, fleet: variables where they are used, and how many recent keys a mirror keeps

Cause: left two variables of a loop outside it; a mirror keeps 512 to 1,024 recent keys, its comment said 512 at most. Change: the variables are the loop's own, the comment says both numbers. Behaviour as before.

--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -48,7 +48,8 @@
 	revision cicadapitch.StoreRevision
 }
 
-// maxRecent bounds the keys that a Mirror remembers as stored last.
+// maxRecent is the number of keys stored last that a Mirror remembers at least. It forgets the others once
+// there are twice as many.
 const maxRecent = 512
 
 // span is the revisions between two others.
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -68,10 +68,6 @@
 		}
 		m.mustList = false
 	}
-	var (
-		askedAt  cicadapitch.Instant
-		revision cicadapitch.StoreRevision
-	)
 	for {
 		if !m.shouldWatchStore() {
 			if err := m.clock.Sleep(ctx, heartbeatInterval); err != nil {
@@ -79,8 +75,7 @@
 			}
 			continue
 		}
-		revision = m.revision()
-		askedAt = m.clock.Now()
+		revision, askedAt := m.revision(), m.clock.Now()
 		events, nextRevision, err := m.watchStore(ctx, revision)
 		if err == nil && len(events) == 0 && nextRevision > revision {
 			// The revision moved on without an event, so the watch missed changes.
