requestlog: the lines of a request and of losses are sorted by one function

Cause: Losses wrote the sort of Filter anew. Change: sortByTime serves both; Filter compares times without a difference that an int of 32 bits could not hold. Measured: tests of requestlog pass.

--- a/requestlog/losses.go
+++ b/requestlog/losses.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
+	sortByTime(lines)
 	type key struct{ route, cause string }
 	first, took := map[key]cicadapitch.RequestID{}, map[key][]cicadapitch.Millis{}
 	for _, l := range lines {
--- a/requestlog/requestlog.go
+++ b/requestlog/requestlog.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 	fields fields
 }
 
-// fields holds the fields of a log line by which Filter selects it.
+// fields holds the fields of a log line that Filter and Losses use.
 type fields struct {
 	At       cicadapitch.Instant
 	Message  string
@@ -78,10 +79,15 @@
 			matched = append(matched, l)
 		}
 	}
-	slices.SortStableFunc(matched, func(a, b Line) int { return int(a.At - b.At) })
+	sortByTime(matched)
 	return matched, nil
 }
 
+// sortByTime sorts lines by the time at which their hosts wrote them.
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
+}
+
 // endpointLookback is how far before the request's first line Filter includes state
 // changes of its endpoints.
 const endpointLookback cicadapitch.Millis = 10_000
