gateway, platform: an answer that has begun takes no other endpoint's answer

Cause: the head was written unless it had been written; that another attempt may only follow a stream that goes on was checked by the status of the second answer, and the choice to make one did not look at the answer. Change: ResponseWriter knows whether an answer has begun and whether another endpoint may write its rest, and refuses all other heads; takeRetry makes no attempt whose result could not be used. An answer of an engine that is no stream is read before it is passed on, as those of plain services, so that another engine can serve the caller if it breaks off. Streams that may not be resumed take the way of the others, without another engine, and are passed on in whole events.

--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -114,14 +114,16 @@
 		p.recordBreak(a.ctx, a.endpoint.ID)
 		return nil, cicadapitch.NewOutcomeUnknown(string(a.endpoint.ID) + " did not go on with the stream: status " + strconv.Itoa(reply.Status) + ", type " + reply.ContentType())
 	}
-	if p.route.Resumable && reply.IsStream() {
+	if reply.IsStream() {
 		events.startPart(a.resumeAfter)
 		next, err = p.relayEvents(ctx, a, events, func() {
 			onFirstEvent()
-			p.recordOrigin(a.endpoint)
+			if p.route.Resumable {
+				p.recordOrigin(a.endpoint)
+			}
 		})
 	} else {
-		err = p.relayStream(a.endpoint, reply, onFirstEvent)
+		err = p.relayNoStream(a, onFirstEvent)
 	}
 	if err != nil && !errors.Is(err, errNotRelayed) {
 		p.recordBreak(a.ctx, a.endpoint.ID)
@@ -130,10 +132,24 @@
 	return next, err
 }
 
+// relayNoStream relays an answer that is no stream of events. It reads the first part of the body before
+// it writes anything, so that another engine can take the place of one whose answer breaks off there.
+func (p *proxiedRequest) relayNoStream(a *engineAttempt, onBegin func()) error {
+	body, err := p.readBuffered(a.reply)
+	if err != nil {
+		return cicadapitch.NewOutcomeUnknown("the answer of " + string(a.endpoint.ID) + " broke off: " + err.Error())
+	}
+	onBegin()
+	if a.reply.Status < 300 {
+		p.recordAnswer()
+	}
+	return p.relayWhole(a.reply, body)
+}
+
 // relayEvents relays a stream to the caller in complete events only, so that
-// another engine can resume it after the last of them. Its errors are those of
-// relayStream. If another engine goes on while this one is silent, relayEvents returns
-// the attempt there.
+// another engine can resume it after the last of them. It returns an OutcomeUnknown error if the
+// stream breaks off, and one that wraps errNotRelayed if the caller cannot get it. If another engine
+// goes on while this one is silent, relayEvents returns the attempt there.
 func (p *proxiedRequest) relayEvents(ctx context.Context, a *engineAttempt, events *eventSplitter, onFirstEvent func()) (*engineAttempt, error) {
 	reads := startStreamReader(a.reply)
 	defer reads.stop(a.reply.Abort)
@@ -153,19 +169,22 @@
 		case read := <-reads.results:
 			reads.ended = read.err != nil
 			r.heard()
-			complete, err := p.completeEvents(a.endpoint, read, events)
-			if err != nil {
-				return nil, err
-			}
-			if len(complete) > 0 || read.err == io.EOF {
+			complete, spoilt := p.completeEvents(a.endpoint, read, events)
+			if len(complete) > 0 || spoilt == nil && read.err == io.EOF {
 				if !begun {
 					begun = true
 					onFirstEvent()
+					if err := p.beginPart(a.reply); err != nil {
+						return nil, err
+					}
 				}
-				if err := p.relayComplete(a.reply, complete); err != nil {
+				if err := p.relayChunk(complete); err != nil {
 					return nil, err
 				}
 			}
+			if spoilt != nil {
+				return nil, spoilt
+			}
 			proof.add(len(read.b), read.err)
 			if done, err := p.checkStreamEnd(a.endpoint, read.err, events); done {
 				return nil, err
@@ -174,25 +193,30 @@
 	}
 }
 
-// completeEvents returns the events that are complete with a read.
+// completeEvents returns the events that are complete with a read, up to the first that does not go on
+// with the stream. The error says that there is such an event, or that the stream ends without one.
 func (p *proxiedRequest) completeEvents(e fleet.Endpoint, read streamRead, events *eventSplitter) ([]byte, error) {
 	complete, err := events.add(read.b)
 	if err == nil && read.err == io.EOF && p.answer.HeaderWritten() {
 		err = events.end()
 	}
 	if err != nil {
-		return nil, cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: " + err.Error())
+		return complete, cicadapitch.NewOutcomeUnknown(string(e.ID) + " did not go on with the stream: " + err.Error())
 	}
 	return complete, nil
 }
 
-// relayComplete relays complete events, after the head of the answer if they are the first.
-func (p *proxiedRequest) relayComplete(reply *platform.Reply, complete []byte) error {
-	if !p.answer.HeaderWritten() {
-		p.beginAnswer(reply.Status)
-		p.answer.WriteResumableHeader(reply)
+// beginPart begins the answer, or a further part of it.
+func (p *proxiedRequest) beginPart(reply *platform.Reply) error {
+	begin := p.answer.WriteHeader
+	if p.route.Resumable {
+		begin = p.answer.WriteResumableHeader
+	}
+	if err := begin(reply); err != nil {
+		return err
 	}
-	return p.relayChunk(complete)
+	p.beginAnswer(reply.Status)
+	return nil
 }
 
 // checkStreamEnd reports whether the stream has ended with the error of a read, and returns that of
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/membership"
-	"cicadapitch.example/cicadapitch/platform"
 )
 
 const (
@@ -149,35 +147,6 @@
 	return cicadapitch.Millis(defaultFirstEventMillis)
 }
 
-// relayStream relays a stream to the caller as it arrives. It calls onFirstEvent
-// before it writes the first bytes. It returns an OutcomeUnknown error if the engine's
-// stream breaks off, or one that wraps errNotRelayed.
-func (p *proxiedRequest) relayStream(e fleet.Endpoint, reply *platform.Reply, onFirstEvent func()) error {
-	buf := make([]byte, streamBufferBytes)
-	proof := p.newAnswerProof(reply)
-	for begun := false; ; {
-		n, err := reply.Read(buf)
-		if n > 0 || err == io.EOF && !begun {
-			if !begun {
-				begun = true
-				onFirstEvent()
-				p.beginAnswer(reply.Status)
-				p.answer.WriteHeader(reply)
-			}
-			if err := p.relayChunk(buf[:n]); err != nil {
-				return err
-			}
-		}
-		proof.add(n, err)
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return cicadapitch.NewOutcomeUnknown("the stream of " + string(e.ID) + " broke off: " + err.Error())
-		}
-	}
-}
-
 // relayChunk writes and flushes a part of the stream. Its error wraps errNotRelayed.
 func (p *proxiedRequest) relayChunk(b []byte) error {
 	_, err := p.answer.Write(b)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -123,12 +123,7 @@
 	if reply.Status < 500 {
 		p.recordSuccess(e.ID, p.g.clock.Now().Sub(start))
 	}
-	p.beginAnswer(reply.Status)
-	p.answer.WriteHeader(reply)
-	if _, err := p.answer.Write(body); err != nil {
-		return true, notRelayed(err)
-	}
-	return true, p.relayRest(reply)
+	return true, p.relayWhole(reply, body)
 }
 
 // checkPlainEndpoint starts a check like checkEndpoint. A further attempt waits for it only
@@ -145,8 +140,16 @@
 	return io.ReadAll(io.LimitReader(reply, maxBufferedBytes))
 }
 
-// relayRest relays the part of a body that readBuffered left.
-func (p *proxiedRequest) relayRest(reply *platform.Reply) error {
+// relayWhole relays an answer that only its endpoint can complete. body is the part that readBuffered has
+// read.
+func (p *proxiedRequest) relayWhole(reply *platform.Reply, body []byte) error {
+	if err := p.answer.WriteHeader(reply); err != nil {
+		return err
+	}
+	p.beginAnswer(reply.Status)
+	if _, err := p.answer.Write(body); err != nil {
+		return notRelayed(err)
+	}
 	_, err := io.Copy(p.answer, reply)
 	return err
 }
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -62,7 +62,7 @@
 func (r *replacement) prepare(ctx context.Context) {
 	p := r.request
 	r.silence.Reset(p.silenceTimeout(true).Duration())
-	if r.prepared != nil || p.attempts >= p.route.MaxAttempts {
+	if r.prepared != nil || p.attempts >= p.route.MaxAttempts || !p.route.Resumable {
 		return
 	}
 	if !r.recorded {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -259,7 +259,7 @@
 // takeRetry reports whether the request may be sent to one more endpoint, and if so,
 // takes the retry from the budget of the service.
 func (p *proxiedRequest) takeRetry() bool {
-	if p.attempts >= p.route.MaxAttempts || p.mayHaveRun && !p.route.Idempotent() {
+	if p.attempts >= p.route.MaxAttempts || p.mayHaveRun && !p.route.Idempotent() || !p.answer.Extensible() {
 		return false
 	}
 	now := p.g.clock.Now()
