gateway: an event that does not follow its stream is not passed on

Cause: events of the first part of a stream were not checked. An event without an id was passed on, and one with an empty id made the host take the stream for one of which nothing was sent, so that another engine began it anew in the same answer. Change: each event needs an id greater than the one before; the first that has none ends the attempt, and another engine goes on after the good events, which are passed on also if they came in the same read. Where none may go on, the stream is cut off. Not proved: that the users' cases are these; their record does not hold the bytes.

--- a/gateway/eventsplitter.go
+++ b/gateway/eventsplitter.go
@@ -16,7 +16,7 @@
 )
 
 // eventSplitter splits a stream of server-sent events, which may come in several parts, into complete
-// events. It checks that a part that goes on with the stream begins after the last event.
+// events. It checks that each of them has an id that follows that of the event before.
 type eventSplitter struct {
 	scanner platform.EventScanner
 	// partial holds the bytes after the last complete event.
@@ -40,43 +40,40 @@
 	}
 }
 
-// add appends bytes of the stream and returns the events that are now complete. The error means that
-// they do not go on with the stream; none of them may be used then.
-func (s *eventSplitter) add(b []byte) ([]byte, error) {
-	end := s.scanner.Scan(b)
-	if end == 0 {
-		s.partial = append(s.partial, b...)
-		return nil, nil
-	}
-	complete := append(s.partial, b[:end]...)
-	s.partial = append([]byte(nil), b[end:]...)
-	// Line ends may be LF, CR or CRLF.
-	lines := bytes.ReplaceAll(bytes.ReplaceAll(complete, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
-	for event := range bytes.SplitSeq(lines, []byte("\n\n")) {
-		if err := s.addEvent(event); err != nil {
-			return nil, err
+// add appends bytes of the stream and returns the events that are now complete. If one does not go on
+// with the stream, add returns those before it and an error; neither it nor what follows may be used.
+func (s *eventSplitter) add(b []byte) (complete []byte, err error) {
+	for err == nil {
+		end := s.scanner.ScanEvent(b)
+		if end == 0 {
+			s.partial = append(s.partial, b...)
+			return complete, nil
+		}
+		event := append(s.partial, b[:end]...)
+		b, s.partial = b[end:], nil
+		if err = s.addEvent(event); err == nil {
+			complete = append(complete, event...)
 		}
 	}
-	return complete, nil
+	return complete, err
 }
 
 // addEvent records a complete event.
 func (s *eventSplitter) addEvent(event []byte) error {
-	id, hasID, hasField := "", false, false
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	id, hasField := "", false
+	// Line ends may be LF, CR or CRLF.
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, hasID = string(bytes.TrimSpace(value)), true
+			id = string(bytes.TrimSpace(value))
 		}
 		// A line that begins with a colon is a comment.
-		hasField = hasField || len(line) > 0 && line[0] != ':'
+		hasField = hasField || line[0] != ':'
 	}
 	switch {
 	case !hasField:
 		return nil
-	case !hasID && s.continues:
+	case id == "":
 		return errEventWithoutID
-	case !hasID:
-		return nil
 	case !s.follows(id):
 		return errEventOrder
 	}
@@ -84,15 +81,21 @@
 	return nil
 }
 
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
 // follows reports whether an event with an id may come next, and records whether ids leave gaps.
 func (s *eventSplitter) follows(id string) bool {
 	last, err := strconv.ParseUint(s.lastID, 10, 64)
 	next, nextErr := strconv.ParseUint(id, 10, 64)
-	if err != nil || nextErr != nil {
-		return !s.continues || id != s.lastID
-	}
-	if s.continues {
-		return next > last && (s.gaps || !s.known || next == last+1)
+	switch {
+	case s.lastID == "":
+		return true
+	case err != nil && nextErr != nil:
+		return id != s.lastID // ids of this stream are no numbers
+	case err != nil || nextErr != nil || next <= last:
+		return false
+	case s.continues:
+		return s.gaps || !s.known || next == last+1
 	}
 	s.known = true
 	s.gaps = s.gaps || next != last+1
