platform, fleet, membership: a revision of the store carries the store's era

Nothing read the era that the store names in each answer. Change: StoreRevision is one ordered number with the era above the number, made in the store's client, so that mirror, ages of knowledge, notices and conditions compare as before. Messages between hosts name the era beside the bare numbers that earlier builds know. What hosts know beyond the copy stays in force until its writers write again, for a bounded time; a host registers anew and writes the secret if the copy lacks it.

--- a/fleet/knowledge.go
+++ b/fleet/knowledge.go
@@ -124,6 +124,9 @@
 	if c == nil {
 		return true
 	}
+	if c.Revision.Era() < k.upTo.Era() {
+		return true // the store has come back from a copy since that host asked it
+	}
 	// The claim was made later than the question was asked, so it is at most that old.
 	asOf := askedAt.Add(-max(c.Age, 0))
 	k.hearOf(asOf)
--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -20,6 +20,19 @@
 	Removed  bool
 }
 
+// Change is a record that replaced the one that was known of its key.
+type Change struct {
+	Record
+	// Before is the record before, or has no revision if there was none.
+	Before Record
+}
+
+// Restored reports whether the record is the first of its key that is known of a later era of the store.
+// The store may have it from a copy that is older than Before.
+func (c Change) Restored() bool {
+	return c.Before.Revision != 0 && c.Before.Revision.Era() < c.Revision.Era()
+}
+
 type storedRecord struct {
 	Record
 	storedAt cicadapitch.Instant
@@ -88,10 +101,11 @@
 // Apply merges changes. With them, the copy is complete up to the revision upTo.
 // It ignores records that are not newer than the stored ones and returns the
 // others.
-func (m *Mirror) Apply(now cicadapitch.Instant, changes []Record, upTo cicadapitch.StoreRevision) []Record {
-	var applied []Record
+func (m *Mirror) Apply(now cicadapitch.Instant, changes []Record, upTo cicadapitch.StoreRevision) []Change {
+	var applied []Change
 	for _, r := range changes {
-		if stored, ok := m.records[r.Key]; ok && stored.Revision >= r.Revision {
+		stored, ok := m.records[r.Key]
+		if ok && stored.Revision >= r.Revision {
 			continue
 		}
 		m.records[r.Key] = storedRecord{r, now}
@@ -99,7 +113,7 @@
 		if r.Removed {
 			m.removed = append(m.removed, storedKey{r.Key, r.Revision})
 		}
-		applied = append(applied, r)
+		applied = append(applied, Change{r, stored.Record})
 	}
 	m.trimRecent()
 	m.revision = max(m.revision, upTo)
@@ -110,7 +124,7 @@
 // Replace merges a full listing of the keys below prefix, taken at the revision listedAt.
 // Stored keys that the listing lacks are marked as removed unless they are newer
 // than the listing. It returns the records that changed.
-func (m *Mirror) Replace(now cicadapitch.Instant, prefix string, listing []Record, listedAt cicadapitch.StoreRevision) []Record {
+func (m *Mirror) Replace(now cicadapitch.Instant, prefix string, listing []Record, listedAt cicadapitch.StoreRevision) []Change {
 	listed := make(map[string]bool, len(listing))
 	for _, r := range listing {
 		listed[r.Key] = true
@@ -138,7 +152,7 @@
 
 // knowsSince reports whether all changes after a revision are known.
 func (m *Mirror) knowsSince(revision cicadapitch.StoreRevision) bool {
-	return revision >= m.knownFrom && !slices.ContainsFunc(m.gaps, func(g span) bool {
+	return revision.Era() == m.revision.Era() && revision >= m.knownFrom && !slices.ContainsFunc(m.gaps, func(g span) bool {
 		return revision > g.after && revision < g.next
 	})
 }
@@ -163,7 +177,7 @@
 
 // Merge applies the answer of another host that is complete up to a revision, and returns the
 // records that changed.
-func (m *Mirror) Merge(now cicadapitch.Instant, records []Record, scope Scope, upTo cicadapitch.StoreRevision) []Record {
+func (m *Mirror) Merge(now cicadapitch.Instant, records []Record, scope Scope, upTo cicadapitch.StoreRevision) []Change {
 	switch {
 	case scope == AllChanges:
 		return m.Apply(now, records, upTo)
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -34,7 +34,10 @@
 	m := fleet.NewMirror()
 	m.Apply(start, []fleet.Record{record("own/a", 3), record("own/b", 9), record("x", 1)}, 9)
 	changed := m.Replace(start, "own/", []fleet.Record{record("own/c", 4)}, 6)
-	require.ElementsMatch(t, []fleet.Record{record("own/c", 4), {Key: "own/a", Revision: 6, Removed: true}}, changed)
+	require.ElementsMatch(t, []fleet.Change{
+		{Record: record("own/c", 4)},
+		{Record: fleet.Record{Key: "own/a", Revision: 6, Removed: true}, Before: record("own/a", 3)},
+	}, changed)
 }
 
 // TestMirrorsAgreeInAnyOrder guards against a result that depends on the order in
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -84,7 +84,7 @@
 
 // recordEndCheck logs and counts the result of a check, and records a crash.
 func (g *Gateway) recordEndCheck(e fleet.Endpoint, runs []brokenRun, ended bool) {
-	g.log.Info().Str("Endpoint", string(e.ID)).Int64("EntryRevision", int64(e.Revision)).
+	g.log.Info().Str("Endpoint", string(e.ID)).Int64("EntryRevision", e.Revision.Number()).
 		Int("BrokenAnswers", len(runs)).Bool("Ended", ended).Msg("endpoint check")
 	if ended {
 		g.metrics.Tagged(map[string]string{"Service": string(e.Service)}).Counter("EndpointsEnded").Inc(1)
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -56,7 +56,7 @@
 // connections over a path that is cut hang, so they are closed.
 func (g *Gateway) logPath(c relay.Change) {
 	e, _ := g.membership.View().EndpointAt(c.Address)
-	g.log.Info().Str("Endpoint", string(e.ID)).Int64("EntryRevision", int64(e.Revision)).Str("Address", c.Address).
+	g.log.Info().Str("Endpoint", string(e.ID)).Int64("EntryRevision", e.Revision.Number()).Str("Address", c.Address).
 		Stringer("From", c.From).Stringer("To", c.To).Int64("AfterMs", int64(c.After)).Msg("path")
 	g.metrics.Tagged(map[string]string{"To": c.To.String()}).Counter("PathChanges").Inc(1)
 	if c.To == relay.Relayed {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -322,7 +322,7 @@
 // its connection. reply is nil if err is not.
 func (p *proxiedRequest) logSent(e fleet.Endpoint, sinceChoice cicadapitch.Millis, inputs int, resumeAfter string, reply *platform.Reply, err error) {
 	event := p.g.log.Info().Str("Id", string(p.request.ID)).Str("Endpoint", string(e.ID)).Str("Version", string(e.Version)).
-		Int64("EntryRevision", int64(e.Revision)).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
+		Int64("EntryRevision", e.Revision.Number()).Int64("LeftMs", int64(p.remaining())).Int("Inputs", inputs).
 		Int64("SinceChoiceMs", int64(sinceChoice))
 	if s := p.g.stop.Load(); s != nil {
 		p.commitMu.Lock()
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -318,7 +318,7 @@
 		}
 	}
 	r.shards.log.Info().Str("Service", r.shard.Key()).Uint64("Call", uint64(c.ID)).Str("Endpoint", string(c.Endpoint.ID)).
-		Int64("EntryRevision", int64(c.Endpoint.Revision)).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
+		Int64("EntryRevision", c.Endpoint.Revision.Number()).Int("Pieces", len(c.Pieces)).Strs("Ids", ids).
 		Int64("ExpectedMs", int64(c.ExpectedDuration)).Int("Queued", c.Queued).Int64("RoomUsed", int64(c.RoomUsed)).Msg("stage call")
 }
 
--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -70,7 +70,7 @@
 	start := m.clock.Now()
 	c, err := platform.DecodeCatalog(r.Value)
 	if err != nil {
-		m.log.Error().Err(err).Int64("Revision", int64(r.Revision)).Msg("invalid configuration in the store ignored; the previous one stays in force")
+		m.log.Error().Err(err).Int64("Revision", r.Revision.Number()).Msg("invalid configuration in the store ignored; the previous one stays in force")
 		return
 	}
 	// The result shares with the catalog in force what did not change.
@@ -96,7 +96,7 @@
 	}
 	m.mu.Unlock()
 	age := m.lag.Age(now)
-	m.log.Info().Int64("Version", c.Version).Int64("Revision", int64(s.revision)).Str("From", s.from).
+	m.log.Info().Int64("Version", c.Version).Int64("Revision", s.revision.Number()).Str("From", s.from).
 		Bool("InForce", adopted).Int("Routes", c.Routes()).Int64("AgeMs", int64(age)).Int64("Base", s.base).
 		Int("Bytes", s.bytes).Int64("TookMs", int64(s.took)).Int64("DecodeMs", int64(s.decodeTook)).Msg("configuration")
 	if adopted {
@@ -116,7 +116,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return CatalogHead{Version: c.Version, Revision: m.catalogRevision, Age: m.lag.Age(now)}
+	era := m.catalogRevision.Era()
+	return CatalogHead{Version: c.Version, Era: era, Revision: bareRevision(m.catalogRevision, era), Age: m.lag.Age(now)}
 }
 
 // announceCatalog tells the hosts that get heartbeats from this one of its configuration, in
@@ -221,7 +222,7 @@
 	}
 	now := m.clock.Now()
 	m.adoptCatalog(next, catalogSource{
-		from: address, revision: reply.Head.Revision, age: reply.Head.Age, bytes: len(reply.Change),
+		from: address, revision: fullRevision(reply.Head.Revision, m.eraOf(reply.Head.Era)), age: reply.Head.Age, bytes: len(reply.Change),
 		took: received.Sub(start), decodeTook: now.Sub(received), base: change.From, change: reply.Change,
 	})
 	return nil
@@ -230,7 +231,7 @@
 // readCatalog reads the whole configuration from the store because no host serves it.
 func (m *Membership) readCatalog(ctx context.Context, latest int64, age cicadapitch.Millis) {
 	kv, err := m.store.Get(ctx, platform.CatalogKey())
-	m.log.Info().Int64("Latest", latest).Int64("AgeMs", int64(age)).Int64("Revision", int64(kv.Revision)).Err(err).Msg("configuration read from the store: no host serves it")
+	m.log.Info().Int64("Latest", latest).Int64("AgeMs", int64(age)).Int64("Revision", kv.Revision.Number()).Err(err).Msg("configuration read from the store: no host serves it")
 	if err == nil {
 		m.applyCatalogRecord(fleet.Record{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}, "store")
 	}
--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -54,7 +54,7 @@
 }
 
 // endsUse reports whether a record of an endpoint says that it takes no more requests.
-func endsUse(r fleet.Record, _ int) bool {
+func endsUse(r fleet.Record) bool {
 	id, ok := platform.EndpointIDFromKey(r.Key)
 	if !ok || r.Removed {
 		return ok
@@ -65,7 +65,7 @@
 
 // applyPart merges some of the changes up to their revisions; the mirror is not complete up to
 // these. It returns the records that changed.
-func (m *Membership) applyPart(records []fleet.Record, s source) []fleet.Record {
+func (m *Membership) applyPart(records []fleet.Record, s source) []fleet.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -77,14 +77,18 @@
 // announceEndpoints tells other hosts of the endpoints that take no more requests by changes which
 // this host has learned from the store, in the background: those hosts of a large fleet for which
 // this one is among the first noticeCopies watchers.
-func (m *Membership) announceEndpoints(changed []fleet.Record) {
+func (m *Membership) announceEndpoints(changed []fleet.Change) {
 	d := m.dialers.Load()
-	records := lo.Filter(changed, endsUse)
+	records := lo.FilterMap(changed, func(c fleet.Change, _ int) (fleet.Record, bool) {
+		// What a copy of the store lacks is most likely written again.
+		return c.Record, endsUse(c.Record) && !(c.Removed && c.Restored())
+	})
 	if d == nil || len(records) == 0 || m.allWatch() {
 		return
 	}
 	watchers := m.watchers()
-	notice := EndpointNotice{m.settings.Host, records}
+	era := latestRevision(records).Era()
+	notice := EndpointNotice{m.settings.Host, era, bareRecords(records, era)}
 	for _, h := range m.View().Hosts {
 		position := fleet.Position(h.Incarnation, watchers, fleet.HostIncarnation, m.incarnation)
 		if m.IsSelf(h) || position < 0 || position >= noticeCopies {
@@ -96,7 +100,7 @@
 
 // notify sends a notice to a host, again if that fails while the host may lack its records.
 func (m *Membership) notify(d *Dialers, h fleet.Host, n EndpointNotice) {
-	latest := lo.MaxBy(n.Records, func(a, b fleet.Record) bool { return a.Revision > b.Revision }).Revision
+	latest := latestRevision(fullRecords(n.Records, n.Era))
 	for try := 1; try <= noticeTries && m.revisionOf(h) < latest; try++ {
 		start := m.clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout.Duration())
@@ -111,6 +115,10 @@
 	}
 }
 
+func latestRevision(records []fleet.Record) cicadapitch.StoreRevision {
+	return lo.MaxBy(records, func(a, b fleet.Record) bool { return a.Revision > b.Revision }).Revision
+}
+
 // revisionOf returns the revision of the store in the last heartbeat of a host.
 func (m *Membership) revisionOf(h fleet.Host) cicadapitch.StoreRevision {
 	m.mu.Lock()
@@ -123,5 +131,5 @@
 
 // applyNotice applies a notice of another host.
 func (m *Membership) applyNotice(n EndpointNotice) {
-	m.applyPart(n.Records, source{string(n.Host), byNotice})
+	m.applyPart(fullRecords(n.Records, m.eraOf(n.Era)), source{string(n.Host), byNotice})
 }
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -41,6 +41,15 @@
 // If that is missing for a time that differs between hosts, Secret reads the store itself and creates the
 // secret if there is none. It retries failed store calls until ctx ends; its only error is that of ctx.
 func (m *Membership) Secret(ctx context.Context) ([]byte, error) {
+	secret, err := m.findSecret(ctx)
+	if err == nil {
+		m.secret.Store(&secret)
+	}
+	return secret, err
+}
+
+// findSecret implements Secret.
+func (m *Membership) findSecret(ctx context.Context) ([]byte, error) {
 	start, own := m.clock.Now(), cicadapitch.Millis(rand.Int64N(int64(maxSecretWait)))
 	for ; ; own += retryMinDelay {
 		for m.clock.Now().Sub(start) < own {
@@ -90,7 +99,7 @@
 // the configuration at s, and makes calls with d from then on.
 func (m *Membership) EnablePeerCalls(s *peer.Server, d Dialers) {
 	peer.Handle(s, callHeartbeat, func(_ context.Context, hb Heartbeat) (Heartbeat, error) {
-		m.receiveHeartbeat(hb.Checked())
+		m.receiveHeartbeat(m.checkHeartbeat(hb))
 		return m.newHeartbeat(), nil
 	})
 	peer.Handle(s, callSync, m.serveSync)
@@ -113,17 +122,21 @@
 // serveSync answers a SyncRequest. A host of an earlier build gets the configuration with
 // the records, or an error if this host knows it only by changes.
 func (m *Membership) serveSync(_ context.Context, r SyncRequest) (SyncReply, error) {
+	since := fullRevision(r.Since, m.eraOf(r.Era))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reply := SyncReply{Revision: m.mirror.Revision(), Endpoints: m.knowledge.Claim(m.clock.Now())}
-	reply.Records, reply.Scope = m.mirror.Answer(r.Since, r.TakesListing)
-	if r.WithoutCatalog || m.catalogRevision <= r.Since {
+	revision := m.mirror.Revision()
+	era := revision.Era()
+	reply := SyncReply{Era: era, Revision: bareRevision(revision, era), Endpoints: bareClaim(m.knowledge.Claim(m.clock.Now()), era)}
+	records, scope := m.mirror.Answer(since, r.TakesListing)
+	reply.Records, reply.Scope = bareRecords(records, era), scope
+	if r.WithoutCatalog || m.catalogRevision <= since {
 		return reply, nil
 	}
-	if m.catalogRecord.Revision < m.catalogRevision {
+	if m.catalogRecord.Revision < m.catalogRevision || m.catalogRecord.Revision.Era() != era {
 		return SyncReply{}, cicadapitch.NewError(cicadapitch.Unavailable, "this host has the configuration in another form", "ask another host or the store")
 	}
-	reply.Records = append(reply.Records, m.catalogRecord)
+	reply.Records = append(reply.Records, bareRecords([]fleet.Record{m.catalogRecord}, era)...)
 	return reply, nil
 }
 
@@ -139,8 +152,11 @@
 	for shard, w := range ownWaits {
 		waits[shard] = AgedWaits{Waits: w}
 	}
+	revision := m.mirror.Revision()
+	era := revision.Era()
 	return Heartbeat{
-		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready, Revision: m.mirror.Revision(), Endpoints: m.knowledge.Claim(now),
+		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready,
+		Era: era, Revision: bareRevision(revision, era), Endpoints: bareClaim(m.knowledge.Claim(now), era),
 		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp && m.storeFailedAt > 0,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
@@ -263,7 +279,7 @@
 		m.logMissedHeartbeat(h, err)
 		return
 	}
-	hb = hb.Checked()
+	hb = m.checkHeartbeat(hb)
 	if hb.Incarnation != h.Incarnation {
 		m.RecordEnded(h)
 	}
@@ -316,9 +332,11 @@
 // fetchChanges fetches the store changes that h has and this host lacks. It logs its error.
 func (m *Membership) fetchChanges(ctx context.Context, d *peer.Dialer, h fleet.Host) error {
 	start, since := m.clock.Now(), m.revision()
-	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{Since: since, WithoutCatalog: true, TakesListing: true})
+	r, err := peer.Call[SyncRequest, SyncReply](ctx, d, h.Peers, callSync, SyncRequest{
+		Era: since.Era(), Since: bareRevision(since, since.Era()), WithoutCatalog: true, TakesListing: true,
+	})
 	if err != nil {
-		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", int64(since)).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
+		m.log.Warn().Str("Host", string(h.ID)).Int64("Since", since.Number()).Int64("TookMs", int64(m.clock.Now().Sub(start))).Err(err).Msg("fetching store changes from a host failed")
 		return err
 	}
 	m.applySync(start, r, source{string(h.ID), bySync})
@@ -328,20 +346,21 @@
 // applySync applies the answer of another host to a question that was asked at askedAt. The
 // answer of a host that may not know all changes does not make this one complete.
 func (m *Membership) applySync(askedAt cicadapitch.Instant, r SyncReply, s source) {
-	records := m.applyCatalogs(r.Records, s.from)
+	era := m.eraOf(r.Era)
+	records, revision, claim := m.applyCatalogs(fullRecords(r.Records, era), s.from), fullRevision(r.Revision, era), fullClaim(r.Endpoints, era)
 	m.mu.Lock()
 	now := m.clock.Now()
-	m.updateState(now, m.mirror.Merge(now, records, r.Scope, r.Revision), s)
+	m.updateState(now, m.mirror.Merge(now, records, r.Scope, revision), s)
 	m.mu.Unlock()
 	if r.Scope == fleet.Some {
 		return
 	}
-	m.knowledge.Advance(r.Revision)
-	if r.Endpoints == nil {
+	m.knowledge.Advance(revision)
+	if claim == nil {
 		return
 	}
-	m.knowledge.Advance(r.Endpoints.Revision)
-	m.knowledge.Hear(askedAt, now, r.Endpoints)
+	m.knowledge.Advance(claim.Revision)
+	m.knowledge.Hear(askedAt, now, claim)
 }
 
 // KeepRegistered registers the host in the store and renews its lease until ctx
@@ -379,10 +398,10 @@
 // expired, it writes the host's entry, value, under a new lease.
 func (m *Membership) renewOrRegister(ctx context.Context, value []byte) error {
 	m.mu.Lock()
-	lease := m.lease
+	held := m.lease
 	m.mu.Unlock()
-	if lease != 0 {
-		_, err := m.store.Renew(ctx, lease)
+	if held.id != 0 {
+		err := m.renew(ctx, held)
 		if err != nil && !errors.Is(err, platform.ErrNoLease) {
 			m.markStoreDown(err)
 			return err
@@ -396,11 +415,16 @@
 	if m.leaving.Load() {
 		return nil
 	}
-	lease, err := m.store.Grant(ctx, max(leaseTTL, m.settings.Store.MinLease))
+	lease := hostLease{era: m.store.Era()}
+	if held.id != 0 && held.era != lease.era {
+		m.restoreSecret(ctx)
+	}
+	var err error
+	lease.id, err = m.store.Grant(ctx, max(leaseTTL, m.settings.Store.MinLease))
 	if err != nil {
 		return err
 	}
-	entry := cicadapitch.Write{Key: hostKeyPrefix + m.incarnation, Value: value, Lease: lease}
+	entry := cicadapitch.Write{Key: hostKeyPrefix + m.incarnation, Value: value, Lease: lease.id}
 	_, err = m.store.Commit(ctx, nil, []cicadapitch.Write{entry})
 	m.mu.Lock()
 	leaving := m.leaving.Load()
@@ -410,7 +434,7 @@
 	m.mu.Unlock()
 	if leaving {
 		// Leave did not know the lease.
-		return m.store.Revoke(ctx, lease)
+		return m.endLease(ctx, lease)
 	}
 	return err
 }
--- a/membership/heartbeatcheck.go
+++ b/membership/heartbeatcheck.go
@@ -20,6 +20,9 @@
 // Checked returns the heartbeat without what is out of range, as a heartbeat of another build may
 // have: ages in the future, negative counts, and limits that are no numbers.
 func (hb Heartbeat) Checked() Heartbeat {
+	if !isEra(hb.Era) || hb.Revision < 0 {
+		hb.Era, hb.Revision, hb.Endpoints = 0, 0, nil
+	}
 	if hb.Endpoints != nil && (hb.Endpoints.Revision < 0 || !isAge(hb.Endpoints.Age)) {
 		hb.Endpoints = nil
 	}
@@ -38,6 +41,17 @@
 	return hb
 }
 
+// checkHeartbeat returns a heartbeat of another host without what is out of range, with full revisions.
+func (m *Membership) checkHeartbeat(hb Heartbeat) Heartbeat {
+	hb = hb.Checked()
+	era := m.eraOf(hb.Era)
+	hb.Revision, hb.Endpoints = fullRevision(hb.Revision, era), fullClaim(hb.Endpoints, era)
+	return hb
+}
+
+// isEra reports whether an era of the store is in range.
+func isEra(e cicadapitch.StoreEra) bool { return e >= 0 && e <= cicadapitch.MaxStoreEra }
+
 // isAge reports whether a reported age is in range.
 func isAge(m cicadapitch.Millis) bool { return m >= 0 && m <= maxReportAge }
 
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -120,7 +120,7 @@
 		age = -1
 	}
 	m.log.Info().Stringer("Currency", c).Stringer("Before", before).Int64("AgeMs", int64(age)).
-		Int64("Revision", int64(m.knowledge.UpTo())).Msg("knowledge of endpoints")
+		Int64("Revision", m.knowledge.UpTo().Number()).Msg("knowledge of endpoints")
 }
 
 // confirmKnowledge records that all changes of endpoints up to a revision are applied, which was
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -99,6 +99,8 @@
 	runCtx atomic.Pointer[context.Context]
 	// endWatch ends the watch of the whole store that runs, or is nil.
 	endWatch atomic.Pointer[context.CancelCauseFunc]
+	// secret is the deployment's secret, or nil before it is known.
+	secret atomic.Pointer[[]byte]
 	// syncing is true while store changes are fetched from another host.
 	syncing atomic.Bool
 
@@ -125,10 +127,10 @@
 	peerWaits map[string]timedWaits
 	// dueRevision is what the watch of the whole store has to bring.
 	dueRevision dueRevision
-	// pendingRemovals holds the endpoints whose entries may have expired during an
-	// outage of the store, with the time at which they are removed unless they
-	// register again.
-	pendingRemovals map[cicadapitch.EndpointID]cicadapitch.Instant
+	// pendingRemovals holds the removals of keys whose writers may write them again, by key.
+	pendingRemovals map[string]pendingRemoval
+	// firstEra is the first era of the store that this host has known, loggedEra the last one that was logged.
+	firstEra, loggedEra cicadapitch.StoreEra
 	// storeFailedAt is when a store call last failed. storeRecoveredAt is when store
 	// calls began to succeed, at the start or after a failure.
 	storeFailedAt, storeRecoveredAt cicadapitch.Instant
@@ -140,8 +142,7 @@
 	// peerOutageAt is when another host last reported that it cannot reach the
 	// store.
 	peerOutageAt cicadapitch.Instant
-	// lease is the lease of this host's entry in the store, 0 while it has none.
-	lease cicadapitch.LeaseID
+	lease        hostLease
 	// storedQuarantine holds the quarantined parts in the store, by key.
 	storedQuarantine map[string]string
 	// storedVersions holds the versions of services in the store, by key.
@@ -206,7 +207,7 @@
 		quarantine: quarantine.NewLedger(), limits: placement.NewRateLimits(), storedQuarantine: map[string]string{},
 		versionReads: versionReads{queued: map[catalog.ServiceID]*versionRead{}},
 		mustList:     true,
-		peers:        map[string]*peerState{}, pendingRemovals: map[cicadapitch.EndpointID]cicadapitch.Instant{},
+		peers:        map[string]*peerState{}, pendingRemovals: map[string]pendingRemoval{},
 	}
 	m.leaveCtx, m.cancelLeaveCtx = context.WithCancel(context.Background())
 	for _, opt := range opts {
@@ -269,12 +270,12 @@
 	m.cancelLeaveCtx()
 	m.mu.Lock()
 	lease := m.lease
-	m.lease = 0
+	m.lease = hostLease{}
 	m.mu.Unlock()
-	if lease == 0 {
+	if lease.id == 0 {
 		return
 	}
-	if err := m.store.Revoke(ctx, lease); err != nil {
+	if err := m.endLease(ctx, lease); err != nil {
 		m.log.Warn().Err(err).Msg("removing this host's store entry failed; the entry expires with its lease")
 	}
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -25,6 +25,8 @@
 	Incarnation string
 	// Ready is true while the sender takes callers.
 	Ready bool
+	// Era is the store's era of Revision and Endpoints. It is 0 in messages of earlier builds.
+	Era cicadapitch.StoreEra
 	// Revision is the store revision up to which the sender's mirror is complete.
 	Revision cicadapitch.StoreRevision
 	// Endpoints says how old the sender's knowledge of the endpoints is. It is nil if the sender
@@ -68,7 +70,8 @@
 type CatalogHead struct {
 	// Version is 0 if the host has none.
 	Version int64
-	// Revision is the store's revision of the configuration.
+	// Revision is the store's revision of the configuration, of era Era.
+	Era      cicadapitch.StoreEra
 	Revision cicadapitch.StoreRevision
 	// Age is how long ago a host first knew the version.
 	Age cicadapitch.Millis
@@ -82,7 +85,9 @@
 
 // EndpointNotice carries changes of endpoints' entries that end their use.
 type EndpointNotice struct {
-	Host    cicadapitch.HostID
+	Host cicadapitch.HostID
+	// Era is the store's era of the records. It is 0 in notices of earlier builds.
+	Era     cicadapitch.StoreEra
 	Records []fleet.Record
 }
 
@@ -100,8 +105,9 @@
 	Change []byte
 }
 
-// SyncRequest asks for the store changes after the revision Since.
+// SyncRequest asks for the store changes after the revision Since, of era Era.
 type SyncRequest struct {
+	Era   cicadapitch.StoreEra
 	Since cicadapitch.StoreRevision
 	// WithoutCatalog is true if the sender fetches configurations by CatalogRequest. Hosts
 	// of earlier builds do not.
@@ -113,6 +119,8 @@
 
 // SyncReply carries the requested changes, complete up to Revision as far as Scope says so.
 type SyncReply struct {
+	// Era is the store's era of all revisions. It is 0 in answers of earlier builds.
+	Era      cicadapitch.StoreEra
 	Revision cicadapitch.StoreRevision
 	Records  []fleet.Record
 	// Scope is fleet.Some in answers of earlier builds, which do not know whether they name all
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -82,6 +82,8 @@
 	// usableUntil is when keys need another lease, ttl its lifetime.
 	usableUntil cicadapitch.Instant
 	ttl         cicadapitch.Millis
+	// era is that of the store before the lease was granted.
+	era cicadapitch.StoreEra
 }
 
 // StoreOrigins keeps in the store what outlives all hosts of where streams began, until ctx
@@ -154,7 +156,7 @@
 		unchanged := cicadapitch.Condition{Key: key, Revision: revision}
 		revision, err = m.store.Commit(ctx, []cicadapitch.Condition{unchanged}, []cicadapitch.Write{{Key: key, Value: value}})
 	}
-	m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Int64("Revision", int64(revision)).Err(err).Msg("versions stored")
+	m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Int64("Revision", revision.Number()).Err(err).Msg("versions stored")
 	if err == nil {
 		m.applyPart([]fleet.Record{{Key: key, Value: value, Revision: revision}}, storeWrite)
 	}
@@ -294,7 +296,8 @@
 	longest := slices.MaxFunc(records, func(a, b origin.Record) int { return int(a.Lifetime - b.Lifetime) }).Lifetime
 	ttl := min(max(originLeaseTTL, longest+originLeaseUse), origin.MaxLifetime)
 	now := m.clock.Now()
-	if now < lease.usableUntil && ttl <= lease.ttl {
+	era := m.store.Era()
+	if now < lease.usableUntil && ttl <= lease.ttl && lease.era == era {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout.Duration())
@@ -303,7 +306,7 @@
 	if err != nil {
 		return err
 	}
-	*lease = originLease{id, now.Add(originLeaseUse), ttl}
+	*lease = originLease{id, now.Add(originLeaseUse), ttl, era}
 	return nil
 }
 
--- a/membership/quarantine.go
+++ b/membership/quarantine.go
@@ -68,7 +68,7 @@
 		ctx, cancel := context.WithTimeout(ctx, quarantineWriteTimeout.Duration())
 		defer cancel()
 		revision, err := m.store.Commit(ctx, nil, writes)
-		m.log.Info().Int("Keys", len(writes)).Int64("Revision", int64(revision)).Err(err).Msg("quarantine stored")
+		m.log.Info().Int("Keys", len(writes)).Int64("Revision", revision.Number()).Err(err).Msg("quarantine stored")
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.storingQuarantine = false
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -140,7 +140,7 @@
 	}
 	m.mu.Unlock()
 	if end := m.endWatch.Load(); silent && end != nil {
-		m.log.Info().Int64("Revision", int64(revision)).Int64("Latest", int64(due.revision)).Msg("watch of the store is silent")
+		m.log.Info().Int64("Revision", revision.Number()).Int64("Latest", due.revision.Number()).Msg("watch of the store is silent")
 		m.metrics.Counter("SilentWatches").Inc(1)
 		(*end)(errWatchSilent)
 	}
@@ -251,13 +251,13 @@
 	revision := m.mirror.Revision()
 	m.mu.Unlock()
 	if !wasUp {
-		m.log.Info().Int64("Revision", int64(revision)).Msg("store reachable")
+		m.log.Info().Int64("Revision", revision.Number()).Msg("store reachable")
 	}
 }
 
 // applyListing merges a full listing of the store, taken at the given revision. It returns the
 // records that changed.
-func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) []fleet.Record {
+func (m *Membership) applyListing(list []fleet.Record, revision cicadapitch.StoreRevision) []fleet.Change {
 	list = m.applyCatalogs(list, storeListing.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -269,7 +269,7 @@
 
 // applyChanges merges changes that are complete up to the given revision. It returns the records
 // that changed.
-func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, s source) []fleet.Record {
+func (m *Membership) applyChanges(changes []fleet.Record, revision cicadapitch.StoreRevision, s source) []fleet.Change {
 	changes = m.applyCatalogs(changes, s.from)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -281,32 +281,38 @@
 
 // updateState applies changed records and overdue removals to the state, and publishes
 // a new view if the state changed. The caller holds mu.
-func (m *Membership) updateState(now cicadapitch.Instant, changed []fleet.Record, s source) {
+func (m *Membership) updateState(now cicadapitch.Instant, changed []fleet.Change, s source) {
+	m.noteEra(s)
 	removed := m.removeOverdue(now)
 	if len(changed) == 0 && !removed {
 		return
 	}
-	for _, r := range changed {
-		m.applyRecord(now, r, s)
+	for _, c := range changed {
+		m.applyChange(now, c, s)
 	}
 	m.publish(now)
 }
 
-// applyRecord applies one record to the state, depending on its key. The caller
+// applyChange applies one change to the state, depending on its key. The caller
 // holds mu.
-func (m *Membership) applyRecord(now cicadapitch.Instant, r fleet.Record, s source) {
-	if z, ok := platform.EvacuatedZoneFromKey(r.Key); ok {
-		m.state.SetEvacuated(z, !r.Removed)
-		m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
-			Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("zone")
-		return
-	}
-	if id, ok := platform.EndpointIDFromKey(r.Key); ok {
-		m.applyEndpoint(now, id, r, s)
-		return
-	}
-	if strings.HasPrefix(r.Key, hostKeyPrefix) {
-		m.applyHost(r)
+func (m *Membership) applyChange(now cicadapitch.Instant, c fleet.Change, s source) {
+	r := c.Record
+	if r.Removed {
+		if !m.postponeRemoval(now, c, s) {
+			m.removeKey(r, s)
+		}
+	} else {
+		delete(m.pendingRemovals, r.Key)
+		if z, ok := platform.EvacuatedZoneFromKey(r.Key); ok {
+			m.state.SetEvacuated(z, true)
+			m.logZone(z, r, s)
+		}
+		if id, ok := platform.EndpointIDFromKey(r.Key); ok {
+			m.applyEndpoint(now, id, c, s)
+		}
+		if isHostKey(r.Key) {
+			m.applyHost(c)
+		}
 	}
 	if strings.HasPrefix(r.Key, quarantineKeyPrefix) {
 		m.applyQuarantine(now, r)
@@ -319,22 +325,31 @@
 	}
 }
 
-// applyEndpoint applies a change of an endpoint's entry. If the entry may have
-// expired only because the store was unreachable, the endpoint stays until
-// reregisterGrace is over. The caller holds mu.
-func (m *Membership) applyEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, r fleet.Record, s source) {
-	if r.Removed {
-		// The entry of an endpoint that has said that it leaves did not expire.
-		if m.entriesMayHaveExpired(now) && !m.state.Leaving(id) {
-			m.pendingRemovals[id] = max(m.storeRecoveredAt, m.peerOutageAt, now-cicadapitch.Instant(reregisterGrace)).Add(reregisterGrace)
-			return
-		}
+// removeKey applies the removal of a key. The caller holds mu.
+func (m *Membership) removeKey(r fleet.Record, s source) {
+	delete(m.pendingRemovals, r.Key)
+	if z, ok := platform.EvacuatedZoneFromKey(r.Key); ok {
+		m.state.SetEvacuated(z, false)
+		m.logZone(z, r, s)
+	}
+	if id, ok := platform.EndpointIDFromKey(r.Key); ok {
 		m.state.RemoveEndpoint(id)
-		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("endpoint gone")
+		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", r.Revision.Number()).Str("From", s.from).Stringer("By", s.by).Msg("endpoint gone")
+	}
+	if isHostKey(r.Key) {
+		m.state.RemoveHost(r.Key)
+		m.log.Info().Str("Key", r.Key).Int64("Revision", r.Revision.Number()).Msg("host's store entry removed")
+	}
+}
+
+// applyEndpoint applies an endpoint's entry. The caller holds mu.
+func (m *Membership) applyEndpoint(now cicadapitch.Instant, id cicadapitch.EndpointID, c fleet.Change, s source) {
+	if outdatedByCopy(id, c) {
+		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", c.Revision.Number()).Int64("Era", int64(c.Revision.Era())).
+			Int64("Before", c.Before.Revision.Number()).Msg("endpoint's entry of an older copy ignored until it is written again")
 		return
 	}
-	delete(m.pendingRemovals, id)
-	e, err := platform.DecodeEndpoint(id, r.Value, r.Revision)
+	e, err := platform.DecodeEndpoint(id, c.Value, c.Revision)
 	if err != nil {
 		m.state.RemoveEndpoint(id)
 		m.log.Warn().Str("Endpoint", string(id)).Err(err).Msg("invalid endpoint entry; endpoint not used")
@@ -343,7 +358,12 @@
 	m.state.SetEndpoint(now, e)
 	m.log.Info().Str("Endpoint", string(id)).Str("Address", e.Address).Str("Service", string(e.Service)).
 		Str("Version", string(e.Version)).Bool("Leaving", e.Leaving).Int64("ColdMs", int64(e.ColdFor)).
-		Int64("Revision", int64(r.Revision)).Str("From", s.from).Stringer("By", s.by).Msg("endpoint")
+		Int64("Revision", c.Revision.Number()).Str("From", s.from).Stringer("By", s.by).Msg("endpoint")
+}
+
+func (m *Membership) logZone(z cicadapitch.ZoneID, r fleet.Record, s source) {
+	m.log.Info().Str("Zone", string(z)).Bool("Out", !r.Removed).
+		Int64("Revision", r.Revision.Number()).Str("From", s.from).Stringer("By", s.by).Msg("zone")
 }
 
 // entriesMayHaveExpired reports whether a missing entry may have expired because its
@@ -369,33 +389,10 @@
 	return m.knowledge.HeardOf() > m.storeDownSince && !m.knowledge.Outage(now, outageWindow)
 }
 
-// removeOverdue removes the endpoints that did not register again in time or whose entry did not
-// expire after all, and reports whether there were any. It removes none during an outage of the
-// store. The caller holds mu.
-func (m *Membership) removeOverdue(now cicadapitch.Instant) bool {
-	if len(m.pendingRemovals) == 0 {
-		return false
-	}
-	removed, mayHaveExpired := false, m.entriesMayHaveExpired(now)
-	for id, due := range m.pendingRemovals {
-		if mayHaveExpired && (now < due || !m.storeUp) {
-			continue
-		}
-		delete(m.pendingRemovals, id)
-		m.state.RemoveEndpoint(id)
-		removed = true
-		m.log.Info().Str("Endpoint", string(id)).Bool("MayHaveExpired", mayHaveExpired).Msg("endpoint removed: it did not register again after the store outage")
-	}
-	return removed
-}
+func isHostKey(key string) bool { return strings.HasPrefix(key, hostKeyPrefix) }
 
-// applyHost applies a change of a host's entry. The caller holds mu.
-func (m *Membership) applyHost(r fleet.Record) {
-	if r.Removed {
-		m.state.RemoveHost(r.Key)
-		m.log.Info().Str("Key", r.Key).Int64("Revision", int64(r.Revision)).Msg("host's store entry removed")
-		return
-	}
+// applyHost applies a host's entry. The caller holds mu.
+func (m *Membership) applyHost(r fleet.Change) {
 	var h hostRecord
 	err := platform.DecodeEntry(r.Value, &h)
 	if err == nil && h.Incarnation == "" {
@@ -406,6 +403,10 @@
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of a host ignored")
 		return
 	}
+	if r.Restored() && r.Before.Removed && m.peers[h.Incarnation] == nil {
+		// It has most likely ended since the copy, so that it is available only once it is heard of.
+		m.peers[h.Incarnation] = &peerState{}
+	}
 	m.state.SetHost(r.Key, fleet.Host{ID: h.Host, Incarnation: h.Incarnation, Zone: h.Zone, Callers: h.Callers, Peers: h.Peers, Revision: r.Revision})
-	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", int64(r.Revision)).Msg("host")
+	m.log.Info().Str("Host", string(h.Host)).Str("Incarnation", h.Incarnation).Int64("Revision", r.Revision.Number()).Msg("host")
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -44,6 +44,8 @@
 	history         []cicadapitch.WatchEvent
 	// compactedRevision is the highest revision that history no longer covers.
 	compactedRevision cicadapitch.StoreRevision
+	// era counts the times that the store came back from a copy, from 1.
+	era int64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	calls   Calls
@@ -67,6 +69,7 @@
 		pairs:        make(map[string]cicadapitch.KeyValue),
 		leases:       make(map[cicadapitch.LeaseID]*lease),
 		nextLease:    1,
+		era:          1,
 		changed:      make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/standin/storewatch.go
+++ b/standin/storewatch.go
@@ -102,7 +102,7 @@
 	if s.down {
 		return nil, 0, nil, cicadapitch.NewError(cicadapitch.Unavailable, "the store is down", "list again once it is back")
 	}
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision && s.era > 1 {
 		return nil, 0, nil, cicadapitch.NewError(cicadapitch.NotFound, "the store no longer has the changes", "list again and watch from there")
 	}
 	var list []cicadapitch.WatchEvent
--- a/store.go
+++ b/store.go
@@ -2,10 +2,37 @@
 
 import "context"
 
-// StoreRevision is a revision number of the platform's key-value service. Later
-// writes have higher revisions.
+// StoreRevision is a revision of the platform's key-value service: a number within an era. Later writes
+// have higher revisions. A service that comes back from an older copy gives out numbers again, in a new
+// era whose revisions are higher than all before. 0 is no revision.
 type StoreRevision int64
 
+// StoreEra counts the times that the key-value service has come back from an older copy. It is 0 for a
+// service that names none.
+type StoreEra int64
+
+const (
+	// revisionNumberBits is the size of a number within a StoreRevision. The era has the bits above it.
+	revisionNumberBits = 40
+	// MaxRevisionNumber and MaxStoreEra are the largest values that a StoreRevision can hold.
+	MaxRevisionNumber          = 1<<revisionNumberBits - 1
+	MaxStoreEra       StoreEra = 1<<(63-revisionNumberBits) - 1
+)
+
+// NewStoreRevision returns the revision with a number in an era. Without a number there is none.
+func NewStoreRevision(e StoreEra, number int64) StoreRevision {
+	if number == 0 {
+		return 0
+	}
+	return StoreRevision(int64(e)<<revisionNumberBits | number&MaxRevisionNumber)
+}
+
+// Era returns the era of the revision.
+func (r StoreRevision) Era() StoreEra { return StoreEra(r >> revisionNumberBits) }
+
+// Number returns the number of the revision within its era.
+func (r StoreRevision) Number() int64 { return int64(r) & MaxRevisionNumber }
+
 // LeaseID identifies a lease of the platform's key-value service. 0 means no
 // lease.
 type LeaseID int64
