membership: a watch that was open when a call of the store failed is ended with the next answer

Cause: a lost or silent watch was believed until it had lacked a revision for 2.5 s, which is more than a configuration may take, and a call that failed meanwhile said nothing of it. Change: watches know when they began. A failed call makes those open then suspect, the next answer ends them; one that was open when another answer named a later revision has 0.3 s to bring it. A response of the store that has begun goes on within its time-out.

--- a/membership/endpointnotice.go
+++ b/membership/endpointnotice.go
@@ -35,7 +35,7 @@
 		}
 		after = max(after, revision)
 		askedAt := m.clock.Now()
-		events, next, err := m.changes(ctx, platform.EndpointKeyPrefix(), after)
+		events, next, err := m.changes(ctx, &m.endpointWatch, platform.EndpointKeyPrefix(), after)
 		if err != nil {
 			// FollowStore logs that the store cannot be reached, or lists it again.
 			after = 0
--- a/membership/knowledge.go
+++ b/membership/knowledge.go
@@ -240,6 +240,7 @@
 	}
 	if err != nil {
 		m.knowledge.StoreFailed(m.clock.Now())
+		m.recordStoreFailure(err)
 		m.log.Warn().Int64("TookMs", int64(m.clock.Now().Sub(askedAt))).Err(err).Msg("asking the store for changes of endpoints failed")
 		return
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -97,8 +97,10 @@
 	mustList, watchWasSilent bool
 	// runCtx is the context of RunHeartbeats, or nil before that.
 	runCtx atomic.Pointer[context.Context]
-	// endWatch ends the watch of the whole store that runs, or is nil.
-	endWatch atomic.Pointer[context.CancelCauseFunc]
+	// storeWatch holds the watch of the whole store, endpointWatch that of the endpoints' entries.
+	storeWatch, endpointWatch watchSlot
+	// callFailedAt is when a call of the store last failed, or 0 if it has answered since.
+	callFailedAt atomic.Int64
 	// secret is the deployment's secret, or nil before it is known.
 	secret atomic.Pointer[[]byte]
 	// syncing is true while store changes are fetched from another host.
--- a/membership/storecopy_test.go
+++ b/membership/storecopy_test.go
@@ -14,7 +14,9 @@
 )
 
 // usesEndpoint reports whether a host sends requests to an endpoint.
-func usesEndpoint(m *membership.Membership, id cicadapitch.EndpointID) bool { return m.View().Contains(id) }
+func usesEndpoint(m *membership.Membership, id cicadapitch.EndpointID) bool {
+	return m.View().Contains(id)
+}
 
 // always fails if f does not hold throughout a time.
 func always(t *testing.T, during cicadapitch.Millis, f func() bool) {
@@ -97,7 +99,9 @@
 	setEndpoint(s, "d", 4, "ready")
 	s.Set(platformtest.EvacuationKey("y"), []byte("{}"))
 	for _, h := range hosts {
-		eventually(t, 1000, func() bool { return endpointCount(h.Membership) == 2 && usesEndpoint(h.Membership, "d") && h.View().Evacuated["y"] })
+		eventually(t, 1000, func() bool {
+			return endpointCount(h.Membership) == 2 && usesEndpoint(h.Membership, "d") && h.View().Evacuated["y"]
+		})
 	}
 	restore(s, func() { s.Restore(older) })
 	for _, h := range hosts {
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -21,9 +21,6 @@
 	watchBatchDelay cicadapitch.Millis = 150
 	// fleetWatchBatchDelay is that of the hosts that watch the whole store for a large fleet.
 	fleetWatchBatchDelay cicadapitch.Millis = 300
-	// silentWatchTime is how long a watch may lack a change that the store has. It is longer than a slow
-	// store, or a busy host, takes for an answer.
-	silentWatchTime cicadapitch.Millis = 2500
 	// retryMinDelay and retryMaxDelay bound the backoff after failed store calls.
 	retryMinDelay cicadapitch.Millis = 100
 	retryMaxDelay cicadapitch.Millis = 600
@@ -95,61 +92,13 @@
 	}
 }
 
-// errWatchSilent means that a watch brought no changes though there were some.
-var errWatchSilent = errors.New("the watch of the store is silent")
-
 // watchStore waits for changes after a revision, or asks for those there are if the last watch was silent. The
-// error is errWatchSilent if endSilentWatch has ended the call.
+// error is errWatchSilent if the call was ended for that.
 func (m *Membership) watchStore(ctx context.Context, after cicadapitch.StoreRevision) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
 	if m.watchWasSilent {
 		return m.store.Poll(ctx, "", after)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	m.endWatch.Store(&cancel)
-	defer m.endWatch.Store(nil)
-	// A response that has begun is not silent: a large one takes a while on a slow link.
-	events, next, err := m.changes(ctx, "", after, platform.WithOnAnswer(func() { m.endWatch.Store(nil) }))
-	if err != nil && errors.Is(context.Cause(ctx), errWatchSilent) {
-		err = errWatchSilent
-	}
-	return events, next, err
-}
-
-// changes waits for changes of keys with a prefix after a revision, for longer once this host sends heartbeats:
-// then it also learns otherwise whether there are any.
-func (m *Membership) changes(
-	ctx context.Context, prefix string, after cicadapitch.StoreRevision, opts ...platform.WatchOption,
-) ([]cicadapitch.WatchEvent, cicadapitch.StoreRevision, error) {
-	if m.runCtx.Load() != nil {
-		opts = append(opts, platform.WithLongWait())
-	}
-	return m.store.Changes(ctx, prefix, after, opts...)
-}
-
-// endSilentWatch ends the watch of the whole store if it has not brought for silentWatchTime the changes up
-// to a revision that the store named when it was asked otherwise: its connection may have fallen silent.
-// polled is the revision that the store names now.
-func (m *Membership) endSilentWatch(polled cicadapitch.StoreRevision) {
-	now, revision := m.clock.Now(), m.revision()
-	m.mu.Lock()
-	due := m.dueRevision
-	silent := revision < due.revision && now.Sub(due.since) >= silentWatchTime
-	if revision >= due.revision || silent {
-		m.dueRevision = dueRevision{polled, now}
-	}
-	m.mu.Unlock()
-	if end := m.endWatch.Load(); silent && end != nil {
-		m.log.Info().Int64("Revision", revision.Number()).Int64("Latest", due.revision.Number()).Msg("watch of the store is silent")
-		m.metrics.Counter("SilentWatches").Inc(1)
-		(*end)(errWatchSilent)
-	}
-}
-
-// dueRevision is a revision of the store, and since when it has to be known.
-type dueRevision struct {
-	revision cicadapitch.StoreRevision
-	since    cicadapitch.Instant
+	return m.changes(ctx, &m.storeWatch, "", after)
 }
 
 // watchPause returns the pause after a watch response with changes. In a large fleet, the entries of
@@ -228,6 +177,7 @@
 
 // markStoreDown records a failed store call.
 func (m *Membership) markStoreDown(err error) {
+	m.recordStoreFailure(err)
 	m.mu.Lock()
 	begins := m.storeUp || m.storeDownSince == 0
 	m.storeUp, m.storeFailedAt = false, m.clock.Now()
@@ -242,6 +192,7 @@
 
 // markStoreUp records a successful store call.
 func (m *Membership) markStoreUp() {
+	m.recordStoreAnswer()
 	m.mu.Lock()
 	wasUp := m.storeUp
 	if !wasUp {
