gateway: an event of a stream may have 64 KB

A faulty endpoint that sends one event without end to many requests at once takes 177 MB of a host that may have 184 MB (120 callers at once, resumable stream). Cause: each request held up to 1 MB of an event, in a buffer that grows by doubling, before its stream counted as broken. Change: 64 KB; an event holds some tokens.

--- a/fronthost/endless_test.go
+++ b/fronthost/endless_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net/http"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch/platform/platformtest"
@@ -150,3 +152,65 @@
 		require.Equal(t, 6, served)
 	}
 }
+
+// maxCrowdHeap bounds what endless answers to many requests at once may add to the heap: a third of the memory of
+// the smallest hosts.
+const maxCrowdHeap = 60 << 20
+
+// TestManyAnswersWithoutEndAtOnceLeaveMemory guards against hosts that keep a bounded part of each of many
+// endless answers, which together are more than they have.
+func TestManyAnswersWithoutEndAtOnceLeaveMemory(t *testing.T) {
+	const callers = 120
+	d := newDeployment(t, 1)
+	d.setConfiguration(platformtest.PlainStreamRoute)
+	time.Sleep(500 * time.Millisecond)
+	for _, path := range []string{"/feed/a", "/look/a"} {
+		for _, form := range []string{
+			platformtest.EndlessLine, platformtest.EndlessHeader, platformtest.EndlessInterim, platformtest.EndlessBody,
+			platformtest.EndlessEvent, platformtest.EndlessRefusal, platformtest.EndlessDrip,
+		} {
+			t.Run(form+path, func(t *testing.T) {
+				for _, e := range d.endpoints {
+					if e.Service == "plain" {
+						e.SetEndless(form)
+					}
+				}
+				before := heapInUse()
+				peak := watchHeap(t)
+				var wg sync.WaitGroup
+				for range callers {
+					wg.Go(func() {
+						req := d.newRequest(0, "GET", path, newID())
+						if path == "/feed/a" {
+							req = d.newStreamRequest(0, path, newID(), "")
+						}
+						req.Deadline = 1500
+						r, err := d.trySend(req)
+						if err != nil {
+							return
+						}
+						_, err = io.Copy(io.Discard, r.Body)
+						r.Body.Close()
+						assert.False(t, err == nil && r.StatusCode == http.StatusOK, "the answer looks complete")
+					})
+				}
+				wg.Wait()
+				grown := peak() - before
+				t.Logf("%d MB", grown>>20)
+				require.Less(t, grown, int64(maxCrowdHeap))
+				for _, e := range d.endpoints {
+					e.SetEndless("")
+				}
+				time.Sleep(300 * time.Millisecond)
+			})
+		}
+	}
+	require.Eventually(t, func() bool {
+		r, err := d.trySend(d.newRequest(0, "GET", "/look/a", newID()))
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	}, 5*time.Second, 100*time.Millisecond, "the host serves on")
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -18,8 +18,8 @@
 	firstEventSmoothing = 0.1
 	// streamBufferBytes is the size of the buffer for reading a stream.
 	streamBufferBytes = 8 << 10
-	// maxEventBytes limits one event of a resumable stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes limits one event of a stream. Hundreds of requests at once may each hold as much.
+	maxEventBytes = 64 << 10
 	// minSilenceTimeout is the lower limit of the silence timeout.
 	minSilenceTimeout = soundSilence
 	// silenceFirstEventFactor multiplies the expected time to the first event to give
@@ -159,5 +159,5 @@
 	return nil
 }
 
-// errEventTooLong means that an event of a resumable stream exceeds maxEventBytes.
+// errEventTooLong means that an event of a stream exceeds maxEventBytes.
 var errEventTooLong = errors.New("an event is too long")
