--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,3 +147,32 @@
 	s.Set(platformtest.EndpointKey("b"), []byte(fmt.Sprintf(endpointEntry, 2, "ready", 1)))
 	eventually(t, 4000, func() bool { return endpointCount(m) == 2 })
 }
+
+// largeConfig is a configuration of most of a megabyte, which is the most that the store holds.
+func largeConfig(version int) []byte {
+	var routes strings.Builder
+	for i := range 5000 {
+		routes.WriteString(platformtest.Route(fmt.Sprintf("/large/%d/", i)))
+	}
+	return platformtest.Config(version, routes.String(), 14)
+}
+
+// TestManyLargeChangesAreInForceInTime guards against hosts that read the same changes again and again, since they
+// are more than one answer of the store may hold.
+func TestManyLargeChangesAreInForceInTime(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set(platformtest.ConfigKey, largeConfig(1))
+	gate := platformtest.NewGate(s.Address())
+	h := startPeerHost(t, gate.Address())
+	eventually(t, 4000, func() bool { return version(h.Membership) == 1 })
+	gate.Shut()
+	for i := range 6 {
+		s.Set(platformtest.ConfigKey, largeConfig(i+2))
+	}
+	time.Sleep(500 * time.Millisecond)
+	gate.Open()
+	eventually(t, configApply, func() bool { return version(h.Membership) == 7 })
+	s.Set(platformtest.ConfigKey, largeConfig(8))
+	eventually(t, configApply, func() bool { return version(h.Membership) == 8 })
+}
