--- a/membership/storeera.go
+++ b/membership/storeera.go
@@ -141,7 +141,7 @@
 
 // outdatedByCopy reports whether a record of an endpoint, which the store may have from an older copy, would
 // put an endpoint into use again that is known to have left or to leave. It is believed once its process has
-// written again, or if it is of a later process. The caller holds mu.
+// written again, or if it is of a later process.
 func outdatedByCopy(id cicadapitch.EndpointID, c fleet.Change) bool {
 	if !c.Restored() {
 		return false
--- a/store.go
+++ b/store.go
@@ -14,9 +14,10 @@
 const (
 	// revisionNumberBits is the size of a number within a StoreRevision. The era has the bits above it.
 	revisionNumberBits = 40
-	// MaxRevisionNumber and MaxStoreEra are the largest values that a StoreRevision can hold.
-	MaxRevisionNumber          = 1<<revisionNumberBits - 1
-	MaxStoreEra       StoreEra = 1<<(63-revisionNumberBits) - 1
+	// MaxRevisionNumber is the largest number within a StoreRevision.
+	MaxRevisionNumber = 1<<revisionNumberBits - 1
+	// MaxStoreEra is the largest era of a StoreRevision.
+	MaxStoreEra StoreEra = 1<<(63-revisionNumberBits) - 1
 )
 
 // NewStoreRevision returns the revision with a number in an era. Without a number there is none.
