fronthost: answers without end of engines, of stages and over another host, for many requests at once

Cause: the test played look-ups and streams of a plain service only. Change: tests only; the cases of before are among them, with the same bound.

--- a/fronthost/endless_test.go
+++ b/fronthost/endless_test.go
@@ -157,54 +157,52 @@
 // the smallest hosts.
 const maxCrowdHeap = 60 << 20
 
-// TestManyAnswersWithoutEndAtOnceLeaveMemory guards against hosts that keep a bounded part of each of many
-// endless answers, which together are more than they have.
-func TestManyAnswersWithoutEndAtOnceLeaveMemory(t *testing.T) {
+// endlessForms are the forms of answers without end.
+var endlessForms = []string{
+	platformtest.EndlessLine, platformtest.EndlessHeader, platformtest.EndlessInterim, platformtest.EndlessBody,
+	platformtest.EndlessEvent, platformtest.EndlessRefusal, platformtest.EndlessDrip,
+}
+
+// requireCrowdMemory lets all endpoints of a service answer without end, and fails if the answers to many requests at
+// once to host 0 look complete or take more than maxCrowdHeap.
+func (d *deployment) requireCrowdMemory(t *testing.T, service, form, method, path, pieces string) {
 	const callers = 120
-	d := newDeployment(t, 1)
-	d.setConfiguration(platformtest.PlainStreamRoute)
-	time.Sleep(500 * time.Millisecond)
-	for _, path := range []string{"/feed/a", "/look/a"} {
-		for _, form := range []string{
-			platformtest.EndlessLine, platformtest.EndlessHeader, platformtest.EndlessInterim, platformtest.EndlessBody,
-			platformtest.EndlessEvent, platformtest.EndlessRefusal, platformtest.EndlessDrip,
-		} {
-			t.Run(form+path, func(t *testing.T) {
-				for _, e := range d.endpoints {
-					if e.Service == "plain" {
-						e.SetEndless(form)
-					}
-				}
-				before := heapInUse()
-				peak := watchHeap(t)
-				var wg sync.WaitGroup
-				for range callers {
-					wg.Go(func() {
-						req := d.newRequest(0, "GET", path, newID())
-						if path == "/feed/a" {
-							req = d.newStreamRequest(0, path, newID(), "")
-						}
-						req.Deadline = 1500
-						r, err := d.trySend(req)
-						if err != nil {
-							return
-						}
-						_, err = io.Copy(io.Discard, r.Body)
-						r.Body.Close()
-						assert.False(t, err == nil && r.StatusCode == http.StatusOK, "the answer looks complete")
-					})
-				}
-				wg.Wait()
-				grown := peak() - before
-				t.Logf("%d MB", grown>>20)
-				require.Less(t, grown, int64(maxCrowdHeap))
-				for _, e := range d.endpoints {
-					e.SetEndless("")
-				}
-				time.Sleep(300 * time.Millisecond)
-			})
+	for _, e := range d.endpoints {
+		if e.Service == service {
+			e.SetEndless(form)
 		}
 	}
+	before := heapInUse()
+	peak := watchHeap(t)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			req := d.newRequest(0, method, path, newID())
+			if method == "POST" {
+				req = d.newStreamRequest(0, path, newID(), pieces)
+			}
+			req.Deadline = 1500
+			r, err := d.trySend(req)
+			if err != nil {
+				return
+			}
+			_, err = io.Copy(io.Discard, r.Body)
+			r.Body.Close()
+			assert.False(t, err == nil && r.StatusCode == http.StatusOK, "the answer looks complete")
+		})
+	}
+	wg.Wait()
+	grown := peak() - before
+	t.Logf("%d MB", grown>>20)
+	require.Less(t, grown, int64(maxCrowdHeap))
+	for _, e := range d.endpoints {
+		e.SetEndless("")
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// requireLookUp fails if host 0 does not serve a look-up soon.
+func (d *deployment) requireLookUp(t *testing.T) {
 	require.Eventually(t, func() bool {
 		r, err := d.trySend(d.newRequest(0, "GET", "/look/a", newID()))
 		if err != nil {
@@ -214,3 +212,35 @@
 		return r.StatusCode == http.StatusOK
 	}, 5*time.Second, 100*time.Millisecond, "the host serves on")
 }
+
+// TestManyAnswersWithoutEndAtOnceLeaveMemory guards against hosts that keep a bounded part of each of many
+// endless answers, which together are more than they have.
+func TestManyAnswersWithoutEndAtOnceLeaveMemory(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.setConfiguration(platformtest.PlainStreamRoute)
+	time.Sleep(500 * time.Millisecond)
+	for _, c := range []struct{ name, service, method, path, pieces string }{
+		{"resumable stream", "plain", "POST", "/feed/a", ""},
+		{"look-up", "plain", "GET", "/look/a", ""},
+		{"engine", "engine", "POST", "/plan/a", ""},
+		{"stages", "stage", "POST", "/answer/a", "2,2"},
+	} {
+		for _, form := range endlessForms {
+			t.Run(c.name+"/"+form, func(t *testing.T) { d.requireCrowdMemory(t, c.service, form, c.method, c.path, c.pieces) })
+		}
+	}
+	d.requireLookUp(t)
+}
+
+// TestManyRelayedAnswersWithoutEndAtOnceLeaveMemory covers a host that reaches the endpoints over another one.
+func TestManyRelayedAnswersWithoutEndAtOnceLeaveMemory(t *testing.T) {
+	d := newCutDeployment(t, 2)
+	d.setConfiguration(platformtest.PlainStreamRoute)
+	d.paths[0].Cut(platformtest.CutReset)
+	time.Sleep(500 * time.Millisecond)
+	d.requireLookUp(t)
+	for _, form := range endlessForms {
+		t.Run(form, func(t *testing.T) { d.requireCrowdMemory(t, "plain", form, "POST", "/feed/a", "") })
+	}
+	d.requireLookUp(t)
+}
