membership: the test of large changes plays ten of half the size

Change: ten of 0.43 MB, which are as much more than one answer of the store may hold; the bound of 2 s stays, which is the time that a configuration has.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -148,10 +148,10 @@
 	eventually(t, 4000, func() bool { return endpointCount(m) == 2 })
 }
 
-// largeConfig is a configuration of most of a megabyte, which is the most that the store holds.
+// largeConfig is a configuration of nearly half a megabyte. Ten of them are more than one answer of the store may hold.
 func largeConfig(version int) []byte {
 	var routes strings.Builder
-	for i := range 5000 {
+	for i := range 2500 {
 		routes.WriteString(platformtest.Route(fmt.Sprintf("/large/%d/", i)))
 	}
 	return platformtest.Config(version, routes.String(), 14)
@@ -167,12 +167,12 @@
 	h := startPeerHost(t, gate.Address())
 	eventually(t, 4000, func() bool { return version(h.Membership) == 1 })
 	gate.Shut()
-	for i := range 6 {
+	for i := range 10 {
 		s.Set(platformtest.ConfigKey, largeConfig(i+2))
 	}
 	time.Sleep(500 * time.Millisecond)
 	gate.Open()
-	eventually(t, configApply, func() bool { return version(h.Membership) == 7 })
-	s.Set(platformtest.ConfigKey, largeConfig(8))
-	eventually(t, configApply, func() bool { return version(h.Membership) == 8 })
+	eventually(t, configApply, func() bool { return version(h.Membership) == 11 })
+	s.Set(platformtest.ConfigKey, largeConfig(12))
+	eventually(t, configApply, func() bool { return version(h.Membership) == 12 })
 }
