--- a/membership/membership.go
+++ b/membership/membership.go
@@ -144,7 +144,8 @@
 	// peerOutageAt is when another host last reported that it cannot reach the
 	// store.
 	peerOutageAt cicadapitch.Instant
-	lease        hostLease
+	// lease is the lease of this host's entry in the store.
+	lease hostLease
 	// storedQuarantine holds the quarantined parts in the store, by key.
 	storedQuarantine map[string]string
 	// storedVersions holds the versions of services in the store, by key.
