platform, batch, gateway: numbers from outside are bounded where they are decoded

Cause: Planner.Submit took memory for the pieces that a header announced, before it decided whether they can be made; nothing bounded the number on the way. One header ended every host.

--- a/batch/planner.go
+++ b/batch/planner.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 )
@@ -186,10 +188,7 @@
 	if p.firstJobAt == 0 {
 		p.firstJobAt = now
 	}
-	job := &jobState{Job: j, submittedAt: now, handles: make([]string, j.Pieces), remaining: j.Pieces, zones: map[cicadapitch.ZoneID]int{}}
-	for i := range j.Pieces {
-		job.queued = append(job.queued, i)
-	}
+	job := &jobState{Job: j, submittedAt: now, remaining: j.Pieces, zones: map[cicadapitch.ZoneID]int{}}
 	if at, ok := p.refusedAt[j.Key]; ok && now.Sub(at) < refusalTTL && !j.Resumed {
 		job.Retried = true
 	}
@@ -207,6 +206,7 @@
 		return
 	}
 	p.meanResultBytes += resultBytesWeight * (float64(j.ResultBytes) - p.meanResultBytes)
+	job.handles, job.queued = make([]string, j.Pieces), lo.Range(j.Pieces)
 	p.jobs[j.ID] = job
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -209,6 +209,18 @@
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
 }
 
+// HasStageCycle reports whether a stage depends on itself over others, so that none of them can
+// run.
+func (r *Route) HasStageCycle() bool {
+	done := make([]bool, len(r.Stages))
+	for range r.Stages {
+		for i, s := range r.Stages {
+			done[i] = lo.EveryBy(s.After, func(dep int) bool { return done[dep] })
+		}
+	}
+	return slices.Contains(done, false)
+}
+
 // FinalStages returns the indices of the final stages of a request: those that
 // have pieces and whose results no other stage with pieces needs. pieces holds the
 // number of pieces of each stage.
--- a/catalog/request.go
+++ b/catalog/request.go
@@ -33,7 +33,7 @@
 	PromptTokens, OutputTokens cicadapitch.Tokens
 	// Prompt is the prompt as a sequence of parts.
 	Prompt []PromptPart
-	// Pieces holds the number of pieces of each stage.
+	// Pieces holds the number of pieces of each stage, MaxPieces at most.
 	Pieces []int
 	// PieceKey identifies the input of the pieces of the first stages, those that
 	// need no other stage.
@@ -46,6 +46,10 @@
 	Resumes cicadapitch.RequestID
 }
 
+// MaxPieces bounds the pieces of one stage of a request. So many keep one endpoint busy for
+// longer than any caller waits, so larger numbers are errors.
+const MaxPieces = 4096
+
 // PromptPart is a part of a prompt. Requests whose prompts begin with the same
 // parts can share an engine's cache.
 type PromptPart struct {
--- a/errors.go
+++ b/errors.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// NewOutOfRange returns an Invalid error for a number of a message that is not from least to most.
+func NewOutOfRange(field, value string, least, most int64) *Error {
+	const maxQuoted = 40
+	if len(value) > maxQuoted {
+		value = value[:maxQuoted] + "..."
+	}
+	return NewError(Invalid, fmt.Sprintf("%s: %q is not a whole number from %d to %d", field, value, least, most),
+		"send a number within these bounds")
+}
+
 // Wrap adds the module's error class and a stack trace to err. It returns nil if
 // err is nil.
 func Wrap(err error) error { return ErrorClass.Wrap(err) }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -20,3 +20,6 @@
 
 // HostCount is Gateway.hostCount.
 func HostCount(g *Gateway) int { return g.hostCount() }
+
+// CheckStageCall is StageCall.check.
+func CheckStageCall(c StageCall) error { return c.check() }
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
+	"strconv"
 	"syscall"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
+	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/origin"
 	"cicadapitch.example/cicadapitch/peer"
@@ -46,6 +49,35 @@
 	StandIn bool
 }
 
+// Bounds of the numbers of a call of another host.
+const (
+	// maxCallTime bounds the times of a call, in milliseconds, in both directions. Callers wait ten
+	// minutes at most.
+	maxCallTime = int64(cicadapitch.Minute * 60)
+	// maxCallBytes bounds the sizes of a call.
+	maxCallBytes = 1 << 50
+)
+
+// check returns an Invalid error if a number of the call is out of range.
+func (c *StageCall) check() error {
+	for _, n := range []struct {
+		field              string
+		value, least, most int64
+	}{
+		{"Stage", int64(c.Stage), 0, math.MaxInt32},
+		{"Pieces", int64(c.Pieces), 1, catalog.MaxPieces},
+		{"MoveBytes", int64(c.MoveBytes), 0, maxCallBytes},
+		{"ResultBytes", int64(c.ResultBytes), 0, maxCallBytes},
+		{"DueIn", int64(c.DueIn), -maxCallTime, maxCallTime},
+		{"ExpireIn", int64(c.ExpireIn), -maxCallTime, maxCallTime},
+	} {
+		if n.value < n.least || n.value > n.most {
+			return cicadapitch.NewOutOfRange("stage call: "+n.field, strconv.FormatInt(n.value, 10), n.least, n.most)
+		}
+	}
+	return nil
+}
+
 // StageReply is the answer to a StageCall.
 type StageReply struct {
 	// Handles name the results, one per piece. It is nil if the stage failed.
@@ -213,6 +245,11 @@
 // runStageOfOther runs a stage for another host, as the owner of its shard. If this host stops before
 // the pieces are certain to be made, the error is NotRun, and the other host tries the next owner.
 func (g *Gateway) runStageOfOther(ctx context.Context, c StageCall) (StageReply, error) {
+	if err := c.check(); err != nil {
+		g.log.Warn().Str("Id", string(c.Request)).Str("Service", c.Shard.Key()).Err(err).Msg("stage call of another host rejected")
+		g.metrics.Counter("InvalidStageCalls").Inc(1)
+		return StageReply{}, err
+	}
 	now, stop := g.clock.Now(), g.stop.Load()
 	if need := min(c.ExpireIn, g.shards.callTime(c)+soundSilence+wayBackMargin); !stop.admits(now, need) {
 		g.countStopping("StageRejected")
