catalog, batch, gateway: the route's priority ranks the requests of one customer priority

Cause: a customer's priority replaced that of the route. Where all customers have the same one, all kinds of request were equally urgent, so that kinds with a short objective became late behind others with a long one, and were refused first. Jobs on time were moreover sorted by due time + 400 ms a priority, while the estimates of their waits assumed that more urgent ones precede. Change: catalog.Rank, by the customer's priority and then the route's; jobs on time are sorted by rank, then by due time. The rank is in the log line of a stage. Tests of catalog, batch and gateway pass.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -4,11 +4,12 @@
 	"math"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
 )
 
 // priorityLevels is the number of priority levels, 0 being the most urgent.
 // Priorities of priorityLevels-1 and above share the last level.
-const priorityLevels = 4
+const priorityLevels = catalog.Ranks
 
 // demandTimeConstant is the time constant with which the measured arrival rate
 // decays, the duration of a few calls.
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -12,8 +12,8 @@
 // sortedJobs returns the jobs with queued pieces in the order in which they are
 // served: first those of streams that are taken up again, then the jobs that can still
 // meet their objective, then those whose request was refused before, then the other
-// late ones. Each group is sorted by
-// due time, to which priorityStep is added for each priority level.
+// late ones. Each group is sorted by priority, since estimates of the wait assume that only jobs of the
+// same or a more urgent one precede, and then by due time.
 func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
 	var list []*jobState
 	for _, job := range p.jobs {
@@ -34,11 +34,9 @@
 		}
 		return 0
 	}
-	effectiveDue := func(job *jobState) cicadapitch.Instant {
-		return job.DueAt.Add(cicadapitch.Millis(priorityLevel(job.Priority)) * priorityStep)
-	}
+	level := func(job *jobState) int { return priorityLevel(job.Priority) }
 	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(effectiveDue(a), effectiveDue(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(level(a), level(b)), cmp.Compare(a.DueAt, b.DueAt), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -31,7 +31,7 @@
 	MoveBytes cicadapitch.Bytes
 	// ResultBytes is the approximate size of the result of one piece.
 	ResultBytes cicadapitch.Bytes
-	// Priority orders the jobs; 0 is the most urgent.
+	// Priority is the rank of the request, see catalog.Rank.
 	Priority int
 	// Retried is set for a request that was refused before and that its caller
 	// has sent again.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -16,9 +16,6 @@
 	// maxFailuresPerPiece limits the failed runs of pieces of a job, as a
 	// multiple of its number of pieces.
 	maxFailuresPerPiece = 4
-	// priorityStep is added to the due time for each priority level when jobs are
-	// sorted.
-	priorityStep cicadapitch.Millis = 400
 	// minSpareShare is the least share of the throughput that wait estimates leave
 	// to a job, however high the arrival rate of more urgent jobs is.
 	minSpareShare = 0.05
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -273,7 +273,7 @@
 	if route == nil {
 		return nil, cicadapitch.NewError(cicadapitch.NotFound, "no route matches", "check the host and the path")
 	}
-	p := &proxiedRequest{g: g, view: v, request: r, route: route, priority: route.Priority}
+	p := &proxiedRequest{g: g, view: v, request: r, route: route, rank: catalog.Rank(route.Priority, route.Priority)}
 	for _, part := range r.SharedParts() {
 		p.keys = append(p.keys, quarantine.Key(part))
 	}
@@ -287,7 +287,7 @@
 		}
 		p.customer = c.Name
 		if c.HasPriority {
-			p.priority = c.Priority
+			p.rank = catalog.Rank(c.Priority, route.Priority)
 		}
 	}
 	p.keys = append(p.keys, quarantine.RequestKey(r.Body, r.Method, r.Host, r.Target, string(p.customer), r.PromptIDs()))
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -37,7 +37,8 @@
 	MoveBytes cicadapitch.Bytes
 	// ResultBytes is the approximate size of one result.
 	ResultBytes cicadapitch.Bytes
-	Priority    int
+	// Priority is the rank of the request, see catalog.Rank.
+	Priority int
 	// DueIn is the time left to meet the latency objective, ExpireIn the time after
 	// which the results are of no use.
 	DueIn, ExpireIn cicadapitch.Millis
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -49,7 +49,8 @@
 	route    *catalog.Route
 	service  *catalog.Service
 	customer cicadapitch.CustomerID
-	priority int
+	// rank is the rank of the request among all, see catalog.Rank.
+	rank int
 	answer   *platform.ResponseWriter
 	// due is when the answer or first event is due by the latency objective.
 	// deadline is when the gateway gives up.
@@ -418,13 +419,13 @@
 	p.g.chooser.Health(e.ID).Pause(p.g.clock.Now().Add(after))
 }
 
-// urgency returns the urgency that is sent to an engine: the request's priority,
-// limited to 0 to 9, or -1 for plain services.
+// urgency returns the urgency that is sent to an engine, from 0 to 9: the request's rank, or
+// -1 for plain services.
 func (p *proxiedRequest) urgency() int {
 	if p.service.Engine == nil {
 		return -1
 	}
-	return min(max(p.priority, 0), 9)
+	return p.rank
 }
 
 // finish logs the end of the request and records its latency. If the request failed,
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -38,7 +38,7 @@
 type QueueWaits = []cicadapitch.Millis
 
 // reportedPriorities is the number of priorities in QueueWaits.
-const reportedPriorities = 4
+const reportedPriorities = catalog.Ranks
 
 // ShardRunners runs the shards of stage services that this host owns. Each shard has
 // a batch.Planner, whose commands its shardRunner executes. ShardRunners is safe for
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -209,7 +209,7 @@
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.priority, Returned: args.refusedBefore, Resumed: p.resumed(),
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.rank, Returned: args.refusedBefore, Resumed: p.resumed(),
 		DueIn:    p.due.Sub(now) - downstream - firstEvent,
 		ExpireIn: p.abandonAt.Sub(now) - lateDownstream - firstEvent,
 	}
@@ -233,7 +233,7 @@
 	held.setShard(stage, c.Shard)
 	took := p.g.clock.Now().Sub(now)
 	p.g.log.Info().Str("Id", string(p.request.ID)).Int("Stage", stage).Str("Service", c.Shard.Key()).
-		Int("Pieces", c.Pieces).Str("Key", c.Key).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
+		Int("Pieces", c.Pieces).Int("Rank", c.Priority).Str("Key", c.Key).Int64("DueInMs", int64(c.DueIn)).Int64("ExpireInMs", int64(c.ExpireIn)).
 		Int64("TookMs", int64(took)).Str("Reason", reply.Reason).Err(err).Msg("stage")
 	p.g.metrics.Tagged(map[string]string{"Service": string(s.Service)}).Histogram("Stage", latencyBuckets).RecordDuration(took.Duration())
 	if err == nil && reply.Lost {
@@ -311,7 +311,7 @@
 	if len(w) < 2 {
 		return 0
 	}
-	return w[min(max(p.priority, 0), len(w)-2)]
+	return w[min(p.rank, len(w)-2)]
 }
 
 // reportedLateWait is reportedWait for late work.
