placement, membership, gateway: engines are chosen by predicted time to the first event

Cause: the number of calls was the only load that ChooseEngine knew, so a prompt of 600 tokens had the weight of one of 54,600, and an engine at half speed that of a fast one.

Change: for routes with session affinity, the choice predicts the time to the first event at each engine from the prompt tokens that it has not cached (a bounded record of what this host sent there, which ends with the engine's process), from the outstanding prefill, output and memory of all hosts, and from the engine's pace, which is learned from measured first events. The first engine in the session's rendezvous order that is little worse than the best gets the request. How little is drawn at random. Work of other hosts comes with heartbeats in the optional field Work; calls without work count as a mean request. The sum of the reports is cached for 50 ms: it was made for each request. The hint header of callers is decoded.

--- a/catalog/request.go
+++ b/catalog/request.go
@@ -31,6 +31,8 @@
 	// states. They bound the work of an engine. They are 0 if missing or
 	// malformed.
 	PromptTokens, OutputTokens cicadapitch.Tokens
+	// LengthHint is the number of output tokens that the caller expects, or 0 if it names none.
+	LengthHint cicadapitch.Tokens
 	// Prompt is the prompt as a sequence of parts.
 	Prompt []PromptPart
 	// Pieces holds the number of pieces of each stage, MaxPieces at most.
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -50,6 +50,16 @@
 	return candidates[best], true
 }
 
+// Scores appends the hashes of the candidates for a key to dst. A candidate with a higher hash comes
+// earlier in the order of Rank.
+func Scores[T any](dst []uint64, key string, candidates []T, id func(T) string) []uint64 {
+	h := newScorer(key)
+	for _, c := range candidates {
+		dst = append(dst, h.score(id(c)))
+	}
+	return dst
+}
+
 // Position returns the position of the candidate with an id in the order of Rank, or -1 if there is none. It
 // does not sort.
 func Position[T any](key string, candidates []T, id func(T) string, of string) int {
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -125,6 +125,7 @@
 		gateway.WithMetrics(do.MustInvoke[tally.TestScope](i)))
 	m.OnView(g.SetView)
 	m.SetLoadSources(g.Loads, g.Shards().Waits)
+	m.SetEngineWork(g.EngineWork)
 	m.SetCutOff(g.CutOff)
 	m.SetOrigins(g.Origins())
 	return g, nil
--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -106,6 +106,9 @@
 		took := p.g.clock.Now().Sub(a.sentAt)
 		p.recordSuccess(a.endpoint.ID, took)
 		p.recordFirstEvent(took)
+		if a.reply.Status < 300 {
+			p.recordPrefilled(a.endpoint.ID, took)
+		}
 		// The engine has fetched its inputs once it sends the first event.
 		a.inputs.freeAll()
 	}
@@ -125,6 +128,9 @@
 	} else {
 		err = p.relayNoStream(a, onFirstEvent)
 	}
+	if err == nil && next == nil {
+		p.recordOutput(events.count)
+	}
 	if err != nil && !errors.Is(err, errNotRelayed) {
 		p.recordBreak(a.ctx, a.endpoint.ID)
 		p.checkEndpoint(a.ctx, a.endpoint, a.sentAt)
--- a/gateway/eventsplitter.go
+++ b/gateway/eventsplitter.go
@@ -23,6 +23,8 @@
 	partial []byte
 	// lastID is the id of the last complete event that has one.
 	lastID string
+	// count is the number of events with an id in all parts.
+	count int
 	// continues is true if the part goes on after the event lastID, begun once it has an event.
 	continues, begun bool
 	// known is true once two ids of the first part were numbers, gaps if such numbers did not
@@ -78,6 +80,7 @@
 		return errEventOrder
 	}
 	s.lastID, s.begun = id, true
+	s.count++
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	CatalogLag() fleet.CatalogLag
 	// Loads returns the estimated running calls of the other hosts by engine.
 	Loads() map[cicadapitch.EndpointID]int
+	// EngineReports returns the estimated running calls and outstanding work of the other hosts by engine.
+	EngineReports() placement.EngineReports
 	// Waits returns the most recently reported queue waits, by shard key, including
 	// those of the shards that this host owns.
 	Waits() map[string]QueueWaits
@@ -106,6 +108,7 @@
 	// firstEventMillis holds the smoothed time to the first event in milliseconds, by
 	// route name.
 	firstEventMillis map[string]float64
+	outputLengths    *placement.OutputLengths
 }
 
 // Option configures a Gateway.
@@ -141,6 +144,7 @@
 		chooser:          placement.NewChooser(s.Zone, s.Bounds.ColdExcess, s.Bounds.ColdSlack),
 		retryBudgets:     map[catalog.ServiceID]*placement.RetryBudget{},
 		firstEventMillis: map[string]float64{},
+		outputLengths:    placement.NewOutputLengths(),
 		origins:          newOrigins(),
 		endChecks:        newEndChecks(),
 		callTimes:        newCallTimes(),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,6 +61,8 @@
 	// holds the endpoints that must not be tried again.
 	attempts int
 	exclude  map[cicadapitch.EndpointID]bool
+	// runs holds the calls at engines that have not ended. The request's own goroutine uses it.
+	runs map[cicadapitch.EndpointID]*placement.Run
 	// chosenAt is when the last endpoint was chosen.
 	chosenAt cicadapitch.Instant
 	// origin is where the stream began, or nil before its first event.
@@ -129,24 +131,33 @@
 	list := p.candidates()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e, ok := g.choose(now, list, criteria)
+	e, prediction, ok := g.choose(now, list, criteria)
 	if !ok {
 		return e, p.errNoEndpoint()
 	}
-	if !peek {
+	if peek {
+		return e, nil
+	}
+	p.chosenAt = now
+	if criteria.Service.Engine == nil {
 		g.chooser.RecordStart(e.ID)
-		p.chosenAt = now
+		return e, nil
+	}
+	if p.runs == nil {
+		p.runs = map[cicadapitch.EndpointID]*placement.Run{}
 	}
+	p.runs[e.ID] = g.chooser.RecordRun(now, e, criteria, prediction)
 	return e, nil
 }
 
 // choose chooses an endpoint from list, and reports whether one may get a call now. The caller holds
 // mu.
-func (g *Gateway) choose(now cicadapitch.Instant, list []fleet.Endpoint, criteria placement.Criteria) (fleet.Endpoint, bool) {
+func (g *Gateway) choose(now cicadapitch.Instant, list []fleet.Endpoint, criteria placement.Criteria) (fleet.Endpoint, placement.Prediction, bool) {
 	if criteria.Service.Engine != nil {
-		return g.chooser.ChooseEngine(now, list, criteria)
+		return g.chooser.PredictEngine(now, list, criteria)
 	}
-	return g.chooser.ChoosePlain(now, list, criteria)
+	e, ok := g.chooser.ChoosePlain(now, list, criteria)
+	return e, placement.Prediction{}, ok
 }
 
 // criteria returns the criteria of the choice of an endpoint. zone is that of chooseEndpoint.
@@ -158,6 +169,7 @@
 	}
 	if p.service.Engine != nil {
 		criteria.OtherLoads = g.membership.Loads()
+		p.setWork(&criteria)
 	}
 	if p.service.ColdPerSecond > 0 || g.limits.Any() {
 		criteria.Rank = p.hostRank()
@@ -227,6 +239,11 @@
 func (p *proxiedRequest) recordCallEnd(id cicadapitch.EndpointID) {
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
+	if run := p.runs[id]; run != nil {
+		delete(p.runs, id)
+		p.g.chooser.EndRun(run)
+		return
+	}
 	p.g.chooser.RecordEnd(id)
 }
 
@@ -330,6 +347,11 @@
 		p.commitMu.Unlock()
 		s.log(event, p.g.clock.Now()).Int64("NeedMs", int64(need))
 	}
+	if run := p.runs[e.ID]; run != nil && run.Prediction().Known {
+		prediction := run.Prediction()
+		event.Int64("PredictedMs", int64(prediction.FirstEvent)).Int64("UncachedTokens", int64(prediction.Uncached)).
+			Int64("WorkAgeMs", int64(prediction.Age))
+	}
 	if age, ok := p.g.membership.KnowledgeAge(); ok {
 		event.Int64("KnowledgeAgeMs", int64(age))
 	}
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -17,6 +17,7 @@
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/gateway"
 	"cicadapitch.example/cicadapitch/peer"
+	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 )
@@ -47,6 +48,10 @@
 func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
 func (m *lockedMembership) RecordEnded(fleet.Host)                {}
 func (m *lockedMembership) Relays() []fleet.Host                  { return nil }
+func (m *lockedMembership) EngineReports() placement.EngineReports {
+	return placement.NewEngineReports()
+}
+
 func (m *lockedMembership) Hosts() []fleet.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/silentstream.go
+++ b/gateway/silentstream.go
@@ -61,7 +61,7 @@
 	hosts := g.hostCount()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.choose(now, list, criteria); !ok || !g.retryBudget(p.service.Name).AllowRetry(now, hosts) {
+	if _, _, ok := g.choose(now, list, criteria); !ok || !g.retryBudget(p.service.Name).AllowRetry(now, hosts) {
 		return false
 	}
 	p.retryReserved.Store(true)
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -143,6 +143,7 @@
 // newHeartbeat returns this host's current heartbeat. The caller must not hold mu.
 func (m *Membership) newHeartbeat() Heartbeat {
 	ownWaits, loads, ready, watches := m.queueWaits(), m.engineLoads(), m.Ready(), m.shouldWatchStore()
+	work := m.engineWork()
 	cutOff := m.cutOff()
 	now := m.clock.Now()
 	head := m.catalogHead(now)
@@ -157,7 +158,7 @@
 	return Heartbeat{
 		Host: m.settings.Host, Incarnation: m.incarnation, Ready: ready,
 		Era: era, Revision: bareRevision(revision, era), Endpoints: bareClaim(m.knowledge.Claim(now), era),
-		Catalog: head, Loads: loads, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp && m.storeFailedAt > 0,
+		Catalog: head, Loads: loads, Work: work, Waits: waits, Down: m.downReports(now), CutOff: m.cutOffReports(now, cutOff), StoreAway: watches && !m.storeUp && m.storeFailedAt > 0,
 		Suspects: m.quarantine.Reports(now), Limits: m.limits.Reports(now),
 	}
 }
--- a/membership/heartbeatcheck.go
+++ b/membership/heartbeatcheck.go
@@ -32,6 +32,9 @@
 	isReport := func(r DownReport, _ int) bool { return isAge(r.Age) }
 	hb.Down, hb.CutOff = lo.Filter(hb.Down, isReport), lo.Filter(hb.CutOff, isReport)
 	hb.Loads = lo.PickBy(hb.Loads, func(_ cicadapitch.EndpointID, n int) bool { return n >= 0 && n <= maxReportedLoad })
+	if len(hb.Work) > 0 {
+		hb.Work = lo.PickBy(hb.Work, func(_ cicadapitch.EndpointID, w placement.EngineWork) bool { return w.Valid() })
+	}
 	hb.Waits = lo.PickBy(hb.Waits, func(_ string, w AgedWaits) bool {
 		return isAge(w.Age) && lo.EveryBy(w.Waits, func(m cicadapitch.Millis) bool { return m >= 0 && m <= maxReportedWait })
 	})
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -57,6 +57,7 @@
 	store       *platform.Store
 	incarnation string
 	engineLoads func() map[cicadapitch.EndpointID]int
+	engineWork  func() map[cicadapitch.EndpointID]placement.EngineWork
 	queueWaits  func() map[string][]cicadapitch.Millis
 	cutOff      func() bool
 	origins     Origins
@@ -66,6 +67,8 @@
 	metrics     tally.Scope
 
 	view atomic.Pointer[fleet.View]
+	// reports caches EngineReports.
+	reports atomic.Pointer[timedReports]
 	// ranking is nil while the available hosts have to be listed anew. rankingChanges counts how
 	// often that was.
 	ranking        atomic.Pointer[hostRanking]
@@ -202,6 +205,7 @@
 		settings: s, clock: cicadapitch.NewSystemClock(), log: zerolog.Nop(),
 		store: platform.NewStore([]string{s.Store.URL()}), incarnation: randomID(), metrics: tally.NoopScope,
 		engineLoads: func() map[cicadapitch.EndpointID]int { return nil },
+		engineWork:  func() map[cicadapitch.EndpointID]placement.EngineWork { return nil },
 		queueWaits:  func() map[string][]cicadapitch.Millis { return nil },
 		mirror:      fleet.NewMirror(), state: fleet.NewState(),
 		cutOff: func() bool { return false }, origins: noOrigins{}, storedVersions: map[string][]origin.StoredVersion{},
@@ -239,6 +243,12 @@
 	m.engineLoads, m.queueWaits = engineLoads, queueWaits
 }
 
+// SetEngineWork sets the function that returns this host's outstanding work by engine for heartbeats. It is
+// called before the goroutines of m start.
+func (m *Membership) SetEngineWork(f func() map[cicadapitch.EndpointID]placement.EngineWork) {
+	m.engineWork = f
+}
+
 // SetCutOff sets the function that reports whether this host is cut off from most endpoints.
 // It is called before the goroutines of m start.
 func (m *Membership) SetCutOff(f func() bool) { m.cutOff = f }
@@ -419,32 +429,6 @@
 	return p.Ready && now.Sub(p.receivedAt) < livenessTimeout
 }
 
-// Loads estimates the number of requests that all other hosts have at each
-// engine. Where only some of a large fleet's hosts sent a recent heartbeat, it
-// scales their sum up to the whole fleet.
-func (m *Membership) Loads() map[cicadapitch.EndpointID]int {
-	now := m.clock.Now()
-	out := map[cicadapitch.EndpointID]int{}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	recent := 0
-	for _, p := range m.peers {
-		if p.receivedAt > 0 && now.Sub(p.receivedAt) < livenessTimeout {
-			recent++
-			for id, n := range p.Loads {
-				out[id] += n
-			}
-		}
-	}
-	others := len(m.view.Load().Hosts) - 1
-	if recent > 0 && others > heartbeatFanout && recent < others {
-		for id, n := range out {
-			out[id] = n * others / recent
-		}
-	}
-	return out
-}
-
 // Waits returns the queue waits of each shard, by shard key (see gateway.QueueWaits),
 // as its owner reported them.
 func (m *Membership) Waits() map[string][]cicadapitch.Millis {
--- a/membership/message.go
+++ b/membership/message.go
@@ -38,6 +38,9 @@
 	StoreAway bool
 	// Loads is the number of requests that the sender has at each engine.
 	Loads map[cicadapitch.EndpointID]int
+	// Work is the sender's outstanding work at the engines of Loads that it chose by work. Heartbeats of
+	// earlier builds have none.
+	Work map[cicadapitch.EndpointID]placement.EngineWork `cbor:",omitempty"`
 	// Waits holds queue waits by shard key: those of the sender's own shards and those
 	// that other hosts reported to the sender.
 	Waits map[string]AgedWaits
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"github.com/samber/lo"
 
@@ -54,6 +55,17 @@
 	coldExtraCalls float64
 	health         map[cicadapitch.EndpointID]*Health
 	limits         *RateLimits
+
+	engines map[cicadapitch.EndpointID]*engineState
+	// pace is that of all engines, meanWork the mean work of a request of this host.
+	pace     pace
+	meanWork EngineWork
+	random   func() float64
+	// parts, scores, predictions, healthy and ejected are buffers of one choice.
+	parts            promptParts
+	scores           []uint64
+	predictions      []Prediction
+	healthy, ejected []fleet.Endpoint
 }
 
 // NewChooser returns a chooser for a host in the given zone. In any second, a cold
@@ -64,6 +76,7 @@
 	return &Chooser{
 		zone: zone, coldRateFactor: rateFactor, coldExtraCalls: extraCalls,
 		health: map[cicadapitch.EndpointID]*Health{}, limits: NewRateLimits(),
+		engines: map[cicadapitch.EndpointID]*engineState{}, random: rand.Float64,
 	}
 }
 
@@ -99,6 +112,7 @@
 	for id, h := range c.health {
 		if h.Running == 0 && !known(id) {
 			delete(c.health, id)
+			delete(c.engines, id)
 		}
 	}
 }
@@ -121,17 +135,48 @@
 	Rank func(key string) int
 	// OtherLoads holds the other hosts' running calls by endpoint.
 	OtherLoads map[cicadapitch.EndpointID]int
+	// Prompt is the prompt of a request that is to go to an engine by its work. If it is nil, the
+	// numbers of calls decide.
+	Prompt []catalog.PromptPart
+	// Request identifies the request. It takes the place of an empty Session if Prompt is set.
+	Request string
+	// Output is the expected number of output tokens, or 0 if that is not known.
+	Output cicadapitch.Tokens
+	// OtherWork holds the other hosts' outstanding work, ReportAge how old it is.
+	OtherWork map[cicadapitch.EndpointID]ReportedWork
+	ReportAge cicadapitch.Millis
 }
 
-// ChooseEngine chooses a model engine: the first one in the session's rendezvous
-// order whose load is at most maxLoadFactor times the mean plus maxLoadSlack. The least
-// loaded one always is. Only engines in the preferred zone are considered if one of them
-// is within the bound. ChooseEngine returns false if no engine may get a call now.
+// ChooseEngine chooses a model engine: by the predicted time to the first event if Criteria.Prompt is set
+// and the reports of the other hosts are young, else by the number of calls. It returns false if no engine may
+// get a call now.
 func (c *Chooser) ChooseEngine(now cicadapitch.Instant, list []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, bool) {
+	e, _, ok := c.PredictEngine(now, list, criteria)
+	return e, ok
+}
+
+// PredictEngine is ChooseEngine with the prediction on which the choice rests.
+func (c *Chooser) PredictEngine(now cicadapitch.Instant, list []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, Prediction, bool) {
 	usable := c.usable(now, list, criteria)
 	if len(usable) == 0 {
-		return fleet.Endpoint{}, false
+		return fleet.Endpoint{}, Prediction{}, false
+	}
+	if criteria.Prompt == nil || criteria.ReportAge > maxWorkAge {
+		e, ok := c.chooseByCalls(usable, criteria)
+		return e, Prediction{}, ok
 	}
+	e, p := c.chooseByWork(now, usable, criteria)
+	return e, p, true
+}
+
+// maxWorkAge is the age from which reported work is unknown. An engine prefills more than 100,000 tokens
+// in that time.
+const maxWorkAge = 2 * cicadapitch.Second
+
+// chooseByCalls chooses the first engine in the session's rendezvous order whose load is at
+// most maxLoadFactor times the mean plus maxLoadSlack. The least loaded one always is. Only
+// engines in the preferred zone are considered if one of them is within the bound.
+func (c *Chooser) chooseByCalls(usable []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, bool) {
 	total := 0
 	for _, e := range usable {
 		total += c.load(e.ID, criteria)
@@ -162,9 +207,9 @@
 }
 
 // usable returns the endpoints that may get a call now. It returns ejected ones
-// only if no healthy one may get a call.
+// only if no healthy one may get a call. The result is valid until the next call.
 func (c *Chooser) usable(now cicadapitch.Instant, list []fleet.Endpoint, criteria Criteria) []fleet.Endpoint {
-	var healthy, ejected []fleet.Endpoint
+	healthy, ejected := c.healthy[:0], c.ejected[:0]
 	for _, e := range list {
 		h := c.Health(e.ID)
 		if criteria.Exclude[e.ID] || now < h.pausedUntil || !c.allowed(now, e, criteria) {
@@ -176,6 +221,7 @@
 			healthy = append(healthy, e)
 		}
 	}
+	c.healthy, c.ejected = healthy, ejected
 	if len(healthy) == 0 {
 		return ejected
 	}
