--- a/gateway/enginerun.go
+++ b/gateway/enginerun.go
@@ -17,7 +17,7 @@
 	if len(r.Prompt) == 0 {
 		criteria.Prompt = []catalog.PromptPart{{Tokens: r.PromptTokens}}
 	}
-	criteria.Request = string(r.ID)
+	criteria.Request, criteria.Route = string(r.ID), p.route.Name
 	reports := p.g.membership.EngineReports()
 	criteria.OtherWork, criteria.ReportAge = reports.Work, reports.Age
 	p.g.mu.Lock()
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -60,9 +60,12 @@
 	// pace is that of all engines, meanWork the mean work of a request of this host.
 	pace     pace
 	meanWork EngineWork
-	random   func() float64
-	// parts, scores, predictions, healthy and ejected are buffers of one choice.
+	// fixed is by route.
+	fixed  map[string]*fixedTime
+	random func() float64
+	// parts, fixedMillis, scores, predictions, healthy and ejected are state and buffers of one choice.
 	parts            promptParts
+	fixedMillis      float64
 	scores           []uint64
 	predictions      []Prediction
 	healthy, ejected []fleet.Endpoint
@@ -77,6 +80,7 @@
 		zone: zone, coldRateFactor: rateFactor, coldExtraCalls: extraCalls,
 		health: map[cicadapitch.EndpointID]*Health{}, limits: NewRateLimits(),
 		engines: map[cicadapitch.EndpointID]*engineState{}, random: rand.Float64,
+		fixed: map[string]*fixedTime{},
 	}
 }
 
@@ -140,6 +144,8 @@
 	Prompt []catalog.PromptPart
 	// Request identifies the request. It takes the place of an empty Session if Prompt is set.
 	Request string
+	// Route names the request's route.
+	Route string
 	// Output is the expected number of output tokens, or 0 if that is not known.
 	Output cicadapitch.Tokens
 	// OtherWork holds the other hosts' outstanding work, ReportAge how old it is.
--- a/placement/enginechoice.go
+++ b/placement/enginechoice.go
@@ -21,6 +21,9 @@
 	// homeCached is the assumed probability that the first engine in a session's rendezvous order has
 	// its prefix cached while this host has not sent it there: other hosts have.
 	homeCached = 0.95
+	// refillTime is how long after its restart an engine is not assumed to have what other hosts sent
+	// there. In that time each of its sessions is likely to have had a request.
+	refillTime = 3 * cicadapitch.Second
 	// refillWeight is the weight of the time of prefilling again what another engine has cached. That
 	// time is also taken from the requests that come later.
 	refillWeight = 2.5
@@ -40,6 +43,9 @@
 type engineState struct {
 	// started is the start of the process that the rest is about.
 	started int64
+	// restartedAt is when another process took the place of the one before, or 0 if this host has not seen
+	// that.
+	restartedAt cicadapitch.Instant
 	// work is this host's outstanding work.
 	work   EngineWork
 	cached cachedParts
@@ -56,10 +62,10 @@
 	Uncached cicadapitch.Tokens
 	// Age is the age of the other hosts' reports.
 	Age cicadapitch.Millis
-	// nominal is the time in milliseconds at a nominal engine. certain is false if it rests on
-	// the assumption that other hosts have sent the prefix there.
+	// nominal is the time in milliseconds at a nominal engine.
 	nominal float64
-	certain bool
+	// fixed is the part of FirstEvent that does not depend on the engine.
+	fixed float64
 	// cost is what the choice compares, in milliseconds.
 	cost float64
 }
@@ -70,6 +76,7 @@
 	started    int64
 	work       EngineWork
 	prediction Prediction
+	route      string
 	parts      []partKey
 	// answered is true after the first event.
 	answered bool
@@ -82,18 +89,28 @@
 func (c *Chooser) SetRandom(f func() float64) { c.random = f }
 
 // engine returns the state of an engine. It begins anew if the engine's process is another one.
-func (c *Chooser) engine(e *fleet.Endpoint) *engineState {
+func (c *Chooser) engine(now cicadapitch.Instant, e *fleet.Endpoint) *engineState {
 	s := c.engines[e.ID]
 	if s == nil {
 		s = &engineState{started: e.Started}
 		c.engines[e.ID] = s
 	}
 	if s.started != e.Started {
-		*s = engineState{started: e.Started}
+		*s = engineState{started: e.Started, restartedAt: now}
 	}
 	return s
 }
 
+// fixedTime returns the fixed time of a route.
+func (c *Chooser) fixedTime(route string) *fixedTime {
+	f := c.fixed[route]
+	if f == nil {
+		f = &fixedTime{}
+		c.fixed[route] = f
+	}
+	return f
+}
+
 // chooseByWork chooses the first engine in the session's rendezvous order whose predicted cost exceeds
 // the lowest one by little. How much is drawn at random for each request, so that hosts
 // which see the same old reports do not all leave an engine for the same other one at once.
@@ -136,6 +153,7 @@
 			home = i
 		}
 	}
+	c.fixedMillis = c.fixedTime(criteria.Route).millis
 	c.predictions = c.predictions[:0]
 	usual := c.pace.ratio(now, 1)
 	mostCached := 0.0
@@ -147,18 +165,17 @@
 	for i := range c.predictions {
 		p := &c.predictions[i]
 		refill := mostCached - float64(c.parts.shared+c.parts.own-p.Uncached)
-		p.cost = p.FirstEvent + (refillWeight-1)*refill/nominalPrefillSpeed*usual
+		p.cost = p.FirstEvent - p.fixed + (refillWeight-1)*refill/nominalPrefillSpeed*usual
 	}
 }
 
 // predict predicts the time to the first event at an engine. home is true for the first engine in the
 // session's rendezvous order. usual is the pace of all engines.
 func (c *Chooser) predict(now cicadapitch.Instant, e *fleet.Endpoint, criteria *Criteria, home bool, usual float64) Prediction {
-	s := c.engine(e)
+	s := c.engine(now, e)
 	cached := s.cached.prefix(now, &c.parts)
-	certain := true
-	if assumed := cicadapitch.Tokens(homeCached * float64(c.parts.shared)); home && cached < assumed {
-		cached, certain = assumed, false
+	if refilled := s.restartedAt == 0 || now.Sub(s.restartedAt) >= refillTime; home && refilled {
+		cached = max(cached, cicadapitch.Tokens(homeCached*float64(c.parts.shared)))
 	}
 	uncached := c.parts.shared + c.parts.own - cached
 	reported := criteria.OtherWork[e.ID]
@@ -171,11 +188,13 @@
 	if e.Slots == 0 && criteria.Service.Engine != nil {
 		slots = float64(max(criteria.Service.Engine.Slots, 1))
 	}
-	nominal := nominalFirstEvent + float64(work.Prefill+uncached)/nominalPrefillSpeed*(1+decodeShare*min(running/slots, 1))
+	perToken := (1 + decodeShare*min(running/slots, 1)) / nominalPrefillSpeed
+	// While the engine fetches the inputs of this request, it prefills what came before.
+	nominal := nominalFirstEvent + perToken*float64(uncached) + max(perToken*float64(work.Prefill)-c.fixedMillis, 0)
 	nominal += queueTime(work, running, slots, float64(uncached+criteria.output()), float64(cacheCapacity(criteria)))
 	return Prediction{
-		Known: true, FirstEvent: nominal * s.pace.ratio(now, usual), Uncached: uncached, Age: criteria.ReportAge,
-		nominal: nominal, certain: certain,
+		Known: true, FirstEvent: c.fixedMillis + nominal*s.pace.ratio(now, usual), Uncached: uncached, Age: criteria.ReportAge,
+		nominal: nominal, fixed: c.fixedMillis,
 	}
 }
 
@@ -219,10 +238,10 @@
 	if !p.Known {
 		return &Run{endpoint: e.ID, answered: true}
 	}
-	s := c.engine(&e)
+	s := c.engine(now, &e)
 	c.parts.set(criteria.Prompt, cacheCapacity(&criteria))
 	r := &Run{
-		endpoint: e.ID, started: e.Started, prediction: p, parts: append([]partKey(nil), c.parts.keys...),
+		endpoint: e.ID, started: e.Started, prediction: p, route: criteria.Route, parts: append([]partKey(nil), c.parts.keys...),
 		work: EngineWork{Prefill: p.Uncached, Output: criteria.output(), Held: p.Uncached + criteria.output()},
 	}
 	s.work = s.work.plus(r.work)
@@ -247,10 +266,10 @@
 		return
 	}
 	s.work = s.work.minus(prefilled)
-	if r.prediction.certain {
-		s.pace.record(now, float64(took), r.prediction.nominal)
-		c.pace.record(now, float64(took), r.prediction.nominal)
-	}
+	p := r.prediction
+	s.pace.record(now, float64(took)-p.fixed, p.nominal)
+	c.pace.record(now, float64(took)-p.fixed, p.nominal)
+	c.fixedTime(r.route).record(float64(took) - p.nominal)
 }
 
 // EndRun is RecordEnd for a call that RecordRun began. A prompt without a first event is assumed not to
@@ -274,7 +293,7 @@
 	out := map[cicadapitch.EndpointID]EngineWork{}
 	for id, s := range c.engines {
 		if s.work != (EngineWork{}) {
-			out[id] = s.work
+			out[id] = s.work.bounded()
 		}
 	}
 	return out
--- a/placement/enginework.go
+++ b/placement/enginework.go
@@ -26,6 +26,11 @@
 	return inRange(w.Prefill) && inRange(w.Output) && inRange(w.Held)
 }
 
+// bounded returns w with figures of at most MaxReportedTokens.
+func (w EngineWork) bounded() EngineWork {
+	return EngineWork{min(w.Prefill, MaxReportedTokens), min(w.Output, MaxReportedTokens), min(w.Held, MaxReportedTokens)}
+}
+
 // plus returns w + o.
 func (w EngineWork) plus(o EngineWork) EngineWork {
 	return EngineWork{w.Prefill + o.Prefill, w.Output + o.Output, w.Held + o.Held}
--- a/placement/health.go
+++ b/placement/health.go
@@ -77,7 +77,10 @@
 
 // Ejected reports whether the failure rate is so high that the endpoint gets calls
 // only if no other endpoint may get one.
-func (h *Health) Ejected(now cicadapitch.Instant) bool { return h.FailureRate(now) >= ejectThreshold }
+func (h *Health) Ejected(now cicadapitch.Instant) bool {
+	// The rate only decays, so that most endpoints need no exponential.
+	return h.failureRate >= ejectThreshold && h.FailureRate(now) >= ejectThreshold
+}
 
 // allowed reports whether a call may start now. At most perSecond+burst calls
 // start in any second.
