batch, gateway: stage work is ordered and admitted by priority under contention

In a burst an urgent kind whose objective leaves hardly any time to spare is late as soon as calls are full, and then less urgent jobs pass it for as long as there are any. At the first stage it was refused by the waits of such late work.

Change, only while jobs of several priority levels compete and one of them is late or expected to be: the levels follow each other. A late job follows the jobs on time of the next level while it is late by at most a quarter of the time until it expires, and goes last after that. Admission estimates by the same order, and hosts take the wait that the owner reports for the next level as that of late work. A tenth of what a level or its returning requests ask for is reserved, and large jobs are refused at most half as often again as others. Retry-After is the time until the place has room.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -41,11 +41,11 @@
 }
 
 // moreUrgentRate returns the arrival rate, in pieces per millisecond, of the
-// priorities that are more urgent than the given one.
+// priorities that are more urgent than the given one, which may be priorityLevels for all.
 func (d *demand) moreUrgentRate(now cicadapitch.Instant, priority int) float64 {
 	d.decay(now)
 	sum := 0.0
-	for _, r := range d.rate[:priorityLevel(priority)] {
+	for _, r := range d.rate[:min(max(priority, 0), priorityLevels)] {
 		sum += r
 	}
 	return sum
@@ -54,5 +54,5 @@
 // totalRate returns the arrival rate of all priorities in pieces per
 // millisecond.
 func (d *demand) totalRate(now cicadapitch.Instant) float64 {
-	return d.moreUrgentRate(now, priorityLevels) + d.rate[priorityLevels-1]
+	return d.moreUrgentRate(now, priorityLevels)
 }
--- a/batch/estimate.go
+++ b/batch/estimate.go
@@ -1,6 +1,10 @@
 package batch
 
-import "cicadapitch.example/cicadapitch"
+import (
+	"math"
+
+	"cicadapitch.example/cicadapitch"
+)
 
 // throughput returns the estimated rate of all endpoints together, in pieces per
 // millisecond, with calls of typicalCallSize pieces, and the time until the first
@@ -39,13 +43,17 @@
 // waits for the start of its call, given the pieces before it in the queue and
 // the more urgent ones that will arrive meanwhile.
 func (p *Planner) EstimateWait(now cicadapitch.Instant, priority int) cicadapitch.Millis {
-	queuedAhead := 0
-	for _, job := range p.jobs {
-		if job.Priority <= priority && !p.isLate(now, job) {
-			queuedAhead += len(job.queued)
+	level, queuedAhead := priorityLevel(priority), 0
+	if p.contended(now) {
+		queuedAhead = p.queuedUpTo(now, place{section: sectionRegular, level: level, due: math.MaxInt64})
+	} else {
+		for _, job := range p.jobs {
+			if job.Priority <= priority && !p.isLate(now, job) {
+				queuedAhead += len(job.queued)
+			}
 		}
 	}
-	return p.queueWait(now, queuedAhead, p.demand.moreUrgentRate(now, priority))
+	return p.queueWait(now, queuedAhead, p.demand.moreUrgentRate(now, level))
 }
 
 // EstimateLateWait estimates the wait of a piece that arrives now and can no
--- /dev/null
+++ b/batch/export_test.go
@@ -0,0 +1,4 @@
+package batch
+
+// KeepOrderWithoutContention makes the planner order and admit jobs as if they did not compete.
+func (p *Planner) KeepOrderWithoutContention() { p.withoutContention = true }
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -9,40 +9,6 @@
 	"cicadapitch.example/cicadapitch"
 )
 
-// sortedJobs returns the jobs with queued pieces in the order in which they are
-// served: first those of streams that are taken up again, then the jobs that can still
-// meet their objective, then those whose request was refused before, then the other
-// late ones. Each group is sorted by
-// due time, to which priorityStep is added for each priority level.
-func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
-	var list []*jobState
-	for _, job := range p.jobs {
-		if len(job.queued) > 0 {
-			list = append(list, job)
-		}
-	}
-	// group returns -1 for streams that are taken up again, 0 for jobs on time, 1 for those
-	// refused before, 2 for other late ones.
-	group := func(job *jobState) int {
-		switch {
-		case job.Resumed:
-			return -1
-		case job.Retried:
-			return 1
-		case p.isLate(now, job):
-			return 2
-		}
-		return 0
-	}
-	effectiveDue := func(job *jobState) cicadapitch.Instant {
-		return job.DueAt.Add(cicadapitch.Millis(priorityLevel(job.Priority)) * priorityStep)
-	}
-	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(effectiveDue(a), effectiveDue(b)), cmp.Compare(a.ID, b.ID))
-	})
-	return list
-}
-
 // freeEndpoints returns the endpoints that can start a call now: first those of
 // normal speed, then the slow ones, each group with the least recently used
 // endpoint first. slowdownAt stands for the last use, since it is updated when a call
--- a/batch/job.go
+++ b/batch/job.go
@@ -131,6 +131,8 @@
 	remaining int
 	// queued holds the indices of the pieces in the queue.
 	queued []int
+	// reserved is set for a job that was admitted on the reserve.
+	reserved bool
 	// failures is the number of failed runs of pieces.
 	failures int
 }
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -77,6 +77,7 @@
 	// outcomes are returned by the next Plan.
 	outcomes []Outcome
 	demand   demand
+	reserve  reserve
 	// meanResultBytes is the smoothed size of the result of a piece.
 	meanResultBytes float64
 	// firstJobAt is when the planner got its first job, or 0.
@@ -84,6 +85,10 @@
 	// refusedAt maps an input key to the time when a request with that key was
 	// last refused.
 	refusedAt map[string]cicadapitch.Instant
+	// contendedAt is when contention was last found, or 0. withoutContention keeps the order of
+	// a service without contention, for comparison.
+	contendedAt       cicadapitch.Instant
+	withoutContention bool
 	// lastCallStart is when the last call started.
 	lastCallStart cicadapitch.Instant
 	// toFree are the handles of results that the next Plan returns to be freed: no
@@ -192,21 +197,16 @@
 	if at, ok := p.refusedAt[j.Key]; ok && now.Sub(at) < refusalTTL && !j.Resumed {
 		job.Retried = true
 	}
-	work := p.ExpectedDuration(j.Pieces)
-	// A job that matches neither case is queued as a late job.
-	switch {
-	case j.Resumed && now.Add(p.resumedJobWait(now)+work) <= j.ExpiresAt:
-		p.demand.add(now, j.Priority, j.Pieces)
-	// The job can meet its objective.
-	case !job.Retried && now.Add(p.EstimateWait(now, j.Priority)+work) <= j.DueAt:
-		p.demand.add(now, j.Priority, j.Pieces)
-	// The job can't end before it expires.
-	case now.Add(p.lateJobWait(now, job.Retried)+work) > j.ExpiresAt:
-		p.outcomes = append(p.outcomes, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: p.drainTime(now)})
+	job.handles, job.queued = make([]string, j.Pieces), lo.Range(j.Pieces)
+	// The job may be the first that competes with others.
+	p.jobs[j.ID] = job
+	p.findContention(now)
+	delete(p.jobs, j.ID)
+	if !p.admit(now, job) {
+		p.outcomes = append(p.outcomes, Outcome{Job: j.ID, Reason: "the queue is longer than the request's time", RetryAfter: p.roomAfter(now, job)})
 		return
 	}
 	p.meanResultBytes += resultBytesWeight * (float64(j.ResultBytes) - p.meanResultBytes)
-	job.handles, job.queued = make([]string, j.Pieces), lo.Range(j.Pieces)
 	p.jobs[j.ID] = job
 }
 
@@ -361,6 +361,7 @@
 // Plan returns the calls to start, the outcomes of jobs that ended, the handles
 // of results to free, and the time after which to plan again at the latest.
 func (p *Planner) Plan(now cicadapitch.Instant) (calls []Call, outcomes []Outcome, toFree []string, next cicadapitch.Millis) {
+	p.findContention(now)
 	p.expireJobsAndResults(now)
 	p.hedgeOverdueCalls(now)
 	p.evictFetched()
@@ -416,12 +417,12 @@
 // expire, and removes results whose life is over.
 func (p *Planner) expireJobsAndResults(now cicadapitch.Instant) {
 	rate, untilFree := p.throughput(now)
-	spareRate := max(rate-p.demand.totalRate(now), minSpareShare*rate)
 	// queuedUpTo is the number of queued pieces up to and including the job.
 	queuedUpTo := 0
 	for _, job := range p.sortedJobs(now) {
 		queuedUpTo += len(job.queued)
 		end := now.Add(p.ExpectedDuration(1))
+		spareRate := max(rate-p.overtakingRate(now, job), minSpareShare*rate)
 		if spareRate > 0 && p.isLate(now, job) && queuedUpTo > p.spec.MaxPieces {
 			end = end.Add(untilFree + cicadapitch.Millis(float64(queuedUpTo)/spareRate))
 		}
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -201,11 +201,9 @@
 	firstEvent := p.expectedFirstEvent()
 	reported := p.reportedWait(args.waits)
 	downstream := p.downstreamTime(stage, pieces, reported)
-	// If the request is going to miss its latency objective, the later stages queue it
-	// as late work.
 	lateDownstream := downstream
-	if now.Add(p.estimateStageTime(s.Service, reported)+downstream+firstEvent) > p.due {
-		lateDownstream = p.downstreamTime(stage, pieces, p.reportedLateWait(args.waits))
+	if late := now.Add(p.estimateStageTime(s.Service, reported) + downstream + firstEvent).Sub(p.due); late > 0 {
+		lateDownstream = p.downstreamTime(stage, pieces, p.reportedLateWait(args.waits, late))
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
@@ -314,13 +312,18 @@
 	return w[min(max(p.priority, 0), len(w)-2)]
 }
 
-// reportedLateWait is reportedWait for late work.
-func (p *proxiedRequest) reportedLateWait(waits map[string]QueueWaits) func(batch.Shard) cicadapitch.Millis {
+// reportedLateWait is reportedWait for a request that is going to miss its latency objective by the given
+// time, so that the later stages queue it as late work.
+func (p *proxiedRequest) reportedLateWait(waits map[string]QueueWaits, late cicadapitch.Millis) func(batch.Shard) cicadapitch.Millis {
 	return func(s batch.Shard) cicadapitch.Millis {
 		w := waits[s.Key()]
 		if len(w) == 0 || p.resumed() {
 			return 0
 		}
+		if late <= batch.Grace(p.due, p.abandonAt) {
+			// The jobs on time of the next level precede it.
+			return w[min(max(p.priority, 0)+1, len(w)-1)]
+		}
 		return w[len(w)-1]
 	}
 }
