--- a/batch/demand.go
+++ b/batch/demand.go
@@ -11,6 +11,28 @@
 // Priorities of priorityLevels-1 and above share the last level.
 const priorityLevels = catalog.Ranks
 
+// levelTTL is how long after its last job a priority level counts as in use. Most of them never are.
+const levelTTL = 10 * cicadapitch.Second
+
+// LevelInUse returns the first priority level from the given one on that jobs have used lately, or the given one
+// if there is none.
+func (p *Planner) LevelInUse(now cicadapitch.Instant, level int) int {
+	for l := level; l < priorityLevels; l++ {
+		if at := p.levelUsedAt[l]; at > 0 && now.Sub(at) < levelTTL {
+			return l
+		}
+	}
+	return level
+}
+
+// nextLevel returns the next priority level that is in use, or the one that follows the given one.
+func (p *Planner) nextLevel(now cicadapitch.Instant, level int) int {
+	if level+1 >= priorityLevels {
+		return priorityLevels
+	}
+	return p.LevelInUse(now, level+1)
+}
+
 // demandTimeConstant is the time constant with which the measured arrival rate
 // decays, the duration of a few calls.
 const demandTimeConstant cicadapitch.Millis = 1200
@@ -42,11 +64,11 @@
 }
 
 // moreUrgentRate returns the arrival rate, in pieces per millisecond, of the
-// priorities that are more urgent than the given one.
+// priorities that are more urgent than the given one, which may be priorityLevels for all.
 func (d *demand) moreUrgentRate(now cicadapitch.Instant, priority int) float64 {
 	d.decay(now)
 	sum := 0.0
-	for _, r := range d.rate[:priorityLevel(priority)] {
+	for _, r := range d.rate[:min(max(priority, 0), priorityLevels)] {
 		sum += r
 	}
 	return sum
@@ -55,5 +77,5 @@
 // totalRate returns the arrival rate of all priorities in pieces per
 // millisecond.
 func (d *demand) totalRate(now cicadapitch.Instant) float64 {
-	return d.moreUrgentRate(now, priorityLevels) + d.rate[priorityLevels-1]
+	return d.moreUrgentRate(now, priorityLevels)
 }
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -9,38 +9,6 @@
 	"cicadapitch.example/cicadapitch"
 )
 
-// sortedJobs returns the jobs with queued pieces in the order in which they are
-// served: first those of streams that are taken up again, then the jobs that can still
-// meet their objective, then those whose request was refused before, then the other
-// late ones. Each group is sorted by priority, since estimates of the wait assume that only jobs of the
-// same or a more urgent one precede, and then by due time.
-func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
-	var list []*jobState
-	for _, job := range p.jobs {
-		if len(job.queued) > 0 {
-			list = append(list, job)
-		}
-	}
-	// group returns -1 for streams that are taken up again, 0 for jobs on time, 1 for those
-	// refused before, 2 for other late ones.
-	group := func(job *jobState) int {
-		switch {
-		case job.Resumed:
-			return -1
-		case job.Retried:
-			return 1
-		case p.isLate(now, job):
-			return 2
-		}
-		return 0
-	}
-	level := func(job *jobState) int { return priorityLevel(job.Priority) }
-	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(level(a), level(b)), cmp.Compare(a.DueAt, b.DueAt), cmp.Compare(a.ID, b.ID))
-	})
-	return list
-}
-
 // freeEndpoints returns the endpoints that can start a call now: first those of
 // normal speed, then the slow ones, each group with the least recently used
 // endpoint first. slowdownAt stands for the last use, since it is updated when a call
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -50,8 +50,8 @@
 	service  *catalog.Service
 	customer cicadapitch.CustomerID
 	// rank is the rank of the request among all, see catalog.Rank.
-	rank int
-	answer   *platform.ResponseWriter
+	rank   int
+	answer *platform.ResponseWriter
 	// due is when the answer or first event is due by the latency objective.
 	// deadline is when the gateway gives up.
 	due, deadline cicadapitch.Instant
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -216,7 +216,7 @@
 		if !r.planner.Idle() {
 			w := make(QueueWaits, reportedPriorities, reportedPriorities+1)
 			for p := range w {
-				w[p] = r.planner.EstimateWait(now, p)
+				w[p] = r.planner.EstimateWait(now, r.planner.LevelInUse(now, p))
 			}
 			w = append(w, r.planner.EstimateLateWait(now))
 			out[shard.Key()] = w
