fleet, membership: rollout orders, their progress and their statuses in the view

The state holds, for each service, the operator's order, how far hosts have brought it (key rollouts/SERVICE) and the status. An order that the store has again after it came back from an older copy is the same order. Views list the endpoints that may get no work, since calls to them may still run.

--- a/fleet/servicestate.go
+++ b/fleet/servicestate.go
@@ -17,10 +17,10 @@
 
 // serviceList is what a view has of a service.
 type serviceList struct {
-	// endpoints are those that may get work, sorted by id.
-	endpoints []Endpoint
-	counts    map[cicadapitch.ZoneID]int
-	versions  []cicadapitch.SoftwareVersion
+	// endpoints are those that may get work, leaving the others, both sorted by id.
+	endpoints, leaving []Endpoint
+	counts             map[cicadapitch.ZoneID]int
+	versions           []cicadapitch.SoftwareVersion
 }
 
 // set adds an endpoint or replaces its record.
@@ -54,10 +54,12 @@
 		}
 		if !e.Leaving && !evacuated[e.Zone] {
 			l.endpoints = append(l.endpoints, e)
+		} else {
+			l.leaving = append(l.leaving, e)
 		}
 	}
 	// Views share the lists, so that an append has to copy them.
-	l.endpoints, l.versions = slices.Clip(l.endpoints), slices.Clip(l.versions)
+	l.endpoints, l.leaving, l.versions = slices.Clip(l.endpoints), slices.Clip(l.leaving), slices.Clip(l.versions)
 	s.listed = l
 	return l
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -21,12 +21,15 @@
 type View struct {
 	Catalog        *catalog.Catalog
 	endpoints      map[catalog.ServiceID][]Endpoint
+	leaving        map[catalog.ServiceID][]Endpoint
 	endpointCounts map[catalog.ServiceID]map[cicadapitch.ZoneID]int
 	// Versions holds the software versions of all endpoints of each service, including
 	// those that may get no work.
 	Versions map[catalog.ServiceID][]cicadapitch.SoftwareVersion
 	// Evacuated holds the zones that are out of service.
 	Evacuated map[cicadapitch.ZoneID]bool
+	// Rollouts holds what the store has of rollouts, or is nil if there are none.
+	Rollouts map[catalog.ServiceID]Rollout
 	// Hosts are sorted by incarnation and must not be modified. Of several processes at one
 	// address only the latest is among them.
 	Hosts []Host
@@ -68,6 +71,7 @@
 	// serviceOf maps each endpoint to its service.
 	serviceOf map[cicadapitch.EndpointID]catalog.ServiceID
 	evacuated map[cicadapitch.ZoneID]bool
+	rollouts  map[catalog.ServiceID]Rollout
 	// hosts maps the key of a host in the store to its record.
 	hosts map[string]Host
 	// current holds the hosts as a view lists them, or is nil if they have changed.
@@ -80,6 +84,7 @@
 		services:  map[catalog.ServiceID]*serviceState{},
 		serviceOf: map[cicadapitch.EndpointID]catalog.ServiceID{},
 		evacuated: map[cicadapitch.ZoneID]bool{},
+		rollouts:  map[catalog.ServiceID]Rollout{},
 		hosts:     map[string]Host{},
 	}
 }
@@ -163,10 +168,17 @@
 		endpointCounts: map[catalog.ServiceID]map[cicadapitch.ZoneID]int{},
 		Versions:       map[catalog.ServiceID][]cicadapitch.SoftwareVersion{},
 		Evacuated:      maps.Clone(s.evacuated),
+		Rollouts:       s.viewRollouts(),
 	}
 	for id, service := range s.services {
 		l := service.list(s.evacuated)
 		v.endpoints[id], v.endpointCounts[id], v.Versions[id] = l.endpoints, l.counts, l.versions
+		if len(l.leaving) > 0 {
+			if v.leaving == nil {
+				v.leaving = map[catalog.ServiceID][]Endpoint{}
+			}
+			v.leaving[id] = l.leaving
+		}
 	}
 	if s.current == nil {
 		s.current = s.currentHosts()
--- a/membership/pendingremoval.go
+++ b/membership/pendingremoval.go
@@ -22,10 +22,11 @@
 	p := pendingRemoval{record: c.Record, from: s, restored: c.Restored(), due: now.Add(reregisterGrace)}
 	id, isEndpoint := platform.EndpointIDFromKey(c.Key)
 	_, isZone := platform.EvacuatedZoneFromKey(c.Key)
+	_, isOrder := platform.RolloutServiceFromKey(c.Key)
 	switch {
 	case isEndpoint && m.state.Leaving(id):
 		return false // it would not have been written again
-	case isEndpoint && p.restored, isZone && p.restored:
+	case (isEndpoint || isZone || isOrder) && p.restored:
 	case isEndpoint && m.entriesMayHaveExpired(now):
 		p.due = max(m.storeRecoveredAt, m.peerOutageAt, now-cicadapitch.Instant(reregisterGrace)).Add(reregisterGrace)
 	case isHostKey(c.Key) && p.restored:
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -264,6 +264,9 @@
 		if isHostKey(r.Key) {
 			m.applyHost(c)
 		}
+		if service, ok := platform.RolloutServiceFromKey(r.Key); ok {
+			m.applyRolloutOrder(now, service, c, s)
+		}
 	}
 	if strings.HasPrefix(r.Key, quarantineKeyPrefix) {
 		m.applyQuarantine(now, r)
@@ -274,6 +277,8 @@
 	if strings.HasPrefix(r.Key, versionKeyPrefix) {
 		m.applyVersions(now, r)
 	}
+	m.applyRolloutProgress(r)
+	m.applyRolloutStatus(r)
 }
 
 // removeKey applies the removal of a key. The caller holds mu.
@@ -287,6 +292,9 @@
 		m.state.RemoveEndpoint(id)
 		m.log.Info().Str("Endpoint", string(id)).Int64("Revision", r.Revision.Number()).Str("From", s.from).Stringer("By", s.by).Msg("endpoint gone")
 	}
+	if service, ok := platform.RolloutServiceFromKey(r.Key); ok {
+		m.removeRolloutOrder(service, r, s)
+	}
 	if isHostKey(r.Key) {
 		m.state.RemoveHost(r.Key)
 		m.log.Info().Str("Key", r.Key).Int64("Revision", r.Revision.Number()).Msg("host's store entry removed")
