gateway, batch: rollouts by version, with counts of what callers get and an owner that decides

While a service has an order, each attempt at a request reserves a version: the new one if it is owed a request (canary.Splitter), else the old one. Only what reaches an endpoint counts, so that the new version gets no more than its share of the arrivals, retries and streams that go on included. In Canary few endpoints of the new version get its requests; the owner of a stage service's shard bounds the calls at the new version in the same way. The owner runs the judge, stores each phase before it tells it, but a rollback at once, and writes the status completed once each host has said that nothing runs at the old version since it was told.

Without an order and a version that was rolled back, a request costs one atomic load more; no call is made.

--- a/batch/fill.go
+++ b/batch/fill.go
@@ -57,7 +57,7 @@
 	slices.SortFunc(list, func(a, b *endpointState) int {
 		return cmp.Or(cmp.Compare(a.speedClass(now), b.speedClass(now)), cmp.Compare(a.slowdownAt, b.slowdownAt), cmp.Compare(a.ID, b.ID))
 	})
-	return list
+	return p.withinVersionLimit(list)
 }
 
 // speedClass returns 0 for endpoints of normal speed and 1 for slow ones.
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -86,6 +86,8 @@
 	refusedAt map[string]cicadapitch.Instant
 	// lastCallStart is when the last call started.
 	lastCallStart cicadapitch.Instant
+	// versionLimit is nil while no software version is limited.
+	versionLimit *VersionLimit
 	// toFree are the handles of results that the next Plan returns to be freed: no
 	// job needs them, or they were evicted.
 	toFree []string
--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -154,6 +154,7 @@
 	go h.membership.RunHeartbeats(workCtx)
 	go h.servePeers(workCtx)
 	go h.gateway.RunRelays(workCtx)
+	go h.gateway.RunRollouts(workCtx)
 	go h.membership.StoreOrigins(workCtx)
 	<-terminatedCtx.Done()
 	h.shutDown(callers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	IsSelf(h fleet.Host) bool
 	// RecordEnded records that a host's process has ended, so that another host owns its shards.
 	RecordEnded(h fleet.Host)
+	// StoreRollout writes how far a rollout has come, and its status.
+	StoreRollout(ctx context.Context, known fleet.Rollout, p fleet.RolloutProgress) error
 	// Dialer returns the dialer for other hosts, or nil before this host can connect
 	// to them.
 	Dialer() *peer.Dialer
@@ -80,6 +82,8 @@
 	quarantine *quarantine.Ledger
 	trials     *quarantine.Trials
 	limits     *placement.RateLimits
+	rollouts   *rollouts
+	host       cicadapitch.HostID
 	// peerAddress is the ip:port of this host for other hosts.
 	peerAddress string
 	// dial opens direct connections to endpoints.
@@ -147,6 +151,8 @@
 		quarantine:       quarantine.NewLedger(),
 		trials:           quarantine.NewTrials(),
 		limits:           placement.NewRateLimits(),
+		rollouts:         newRollouts(),
+		host:             s.Host,
 		peerAddress:      s.PeerAddress(),
 		dial:             platform.DialEndpoint,
 	}
@@ -165,6 +171,7 @@
 	g.stopAnnounced, g.announceStop = context.WithCancel(context.Background())
 	g.givenUp, g.giveUp = context.WithCancel(context.Background())
 	g.shards = newShardRunners(g.endpoints, g.limits, g.clock, g.log, g.metrics)
+	g.shards.rollouts = g.rollouts
 	g.shards.onFetched = g.freeResults
 	g.shards.owns = func(s batch.Shard) bool {
 		_, self := g.ownerOf(s)
@@ -192,6 +199,7 @@
 func (g *Gateway) SetView(v *fleet.View) {
 	// The caller holds a lock that this needs.
 	go g.endpoints.CloseOutdatedConnections()
+	g.setRollouts(v)
 	g.shards.setView(v)
 	if v.Catalog == nil {
 		return
@@ -230,6 +238,7 @@
 	p.answer = a
 	g.running.begin(p)
 	defer g.running.end(p)
+	defer func() { p.reserved.release() }()
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Counter("Requests").Inc(1)
 	remaining := p.deadline.Sub(g.clock.Now())
 	ctx, cancel := context.WithTimeoutCause(ctx, remaining.Duration(), errDeadline)
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -286,6 +286,7 @@
 		g.addSuspects(n)
 		return struct{}{}, nil
 	})
+	peer.Handle(s, callRollout, g.takeReportOfOther)
 	peer.Handle(s, callAddOrigins, func(_ context.Context, n OriginNotice) (struct{}, error) {
 		g.addOrigins(n)
 		return struct{}{}, nil
--- a/gateway/plainattempt.go
+++ b/gateway/plainattempt.go
@@ -19,6 +19,8 @@
 	// ctx is the context of the attempt.
 	ctx       context.Context
 	endedWith context.CancelCauseFunc
+	// reserved is the choice of the version of an attempt that follows a silent one, or nil.
+	reserved *reservation
 	// reply is the head of the answer if it has come already.
 	reply *platform.Reply
 
@@ -86,15 +88,19 @@
 	}
 	criteria := p.criteria("")
 	criteria.Exclude = exclude
-	list, hosts := p.candidates(), g.hostCount()
+	list, reserved := p.retryVersions(p.ofListedVersions(), exclude)
+	hosts := g.hostCount()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.chooser.ChoosePlain(now, list, criteria)
 	if !ok || !g.retryBudget(p.service.Name).AllowRetry(now, hosts) {
+		reserved.release()
 		return nil
 	}
 	g.chooser.RecordStart(e.ID)
-	return p.newPlainAttempt(ctx, e, now)
+	a := p.newPlainAttempt(ctx, e, now)
+	a.reserved = reserved
+	return a
 }
 
 // sendRetry sends the request to the endpoint of next, while a waits for its own. It reports whether
@@ -103,6 +109,7 @@
 	stop := context.AfterFunc(retry, func() { next.endedWith(nil) })
 	reply, err := p.g.endpoints.Send(next.ctx, p.newCall(next.endpoint, nil, "", p.commitRetry))
 	p.logSent(next.endpoint, next.startedAt.Sub(next.chosenAt), 0, "", reply, err)
+	next.recordArrival(p.g.clock.Now(), err)
 	canceled := !stop()
 	if err == nil && !canceled && !reply.NotRun && reply.Signed && reply.Status < http.StatusInternalServerError {
 		next.reply = reply
@@ -132,6 +139,7 @@
 		p.recordRefusal(e, reply)
 	default:
 		p.recordFailure(e.ID, 1)
+		p.recordForRollout(e.ID, true, 0)
 		a.mayHaveRun = true
 		if err != nil {
 			p.g.checkEnd(e, brokenRun{p.keys, next.startedAt, p.g.clock.Now()})
@@ -172,3 +180,15 @@
 	a.endedWith(nil)
 	p.recordCallEnd(a.endpoint.ID)
 }
+
+// recordArrival records whether the endpoint has got the request, by the error of the call.
+func (a *plainAttempt) recordArrival(now cicadapitch.Instant, err error) {
+	switch {
+	case a.reserved == nil:
+	case err == nil || cicadapitch.KindOf(err) != cicadapitch.NotRun:
+		a.reserved.recordSent(now, a.endpoint.ID)
+	default:
+		a.reserved.release()
+	}
+	a.reserved = nil
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -37,6 +37,8 @@
 	maxEndpointWait cicadapitch.Millis = 800
 	// endpointPollInterval is the pause between two tries to find such an engine.
 	endpointPollInterval cicadapitch.Millis = 40
+	// maxRequestTime bounds a request.
+	maxRequestTime = 10 * cicadapitch.Minute
 	// fullRetryAfter is the retry delay for callers when all endpoints are full.
 	fullRetryAfter cicadapitch.Millis = 250
 )
@@ -86,6 +88,8 @@
 	trial string
 	// refusedBefore is true if the caller is retrying after a refusal.
 	refusedBefore bool
+	// reserved is the choice of a version for the next attempt, or nil before it or without a rollout.
+	reserved *reservation
 	// status is the HTTP status that was relayed to the caller, or 0.
 	status int
 }
@@ -101,9 +105,7 @@
 	if p.route.Timeout > 0 {
 		timeout = min(timeout, p.route.Timeout)
 	}
-	if timeout > cicadapitch.Minute*10 {
-		timeout = cicadapitch.Minute * 10
-	}
+	timeout = min(timeout, maxRequestTime)
 	p.deadline = r.Arrived.Add(max(timeout-answerMargin, timeout/2))
 	p.due = r.Arrived.Add(p.route.TargetLatency)
 	p.abandonAt = p.deadline
@@ -130,6 +132,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.choose(now, list, criteria)
+	if !ok {
+		e, ok = g.choose(now, p.fallback(), criteria)
+	}
 	if !ok {
 		return e, p.errNoEndpoint()
 	}
@@ -253,6 +258,7 @@
 func (p *proxiedRequest) recordBreak(ctx context.Context, id cicadapitch.EndpointID) {
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
 		p.recordFailure(id, 1)
+		p.recordForRollout(id, true, 0)
 	}
 }
 
@@ -286,10 +292,16 @@
 	if errors.Is(err, errChoiceOutdated) || errors.Is(err, membership.ErrKnowledgeOld) || errors.Is(err, errStopping) || errors.Is(err, errQuarantined) {
 		return nil, err
 	}
+	if err == nil || cicadapitch.KindOf(err) != cicadapitch.NotRun {
+		p.recordArrival(e)
+	}
 	if err != nil {
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
 			p.mayHaveRun = true
+			if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+				p.recordForRollout(e.ID, true, 0)
+			}
 		}
 		switch {
 		case ctx.Err() == nil:
@@ -385,10 +397,12 @@
 	case reply.UnconfirmedRefusal():
 		p.mayHaveRun = true
 		p.recordFailure(e.ID, 1)
+		p.recordForRollout(e.ID, true, 0)
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " refused without saying that it did not run the request")
 	case reply.Status < 300 && !reply.Signed:
 		p.mayHaveRun = true
 		p.recordFailure(e.ID, 1)
+		p.recordForRollout(e.ID, true, 0)
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " answered without a signature")
 	}
 	return nil
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -63,8 +63,12 @@
 
 // candidates returns the endpoints of the service that the request may go to: those of
 // the version that began the stream, once it has begun, and before those of versions at which a
-// stream may begin that callers may take up.
-func (p *proxiedRequest) candidates() []fleet.Endpoint {
+// stream may begin that callers may take up. While the service has a rollout, they are those of the version
+// that it has chosen for the attempt.
+func (p *proxiedRequest) candidates() []fleet.Endpoint { return p.byVersion(p.ofListedVersions()) }
+
+// ofListedVersions returns the candidates before a rollout of the service chooses among their versions.
+func (p *proxiedRequest) ofListedVersions() []fleet.Endpoint {
 	list := p.g.membership.View().Endpoints(p.service.Name)
 	switch {
 	case p.origin != nil:
--- /dev/null
+++ b/gateway/rolloutoffice.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rs/zerolog"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/canary"
+	"cicadapitch.example/cicadapitch/fleet"
+)
+
+const (
+	// decisionInterval is the least time between two decisions of an owner, which gets up to some hundred
+	// reports in each interval of a report.
+	decisionInterval cicadapitch.Millis = 50
+	// reporterAge is the time after its last report within which a host counts as alive even if it takes no
+	// callers, such as one that stops.
+	reporterAge = 6 * rolloutInterval
+	// rolloutRetryMin and rolloutRetryMax bound the pause after a failed write of a rollout's progress.
+	rolloutRetryMin cicadapitch.Millis = 250
+	rolloutRetryMax                    = 4 * cicadapitch.Second
+)
+
+// rolloutOffice is what the owner of a rollout holds.
+type rolloutOffice struct {
+	judge    *canary.Judge
+	decision canary.Decision
+	// decidedAt is when the judge last decided.
+	decidedAt cicadapitch.Instant
+	reports   map[cicadapitch.HostID]receivedReport
+	// told is the phase of the answers. Since when is toldSince.
+	told      canary.Phase
+	toldSince cicadapitch.Instant
+	// storing is true while a write runs, retryAt and pause bound the next one after a failure.
+	storing bool
+	retryAt cicadapitch.Instant
+	pause   cicadapitch.Millis
+}
+
+// receivedReport is the last report of a host.
+type receivedReport struct {
+	at               cicadapitch.Instant
+	phase            canary.Phase
+	old              int
+	longest, timeout cicadapitch.Millis
+}
+
+// takeReport takes a report of a host as the owner of its rollout, or as the host that is taken for it.
+func (g *Gateway) takeReport(m RolloutReport) RolloutAnswer {
+	r := g.rollouts.of(m.Service)
+	if r == nil || r.order.Revision == 0 || m.Order != r.order.Revision.Number() || m.To != r.order.To {
+		return RolloutAnswer{}
+	}
+	m.Report = m.Report.Checked()
+	// The era differs if one of the two hosts has known the order since before an older copy of the store.
+	m.Report.Revision = r.order.Revision
+	live, now := g.availableHosts(), g.clock.Now()
+	r.mu.Lock()
+	o := r.openOffice(now, canary.Bounds{
+		ExposureShare: g.bounds.RolloutShare, ExposureSlack: g.bounds.RolloutSlack, RollbackAfter: g.bounds.RollbackDelay,
+	})
+	o.judge.Report(now, string(m.Host), m.Report)
+	o.reports[m.Host] = receivedReport{at: now, phase: m.Report.Phase, old: m.Report.Old, longest: m.Longest, timeout: m.Timeout}
+	changed := r.decide(now, live)
+	a := RolloutAnswer{Known: true, Phase: o.told, Share: o.decision.Share}
+	if o.told == canary.Canary && o.decision.Phase != canary.Canary {
+		a.Share = 0 // the next phase is being stored
+	}
+	r.mu.Unlock()
+	if changed {
+		g.logDecision(r)
+	}
+	return a
+}
+
+// takeReportOfOther is takeReport for another host. The error is Invalid if a figure is out of range.
+func (g *Gateway) takeReportOfOther(_ context.Context, m RolloutReport) (RolloutAnswer, error) {
+	if err := m.check(); err != nil {
+		g.log.Warn().Str("Host", string(m.Host)).Str("Service", string(m.Service)).Err(err).Msg("rollout report of another host rejected")
+		return RolloutAnswer{}, err
+	}
+	return g.takeReport(m), nil
+}
+
+// availableHosts returns the hosts that are available and those that are registered, by id.
+func (g *Gateway) availableHosts() rolloutHosts {
+	h := rolloutHosts{available: map[cicadapitch.HostID]bool{}, registered: map[cicadapitch.HostID]bool{}}
+	for _, host := range g.membership.Hosts() {
+		h.available[host.ID] = true
+	}
+	for _, host := range g.membership.View().Hosts {
+		h.registered[host.ID] = true
+	}
+	return h
+}
+
+// rolloutHosts are the hosts that may have requests of a service.
+type rolloutHosts struct{ available, registered map[cicadapitch.HostID]bool }
+
+// openOffice returns the office of the owner, and opens it with the first report. The caller holds mu.
+func (r *rollout) openOffice(now cicadapitch.Instant, bounds canary.Bounds) *rolloutOffice {
+	if r.office != nil {
+		return r.office
+	}
+	order, state := r.order, canary.State{Revision: r.order.Revision, Phase: r.phase, Since: r.phaseSince}
+	if p := r.known.Progress; p.Of(r.order) {
+		if p.At > 0 && p.At < order.At && order.At.Sub(p.At) < order.Duration {
+			order.At = p.At // the first host's deadline counts
+		}
+		if p.Phase >= state.Phase {
+			state.Phase, state.Since = p.Phase, p.Since
+		}
+	}
+	if state.Phase == canary.Canary {
+		state.Since = order.At
+	}
+	r.office = &rolloutOffice{
+		judge:   canary.NewJudge(order, bounds, canary.WithState(state)),
+		reports: map[cicadapitch.HostID]receivedReport{}, told: state.Phase, toldSince: now,
+	}
+	return r.office
+}
+
+// decide lets the judge decide, at most once in decisionInterval, and reports whether the decided phase has
+// changed. The caller holds mu, and the office is open.
+func (r *rollout) decide(now cicadapitch.Instant, hosts rolloutHosts) bool {
+	o := r.office
+	if p := r.known.Progress; p.Of(r.order) {
+		o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: p.Phase, Since: p.Since})
+		o.tell(now, p.Phase)
+	}
+	if o.decidedAt > 0 && now.Sub(o.decidedAt) < decisionInterval {
+		return false
+	}
+	first := o.decidedAt == 0
+	longest := cicadapitch.Millis(0)
+	for _, rep := range o.reports {
+		longest = max(longest, rep.longest)
+	}
+	before := o.decision.Phase
+	o.judge.SetEndpoints(r.serving())
+	o.decision, o.decidedAt = o.judge.Decide(now, o.live(now, hosts), longest), now
+	if o.decision.Phase == canary.RolledBack {
+		o.tell(now, canary.RolledBack)
+	}
+	return first || o.decision.Phase != before
+}
+
+// tell changes the phase of the answers unless it is an earlier one.
+func (o *rolloutOffice) tell(now cicadapitch.Instant, p canary.Phase) {
+	if p > o.told {
+		o.told, o.toldSince = p, now
+	}
+}
+
+// live returns the hosts that may have requests: those that take callers, and those that have reported lately
+// or have requests at old endpoints and are still registered.
+func (o *rolloutOffice) live(now cicadapitch.Instant, hosts rolloutHosts) []string {
+	var live []string
+	for id := range hosts.available {
+		live = append(live, string(id))
+	}
+	for id, rep := range o.reports {
+		alive := now.Sub(rep.at) < reporterAge || rep.old > 0 && hosts.registered[id]
+		if alive && !hosts.available[id] {
+			live = append(live, string(id))
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// wanted returns the phase that the store should have, and whether it lacks it or its status. The caller
+// holds mu.
+func (r *rollout) wanted(now cicadapitch.Instant, hosts rolloutHosts) (canary.Phase, bool) {
+	o, p := r.office, r.known.Progress
+	phase := max(o.decision.Phase, o.told)
+	if !p.Of(r.order) || phase > p.Phase {
+		return phase, true
+	}
+	status := r.known.Status
+	// Operators read that a rollout is completed only once no host has anything at the old version.
+	visible := phase != canary.Completed || o.emptied(now, r.order, hosts)
+	return phase, visible && (status.Revision == 0 || status.To != r.order.To || status.Phase.Final() != phase.Final() ||
+		phase.Final() && status.Phase != phase)
+}
+
+// emptied reports whether all hosts have said that nothing runs at the old version since they were told that
+// the rollout is completed, or have had the time of the longest request since the deadline.
+func (o *rolloutOffice) emptied(now cicadapitch.Instant, order canary.Order, hosts rolloutHosts) bool {
+	timeout := cicadapitch.Millis(0)
+	for _, rep := range o.reports {
+		timeout = max(timeout, rep.timeout)
+	}
+	if now > order.Deadline().Add(timeout) {
+		return true
+	}
+	for _, id := range o.live(now, hosts) {
+		rep, ok := o.reports[cicadapitch.HostID(id)]
+		if !ok || rep.phase != canary.Completed || rep.old > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runOffice decides a rollout that other hosts, or this one, report to, and writes what the store lacks if
+// this host is the owner. A rollback is written by each host that has decided it.
+func (g *Gateway) runOffice(ctx context.Context, r *rollout) {
+	owner := g.membership.IsSelf(g.rolloutOwner(r))
+	hosts, now := g.availableHosts(), g.clock.Now()
+	r.mu.Lock()
+	o := r.office
+	if o == nil {
+		r.mu.Unlock()
+		return
+	}
+	changed := r.decide(now, hosts)
+	phase, lacking := r.wanted(now, hosts)
+	write := lacking && !o.storing && now >= o.retryAt && (owner || phase == canary.RolledBack)
+	o.storing = o.storing || write
+	known := r.known
+	r.mu.Unlock()
+	if changed {
+		g.logDecision(r)
+	}
+	if write {
+		go g.storeRollout(ctx, r, known, r.progress(now, known, phase))
+	}
+}
+
+// progress returns what the store should have of the rollout in a phase.
+func (r *rollout) progress(now cicadapitch.Instant, known fleet.Rollout, phase canary.Phase) fleet.RolloutProgress {
+	p := fleet.RolloutProgress{Order: r.order.Revision.Number(), To: r.order.To, Phase: phase, At: r.order.At, Since: now}
+	if known.Progress.Of(r.order) {
+		p.At = known.Progress.At
+		if known.Progress.Phase == phase {
+			p.Since = known.Progress.Since
+		}
+	}
+	return p
+}
+
+// storeRollout writes the progress of a rollout. After a failure, the next tick of RunRollouts writes again,
+// once the pause is over.
+func (g *Gateway) storeRollout(ctx context.Context, r *rollout, known fleet.Rollout, p fleet.RolloutProgress) {
+	err := g.membership.StoreRollout(ctx, known, p)
+	now := g.clock.Now()
+	r.mu.Lock()
+	o := r.office
+	o.storing, o.pause = false, min(max(2*o.pause, rolloutRetryMin), rolloutRetryMax)
+	if err == nil {
+		o.pause = 0
+	}
+	o.retryAt = now.Add(o.pause)
+	r.mu.Unlock()
+	g.log.Info().Str("Service", string(r.service)).Str("To", string(p.To)).Stringer("Phase", p.Phase).Int64("Revision", p.Order).
+		Err(err).Msg("rollout stored")
+}
+
+// logDecision logs the decision of the owner with its evidence.
+func (g *Gateway) logDecision(r *rollout) {
+	now := g.clock.Now()
+	r.mu.Lock()
+	o := r.office
+	d, hosts, oldest := o.decision, len(o.reports), cicadapitch.Millis(0)
+	for _, rep := range o.reports {
+		oldest = max(oldest, now.Sub(rep.at))
+	}
+	oldCount, hasNew := r.oldCount, r.hasNew
+	r.mu.Unlock()
+	event := g.log.Info()
+	if !hasNew {
+		event = g.log.Warn().Str("Remedy", "start endpoints of the version or withdraw the order")
+	}
+	evidence := zerolog.Arr()
+	for _, e := range d.Evidence {
+		evidence.Dict(zerolog.Dict().Str("Route", e.Route).Bool("All", e.All).Stringer("Test", e.Test).
+			Int64("OldAnswers", e.Old.Answers).Int64("OldBad", e.Old.Bad).Int64("NewAnswers", e.New.Answers).Int64("NewBad", e.New.Bad).
+			Int64("ThresholdMs", int64(e.Threshold)).Float64("Ratio", e.Ratio).Float64("Limit", e.Limit))
+	}
+	event.Str("Service", string(r.service)).Str("To", string(r.order.To)).Int64("Revision", r.order.Revision.Number()).
+		Stringer("Phase", d.Phase).Float64("Share", d.Share).Str("Reason", d.Reason).Array("Evidence", evidence).
+		Strs("Waiting", d.Waiting).Int("Hosts", hosts).Int64("OldestReportMs", int64(oldest)).
+		Int("OldEndpoints", oldCount).Bool("NewEndpoints", hasNew).Int64("LeftMs", int64(d.Deadline.Sub(now))).Msg("rollout decision")
+	g.metrics.Tagged(map[string]string{"Service": string(r.service), "Phase": d.Phase.String()}).Counter("RolloutDecisions").Inc(1)
+}
--- /dev/null
+++ b/gateway/rolloutrequest.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"github.com/samber/lo"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+)
+
+// byVersion returns those of the candidates whose version the rollout of the service allows for the next
+// attempt. It returns all of them if there is none.
+func (p *proxiedRequest) byVersion(list []fleet.Endpoint) []fleet.Endpoint {
+	r := p.g.rollouts.of(p.service.Name)
+	if r == nil {
+		return list
+	}
+	if p.origin != nil { // all are of the version that began the stream
+		return lo.Reject(list, func(e fleet.Endpoint, _ int) bool { return r.forbids(e.Version) })
+	}
+	now := p.g.clock.Now()
+	if p.reserved == nil || p.reserved.rollout != r {
+		p.reserved.release()
+		p.reserved = r.reserve(now, p.route.Name, routeTimeout(p.route))
+	}
+	return r.candidates(now, list, p.reserved.isNew, p.exclude)
+}
+
+// fallback returns the endpoints of the old version if the attempt was to go to the new one, or none.
+func (p *proxiedRequest) fallback() []fleet.Endpoint {
+	if p.reserved == nil || !p.reserved.isNew || p.origin != nil {
+		return nil
+	}
+	return p.reserved.rollout.fallback(p.g.clock.Now(), p.ofListedVersions())
+}
+
+// recordArrival records that an endpoint has got the request. The next attempt chooses a version anew.
+func (p *proxiedRequest) recordArrival(e fleet.Endpoint) {
+	r := p.g.rollouts.of(p.service.Name)
+	if r == nil {
+		return
+	}
+	s := p.reserved
+	if s == nil || s.rollout != r {
+		s = &reservation{rollout: r}
+	}
+	s.recordSent(p.g.clock.Now(), e.ID)
+	p.reserved = nil
+}
+
+// recordForRollout records what the caller got from an endpoint while the service has a rollout.
+func (p *proxiedRequest) recordForRollout(id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
+	if r := p.g.rollouts.of(p.service.Name); r != nil {
+		r.recordResult(p.g.clock.Now(), p.route.Name, id, failed, took)
+	}
+}
+
+// retryVersions returns those of the endpoints in list that a further attempt may go to while another one
+// runs, and the choice of their version, which is nil if the service has no rollout.
+func (p *proxiedRequest) retryVersions(list []fleet.Endpoint, exclude map[cicadapitch.EndpointID]bool) ([]fleet.Endpoint, *reservation) {
+	r := p.g.rollouts.of(p.service.Name)
+	if r == nil {
+		return list, nil
+	}
+	now := p.g.clock.Now()
+	s := r.reserve(now, p.route.Name, routeTimeout(p.route))
+	return r.candidates(now, list, s.isNew, exclude), s
+}
+
+// likelyVersions returns those of the endpoints in list that an attempt most likely may go to.
+func (p *proxiedRequest) likelyVersions(list []fleet.Endpoint) []fleet.Endpoint {
+	r := p.g.rollouts.of(p.service.Name)
+	if r == nil {
+		return list
+	}
+	return r.candidates(p.g.clock.Now(), list, r.shifted(), nil)
+}
+
+// routeTimeout returns the longest time that a request of a route may take.
+func routeTimeout(route *catalog.Route) cicadapitch.Millis {
+	if route.Timeout <= 0 {
+		return maxRequestTime
+	}
+	return min(route.Timeout, maxRequestTime)
+}
--- a/gateway/sendcheck.go
+++ b/gateway/sendcheck.go
@@ -14,7 +14,7 @@
 var errChoiceOutdated = errors.New("the endpoint takes no requests any more")
 
 // checkSend returns an error if the endpoint has left, its zone is out of service, or it has
-// asked for a pause since it was chosen, or if this host does not know that. It is called when the
+// asked for a pause since it was chosen, if its version gets no more requests, or if this host does not know that. It is called when the
 // bytes of a request are about to be written: a request may have waited for its connection or a
 // trial since the choice.
 func (g *Gateway) checkSend(ctx context.Context, e catalog.Endpoint) error {
@@ -29,6 +29,8 @@
 		reason = "is leaving"
 	case g.paused(e.ID):
 		reason = "has asked for a pause"
+	case g.rollouts.forbids(e):
+		reason = "is of a version that gets no requests"
 	default:
 		return nil
 	}
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -46,7 +46,10 @@
 func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
 func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
 func (m *lockedMembership) RecordEnded(fleet.Host)                {}
-func (m *lockedMembership) Relays() []fleet.Host                  { return nil }
+func (m *lockedMembership) StoreRollout(context.Context, fleet.Rollout, fleet.RolloutProgress) error {
+	return nil
+}
+func (m *lockedMembership) Relays() []fleet.Host { return nil }
 func (m *lockedMembership) Hosts() []fleet.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -12,7 +12,6 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
-	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/placement"
 	"cicadapitch.example/cicadapitch/platform"
@@ -49,6 +48,8 @@
 	log       zerolog.Logger
 	metrics   tally.Scope
 
+	// rollouts holds the rollouts of services.
+	rollouts *rollouts
 	// limits holds the limits that endpoints have named.
 	limits *placement.RateLimits
 	// owns reports whether this host is the current owner of a shard.
@@ -84,6 +85,9 @@
 	// obsolete is true while the service is no longer divided into this shard.
 	obsolete bool
 	view     *fleet.View
+	// inUse holds the endpoints of the shard, running the number of calls at each that has any.
+	inUse   []fleet.Endpoint
+	running map[cicadapitch.EndpointID]int
 }
 
 func newShardRunners(e *platform.EndpointClient, limits *placement.RateLimits, clock cicadapitch.Clock, log zerolog.Logger, metrics tally.Scope) *ShardRunners {
@@ -126,6 +130,7 @@
 		waiters:     map[batch.JobID]chan batch.Outcome{},
 		pendingFree: map[cicadapitch.EndpointID][]string{},
 		freedAt:     map[cicadapitch.EndpointID]cicadapitch.Instant{},
+		running:     map[cicadapitch.EndpointID]int{},
 	}
 	r.timer = time.AfterFunc(time.Hour, r.onTimer)
 	r.setView(s.view)
@@ -237,13 +242,13 @@
 		}
 	}
 	r.obsolete = !slices.Contains(batch.ShardsOf(r.shard.Service, v), r.shard)
-	var list []catalog.Endpoint
+	r.inUse = nil
 	for _, e := range v.Endpoints(r.shard.Service) {
 		if r.shard.Contains(e.Endpoint) {
-			list = append(list, e.Endpoint)
+			r.inUse = append(r.inUse, e)
 		}
 	}
-	r.planner.SetEndpoints(list)
+	r.planEndpoints(r.shards.clock.Now())
 }
 
 // submit adds a job whose outcome is sent to done.
@@ -289,6 +294,7 @@
 // starts calls, queues frees and resets the timer. The caller holds mu.
 func (r *shardRunner) applyPlan(now cicadapitch.Instant) {
 	r.planner.SetRateLimits(r.shards.limits.Of)
+	r.limitVersion(now)
 	calls, outcomes, toFree, delay := r.planner.Plan(now)
 	for _, out := range outcomes {
 		if ch := r.waiters[out.Job]; ch != nil {
@@ -298,6 +304,7 @@
 	}
 	for _, c := range calls {
 		r.logCall(c)
+		r.recordStart(now, c.Endpoint.ID)
 		go r.runCall(c, now)
 		if r.shards.onFetched != nil {
 			time.AfterFunc(inputFetchTime.Duration(), func() { r.reportFetched(c.ID) })
@@ -361,6 +368,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.shards.clock.Now()
+	r.recordEnd(now, c.Endpoint.ID, now.Sub(plannedAt), failure, pieceResults)
 	r.planner.FinishCall(now, c.ID, pieceResults, failure)
 	if failure == batch.CallRefused {
 		r.planner.Pause(c.Endpoint.ID, now.Add(cicadapitch.AsError(err).RetryAfter))
--- a/gateway/silentstream.go
+++ b/gateway/silentstream.go
@@ -55,6 +55,8 @@
 	// A stream that has begun goes on at the version of its software only.
 	if r.resumed || requestState(p.state.Load()) == stateAnswering {
 		list = lo.Filter(list, func(e fleet.Endpoint, _ int) bool { return e.Version == r.silent.Version })
+	} else {
+		list = p.likelyVersions(list)
 	}
 	criteria := p.criteria("")
 	criteria.Exclude = r.exclude
