--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
@@ -37,6 +38,8 @@
 	// order has no revision if there is only a version that was rolled back.
 	order   canary.Order
 	metrics tally.Scope
+	// warned is true once the log says that the service is not configured.
+	warned atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -160,7 +160,16 @@
 	if m == nil || c == nil {
 		return nil
 	}
-	return lo.Filter(lo.Values(*m), func(r *rollout, _ int) bool { return c.Services[r.service] != nil && !r.settled() })
+	return lo.Filter(lo.Values(*m), func(r *rollout, _ int) bool {
+		if r.settled() {
+			return false
+		}
+		if c.Services[r.service] == nil && !r.warned.Swap(true) {
+			g.log.Warn().Str("Service", string(r.service)).Str("To", string(r.order.To)).Int64("Revision", r.order.Revision.Number()).
+				Str("Remedy", "configure the service or withdraw the order").Msg("rollout order of a service that is not configured waits")
+		}
+		return c.Services[r.service] != nil
+	})
 }
 
 // rolloutKey is the key by which hosts own a rollout.
