gateway: calls that wait count for a rollout; tests of the choice by version

Calls without an answer or a first event are reported by the time that they have waited, so that a version that hangs shows before its calls time out.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -1,6 +1,13 @@
 package gateway
 
-import "cicadapitch.example/cicadapitch"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/canary"
+	"cicadapitch.example/cicadapitch/catalog"
+	"cicadapitch.example/cicadapitch/fleet"
+)
 
 // CallTimes is callTimes for tests.
 type CallTimes struct{ times *callTimes }
@@ -23,3 +30,68 @@
 
 // CheckStageCall is StageCall.check.
 func CheckStageCall(c StageCall) error { return c.check() }
+
+// Rollout is a rollout for tests, of the service of its view's endpoints.
+type Rollout struct {
+	rollout *rollout
+	list    []fleet.Endpoint
+}
+
+// NewRollout returns a host's part in a rollout of a service.
+func NewRollout(now cicadapitch.Instant, s catalog.ServiceID, v *fleet.View) *Rollout {
+	r := &Rollout{newRollout(v.Rollouts[s], s, tally.NoopScope), v.Endpoints(s)}
+	r.rollout.update(now, v.Rollouts[s], v)
+	return r
+}
+
+// Update applies a view.
+func (r *Rollout) Update(now cicadapitch.Instant, v *fleet.View) {
+	r.list = v.Endpoints(r.rollout.service)
+	r.rollout.update(now, v.Rollouts[r.rollout.service], v)
+}
+
+// Answer applies an answer of the owner.
+func (r *Rollout) Answer(now cicadapitch.Instant, p canary.Phase, share float64) {
+	r.rollout.applyAnswer(now, now, RolloutAnswer{Known: true, Phase: p, Share: share})
+}
+
+// Candidates begins an attempt and returns the endpoints that it may go to, those of the old version if the
+// new one cannot take it, and a function that ends the attempt: at an endpoint, or at none if the id is empty.
+func (r *Rollout) Candidates(now cicadapitch.Instant) (list, fallback []fleet.Endpoint, end func(cicadapitch.EndpointID)) {
+	s := r.rollout.reserve(now, "route", cicadapitch.Second)
+	list = r.rollout.candidates(now, r.list, s.isNew, nil)
+	if s.isNew {
+		fallback = r.rollout.fallback(now, r.list)
+	}
+	return list, fallback, func(id cicadapitch.EndpointID) {
+		if id == "" {
+			s.release()
+			return
+		}
+		s.recordSent(now, id)
+	}
+}
+
+// GoOn records that a stream goes on at an endpoint.
+func (r *Rollout) GoOn(now cicadapitch.Instant, id cicadapitch.EndpointID) {
+	(&reservation{rollout: r.rollout}).recordSent(now, id)
+}
+
+// Forbids is rollout.forbids.
+func (r *Rollout) Forbids(v cicadapitch.SoftwareVersion) bool { return r.rollout.forbids(v) }
+
+// Planned is rollout.planned.
+func (r *Rollout) Planned(now cicadapitch.Instant) []fleet.Endpoint {
+	return r.rollout.planned(now, r.list)
+}
+
+// Report returns the report of a host after a result.
+func (r *Rollout) Report(now cicadapitch.Instant, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) canary.Report {
+	r.rollout.recordResult(now, "route", id, failed, took)
+	return r.rollout.report(now, nil)
+}
+
+// Begin is rollout.begin for a call that has no answer.
+func (r *Rollout) Begin(now cicadapitch.Instant, id cicadapitch.EndpointID) {
+	r.rollout.begin(now, pendingCall{r, id}, "route")
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -230,6 +230,7 @@
 
 // recordCallEnd records the end of a call that chooseEndpoint counted as running.
 func (p *proxiedRequest) recordCallEnd(id cicadapitch.EndpointID) {
+	p.untrack(id)
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 	p.g.chooser.RecordEnd(id)
@@ -326,7 +327,7 @@
 func (p *proxiedRequest) newCall(e fleet.Endpoint, inputs []string, resumeAfter string, commit func() error) platform.Call {
 	return platform.Call{
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
-		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: commit,
+		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: p.trackForRollout(e, commit),
 	}
 }
 
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -62,6 +62,8 @@
 	splitter *canary.Splitter
 	owed     int
 	counts   canary.Counts
+	// pending holds the calls without an answer or a first event.
+	pending map[pendingCall]pendingSince
 	// process and sequence number the reports. routes holds the longest time of a request by route.
 	process  string
 	sequence uint64
@@ -80,12 +82,26 @@
 	firstAt, warmAt cicadapitch.Instant
 }
 
+// pendingCall identifies a call of an endpoint: by the request, which an endpoint gets once, or by the call
+// of pieces.
+type pendingCall struct {
+	caller any
+	id     cicadapitch.EndpointID
+}
+
+// pendingSince is when a call was sent, and its route.
+type pendingSince struct {
+	route string
+	at    cicadapitch.Instant
+}
+
 // newRollout returns a host's part in a rollout that the store has.
 func newRollout(known fleet.Rollout, service catalog.ServiceID, metrics tally.Scope) *rollout {
 	r := &rollout{
 		service: service, order: known.Order, metrics: metrics,
 		seen: map[cicadapitch.EndpointID]seenEndpoint{}, refused: map[string]bool{},
-		routes: map[string]cicadapitch.Millis{}, process: strconv.FormatUint(rand.Uint64(), 36),
+		pending: map[pendingCall]pendingSince{},
+		routes:  map[string]cicadapitch.Millis{}, process: strconv.FormatUint(rand.Uint64(), 36),
 		splitter: canary.NewSplitter(rand.Float64()),
 	}
 	if r.order.Revision == 0 {
@@ -350,6 +366,44 @@
 	return false
 }
 
+// begin records that a call is sent to an endpoint.
+func (r *rollout) begin(now cicadapitch.Instant, call pendingCall, route string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.order.Revision != 0 && !r.phase.Final() {
+		r.pending[call] = pendingSince{route, now}
+	}
+}
+
+// end records that a call has an answer, a first event, or neither any more.
+func (r *rollout) end(call pendingCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pending, call)
+}
+
+// addPending adds the calls that wait to the counts of a report. The caller holds mu.
+func (r *rollout) addPending(now cicadapitch.Instant, counts *canary.Counts) {
+	var waiting canary.Counts
+	for call, since := range r.pending {
+		if seen, ok := r.seen[call.id]; ok && seen.timed(now) {
+			waiting.Record(since.route, seen.version == r.order.To, false, now.Sub(since.at), true)
+		}
+	}
+	for name, w := range waiting.Routes {
+		var c canary.Counts
+		c.Routes = map[string]canary.RouteCounts{name: {
+			Old: canary.VersionCounts{Pending: w.Old.Times}, New: canary.VersionCounts{Pending: w.New.Times},
+		}}
+		counts.Add(c)
+	}
+}
+
+// timed reports whether the times of an endpoint's answers count.
+func (s seenEndpoint) timed(now cicadapitch.Instant) bool {
+	return now >= s.warmAt && now.Sub(s.firstAt) >= settlingTime
+}
+
 // recordResult records what a caller got from an endpoint. took counts unless the answer is a failure, or
 // the endpoint is cold or new.
 func (r *rollout) recordResult(now cicadapitch.Instant, route string, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
@@ -359,8 +413,7 @@
 	if !ok || r.order.Revision == 0 {
 		return
 	}
-	timed := now >= seen.warmAt && now.Sub(seen.firstAt) >= settlingTime
-	r.counts.Record(route, seen.version == r.order.To, failed, took, timed)
+	r.counts.Record(route, seen.version == r.order.To, failed, took, seen.timed(now))
 	result := "Answer"
 	if failed {
 		result = "Failure"
@@ -377,12 +430,13 @@
 }
 
 // report returns what this host reports to the owner. running holds its running calls by endpoint.
-func (r *rollout) report(running map[cicadapitch.EndpointID]int) canary.Report {
+func (r *rollout) report(now cicadapitch.Instant, running map[cicadapitch.EndpointID]int) canary.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
 	rep := canary.Report{Revision: r.order.Revision, Incarnation: r.process, Sequence: r.sequence, Phase: r.phase}
 	rep.Counts.Add(r.counts)
+	r.addPending(now, &rep.Counts)
 	for id, n := range running {
 		switch seen, ok := r.seen[id]; {
 		case !ok:
--- a/gateway/rolloutrequest.go
+++ b/gateway/rolloutrequest.go
@@ -48,9 +48,33 @@
 	p.reserved = nil
 }
 
+// trackForRollout returns commit, which also records for a rollout of the service that the request is sent to
+// an endpoint.
+func (p *proxiedRequest) trackForRollout(e fleet.Endpoint, commit func() error) func() error {
+	r := p.g.rollouts.of(p.service.Name)
+	if r == nil {
+		return commit
+	}
+	return func() error {
+		err := commit()
+		if err == nil {
+			r.begin(p.g.clock.Now(), pendingCall{p, e.ID}, p.route.Name)
+		}
+		return err
+	}
+}
+
+// untrack records that the request no longer runs at an endpoint.
+func (p *proxiedRequest) untrack(id cicadapitch.EndpointID) {
+	if r := p.g.rollouts.of(p.service.Name); r != nil {
+		r.end(pendingCall{p, id})
+	}
+}
+
 // recordForRollout records what the caller got from an endpoint while the service has a rollout.
 func (p *proxiedRequest) recordForRollout(id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
 	if r := p.g.rollouts.of(p.service.Name); r != nil {
+		r.end(pendingCall{p, id})
 		r.recordResult(p.g.clock.Now(), p.route.Name, id, failed, took)
 	}
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -202,7 +202,7 @@
 	sentAt := g.clock.Now()
 	message := RolloutReport{
 		Host: g.host, Service: r.service, Order: r.order.Revision.Number(), To: r.order.To,
-		Report: r.report(g.runningCalls(r.service)),
+		Report: r.report(sentAt, g.runningCalls(r.service)),
 	}
 	message.Longest, message.Timeout = g.callBounds(sentAt, r)
 	if self {
--- a/gateway/rolloutstage.go
+++ b/gateway/rolloutstage.go
@@ -36,27 +36,45 @@
 }
 
 // recordStart records that a call is sent to an endpoint. The caller holds mu.
-func (r *shardRunner) recordStart(now cicadapitch.Instant, id cicadapitch.EndpointID) {
+func (r *shardRunner) recordStart(now cicadapitch.Instant, c batch.Call) {
+	id := c.Endpoint.ID
 	r.running[id]++
 	if ro := r.shards.rolloutOf(r.shard.Service); ro != nil {
+		ro.begin(now, r.pendingCall(c), stageRoute)
 		(&reservation{rollout: ro}).recordSent(now, id)
 	}
 }
 
 // recordEnd records that a call has ended, and for a rollout what it brought. A refusal and what a piece lacks
 // at other endpoints say nothing of the version. The caller holds mu.
-func (r *shardRunner) recordEnd(now cicadapitch.Instant, id cicadapitch.EndpointID, took cicadapitch.Millis, failure batch.Failure, results []batch.PieceResult) {
+func (r *shardRunner) recordEnd(now cicadapitch.Instant, c batch.Call, took cicadapitch.Millis, failure batch.Failure, results []batch.PieceResult) {
+	id := c.Endpoint.ID
 	if r.running[id]--; r.running[id] == 0 {
 		delete(r.running, id)
 	}
 	ro := r.shards.rolloutOf(r.shard.Service)
-	if ro == nil || failure == batch.CallRefused {
+	if ro == nil {
+		return
+	}
+	ro.end(r.pendingCall(c))
+	if failure == batch.CallRefused {
 		return
 	}
 	failed := failure == batch.CallFailed || slices.ContainsFunc(results, func(p batch.PieceResult) bool { return p.Failed })
 	ro.recordResult(now, stageRoute, id, failed, took)
 }
 
+// stageCaller identifies a call of pieces.
+type stageCaller struct {
+	runner *shardRunner
+	call   batch.CallID
+}
+
+// pendingCall identifies a call for the rollout of the service.
+func (r *shardRunner) pendingCall(c batch.Call) pendingCall {
+	return pendingCall{stageCaller{r, c.ID}, c.Endpoint.ID}
+}
+
 // rolloutOf returns the rollout of a service, or nil.
 func (s *ShardRunners) rolloutOf(service catalog.ServiceID) *rollout {
 	if s.rollouts == nil {
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -304,7 +304,7 @@
 	}
 	for _, c := range calls {
 		r.logCall(c)
-		r.recordStart(now, c.Endpoint.ID)
+		r.recordStart(now, c)
 		go r.runCall(c, now)
 		if r.shards.onFetched != nil {
 			time.AfterFunc(inputFetchTime.Duration(), func() { r.reportFetched(c.ID) })
@@ -368,7 +368,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.shards.clock.Now()
-	r.recordEnd(now, c.Endpoint.ID, now.Sub(plannedAt), failure, pieceResults)
+	r.recordEnd(now, c, now.Sub(plannedAt), failure, pieceResults)
 	r.planner.FinishCall(now, c.ID, pieceResults, failure)
 	if failure == batch.CallRefused {
 		r.planner.Pause(c.Endpoint.ID, now.Add(cicadapitch.AsError(err).RetryAfter))
