--- a/canary/counts.go
+++ b/canary/counts.go
@@ -7,13 +7,6 @@
 )
 
 const (
-	// Bins is the number of bins of a histogram of times.
-	Bins = 30
-	// firstEdge is the upper edge of the first bin in milliseconds. Shorter times are not told apart.
-	firstEdge = 5
-	// binRatio is the ratio of two edges. Versions of twice the time are two bins apart, and the last
-	// edge is about a minute.
-	binRatio = 1.4
 	// MaxRoutes bounds the routes that are counted on their own. The requests of further routes are
 	// counted together, as OtherRoutes. It bounds the size of a report.
 	MaxRoutes = 16
@@ -25,33 +18,26 @@
 	MaxCount = 1 << 26
 )
 
-// edges are the upper edges of all bins but the last, which has none.
-var edges = func() (e [Bins - 1]cicadapitch.Millis) {
-	for i := range e {
-		e[i] = cicadapitch.Millis(math.Round(firstEdge * math.Pow(binRatio, float64(i))))
-	}
-	return e
-}()
-
-// Times is a histogram of times in bins of a constant ratio.
-type Times [Bins]uint32
-
-// VersionCounts are the counts of one route at one version.
+// VersionCounts are the counts of one route at one version. Its keys in messages are numbers, since a report has
+// them twice for each route.
 type VersionCounts struct {
 	// Answers is the number of requests that ended, failures included.
-	Answers uint32
+	Answers uint32 `cbor:"1,keyasint"`
 	// Failures is the number of those that failed for the version's part.
-	Failures uint32
+	Failures uint32 `cbor:"2,keyasint"`
 	// Times are those to the answer or to the first event of a stream, without cold endpoints.
-	Times Times
+	Times Times `cbor:"3,keyasint"`
 	// Pending are the calls without an answer or a first event yet, by the time that they have waited,
 	// without those at cold endpoints. It is a snapshot and may be left out; with it, slow calls
 	// count before their answers.
-	Pending Times
+	Pending Times `cbor:"4,keyasint"`
 }
 
 // RouteCounts are the counts of one route.
-type RouteCounts struct{ Old, New VersionCounts }
+type RouteCounts struct {
+	Old VersionCounts `cbor:"1,keyasint"`
+	New VersionCounts `cbor:"2,keyasint"`
+}
 
 // Counts are the counts of a host since it knew the order, by the route's name. They only grow, except for
 // Pending. They are not safe for concurrent use.
@@ -61,11 +47,8 @@
 // times are not counted.
 func (c *Counts) Record(route string, isNew, failed bool, took cicadapitch.Millis, timed bool) {
 	c.change(route, isNew, func(v *VersionCounts) {
-		grow(&v.Answers)
-		switch {
-		case failed:
-			grow(&v.Failures)
-		case timed:
+		v.record(failed)
+		if timed && !failed {
 			grow(&v.Times[bin(took)])
 		}
 	})
@@ -84,7 +67,7 @@
 	if c.Routes == nil {
 		c.Routes = map[string]RouteCounts{}
 	}
-	name := c.key(route)
+	name := routeKey(c.Routes, route)
 	rc := c.Routes[name]
 	if isNew {
 		f(&rc.New)
@@ -94,19 +77,27 @@
 	c.Routes[name] = rc
 }
 
-// key returns the name under which a route is counted.
-func (c *Counts) key(route string) string {
+// routeKey returns the name under which a route is counted among routes.
+func routeKey[T any](routes map[string]T, route string) string {
 	route = route[:min(len(route), MaxRouteName)]
-	if _, ok := c.Routes[route]; ok {
+	if _, ok := routes[route]; ok {
 		return route
 	}
 	// OtherRoutes needs a place of its own.
-	if len(c.Routes) >= MaxRoutes-1 {
+	if len(routes) >= MaxRoutes-1 {
 		return OtherRoutes
 	}
 	return route
 }
 
+// record counts an answer.
+func (v *VersionCounts) record(failed bool) {
+	grow(&v.Answers)
+	if failed {
+		grow(&v.Failures)
+	}
+}
+
 func (v *VersionCounts) add(o VersionCounts) {
 	v.Answers = sum(v.Answers, o.Answers)
 	v.Failures = sum(v.Failures, o.Failures)
@@ -116,16 +107,6 @@
 	}
 }
 
-// bin returns the number of the bin of a time.
-func bin(m cicadapitch.Millis) int {
-	for i, e := range edges {
-		if m <= e {
-			return i
-		}
-	}
-	return Bins - 1
-}
-
 // grow adds 1 to n, up to the largest number.
 func grow(n *uint32) { *n = sum(*n, 1) }
 
--- a/canary/decision.go
+++ b/canary/decision.go
@@ -31,6 +31,8 @@
 	// Ratio is the natural logarithm of the likelihood ratio that the test reached, and Limit the value
 	// from which it calls for a rollback.
 	Ratio, Limit float64
+	// Noticed is set if the difference is so large that callers notice it. A rollback needs both.
+	Noticed bool
 }
 
 // Decision is what the judge decides.
--- a/canary/tally.go
+++ b/canary/tally.go
@@ -6,40 +6,51 @@
 	"cicadapitch.example/cicadapitch"
 )
 
-// Tally is one host's record for one order: its running calls and its counts. It is safe for
-// concurrent use.
+// Tally is one host's record for one order: its running calls and its counts. It is safe for concurrent
+// use. Calls that began before the tally are not in it; the host adds them to Report.Old and Report.New.
 type Tally struct {
 	revision    cicadapitch.StoreRevision
 	incarnation string
 
 	// mu guards the fields below.
 	mu       sync.Mutex
-	counts   Counts
+	routes   map[string]*RouteCounts
 	running  map[*Call]struct{}
 	sequence uint64
 }
 
 // Call is a call that runs at an endpoint of the service. Its methods do nothing after its end.
 type Call struct {
-	tally *Tally
-	route string
-	isNew bool
-	timed bool
-	began cicadapitch.Instant
+	tally  *Tally
+	counts *VersionCounts
+	isNew  bool
+	timed  bool
+	began  cicadapitch.Instant
 	// answered is set once the answer or the first event of a stream has arrived.
 	answered bool
 }
 
 // NewTally returns an empty tally of a host's process for an order.
 func NewTally(revision cicadapitch.StoreRevision, incarnation string) *Tally {
-	return &Tally{revision: revision, incarnation: incarnation, running: map[*Call]struct{}{}}
+	return &Tally{
+		revision: revision, incarnation: incarnation, routes: map[string]*RouteCounts{}, running: map[*Call]struct{}{},
+	}
 }
 
 // Begin records that a call begins. timed is false at cold endpoints, whose times are not counted.
 func (t *Tally) Begin(now cicadapitch.Instant, route string, isNew, timed bool) *Call {
-	c := &Call{tally: t, route: route, isNew: isNew, timed: timed, began: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	name := routeKey(t.routes, route)
+	rc := t.routes[name]
+	if rc == nil {
+		rc = &RouteCounts{}
+		t.routes[name] = rc
+	}
+	c := &Call{tally: t, counts: &rc.Old, isNew: isNew, timed: timed, began: now}
+	if isNew {
+		c.counts = &rc.New
+	}
 	t.running[c] = struct{}{}
 	return c
 }
@@ -56,8 +67,7 @@
 // answer counts the time of the call once.
 func (c *Call) answer(now cicadapitch.Instant) {
 	if !c.answered && c.timed {
-		took := now.Sub(c.began)
-		c.tally.counts.change(c.route, c.isNew, func(v *VersionCounts) { grow(&v.Times[bin(took)]) })
+		grow(&c.counts.Times[bin(now.Sub(c.began))])
 	}
 	c.answered = true
 }
@@ -74,7 +84,7 @@
 	if !failed {
 		c.answer(now)
 	}
-	t.counts.Record(c.route, c.isNew, failed, 0, false)
+	c.counts.record(failed)
 }
 
 // Withdraw records that the call has ended and counts for nothing: the endpoint refused it, or its caller
@@ -91,7 +101,9 @@
 	defer t.mu.Unlock()
 	t.sequence++
 	r := Report{Revision: t.revision, Incarnation: t.incarnation, Sequence: t.sequence, Phase: phase}
-	r.Counts.Add(t.counts)
+	for _, rc := range t.routes {
+		rc.Old.Pending, rc.New.Pending = Times{}, Times{}
+	}
 	for c := range t.running {
 		if c.isNew {
 			r.New++
@@ -99,8 +111,12 @@
 			r.Old++
 		}
 		if c.timed && !c.answered {
-			r.Counts.change(c.route, c.isNew, func(v *VersionCounts) { grow(&v.Pending[bin(now.Sub(c.began))]) })
+			grow(&c.counts.Pending[bin(now.Sub(c.began))])
 		}
 	}
+	r.Counts.Routes = make(map[string]RouteCounts, len(t.routes))
+	for name, rc := range t.routes {
+		r.Counts.Routes[name] = *rc
+	}
 	return r
 }
