gateway: the counts of package canary; a completed rollout is told before it is written

Hosts keep their counts in canary.Tally. The end of a shift is told to the hosts at once and written to the store, with the status, when all of them have confirmed it: one write less. A host reports again at once when its phase changes. The owner adopts a later phase that hosts report, which an earlier owner has told them.

--- a/fronthost/rollout_test.go
+++ b/fronthost/rollout_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -360,3 +361,61 @@
 	l.end()
 	require.Equal(t, []int{http.StatusOK}, lo.Keys(l.statuses))
 }
+
+// badVersions are versions that have to be rolled back, by what is bad about them.
+var badVersions = map[string]platformtest.BadVersion{
+	"fails":           {FailureRate: 0.25},
+	"slow":            {Extra: 3 * endpointDelay},
+	"fails later":     {FailureRate: 0.5, After: 30},
+	"fails on a path": {FailureRate: 0.6, Path: "/book/"},
+	"hangs":           {Extra: 3 * time.Second, Path: "/book/"},
+}
+
+// TestBadVersionIsRolledBack guards against a bad version that callers get for longer than the bounds allow,
+// or that is completed.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	for name, bad := range badVersions {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 3, withRolloutBounds)
+			d.addEndpoints(3, "plain", "v1")
+			isNew := d.addEndpoints(5, "plain", "v2")
+			for _, e := range isNew {
+				e.SetBad(bad)
+			}
+			time.Sleep(500 * time.Millisecond)
+			l := d.plainLoad(8 * time.Millisecond)
+			ordered := time.Now()
+			d.store.OrderRollout("plain", "v2", rolloutSeconds)
+			time.Sleep(300 * time.Millisecond) // the hosts know the order
+			known := time.Now()
+			took := d.awaitStatus("plain", "rolled_back", (rolloutSeconds+3)*time.Second, nil)
+			seen := time.Now()
+			time.Sleep(1500 * time.Millisecond)
+			l.end()
+			t.Logf("rolled back after %s, %v", took, l.statuses)
+			require.Less(t, seen.Sub(ordered), rolloutSeconds*time.Second)
+			d.requireExposure("plain", "v2", known)
+			_, late := d.arrivals("plain", "v2", seen.Add(500*time.Millisecond), time.Now())
+			require.Zero(t, late, "requests after the rollback")
+			d.requireNoLateRequests(isNew)
+		})
+	}
+}
+
+// requireNoLateRequests checks that endpoints of a bad version got no request later than rollbackTime after
+// their 50th bad answer.
+func (d *deployment) requireNoLateRequests(endpoints []*platformtest.Endpoint) {
+	var badAt, arrivals []time.Time
+	for _, e := range endpoints {
+		badAt, arrivals = append(badAt, e.BadAnswers()...), append(arrivals, e.Requests()...)
+	}
+	d.t.Logf("%d bad answers", len(badAt))
+	if len(badAt) < 50 {
+		return
+	}
+	slices.SortFunc(badAt, time.Time.Compare)
+	for _, at := range arrivals {
+		require.False(d.t, at.After(badAt[49].Add(rollbackTime)))
+	}
+}
--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -105,7 +105,7 @@
 	onFirstEvent := func() {
 		took := p.g.clock.Now().Sub(a.sentAt)
 		p.recordSuccess(a.endpoint.ID, took)
-		p.recordForRollout(a.endpoint.ID, a.reply.Status >= 500, took)
+		p.recordForRollout(a.endpoint.ID, a.reply.Status)
 		p.recordFirstEvent(took)
 		// The engine has fetched its inputs once it sends the first event.
 		a.inputs.freeAll()
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -85,13 +85,20 @@
 	return r.rollout.planned(now, r.list)
 }
 
-// Report returns the report of a host after a result.
-func (r *Rollout) Report(now cicadapitch.Instant, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) canary.Report {
-	r.rollout.recordResult(now, "route", id, failed, took)
-	return r.rollout.report(now, nil)
+// Call records a call of an endpoint that ends after some time.
+func (r *Rollout) Call(now cicadapitch.Instant, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
+	key := callKey{new(int), id}
+	r.rollout.begin(now, key, "route")
+	if !failed {
+		r.rollout.recordAnswer(now.Add(took), key)
+	}
+	r.rollout.end(now.Add(took), key, failed)
 }
 
-// Begin is rollout.begin for a call that has no answer.
+// Begin records a call of an endpoint that does not end.
 func (r *Rollout) Begin(now cicadapitch.Instant, id cicadapitch.EndpointID) {
-	r.rollout.begin(now, pendingCall{r, id}, "route")
+	r.rollout.begin(now, callKey{new(int), id}, "route")
 }
+
+// Report returns the report of a host.
+func (r *Rollout) Report(now cicadapitch.Instant) canary.Report { return r.rollout.report(now, nil) }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -118,7 +118,7 @@
 		return false, errSilent
 	}
 	p.recordAnswer()
-	p.recordForRollout(e.ID, reply.Status >= 500, p.g.clock.Now().Sub(start))
+	p.recordForRollout(e.ID, reply.Status)
 	if reply.Status >= 500 && p.route.Idempotent() && p.attempts < p.route.MaxAttempts {
 		p.recordFailure(e.ID, 0)
 		return false, cicadapitch.NewOutcomeUnknown(string(e.ID) + " failed")
--- a/gateway/plainattempt.go
+++ b/gateway/plainattempt.go
@@ -139,7 +139,7 @@
 		p.recordRefusal(e, reply)
 	default:
 		p.recordFailure(e.ID, 1)
-		p.recordForRollout(e.ID, true, 0)
+		p.recordFailureForRollout(e.ID)
 		a.mayHaveRun = true
 		if err != nil {
 			p.g.checkEnd(e, brokenRun{p.keys, next.startedAt, p.g.clock.Now()})
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -68,7 +68,7 @@
 	if !r.recorded {
 		r.recorded = true
 		p.recordFailure(r.attempt.endpoint.ID, 1)
-		p.recordForRollout(r.attempt.endpoint.ID, true, 0)
+		p.recordFailureForRollout(r.attempt.endpoint.ID)
 	}
 	_, state := p.g.quarantine.Check(p.g.clock.Now(), p.keys)
 	if p.trial != "" || state != quarantine.Clear || !p.mayRetryElsewhere() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -259,7 +259,7 @@
 func (p *proxiedRequest) recordBreak(ctx context.Context, id cicadapitch.EndpointID) {
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
 		p.recordFailure(id, 1)
-		p.recordForRollout(id, true, 0)
+		p.recordFailureForRollout(id)
 	}
 }
 
@@ -301,7 +301,7 @@
 			p.attempts++
 			p.mayHaveRun = true
 			if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
-				p.recordForRollout(e.ID, true, 0)
+				p.recordFailureForRollout(e.ID)
 			}
 		}
 		switch {
@@ -398,12 +398,12 @@
 	case reply.UnconfirmedRefusal():
 		p.mayHaveRun = true
 		p.recordFailure(e.ID, 1)
-		p.recordForRollout(e.ID, true, 0)
+		p.recordFailureForRollout(e.ID)
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " refused without saying that it did not run the request")
 	case reply.Status < 300 && !reply.Signed:
 		p.mayHaveRun = true
 		p.recordFailure(e.ID, 1)
-		p.recordForRollout(e.ID, true, 0)
+		p.recordFailureForRollout(e.ID)
 		return cicadapitch.NewOutcomeUnknown(string(e.ID) + " answered without a signature")
 	}
 	return nil
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -61,13 +61,11 @@
 	// most 1; streams that go on at the new version make it negative.
 	splitter *canary.Splitter
 	owed     int
-	counts   canary.Counts
-	// pending holds the calls without an answer or a first event.
-	pending map[pendingCall]pendingSince
-	// process and sequence number the reports. routes holds the longest time of a request by route.
-	process  string
-	sequence uint64
-	routes   map[string]cicadapitch.Millis
+	// tally counts what callers get, calls holds the calls that run. routes holds the longest time of a request
+	// by route.
+	tally  *canary.Tally
+	calls  map[callKey]*trackedCall
+	routes map[string]cicadapitch.Millis
 	// reporting is true while a report is on its way. refused holds the incarnations of hosts that do not
 	// know the call.
 	reporting bool
@@ -82,17 +80,19 @@
 	firstAt, warmAt cicadapitch.Instant
 }
 
-// pendingCall identifies a call of an endpoint: by the request, which an endpoint gets once, or by the call
-// of pieces.
-type pendingCall struct {
+// callKey identifies a call of an endpoint: by the request, which an endpoint gets once, or by the call of
+// pieces.
+type callKey struct {
 	caller any
 	id     cicadapitch.EndpointID
 }
 
-// pendingSince is when a call was sent, and its route.
-type pendingSince struct {
-	route string
-	at    cicadapitch.Instant
+// trackedCall is a call that runs.
+type trackedCall struct {
+	*canary.Call
+	version cicadapitch.SoftwareVersion
+	// answered is true once the answer or its first event has come.
+	answered bool
 }
 
 // newRollout returns a host's part in a rollout that the store has.
@@ -100,8 +100,8 @@
 	r := &rollout{
 		service: service, order: known.Order, metrics: metrics,
 		seen: map[cicadapitch.EndpointID]seenEndpoint{}, refused: map[string]bool{},
-		pending: map[pendingCall]pendingSince{},
-		routes:  map[string]cicadapitch.Millis{}, process: strconv.FormatUint(rand.Uint64(), 36),
+		calls: map[callKey]*trackedCall{}, routes: map[string]cicadapitch.Millis{},
+		tally:    canary.NewTally(known.Order.Revision, strconv.FormatUint(rand.Uint64(), 36)),
 		splitter: canary.NewSplitter(rand.Float64()),
 	}
 	if r.order.Revision == 0 {
@@ -367,59 +367,50 @@
 }
 
 // begin records that a call is sent to an endpoint.
-func (r *rollout) begin(now cicadapitch.Instant, call pendingCall, route string) {
+func (r *rollout) begin(now cicadapitch.Instant, key callKey, route string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.order.Revision != 0 && !r.phase.Final() {
-		r.pending[call] = pendingSince{route, now}
+	seen, ok := r.seen[key.id]
+	if !ok || r.order.Revision == 0 || r.phase.Final() {
+		return
 	}
+	timed := now >= seen.warmAt && now.Sub(seen.firstAt) >= settlingTime
+	r.calls[key] = &trackedCall{Call: r.tally.Begin(now, route, seen.version == r.order.To, timed), version: seen.version}
 }
 
-// end records that a call has an answer, a first event, or neither any more.
-func (r *rollout) end(call pendingCall) {
+// recordAnswer records that a call has an answer, or its first event.
+func (r *rollout) recordAnswer(now cicadapitch.Instant, key callKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.pending, call)
-}
-
-// addPending adds the calls that wait to the counts of a report. The caller holds mu.
-func (r *rollout) addPending(now cicadapitch.Instant, counts *canary.Counts) {
-	var waiting canary.Counts
-	for call, since := range r.pending {
-		if seen, ok := r.seen[call.id]; ok && seen.timed(now) {
-			waiting.Record(since.route, seen.version == r.order.To, false, now.Sub(since.at), true)
-		}
+	if c := r.calls[key]; c != nil {
+		c.answered = true
+		c.Answered(now)
 	}
-	for name, w := range waiting.Routes {
-		var c canary.Counts
-		c.Routes = map[string]canary.RouteCounts{name: {
-			Old: canary.VersionCounts{Pending: w.Old.Times}, New: canary.VersionCounts{Pending: w.New.Times},
-		}}
-		counts.Add(c)
-	}
-}
-
-// timed reports whether the times of an endpoint's answers count.
-func (s seenEndpoint) timed(now cicadapitch.Instant) bool {
-	return now >= s.warmAt && now.Sub(s.firstAt) >= settlingTime
 }
 
-// recordResult records what a caller got from an endpoint. took counts unless the answer is a failure, or
-// the endpoint is cold or new.
-func (r *rollout) recordResult(now cicadapitch.Instant, route string, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
+// end records that a call has ended. One that has neither failed nor an answer counts for nothing: its
+// endpoint has refused it, or its caller has left.
+func (r *rollout) end(now cicadapitch.Instant, key callKey, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	seen, ok := r.seen[id]
-	if !ok || r.order.Revision == 0 {
+	c := r.calls[key]
+	if c == nil {
 		return
 	}
-	r.counts.Record(route, seen.version == r.order.To, failed, took, seen.timed(now))
+	delete(r.calls, key)
 	result := "Answer"
-	if failed {
+	switch {
+	case failed:
 		result = "Failure"
+		c.End(now, true)
+	case c.answered:
+		c.End(now, false)
+	default:
+		result = "None"
+		c.Withdraw()
 	}
-	r.metrics.Tagged(map[string]string{"Service": string(r.service), "Version": string(seen.version), "Result": result}).
-		Counter("RolloutResults").Inc(1)
+	r.metrics.Tagged(map[string]string{"Service": string(r.service), "Version": string(c.version), "Result": result}).
+		Counter("RolloutCalls").Inc(1)
 }
 
 // routeTimeouts returns the longest time of a request of each route that has led to the service.
@@ -429,14 +420,13 @@
 	return maps.Clone(r.routes)
 }
 
-// report returns what this host reports to the owner. running holds its running calls by endpoint.
+// report returns what this host reports to the owner. running holds its running calls by endpoint, those that
+// began before the order included.
 func (r *rollout) report(now cicadapitch.Instant, running map[cicadapitch.EndpointID]int) canary.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sequence++
-	rep := canary.Report{Revision: r.order.Revision, Incarnation: r.process, Sequence: r.sequence, Phase: r.phase}
-	rep.Counts.Add(r.counts)
-	r.addPending(now, &rep.Counts)
+	rep := r.tally.Report(now, r.phase)
+	rep.Old, rep.New = 0, 0
 	for id, n := range running {
 		switch seen, ok := r.seen[id]; {
 		case !ok:
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -208,21 +208,23 @@
 	state.SetEndpoint(0, catalog.Endpoint{ID: "new-0", Service: "s", Version: "v2", ColdFor: 8000})
 	r := gateway.NewRollout(1000, "s", state.View())
 	sum := func(times canary.Times) int { return int(lo.Sum(times[:])) }
-	c := r.Report(2000, "old-0", false, 50).Counts.Routes["route"]
-	require.Equal(t, uint32(1), c.Old.Answers)
-	require.Zero(t, sum(c.Old.Times), "this host has known it for a second")
-	c = r.Report(5000, "old-0", false, 50).Counts.Routes["route"]
-	require.Equal(t, 1, sum(c.Old.Times))
-	c = r.Report(7000, "new-0", true, 50).Counts.Routes["route"]
-	require.Equal(t, [2]uint32{1, 1}, [2]uint32{c.New.Answers, c.New.Failures}, "failures of a cold one count")
-	c = r.Report(7900, "new-0", false, 50).Counts.Routes["route"]
-	require.Zero(t, sum(c.New.Times))
+	count := func() canary.RouteCounts { return r.Report(9000).Counts.Routes["route"] }
+	r.Call(2000, "old-0", false, 50)
+	require.Equal(t, uint32(1), count().Old.Answers)
+	require.Zero(t, sum(count().Old.Times), "this host has known it for a second")
+	r.Call(5000, "old-0", false, 50)
+	require.Equal(t, 1, sum(count().Old.Times))
+	r.Call(7000, "new-0", true, 50)
+	require.Equal(t, [2]uint32{1, 1}, [2]uint32{count().New.Answers, count().New.Failures}, "failures of a cold one count")
+	r.Call(7900, "new-0", false, 50)
 	r.Begin(7900, "new-0")
-	c = r.Report(8100, "new-0", false, 50).Counts.Routes["route"]
-	require.Equal(t, 1, sum(c.New.Times))
-	require.Equal(t, 1, sum(c.New.Pending))
-	rep := r.Report(9000, "other", true, 50)
-	require.Equal(t, uint32(3), rep.Counts.Routes["route"].New.Answers, "unknown endpoints count for none")
-	require.Equal(t, canary.Canary, rep.Phase)
-	require.Equal(t, cicadapitch.StoreRevision(9), rep.Revision)
+	require.Zero(t, sum(count().New.Times)+sum(count().New.Pending))
+	r.Call(8100, "new-0", false, 50)
+	r.Begin(8100, "new-0")
+	require.Equal(t, 1, sum(count().New.Times))
+	require.Equal(t, 1, sum(count().New.Pending))
+	r.Call(9000, "other", true, 50)
+	require.Equal(t, uint32(3), count().New.Answers, "unknown endpoints count for none")
+	require.Equal(t, canary.Canary, r.Report(9000).Phase)
+	require.Equal(t, cicadapitch.StoreRevision(9), r.Report(9000).Revision)
 }
--- a/gateway/rolloutoffice.go
+++ b/gateway/rolloutoffice.go
@@ -47,6 +47,10 @@
 	longest, timeout cicadapitch.Millis
 }
 
+// completionMargin is taken off the time of an order: hosts know it up to 300 ms after it was written, and they
+// confirm that nothing runs at the old version before the status says that a rollout is completed.
+const completionMargin cicadapitch.Millis = 700
+
 // takeReport takes a report of a host as the owner of its rollout, or as the host that is taken for it.
 func (g *Gateway) takeReport(m RolloutReport) RolloutAnswer {
 	r := g.rollouts.of(m.Service)
@@ -56,21 +60,26 @@
 	m.Report = m.Report.Checked()
 	// The era differs if one of the two hosts has known the order since before an older copy of the store.
 	m.Report.Revision = r.order.Revision
-	live, now := g.availableHosts(), g.clock.Now()
-	r.mu.Lock()
-	o := r.openOffice(now, canary.Bounds{
+	hosts, now := g.availableHosts(), g.clock.Now()
+	bounds := canary.Bounds{
 		ExposureShare: g.bounds.RolloutShare, ExposureSlack: g.bounds.RolloutSlack, RollbackAfter: g.bounds.RollbackDelay,
-	})
+	}
+	r.mu.Lock()
+	o := r.openOffice(now, bounds)
+	if m.Report.Phase > o.told {
+		// An earlier owner has told it.
+		o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: m.Report.Phase, Since: now})
+		o.tell(now, m.Report.Phase)
+	}
 	o.judge.Report(now, string(m.Host), m.Report)
 	o.reports[m.Host] = receivedReport{at: now, phase: m.Report.Phase, old: m.Report.Old, longest: m.Longest, timeout: m.Timeout}
-	changed := r.decide(now, live)
-	a := RolloutAnswer{Known: true, Phase: o.told, Share: o.decision.Share}
-	if o.told == canary.Canary && o.decision.Phase != canary.Canary {
-		a.Share = 0 // the next phase is being stored
-	}
 	r.mu.Unlock()
-	if changed {
-		g.logDecision(r)
+	g.runOffice(r, hosts)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := RolloutAnswer{Known: true, Phase: o.told, Share: o.decision.Share}
+	if o.told == canary.Canary && o.decision.Phase == canary.Shift {
+		a.Share = bounds.CanaryShare() // the shift is being stored
 	}
 	return a
 }
@@ -104,7 +113,9 @@
 	if r.office != nil {
 		return r.office
 	}
-	order, state := r.order, canary.State{Revision: r.order.Revision, Phase: r.phase, Since: r.phaseSince}
+	order := r.order
+	order.Duration -= min(completionMargin, order.Duration/10)
+	state := canary.State{Revision: r.order.Revision, Phase: r.phase, Since: r.phaseSince}
 	if p := r.known.Progress; p.Of(r.order) {
 		if p.At > 0 && p.At < order.At && order.At.Sub(p.At) < order.Duration {
 			order.At = p.At // the first host's deadline counts
@@ -113,11 +124,12 @@
 			state.Phase, state.Since = p.Phase, p.Since
 		}
 	}
-	if state.Phase == canary.Canary {
-		state.Since = order.At
+	var opts []canary.Option
+	if r.known.Progress.Of(r.order) || state.Phase > canary.Canary {
+		opts = append(opts, canary.WithState(state))
 	}
 	r.office = &rolloutOffice{
-		judge:   canary.NewJudge(order, bounds, canary.WithState(state)),
+		judge:   canary.NewJudge(order, bounds, opts...),
 		reports: map[cicadapitch.HostID]receivedReport{}, told: state.Phase, toldSince: now,
 	}
 	return r.office
@@ -128,7 +140,9 @@
 func (r *rollout) decide(now cicadapitch.Instant, hosts rolloutHosts) bool {
 	o := r.office
 	if p := r.known.Progress; p.Of(r.order) {
-		o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: p.Phase, Since: p.Since})
+		if p.Phase != canary.Canary {
+			o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: p.Phase, Since: p.Since})
+		}
 		o.tell(now, p.Phase)
 	}
 	if o.decidedAt > 0 && now.Sub(o.decidedAt) < decisionInterval {
@@ -142,8 +156,10 @@
 	before := o.decision.Phase
 	o.judge.SetEndpoints(r.serving())
 	o.decision, o.decidedAt = o.judge.Decide(now, o.live(now, hosts), longest), now
-	if o.decision.Phase == canary.RolledBack {
-		o.tell(now, canary.RolledBack)
+	// A rollback is told at once. So is the end of a shift, which changes only where streams go on; what
+	// operators read has to wait until all hosts have confirmed it.
+	if o.decision.Phase.Final() {
+		o.tell(now, o.decision.Phase)
 	}
 	return first || o.decision.Phase != before
 }
@@ -175,16 +191,18 @@
 // wanted returns the phase that the store should have, and whether it lacks it or its status. The caller
 // holds mu.
 func (r *rollout) wanted(now cicadapitch.Instant, hosts rolloutHosts) (canary.Phase, bool) {
-	o, p := r.office, r.known.Progress
+	o, p, status := r.office, r.known.Progress, r.known.Status
 	phase := max(o.decision.Phase, o.told)
+	if phase == canary.Completed && !o.emptied(now, r.order, hosts) {
+		// Operators read that a rollout is completed only once no host has anything at the old version.
+		phase = canary.Shift
+	}
 	if !p.Of(r.order) || phase > p.Phase {
 		return phase, true
 	}
-	status := r.known.Status
-	// Operators read that a rollout is completed only once no host has anything at the old version.
-	visible := phase != canary.Completed || o.emptied(now, r.order, hosts)
-	return phase, visible && (status.Revision == 0 || status.To != r.order.To || status.Phase.Final() != phase.Final() ||
-		phase.Final() && status.Phase != phase)
+	phase = p.Phase
+	sameState := status.Phase == phase || !status.Phase.Final() && !phase.Final()
+	return phase, status.Revision == 0 || status.To != r.order.To || !sameState
 }
 
 // emptied reports whether all hosts have said that nothing runs at the old version since they were told that
@@ -208,9 +226,8 @@
 
 // runOffice decides a rollout that other hosts, or this one, report to, and writes what the store lacks if
 // this host is the owner. A rollback is written by each host that has decided it.
-func (g *Gateway) runOffice(ctx context.Context, r *rollout) {
-	owner := g.membership.IsSelf(g.rolloutOwner(r))
-	hosts, now := g.availableHosts(), g.clock.Now()
+func (g *Gateway) runOffice(r *rollout, hosts rolloutHosts) {
+	owner, now := g.membership.IsSelf(g.rolloutOwner(r)), g.clock.Now()
 	r.mu.Lock()
 	o := r.office
 	if o == nil {
@@ -227,7 +244,7 @@
 		g.logDecision(r)
 	}
 	if write {
-		go g.storeRollout(ctx, r, known, r.progress(now, known, phase))
+		go g.storeRollout(r, known, r.progress(now, known, phase))
 	}
 }
 
@@ -245,8 +262,8 @@
 
 // storeRollout writes the progress of a rollout. After a failure, the next tick of RunRollouts writes again,
 // once the pause is over.
-func (g *Gateway) storeRollout(ctx context.Context, r *rollout, known fleet.Rollout, p fleet.RolloutProgress) {
-	err := g.membership.StoreRollout(ctx, known, p)
+func (g *Gateway) storeRollout(r *rollout, known fleet.Rollout, p fleet.RolloutProgress) {
+	err := g.membership.StoreRollout(context.Background(), known, p)
 	now := g.clock.Now()
 	r.mu.Lock()
 	o := r.office
--- a/gateway/rolloutrequest.go
+++ b/gateway/rolloutrequest.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/samber/lo"
 
 	"cicadapitch.example/cicadapitch"
@@ -58,24 +60,35 @@
 	return func() error {
 		err := commit()
 		if err == nil {
-			r.begin(p.g.clock.Now(), pendingCall{p, e.ID}, p.route.Name)
+			r.begin(p.g.clock.Now(), callKey{p, e.ID}, p.route.Name)
 		}
 		return err
 	}
 }
 
 // untrack records that the request no longer runs at an endpoint.
-func (p *proxiedRequest) untrack(id cicadapitch.EndpointID) {
+func (p *proxiedRequest) untrack(id cicadapitch.EndpointID) { p.endForRollout(id, false) }
+
+// recordForRollout records that the answer of an endpoint, or its first event, has come while the service has
+// a rollout. An answer with a status of 500 or above is a failure.
+func (p *proxiedRequest) recordForRollout(id cicadapitch.EndpointID, status int) {
+	if status >= http.StatusInternalServerError {
+		p.recordFailureForRollout(id)
+		return
+	}
 	if r := p.g.rollouts.of(p.service.Name); r != nil {
-		r.end(pendingCall{p, id})
+		r.recordAnswer(p.g.clock.Now(), callKey{p, id})
 	}
 }
 
-// recordForRollout records what the caller got from an endpoint while the service has a rollout.
-func (p *proxiedRequest) recordForRollout(id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
+// recordFailureForRollout records that the call of an endpoint has failed by the endpoint's fault.
+func (p *proxiedRequest) recordFailureForRollout(id cicadapitch.EndpointID) {
+	p.endForRollout(id, true)
+}
+
+func (p *proxiedRequest) endForRollout(id cicadapitch.EndpointID, failed bool) {
 	if r := p.g.rollouts.of(p.service.Name); r != nil {
-		r.end(pendingCall{p, id})
-		r.recordResult(p.g.clock.Now(), p.route.Name, id, failed, took)
+		r.end(p.g.clock.Now(), callKey{p, id}, failed)
 	}
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -147,7 +147,7 @@
 		}
 		for _, r := range active {
 			g.reportRollout(ctx, r)
-			g.runOffice(ctx, r)
+			g.runOffice(r, g.availableHosts())
 		}
 		// Sleep fails only if ctx has ended, which the loop checks.
 		_ = g.clock.Sleep(ctx, rolloutInterval)
@@ -206,22 +206,22 @@
 	}
 	message.Longest, message.Timeout = g.callBounds(sentAt, r)
 	if self {
-		g.endReport(r, owner, sentAt, g.takeReport(message), nil)
+		g.endReport(ctx, r, owner, sentAt, g.takeReport(message), nil)
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, rolloutTimeout.Duration())
+		callCtx, cancel := context.WithTimeout(ctx, rolloutTimeout.Duration())
 		defer cancel()
-		a, err := peer.Call[RolloutReport, RolloutAnswer](ctx, dialer, owner.Peers, callRollout, message)
+		a, err := peer.Call[RolloutReport, RolloutAnswer](callCtx, dialer, owner.Peers, callRollout, message)
 		if err == nil {
 			err = a.check()
 		}
-		g.endReport(r, owner, sentAt, a, err)
+		g.endReport(ctx, r, owner, sentAt, a, err)
 	}()
 }
 
-// endReport applies the answer to a report.
-func (g *Gateway) endReport(r *rollout, owner fleet.Host, sentAt cicadapitch.Instant, a RolloutAnswer, err error) {
+// endReport applies the answer to a report. A host that has a new phase in force says so at once.
+func (g *Gateway) endReport(ctx context.Context, r *rollout, owner fleet.Host, sentAt cicadapitch.Instant, a RolloutAnswer, err error) {
 	changed := false
 	if err == nil && a.Known {
 		changed = r.applyAnswer(g.clock.Now(), sentAt, a)
@@ -242,6 +242,9 @@
 		g.logPhase(r, string(owner.ID))
 	}
 	g.shards.applyRollout(r.service)
+	if changed {
+		g.reportRollout(ctx, r)
+	}
 }
 
 // runningCalls returns this host's running calls by endpoint: those of requests, and those of the pieces
--- a/gateway/rolloutstage.go
+++ b/gateway/rolloutstage.go
@@ -40,14 +40,14 @@
 	id := c.Endpoint.ID
 	r.running[id]++
 	if ro := r.shards.rolloutOf(r.shard.Service); ro != nil {
-		ro.begin(now, r.pendingCall(c), stageRoute)
+		ro.begin(now, r.callKey(c), stageRoute)
 		(&reservation{rollout: ro}).recordSent(now, id)
 	}
 }
 
-// recordEnd records that a call has ended, and for a rollout what it brought. A refusal and what a piece lacks
-// at other endpoints say nothing of the version. The caller holds mu.
-func (r *shardRunner) recordEnd(now cicadapitch.Instant, c batch.Call, took cicadapitch.Millis, failure batch.Failure, results []batch.PieceResult) {
+// recordEnd records that a call has ended, and for a rollout whether it has failed. A refusal and what a piece
+// lacks at other endpoints say nothing of the version. The caller holds mu.
+func (r *shardRunner) recordEnd(now cicadapitch.Instant, c batch.Call, failure batch.Failure, results []batch.PieceResult) {
 	id := c.Endpoint.ID
 	if r.running[id]--; r.running[id] == 0 {
 		delete(r.running, id)
@@ -56,12 +56,11 @@
 	if ro == nil {
 		return
 	}
-	ro.end(r.pendingCall(c))
-	if failure == batch.CallRefused {
-		return
+	if failure == batch.NoFailure {
+		ro.recordAnswer(now, r.callKey(c))
 	}
 	failed := failure == batch.CallFailed || slices.ContainsFunc(results, func(p batch.PieceResult) bool { return p.Failed })
-	ro.recordResult(now, stageRoute, id, failed, took)
+	ro.end(now, r.callKey(c), failed)
 }
 
 // stageCaller identifies a call of pieces.
@@ -70,9 +69,9 @@
 	call   batch.CallID
 }
 
-// pendingCall identifies a call for the rollout of the service.
-func (r *shardRunner) pendingCall(c batch.Call) pendingCall {
-	return pendingCall{stageCaller{r, c.ID}, c.Endpoint.ID}
+// callKey identifies a call for the rollout of the service.
+func (r *shardRunner) callKey(c batch.Call) callKey {
+	return callKey{stageCaller{r, c.ID}, c.Endpoint.ID}
 }
 
 // rolloutOf returns the rollout of a service, or nil.
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -368,7 +368,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.shards.clock.Now()
-	r.recordEnd(now, c, now.Sub(plannedAt), failure, pieceResults)
+	r.recordEnd(now, c, failure, pieceResults)
 	r.planner.FinishCall(now, c.ID, pieceResults, failure)
 	if failure == batch.CallRefused {
 		r.planner.Pause(c.Endpoint.ID, now.Add(cicadapitch.AsError(err).RetryAfter))
