gateway, membership, fronthost: hosts that the deciding one does not hear count for completion; failures of rollouts

A deciding host that is cut off heard of no other host and would have reported a rollout as completed by itself: all registered hosts count unless their processes are known to have ended.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	HostCount() int
 	// Hosts returns the hosts that serve callers, including this host if it does.
 	Hosts() []fleet.Host
+	// RunningHosts returns the hosts that may have requests, this one included, whether or not this host hears
+	// of them.
+	RunningHosts() []fleet.Host
 	// ShardOwners is OwnersOf with the hosts that are cut off from most endpoints last.
 	ShardOwners(key string) []fleet.Host
 	// Relays returns the other hosts that are not known to be cut off from endpoints.
--- a/gateway/rolloutoffice.go
+++ b/gateway/rolloutoffice.go
@@ -60,7 +60,7 @@
 	m.Report = m.Report.Checked()
 	// The era differs if one of the two hosts has known the order since before an older copy of the store.
 	m.Report.Revision = r.order.Revision
-	hosts, now := g.availableHosts(), g.clock.Now()
+	running, now := g.runningHosts(), g.clock.Now()
 	bounds := canary.Bounds{
 		ExposureShare: g.bounds.RolloutShare, ExposureSlack: g.bounds.RolloutSlack, RollbackAfter: g.bounds.RollbackDelay,
 	}
@@ -74,7 +74,7 @@
 	o.judge.Report(now, string(m.Host), m.Report)
 	o.reports[m.Host] = receivedReport{at: now, phase: m.Report.Phase, old: m.Report.Old, longest: m.Longest, timeout: m.Timeout}
 	r.mu.Unlock()
-	g.runOffice(r, hosts)
+	g.runOffice(r, running)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := RolloutAnswer{Known: true, Phase: o.told, Share: o.decision.Share}
@@ -93,21 +93,15 @@
 	return g.takeReport(m), nil
 }
 
-// availableHosts returns the hosts that are available and those that are registered, by id.
-func (g *Gateway) availableHosts() rolloutHosts {
-	h := rolloutHosts{available: map[cicadapitch.HostID]bool{}, registered: map[cicadapitch.HostID]bool{}}
-	for _, host := range g.membership.Hosts() {
-		h.available[host.ID] = true
+// runningHosts returns the hosts that may have requests, by id.
+func (g *Gateway) runningHosts() map[cicadapitch.HostID]bool {
+	running := map[cicadapitch.HostID]bool{}
+	for _, h := range g.membership.RunningHosts() {
+		running[h.ID] = true
 	}
-	for _, host := range g.membership.View().Hosts {
-		h.registered[host.ID] = true
-	}
-	return h
+	return running
 }
 
-// rolloutHosts are the hosts that may have requests of a service.
-type rolloutHosts struct{ available, registered map[cicadapitch.HostID]bool }
-
 // openOffice returns the office of the owner, and opens it with the first report. The caller holds mu.
 func (r *rollout) openOffice(now cicadapitch.Instant, bounds canary.Bounds) *rolloutOffice {
 	if r.office != nil {
@@ -137,7 +131,7 @@
 
 // decide lets the judge decide, at most once in decisionInterval, and reports whether the decided phase has
 // changed. The caller holds mu, and the office is open.
-func (r *rollout) decide(now cicadapitch.Instant, hosts rolloutHosts) bool {
+func (r *rollout) decide(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) bool {
 	o := r.office
 	if p := r.known.Progress; p.Of(r.order) {
 		if p.Phase != canary.Canary {
@@ -155,7 +149,7 @@
 	}
 	before := o.decision.Phase
 	o.judge.SetEndpoints(r.serving())
-	o.decision, o.decidedAt = o.judge.Decide(now, o.live(now, hosts), longest), now
+	o.decision, o.decidedAt = o.judge.Decide(now, o.live(now, running), longest), now
 	// A rollback is told at once. So is the end of a shift, which changes only where streams go on; what
 	// operators read has to wait until all hosts have confirmed it.
 	if o.decision.Phase.Final() {
@@ -171,16 +165,15 @@
 	}
 }
 
-// live returns the hosts that may have requests: those that take callers, and those that have reported lately
-// or have requests at old endpoints and are still registered.
-func (o *rolloutOffice) live(now cicadapitch.Instant, hosts rolloutHosts) []string {
+// live returns the hosts that may have requests: running ones, and those that have reported lately, such as
+// one that stops. A host that does not answer this one counts, since it may serve on.
+func (o *rolloutOffice) live(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) []string {
 	var live []string
-	for id := range hosts.available {
+	for id := range running {
 		live = append(live, string(id))
 	}
 	for id, rep := range o.reports {
-		alive := now.Sub(rep.at) < reporterAge || rep.old > 0 && hosts.registered[id]
-		if alive && !hosts.available[id] {
+		if !running[id] && now.Sub(rep.at) < reporterAge {
 			live = append(live, string(id))
 		}
 	}
@@ -190,10 +183,10 @@
 
 // wanted returns the phase that the store should have, and whether it lacks it or its status. The caller
 // holds mu.
-func (r *rollout) wanted(now cicadapitch.Instant, hosts rolloutHosts) (canary.Phase, bool) {
+func (r *rollout) wanted(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) (canary.Phase, bool) {
 	o, p, status := r.office, r.known.Progress, r.known.Status
 	phase := max(o.decision.Phase, o.told)
-	if phase == canary.Completed && !o.emptied(now, r.order, hosts) {
+	if phase == canary.Completed && !o.emptied(now, r.order, running) {
 		// Operators read that a rollout is completed only once no host has anything at the old version.
 		phase = canary.Shift
 	}
@@ -207,7 +200,7 @@
 
 // emptied reports whether all hosts have said that nothing runs at the old version since they were told that
 // the rollout is completed, or have had the time of the longest request since the deadline.
-func (o *rolloutOffice) emptied(now cicadapitch.Instant, order canary.Order, hosts rolloutHosts) bool {
+func (o *rolloutOffice) emptied(now cicadapitch.Instant, order canary.Order, running map[cicadapitch.HostID]bool) bool {
 	timeout := cicadapitch.Millis(0)
 	for _, rep := range o.reports {
 		timeout = max(timeout, rep.timeout)
@@ -215,7 +208,7 @@
 	if now > order.Deadline().Add(timeout) {
 		return true
 	}
-	for _, id := range o.live(now, hosts) {
+	for _, id := range o.live(now, running) {
 		rep, ok := o.reports[cicadapitch.HostID(id)]
 		if !ok || rep.phase != canary.Completed || rep.old > 0 {
 			return false
@@ -226,7 +219,7 @@
 
 // runOffice decides a rollout that other hosts, or this one, report to, and writes what the store lacks if
 // this host is the owner. A rollback is written by each host that has decided it.
-func (g *Gateway) runOffice(r *rollout, hosts rolloutHosts) {
+func (g *Gateway) runOffice(r *rollout, running map[cicadapitch.HostID]bool) {
 	owner, now := g.membership.IsSelf(g.rolloutOwner(r)), g.clock.Now()
 	r.mu.Lock()
 	o := r.office
@@ -234,8 +227,8 @@
 		r.mu.Unlock()
 		return
 	}
-	changed := r.decide(now, hosts)
-	phase, lacking := r.wanted(now, hosts)
+	changed := r.decide(now, running)
+	phase, lacking := r.wanted(now, running)
 	write := lacking && !o.storing && now >= o.retryAt && (owner || phase == canary.RolledBack)
 	o.storing = o.storing || write
 	known := r.known
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -147,7 +147,7 @@
 		}
 		for _, r := range active {
 			g.reportRollout(ctx, r)
-			g.runOffice(r, g.availableHosts())
+			g.runOffice(r, g.runningHosts())
 		}
 		// Sleep fails only if ctx has ended, which the loop checks.
 		_ = g.clock.Sleep(ctx, rolloutInterval)
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -46,6 +46,7 @@
 func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
 func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
 func (m *lockedMembership) RecordEnded(fleet.Host)                {}
+func (m *lockedMembership) RunningHosts() []fleet.Host            { return m.Hosts() }
 func (m *lockedMembership) StoreRollout(context.Context, fleet.Rollout, fleet.RolloutProgress) error {
 	return nil
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -400,6 +400,21 @@
 	m.dropRanking()
 }
 
+// RunningHosts returns the registered hosts whose processes are not known to have ended, this one included:
+// those that may have requests, whether or not this host hears of them.
+func (m *Membership) RunningHosts() []fleet.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	running := []fleet.Host{m.self()}
+	for _, h := range m.view.Load().Hosts {
+		p := m.peers[h.Incarnation]
+		if h.Incarnation != m.incarnation && (p == nil || p.endedAt <= p.receivedAt) {
+			running = append(running, h)
+		}
+	}
+	return running
+}
+
 // available reports whether another host takes callers. A host whose process was found to
 // have ended less than downReportTTL ago is unavailable, unless it sent a heartbeat since. A host that is
 // not monitored and has sent no recent heartbeat is available unless it was reported
