gateway: a rollout favors sessions, so that their prompts are cached at the new version

With a choice by request alone, each session's prompt is read anew at the new version, whose answers then seem slow. All hosts favor the same sessions by a hash; times of long prompts count only if the host has sent the session to that version before.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -35,11 +35,18 @@
 type Rollout struct {
 	rollout *rollout
 	list    []fleet.Endpoint
+	// Session is that of the next requests, Shared the length of the prompt that it shares.
+	Session string
+	Shared  cicadapitch.Tokens
+}
+
+func (r *Rollout) request() rolloutRequest {
+	return rolloutRequest{route: "route", timeout: cicadapitch.Second, session: r.Session, shared: r.Shared}
 }
 
 // NewRollout returns a host's part in a rollout of a service.
 func NewRollout(now cicadapitch.Instant, s catalog.ServiceID, v *fleet.View) *Rollout {
-	r := &Rollout{newRollout(v.Rollouts[s], s, tally.NoopScope), v.Endpoints(s)}
+	r := &Rollout{rollout: newRollout(v.Rollouts[s], s, tally.NoopScope), list: v.Endpoints(s)}
 	r.rollout.update(now, v.Rollouts[s], v)
 	return r
 }
@@ -58,7 +65,7 @@
 // Candidates begins an attempt and returns the endpoints that it may go to, those of the old version if the
 // new one cannot take it, and a function that ends the attempt: at an endpoint, or at none if the id is empty.
 func (r *Rollout) Candidates(now cicadapitch.Instant) (list, fallback []fleet.Endpoint, end func(cicadapitch.EndpointID)) {
-	s := r.rollout.reserve(now, "route", cicadapitch.Second)
+	s := r.rollout.reserve(now, r.request())
 	list = r.rollout.candidates(now, r.list, s.isNew, nil)
 	if s.isNew {
 		fallback = r.rollout.fallback(now, r.list)
@@ -88,7 +95,7 @@
 // Call records a call of an endpoint that ends after some time.
 func (r *Rollout) Call(now cicadapitch.Instant, id cicadapitch.EndpointID, failed bool, took cicadapitch.Millis) {
 	key := callKey{new(int), id}
-	r.rollout.begin(now, key, "route")
+	r.rollout.begin(now, key, r.request())
 	if !failed {
 		r.rollout.recordAnswer(now.Add(took), key)
 	}
@@ -97,7 +104,7 @@
 
 // Begin records a call of an endpoint that does not end.
 func (r *Rollout) Begin(now cicadapitch.Instant, id cicadapitch.EndpointID) {
-	r.rollout.begin(now, callKey{new(int), id}, "route")
+	r.rollout.begin(now, callKey{new(int), id}, r.request())
 }
 
 // Report returns the report of a host.
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/lo"
 	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/xxh3"
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/batch"
@@ -66,6 +67,10 @@
 	tally  *canary.Tally
 	calls  map[callKey]*trackedCall
 	routes map[string]cicadapitch.Millis
+	// sessions holds the sessions of long prompts that this host has sent to the old (false) and to the new
+	// version. passedOver counts the requests that the new version did not get although it is owed one.
+	sessions   map[bool]map[string]struct{}
+	passedOver int
 	// reporting is true while a report is on its way. refused holds the incarnations of hosts that do not
 	// know the call.
 	reporting bool
@@ -100,7 +105,7 @@
 	r := &rollout{
 		service: service, order: known.Order, metrics: metrics,
 		seen: map[cicadapitch.EndpointID]seenEndpoint{}, refused: map[string]bool{},
-		calls: map[callKey]*trackedCall{}, routes: map[string]cicadapitch.Millis{},
+		calls: map[callKey]*trackedCall{}, sessions: map[bool]map[string]struct{}{}, routes: map[string]cicadapitch.Millis{},
 		tally:    canary.NewTally(known.Order.Revision, strconv.FormatUint(rand.Uint64(), 36)),
 		splitter: canary.NewSplitter(rand.Float64()),
 	}
@@ -194,24 +199,81 @@
 	isNew bool
 }
 
-// reserve chooses the version of the next attempt at a request of a route, which lasts no longer than
-// timeout.
-func (r *rollout) reserve(now cicadapitch.Instant, route string, timeout cicadapitch.Millis) *reservation {
+// rolloutRequest is what a rollout needs to know of a request.
+type rolloutRequest struct {
+	route string
+	// timeout is the longest time that a request of the route may last.
+	timeout cicadapitch.Millis
+	// session identifies the part of the prompt that the requests of a session share, shared is its length.
+	session string
+	shared  cicadapitch.Tokens
+}
+
+// reserve chooses the version of the next attempt at a request.
+func (r *rollout) reserve(now cicadapitch.Instant, req rolloutRequest) *reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.routes[route]; ok || len(r.routes) < canary.MaxRoutes {
-		r.routes[route] = max(r.routes[route], timeout)
+	if _, ok := r.routes[req.route]; ok || len(r.routes) < canary.MaxRoutes {
+		r.routes[req.route] = max(r.routes[req.route], req.timeout)
 	}
 	switch {
 	case r.phase == canary.Shift || r.phase == canary.Completed:
 		return &reservation{r, true}
-	case r.phase == canary.Canary && r.owed > 0 && r.currentShare(now) > 0:
+	case r.phase == canary.Canary && r.owed > 0 && r.currentShare(now) > 0 && r.takes(req.session):
 		r.owed--
 		return &reservation{r, true}
 	}
 	return &reservation{r, false}
 }
 
+const (
+	// favoredSessions is the part of the sessions that the new version gets requests of in Canary, as a
+	// multiple of its share. It is above 1, so that the share is used up although some sessions are idle.
+	favoredSessions = 1.5
+	// maxPassedOver is the number of requests of other sessions after which one of them is taken, as a
+	// multiple of 1/share. Among many sessions it is hardly ever reached.
+	maxPassedOver = 3
+)
+
+// takes reports whether the new version, which is owed a request, gets one of a session. All hosts favor the
+// same sessions, so that their prompts are cached at the new version as they are at the old one. The caller
+// holds mu.
+func (r *rollout) takes(session string) bool {
+	if session == "" || float64(xxh3.HashString(strconv.FormatInt(r.order.Revision.Number(), 10)+"/"+session)) < favoredSessions*r.share*math.MaxUint64 {
+		r.passedOver = 0
+		return true
+	}
+	if r.passedOver++; float64(r.passedOver)*r.share < maxPassedOver {
+		return false
+	}
+	r.passedOver = 0
+	return true
+}
+
+// maxUncachedTokens is the length of a shared prompt that an engine reads in some 15 ms, and that does not make
+// an answer slow.
+const maxUncachedTokens cicadapitch.Tokens = 1000
+
+// maxSessions bounds the sessions that a host remembers for each version.
+const maxSessions = 8192
+
+// cached reports whether the prompt of a request does not make its answer slow at a version: it is short, or
+// this host has sent a request of the session there since the order. Without that, the new version would seem
+// slow, since it has no prompts in its cache at first. The caller holds mu.
+func (r *rollout) cached(req rolloutRequest, isNew bool) bool {
+	if req.session == "" || req.shared <= maxUncachedTokens {
+		return true
+	}
+	sessions := r.sessions[isNew]
+	_, known := sessions[req.session]
+	if sessions == nil || len(sessions) >= maxSessions && !known {
+		sessions = map[string]struct{}{}
+		r.sessions[isNew] = sessions
+	}
+	sessions[req.session] = struct{}{}
+	return known
+}
+
 // recordSent records that the attempt has reached an endpoint.
 func (s *reservation) recordSent(now cicadapitch.Instant, id cicadapitch.EndpointID) {
 	r := s.rollout
@@ -367,15 +429,17 @@
 }
 
 // begin records that a call is sent to an endpoint.
-func (r *rollout) begin(now cicadapitch.Instant, key callKey, route string) {
+func (r *rollout) begin(now cicadapitch.Instant, key callKey, req rolloutRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen, ok := r.seen[key.id]
 	if !ok || r.order.Revision == 0 || r.phase.Final() {
 		return
 	}
+	isNew := seen.version == r.order.To
 	timed := now >= seen.warmAt && now.Sub(seen.firstAt) >= settlingTime
-	r.calls[key] = &trackedCall{Call: r.tally.Begin(now, route, seen.version == r.order.To, timed), version: seen.version}
+	timed = r.cached(req, isNew) && timed
+	r.calls[key] = &trackedCall{Call: r.tally.Begin(now, req.route, isNew, timed), version: seen.version}
 }
 
 // recordAnswer records that a call has an answer, or its first event.
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -228,3 +228,51 @@
 	require.Equal(t, canary.Canary, r.Report(9000).Phase)
 	require.Equal(t, cicadapitch.StoreRevision(9), r.Report(9000).Revision)
 }
+
+// TestSessionsStayAtAVersion guards against prompts that are cached at neither version, since the requests of
+// each session go to and fro. The share stays the same, also where there are few sessions.
+func TestSessionsStayAtAVersion(t *testing.T) {
+	const share = 0.08
+	for sessions, leastCached := range map[int]float64{1: 0, 400: 0.6} {
+		atNew, cached, seen := 0, 0, map[string]bool{}
+		hosts := lo.Times(4, func(int) *gateway.Rollout { return gateway.NewRollout(1000, "s", rolloutState(10, 10).View()) })
+		const requests = 40_000
+		for n := range requests {
+			r := hosts[n%len(hosts)]
+			r.Session = fmt.Sprint(n * 7919 / 4 % sessions)
+			r.Answer(1000, canary.Canary, share)
+			list, _, end := r.Candidates(1000)
+			end(list[0].ID)
+			if list[0].Version == "v2" {
+				atNew++
+				cached += lo.Ternary(seen[r.Session], 1, 0)
+				seen[r.Session] = true
+			}
+		}
+		got := float64(atNew) / requests
+		t.Logf("%d sessions: share %.3f, %d of %d requests of sessions that were at the new version before, %d sessions there", sessions, got, cached, atNew, len(seen))
+		require.LessOrEqual(t, got, share+0.001)
+		require.GreaterOrEqual(t, got, share/5)
+		require.GreaterOrEqual(t, float64(cached), leastCached*float64(atNew))
+		require.LessOrEqual(t, len(seen), max(sessions/4, 1))
+	}
+}
+
+// TestTimesOfUncachedPromptsDoNotCount guards against a good version that is rolled back since the prompts of
+// the sessions are not in its cache yet.
+func TestTimesOfUncachedPromptsDoNotCount(t *testing.T) {
+	r := gateway.NewRollout(1000, "s", rolloutState(1, 1).View())
+	times := func() [2]int {
+		c := r.Report(9000).Counts.Routes["route"]
+		return [2]int{int(lo.Sum(c.Old.Times[:])), int(lo.Sum(c.New.Times[:]))}
+	}
+	r.Session, r.Shared = "long", 12_000
+	r.Call(5000, "old-0", false, 50)
+	r.Call(5000, "new-0", false, 250)
+	require.Equal(t, [2]int{0, 0}, times())
+	r.Call(5000, "new-0", false, 50)
+	require.Equal(t, [2]int{0, 1}, times())
+	r.Session, r.Shared = "short", 800
+	r.Call(5000, "old-0", false, 50)
+	require.Equal(t, [2]int{1, 1}, times())
+}
--- a/gateway/rolloutrequest.go
+++ b/gateway/rolloutrequest.go
@@ -23,11 +23,23 @@
 	now := p.g.clock.Now()
 	if p.reserved == nil || p.reserved.rollout != r {
 		p.reserved.release()
-		p.reserved = r.reserve(now, p.route.Name, routeTimeout(p.route))
+		p.reserved = r.reserve(now, p.forRollout())
 	}
 	return r.candidates(now, list, p.reserved.isNew, p.exclude)
 }
 
+// forRollout returns what a rollout needs to know of the request.
+func (p *proxiedRequest) forRollout() rolloutRequest {
+	req := rolloutRequest{route: p.route.Name, timeout: routeTimeout(p.route)}
+	if prompt := p.request.Prompt; len(prompt) > 1 && p.route.SessionAffinity {
+		req.session = p.request.Session()
+		for _, part := range prompt[:len(prompt)-1] {
+			req.shared += part.Tokens
+		}
+	}
+	return req
+}
+
 // fallback returns the endpoints of the old version if the attempt was to go to the new one, or none.
 func (p *proxiedRequest) fallback() []fleet.Endpoint {
 	if p.reserved == nil || !p.reserved.isNew || p.origin != nil {
@@ -60,7 +72,7 @@
 	return func() error {
 		err := commit()
 		if err == nil {
-			r.begin(p.g.clock.Now(), callKey{p, e.ID}, p.route.Name)
+			r.begin(p.g.clock.Now(), callKey{p, e.ID}, p.forRollout())
 		}
 		return err
 	}
@@ -100,7 +112,7 @@
 		return list, nil
 	}
 	now := p.g.clock.Now()
-	s := r.reserve(now, p.route.Name, routeTimeout(p.route))
+	s := r.reserve(now, p.forRollout())
 	return r.candidates(now, list, s.isNew, exclude), s
 }
 
--- a/gateway/rolloutstage.go
+++ b/gateway/rolloutstage.go
@@ -40,7 +40,7 @@
 	id := c.Endpoint.ID
 	r.running[id]++
 	if ro := r.shards.rolloutOf(r.shard.Service); ro != nil {
-		ro.begin(now, r.callKey(c), stageRoute)
+		ro.begin(now, r.callKey(c), rolloutRequest{route: stageRoute})
 		(&reservation{rollout: ro}).recordSent(now, id)
 	}
 }
