canary: thresholds stay in use while they are fit, tests of Shift outlast a burst, tests of each failure

Change: a threshold is kept while it has 0.6 of the best score; the tests of Shift need 4 s from any start.

--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -3,11 +3,15 @@
 import "math"
 
 const (
-	// plannedLooks bounds the weights of late starts: evidence may begin at any of so many looks at the same
-	// cost, which covers four minutes. Later starts cost more.
+	// plannedLooks are the looks at which evidence may begin at the same cost: four minutes. Later starts cost more.
 	plannedLooks = 480
-	// plannedShiftLooks is the same for the tests of Shift, which is short: 20 s.
-	plannedShiftLooks = 40
+	// plannedShiftLooks is the same for the tests of Shift, which is short: 10 s.
+	plannedShiftLooks = 20
+	// firstWeight is the weight of a start at the first look, since most bad versions are bad at once. In Shift, a
+	// version that is bad from the first look needs as long as others, so that a burst is told apart.
+	firstWeight, firstShiftWeight = 0.5, 0.035
+	// lateWeight is the weight of all starts after the planned looks together.
+	lateWeight = 0.25
 )
 
 // evidence is what was gathered for one way in which a version can be bad. It may begin at any
@@ -27,25 +31,28 @@
 	bin int
 }
 
-// startWeight returns the logarithm of the weight of a start at a look, from 1. Later starts have equal weights up
-// to the planned looks.
-func startWeight(look, planned int) float64 {
+// startWeight returns the logarithm of the weight of a start at a look, from 1.
+func startWeight(look int, shift bool) float64 {
+	first, planned := firstWeight, plannedLooks
+	if shift {
+		first, planned = firstShiftWeight, plannedShiftLooks
+	}
 	t, n := float64(look), float64(planned)
 	switch {
 	case look == 1:
-		return math.Log(0.5)
+		return math.Log(first)
 	case look <= planned:
-		return math.Log(0.25 / n)
+		return math.Log((1 - lateWeight - first) / n)
 	default:
-		return math.Log(0.25 * n / (t * (t + 1)))
+		return math.Log(lateWeight * n / (t * (t + 1)))
 	}
 }
 
 // add takes the evidence of one look: its log likelihood ratiowith the samples and the
 // excess that belong to it.
-func (e *evidence) add(logRatio float64, look lookSample, planned int) {
+func (e *evidence) add(logRatio float64, look lookSample, shift bool) {
 	e.looks++
-	if w := startWeight(e.looks, planned); e.looks == 1 || w > e.logValue {
+	if w := startWeight(e.looks, shift); e.looks == 1 || w > e.logValue {
 		*e = evidence{looks: e.looks, logValue: w}
 	}
 	e.logValue += logRatio
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -118,7 +118,7 @@
 		longest = unknownLongest
 	}
 	longest = min(longest, maxLongest)
-	d := Decision{Deadline: j.deadline()}
+	d := Decision{Deadline: j.deadline(longest)}
 	if err := j.order.Check(); err != nil {
 		d.Phase, d.Reason = j.state.Phase, err.Error()
 		return d
@@ -143,11 +143,21 @@
 		d.Evidence = j.tests.strongest
 	}
 	d.Share = j.share()
+	if j.state.Phase == Canary && !j.serves() {
+		d.Reason = fmt.Sprintf("no endpoint of version %s serves yet; start endpoints of this version or withdraw the order", j.order.To)
+	}
 	return d
 }
 
-// deadline returns when a good version is to be completed.
-func (j *Judge) deadline() cicadapitch.Instant { return j.knownAt.Add(j.order.Duration) }
+// deadline returns when a good version is to be completed. A successor that knows the order late takes it from the
+// record of the shift.
+func (j *Judge) deadline(longest cicadapitch.Millis) cicadapitch.Instant {
+	at := j.knownAt.Add(j.order.Duration)
+	if j.resumed && j.state.Phase == Shift {
+		at = min(at, j.state.Since.Add(min(longest+shiftTime, j.order.Duration/2)))
+	}
+	return at
+}
 
 // serves reports whether there are endpoints of the new version.
 func (j *Judge) serves() bool { return j.tests.load.newEndpoints > 0 }
@@ -160,7 +170,7 @@
 		return j.state.Since
 	}
 	half := j.order.Duration / 2
-	at := max(j.deadline().Add(-longest-shiftTime), j.deadline().Add(-half))
+	at := max(j.deadline(longest).Add(-longest-shiftTime), j.deadline(longest).Add(-half))
 	if j.resumed && j.gathering.newAnswers() >= minTested {
 		return at
 	}
@@ -197,18 +207,19 @@
 		}
 	}
 	slices.Sort(waiting)
-	waiting = waiting[:min(len(waiting), MaxWaiting)]
+	missing := len(waiting)
+	waiting = waiting[:min(missing, MaxWaiting)]
 	// No call begins at the old version once the shift is in force.
 	inForce := j.gathering.shiftAt
 	switch {
 	case !j.serves() || len(live) == 0 || inForce == 0:
-	case now < j.deadline().Add(-completeTime):
+	case now < j.deadline(longest).Add(-completeTime):
 		// The new version is tested under the whole load until then.
-	case len(waiting) == 0:
+	case missing == 0:
 		j.enter(Completed, now, "every host sends to the new version and nothing runs at the old one")
-	case now >= max(j.deadline(), inForce.Add(shiftTime)).Add(longest):
+	case now >= max(j.deadline(longest), inForce.Add(shiftTime)).Add(longest):
 		j.enter(Completed, now, fmt.Sprintf("no call can still run at the old version; %d hosts did not confirm it, such as %s",
-			len(waiting), waiting[0]))
+			missing, waiting[0]))
 	}
 	return waiting
 }
--- a/canary/profile.go
+++ b/canary/profile.go
@@ -15,6 +15,9 @@
 	// clearMargin keeps apart slowdowns and times that are longer by toleratedFactor. At 1, the threshold would
 	// lie where few answers are, and its noise would decide.
 	clearMargin = 1.5
+	// keepScore is the part of the best threshold's score from which the one in use is kept. Calls that wait
+	// while the threshold changes may count twice or not at all.
+	keepScore = 0.6
 )
 
 // logBinRatio is the width of a bin on the scale of logarithms.
@@ -77,29 +80,42 @@
 
 // threshold returns the threshold that tells a slowdown best from the old version's times, and whether there is one. A
 // slowdown must raise the share of slow answers by clearMargin times as much as toleratedFactor does.
-// floor is the least share of slow answers that is expected above each edge, or nil.
-func (p *profile) threshold(s slowdown, floor *[Bins]float64) (best threshold, ok bool) {
+// floor is the least share of slow answers that is expected above each edge, or nil; used is the threshold
+// in use, if inUse is set.
+func (p *profile) threshold(s slowdown, floor *[Bins]float64, used threshold, inUse bool) (best threshold, ok bool) {
 	if p.total < minProfileAnswers {
 		return threshold{}, false
 	}
-	score := 0.0
+	score, kept := 0.0, 0.0
 	for b := range Bins - 1 {
-		equal, tolerated := p.above(b, 1), p.above(b, 1/toleratedFactor)
-		bad := s.share*p.above(b, 1/s.factor) + (1-s.share)*equal
-		if floor != nil {
-			equal, tolerated = max(equal, floor[b]), max(tolerated, floor[b])
+		th, d := p.score(s, floor, b)
+		if d > score {
+			score, best, ok = d, th, true
 		}
-		if bad-equal <= clearMargin*(tolerated-equal) {
-			continue
-		}
-		if d := divergence(bad, equal); d > score {
-			score, ok = d, true
-			best = threshold{bin: b, equal: equal, bad: bad, noticed: max((equal+bad)/2, tolerated)}
+		if inUse && b == used.bin {
+			used, kept = th, d
 		}
 	}
+	if kept > 0 && kept >= keepScore*score {
+		return used, true
+	}
 	return best, ok
 }
 
+// score returns the threshold at a bin and the evidence to expect of an answer of a bad version there, 0 if it does not tell
+// a slowdown.
+func (p *profile) score(s slowdown, floor *[Bins]float64, b int) (threshold, float64) {
+	equal, tolerated := p.above(b, 1), p.above(b, 1/toleratedFactor)
+	bad := s.share*p.above(b, 1/s.factor) + (1-s.share)*equal
+	if floor != nil {
+		equal, tolerated = max(equal, floor[b]), max(tolerated, floor[b])
+	}
+	if bad-equal <= clearMargin*(tolerated-equal) {
+		return threshold{}, 0
+	}
+	return threshold{bin: b, equal: equal, bad: bad, noticed: max((equal+bad)/2, tolerated)}, divergence(bad, equal)
+}
+
 // divergence returns the mean logarithm of the likelihood ratio that an answer brings if the share of slow
 // answers is p, against q.
 func divergence(p, q float64) float64 { return p*math.Log(p/q) + (1-p)*math.Log((1-p)/(1-q)) }
--- a/canary/tests.go
+++ b/canary/tests.go
@@ -19,8 +19,9 @@
 	// hits the few endpoints of the new version together, so it must not decide alone.
 	maxLogRatio = 4
 	// maxShiftSlowness bounds the evidence of one look for slowness in Shift, where no answers of the old
-	// version at the same time tell a slow version from a disturbance of both. A decision takes 3 to 4 s.
-	maxShiftSlowness = 2
+	// version at the same time tell a slow version from a disturbance of both. A decision takes about 4 s, twice as long as a
+	// burst of 2 s.
+	maxShiftSlowness = 2.2
 	// concurrentRisk and shiftRisk bound the probability that a good version is ever rolled back by
 	// the tests against the old version at the same time, and by those of Shift.
 	concurrentRisk, shiftRisk = 4e-4, 2e-4
@@ -167,15 +168,12 @@
 	if all[key] == nil {
 		all[key] = &[ways]evidence{}
 	}
-	most, planned := float64(maxLogRatio), plannedLooks
-	if key.shift {
-		planned = plannedShiftLooks
-	}
+	most := float64(maxLogRatio)
 	if key == (testKey{Slowness, true}) {
 		most = maxShiftSlowness
 	}
 	for way := range ways {
-		all[key][way].add(min(sum.ratios[way], most), sum.samples[way], planned)
+		all[key][way].add(min(sum.ratios[way], most), sum.samples[way], key.shift)
 	}
 }
 
@@ -236,7 +234,7 @@
 		floor = &r.recent.worst
 	}
 	for way := range ways {
-		r.thresholds[way], r.has[way] = r.profile.threshold(slowdowns[way], floor)
+		r.thresholds[way], r.has[way] = r.profile.threshold(slowdowns[way], floor, r.thresholds[way], r.has[way])
 	}
 }
 
