canary: times without the new version are not compared

Cause: the old version's answers from before the new endpoints came, or before a successor took over, were compared with later ones of the new version. Change: strata of the old version alone are dropped, and reports of a longer time count only within the bound of one look.

--- a/canary/gather.go
+++ b/canary/gather.go
@@ -17,6 +17,9 @@
 	maxProcesses = 8
 	// freshTime is the age up to which a report says what a host does now: four reports.
 	freshTime = cicadapitch.Second
+	// coarseReports is the sequence number from which the first report of a process that comes here holds the counts of a
+	// longer time.
+	coarseReports = 8
 )
 
 // hostState are the processes of a host, by incarnation.
@@ -47,6 +50,8 @@
 	routes map[string]*routeTotals
 	// shiftAt is when the first report of a host in Shift came, or 0.
 	shiftAt cicadapitch.Instant
+	// coarse is set by a report that holds the counts of a longer time: the first one here, or one after several were lost.
+	coarse bool
 }
 
 func newGathering() *gathering {
@@ -73,6 +78,9 @@
 	if r.Phase == Shift && g.shiftAt == 0 {
 		g.shiftAt = now
 	}
+	if first := p.at == 0; first && r.Sequence > coarseReports || !first && now.Sub(p.at) > freshTime {
+		g.coarse = true
+	}
 	r.Counts = g.merge(p.report.Counts, r.Counts)
 	p.report, p.at = r, now
 	h.latest = p
--- a/canary/judge_test.go
+++ b/canary/judge_test.go
@@ -361,3 +361,45 @@
 	b.stale = false
 	require.Equal(t, canary.Completed, b.run(1500).Phase)
 }
+
+// Guards against a false rollback when the new version's endpoints come late, or a successor takes over: the old version may
+// have been faster at the time in which the new one served nothing.
+func TestTimeWithoutNewVersionIsNotCompared(t *testing.T) {
+	for name, successor := range map[string]bool{"late endpoints": false, "successor": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench()
+			b.newAnswers = 0
+			b.run(8000)
+			b.newAnswers = 2
+			// From now on, both versions fail in 1 of 2 answers.
+			fail := func(m cicadapitch.Millis) {
+				for end := b.now.Add(m); b.now < end; {
+					for _, r := range b.reports {
+						rc := r.Counts.Routes["r"]
+						rc.Old.Failures += 10
+						r.Counts.Routes["r"] = rc
+					}
+					b.newFailures = 1
+					b.run(250)
+				}
+			}
+			if successor {
+				b.silent = map[string]bool{"host-0": true, "host-1": true, "host-2": true}
+				for range 16 {
+					for _, r := range b.reports {
+						rc := r.Counts.Routes["r"]
+						rc.Old.Failures += 10
+						r.Counts.Routes["r"] = rc
+						b.newFailures = 1
+						b.count(r)
+					}
+				}
+				b.silent = map[string]bool{}
+				b.judge = canary.NewJudge(order, canary.Bounds{}, canary.WithState(b.judge.State()))
+				b.judge.SetEndpoints(10, 1)
+			}
+			fail(10_000)
+			require.Equal(t, canary.Canary, b.decision.Phase, b.decision.Reason)
+		})
+	}
+}
--- a/canary/tests.go
+++ b/canary/tests.go
@@ -15,6 +15,9 @@
 	// minOldAnswers is the number of answers of the old version from which a stratum is closed. Smaller strata
 	// of slow services would hold answers of one version only, which say nothing.
 	minOldAnswers = 4
+	// maxOldOnly is the number of answers of the old version at which a stratum without any of the new one is dropped:
+	// four times as many as there are to one in Canary. The old version may have been faster at that time.
+	maxOldOnly = 50
 	// maxLogRatio bounds the evidence of one look. A disturbance of one endpoint lasts one or two looks and
 	// hits the few endpoints of the new version together, so it must not decide alone.
 	maxLogRatio = 4
@@ -57,6 +60,9 @@
 	has        [ways]bool
 	// history holds the strata of Canary, by test, for the first way of being bad.
 	history [2]history
+	// coarse is set while reports of a longer time came, in which the versions may have had different shares of the
+	// requests. They count for the evidence of the look, which is bounded, but not for the tests at checkpoints.
+	coarse bool
 }
 
 // tests are all tests of a rollout.
@@ -92,29 +98,37 @@
 			t.routes[name] = rt
 		}
 		totals := *g.routes[name]
+		rt.coarse = rt.coarse || g.coarse
 		for _, key := range keysOf(phase) {
-			before, began := rt.compared[key]
-			if !began && key.shift {
-				rt.compared[key] = totals
-				continue
-			}
-			if !closes(key, before, totals) {
-				continue
-			}
-			rt.compared[key] = totals
-			if key.test == Slowness && t.load.explains(phase) {
-				continue
-			}
-			rt.compare(key, before, totals, sums)
+			rt.look(key, totals, t.load.explains(phase), sums)
 		}
+		rt.coarse = false
 		rt.follow(totals, phase)
 	}
 	for key, sum := range sums {
 		addAll(t.total, key, sum)
 	}
+	g.coarse = false
 	t.strongest, t.bad = t.rank()
 }
 
+// look closes a stratum of a test if there are enough answers since the last one. loaded is set if slowness is due to load.
+func (r *routeTests) look(key testKey, totals routeTotals, loaded bool, sums map[testKey]*lookSum) {
+	before, began := r.compared[key]
+	oldAnswers, newAnswers := answersSince(key.test, before, totals)
+	switch {
+	case key.shift && !began, newAnswers == 0 && oldAnswers >= maxOldOnly:
+		r.compared[key] = totals
+		return
+	case newAnswers == 0, !key.shift && oldAnswers < minOldAnswers:
+		return
+	}
+	r.compared[key] = totals
+	if key.test == Failures || !loaded {
+		r.compare(key, before, totals, sums)
+	}
+}
+
 // keysOf returns the tests of a phase.
 func keysOf(p Phase) []testKey {
 	keys := []testKey{{Failures, false}, {Slowness, false}}
@@ -124,14 +138,14 @@
 	return keys
 }
 
-// closes reports whether there are enough answers since the last comparison.
-func closes(key testKey, before, t routeTotals) bool {
-	oldAnswers, newAnswers := t.old.answers-before.old.answers, t.new.answers-before.new.answers
-	if key.test == Slowness {
-		oldAnswers, newAnswers = count(t.old.times)-count(before.old.times), count(t.new.times)-count(before.new.times)
-		newAnswers += count(t.new.pending)
+// answersSince returns the answers of both versions that a test can compare. Calls at the new version that wait may be slow
+// already.
+func answersSince(t Test, before, now routeTotals) (oldAnswers, newAnswers int64) {
+	if t == Failures {
+		return now.old.answers - before.old.answers, now.new.answers - before.new.answers
 	}
-	return newAnswers > 0 && (key.shift || oldAnswers >= minOldAnswers)
+	return count(now.old.times) - count(before.old.times),
+		count(now.new.times) - count(before.new.times) + count(now.new.pending)
 }
 
 // lookSum is the evidence of one look over all routes, by the way of being bad.
@@ -158,7 +172,7 @@
 		sums[key].samples[way] = sums[key].samples[way].plus(route.samples[way])
 	}
 	addAll(r.evidence, key, route)
-	if first := route.samples[0]; !key.shift && first.newAnswers > 0 {
+	if first := route.samples[0]; !key.shift && !r.coarse && first.newAnswers > 0 {
 		r.history[key.test].add(first)
 	}
 }
