gateway: the phase of a report is read before the calls that run

A stream could begin at the old version between the two, and the report said that nothing ran there since the rollout was completed. Names of the owner's state follow the rest of the package.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -108,4 +108,6 @@
 }
 
 // Report returns the report of a host.
-func (r *Rollout) Report(now cicadapitch.Instant) canary.Report { return r.rollout.report(now, nil) }
+func (r *Rollout) Report(now cicadapitch.Instant) canary.Report {
+	return r.rollout.report(now, r.rollout.phaseInForce(), nil)
+}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -75,8 +75,8 @@
 	// know the call.
 	reporting bool
 	refused   map[string]bool
-	// office is set once other hosts, or this one, report here.
-	office *rolloutOffice
+	// owner is set once other hosts, or this one, report here.
+	owner *ownerState
 }
 
 // seenEndpoint is what a host knows of an endpoint.
@@ -219,7 +219,7 @@
 	switch {
 	case r.phase == canary.Shift || r.phase == canary.Completed:
 		return &reservation{r, true}
-	case r.phase == canary.Canary && r.owed > 0 && r.currentShare(now) > 0 && r.takes(req.session):
+	case r.phase == canary.Canary && r.owed > 0 && r.currentShare(now) > 0 && r.acceptsSession(req.session):
 		r.owed--
 		return &reservation{r, true}
 	}
@@ -235,10 +235,10 @@
 	maxPassedOver = 3
 )
 
-// takes reports whether the new version, which is owed a request, gets one of a session. All hosts favor the
+// acceptsSession reports whether the new version, which is owed a request, gets one of a session. All hosts favor the
 // same sessions, so that their prompts are cached at the new version as they are at the old one. The caller
 // holds mu.
-func (r *rollout) takes(session string) bool {
+func (r *rollout) acceptsSession(session string) bool {
 	if session == "" || float64(xxh3.HashString(strconv.FormatInt(r.order.Revision.Number(), 10)+"/"+session)) < favoredSessions*r.share*math.MaxUint64 {
 		r.passedOver = 0
 		return true
@@ -484,12 +484,19 @@
 	return maps.Clone(r.routes)
 }
 
+// phaseInForce returns the phase that is in force at this host.
+func (r *rollout) phaseInForce() canary.Phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.phase
+}
+
 // report returns what this host reports to the owner. running holds its running calls by endpoint, those that
 // began before the order included.
-func (r *rollout) report(now cicadapitch.Instant, running map[cicadapitch.EndpointID]int) canary.Report {
+func (r *rollout) report(now cicadapitch.Instant, phase canary.Phase, running map[cicadapitch.EndpointID]int) canary.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep := r.tally.Report(now, r.phase)
+	rep := r.tally.Report(now, phase)
 	rep.Old, rep.New = 0, 0
 	for id, n := range running {
 		switch seen, ok := r.seen[id]; {
--- a/gateway/rolloutoffice.go
+++ b/gateway/rolloutowner.go
@@ -23,16 +23,15 @@
 	rolloutRetryMax                    = 4 * cicadapitch.Second
 )
 
-// rolloutOffice is what the owner of a rollout holds.
-type rolloutOffice struct {
+// ownerState is what the owner of a rollout holds.
+type ownerState struct {
 	judge    *canary.Judge
 	decision canary.Decision
 	// decidedAt is when the judge last decided.
 	decidedAt cicadapitch.Instant
 	reports   map[cicadapitch.HostID]receivedReport
-	// told is the phase of the answers. Since when is toldSince.
-	told      canary.Phase
-	toldSince cicadapitch.Instant
+	// announced is the phase of the answers.
+	announced canary.Phase
 	// storing is true while a write runs, retryAt and pause bound the next one after a failure.
 	storing bool
 	retryAt cicadapitch.Instant
@@ -65,20 +64,20 @@
 		ExposureShare: g.bounds.RolloutShare, ExposureSlack: g.bounds.RolloutSlack, RollbackAfter: g.bounds.RollbackDelay,
 	}
 	r.mu.Lock()
-	o := r.openOffice(now, bounds)
-	if m.Report.Phase > o.told {
-		// An earlier owner has told it.
+	o := r.openOwnerState(bounds)
+	if m.Report.Phase > o.announced {
+		// An earlier owner has announced it.
 		o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: m.Report.Phase, Since: now})
-		o.tell(now, m.Report.Phase)
+		o.announce(m.Report.Phase)
 	}
 	o.judge.Report(now, string(m.Host), m.Report)
 	o.reports[m.Host] = receivedReport{at: now, phase: m.Report.Phase, old: m.Report.Old, longest: m.Longest, timeout: m.Timeout}
 	r.mu.Unlock()
-	g.runOffice(r, running)
+	g.decideRollout(r, running)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := RolloutAnswer{Known: true, Phase: o.told, Share: o.decision.Share}
-	if o.told == canary.Canary && o.decision.Phase == canary.Shift {
+	a := RolloutAnswer{Known: true, Phase: o.announced, Share: o.decision.Share}
+	if o.announced == canary.Canary && o.decision.Phase == canary.Shift {
 		a.Share = bounds.CanaryShare() // the shift is being stored
 	}
 	return a
@@ -102,10 +101,10 @@
 	return running
 }
 
-// openOffice returns the office of the owner, and opens it with the first report. The caller holds mu.
-func (r *rollout) openOffice(now cicadapitch.Instant, bounds canary.Bounds) *rolloutOffice {
-	if r.office != nil {
-		return r.office
+// openOwnerState returns what this host holds as the owner, and creates it with the first report. The caller holds mu.
+func (r *rollout) openOwnerState(bounds canary.Bounds) *ownerState {
+	if r.owner != nil {
+		return r.owner
 	}
 	order := r.order
 	order.Duration -= min(completionMargin, order.Duration/10)
@@ -122,22 +121,22 @@
 	if r.known.Progress.Of(r.order) || state.Phase > canary.Canary {
 		opts = append(opts, canary.WithState(state))
 	}
-	r.office = &rolloutOffice{
+	r.owner = &ownerState{
 		judge:   canary.NewJudge(order, bounds, opts...),
-		reports: map[cicadapitch.HostID]receivedReport{}, told: state.Phase, toldSince: now,
+		reports: map[cicadapitch.HostID]receivedReport{}, announced: state.Phase,
 	}
-	return r.office
+	return r.owner
 }
 
 // decide lets the judge decide, at most once in decisionInterval, and reports whether the decided phase has
-// changed. The caller holds mu, and the office is open.
+// changed. The caller holds mu, and owner is set.
 func (r *rollout) decide(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) bool {
-	o := r.office
+	o := r.owner
 	if p := r.known.Progress; p.Of(r.order) {
 		if p.Phase != canary.Canary {
 			o.judge.Recorded(canary.State{Revision: r.order.Revision, Phase: p.Phase, Since: p.Since})
 		}
-		o.tell(now, p.Phase)
+		o.announce(p.Phase)
 	}
 	if o.decidedAt > 0 && now.Sub(o.decidedAt) < decisionInterval {
 		return false
@@ -150,24 +149,24 @@
 	before := o.decision.Phase
 	o.judge.SetEndpoints(r.serving())
 	o.decision, o.decidedAt = o.judge.Decide(now, o.live(now, running), longest), now
-	// A rollback is told at once. So is the end of a shift, which changes only where streams go on; what
+	// A rollback is announced at once. So is the end of a shift, which changes only where streams go on; what
 	// operators read has to wait until all hosts have confirmed it.
 	if o.decision.Phase.Final() {
-		o.tell(now, o.decision.Phase)
+		o.announce(o.decision.Phase)
 	}
 	return first || o.decision.Phase != before
 }
 
-// tell changes the phase of the answers unless it is an earlier one.
-func (o *rolloutOffice) tell(now cicadapitch.Instant, p canary.Phase) {
-	if p > o.told {
-		o.told, o.toldSince = p, now
+// announce changes the phase of the answers unless it is an earlier one.
+func (o *ownerState) announce(p canary.Phase) {
+	if p > o.announced {
+		o.announced = p
 	}
 }
 
 // live returns the hosts that may have requests: running ones, and those that have reported lately, such as
 // one that stops. A host that does not answer this one counts, since it may serve on.
-func (o *rolloutOffice) live(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) []string {
+func (o *ownerState) live(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) []string {
 	var live []string
 	for id := range running {
 		live = append(live, string(id))
@@ -184,8 +183,8 @@
 // wanted returns the phase that the store should have, and whether it lacks it or its status. The caller
 // holds mu.
 func (r *rollout) wanted(now cicadapitch.Instant, running map[cicadapitch.HostID]bool) (canary.Phase, bool) {
-	o, p, status := r.office, r.known.Progress, r.known.Status
-	phase := max(o.decision.Phase, o.told)
+	o, p, status := r.owner, r.known.Progress, r.known.Status
+	phase := max(o.decision.Phase, o.announced)
 	if phase == canary.Completed && !o.emptied(now, r.order, running) {
 		// Operators read that a rollout is completed only once no host has anything at the old version.
 		phase = canary.Shift
@@ -198,9 +197,9 @@
 	return phase, status.Revision == 0 || status.To != r.order.To || !sameState
 }
 
-// emptied reports whether all hosts have said that nothing runs at the old version since they were told that
+// emptied reports whether all hosts have said that nothing runs at the old version since they know that
 // the rollout is completed, or have had the time of the longest request since the deadline.
-func (o *rolloutOffice) emptied(now cicadapitch.Instant, order canary.Order, running map[cicadapitch.HostID]bool) bool {
+func (o *ownerState) emptied(now cicadapitch.Instant, order canary.Order, running map[cicadapitch.HostID]bool) bool {
 	timeout := cicadapitch.Millis(0)
 	for _, rep := range o.reports {
 		timeout = max(timeout, rep.timeout)
@@ -217,12 +216,12 @@
 	return true
 }
 
-// runOffice decides a rollout that other hosts, or this one, report to, and writes what the store lacks if
+// decideRollout decides a rollout that other hosts, or this one, report to, and writes what the store lacks if
 // this host is the owner. A rollback is written by each host that has decided it.
-func (g *Gateway) runOffice(r *rollout, running map[cicadapitch.HostID]bool) {
+func (g *Gateway) decideRollout(r *rollout, running map[cicadapitch.HostID]bool) {
 	owner, now := g.membership.IsSelf(g.rolloutOwner(r)), g.clock.Now()
 	r.mu.Lock()
-	o := r.office
+	o := r.owner
 	if o == nil {
 		r.mu.Unlock()
 		return
@@ -259,7 +258,7 @@
 	err := g.membership.StoreRollout(context.Background(), known, p)
 	now := g.clock.Now()
 	r.mu.Lock()
-	o := r.office
+	o := r.owner
 	o.storing, o.pause = false, min(max(2*o.pause, rolloutRetryMin), rolloutRetryMax)
 	if err == nil {
 		o.pause = 0
@@ -274,7 +273,7 @@
 func (g *Gateway) logDecision(r *rollout) {
 	now := g.clock.Now()
 	r.mu.Lock()
-	o := r.office
+	o := r.owner
 	d, hosts, oldest := o.decision, len(o.reports), cicadapitch.Millis(0)
 	for _, rep := range o.reports {
 		oldest = max(oldest, now.Sub(rep.at))
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -147,7 +147,7 @@
 		}
 		for _, r := range active {
 			g.reportRollout(ctx, r)
-			g.runOffice(r, g.runningHosts())
+			g.decideRollout(r, g.runningHosts())
 		}
 		// Sleep fails only if ctx has ended, which the loop checks.
 		_ = g.clock.Sleep(ctx, rolloutInterval)
@@ -202,8 +202,10 @@
 	sentAt := g.clock.Now()
 	message := RolloutReport{
 		Host: g.host, Service: r.service, Order: r.order.Revision.Number(), To: r.order.To,
-		Report: r.report(sentAt, g.runningCalls(r.service)),
 	}
+	// The phase is read before the calls: none begins at the old version once Completed is in force.
+	phase := r.phaseInForce()
+	message.Report = r.report(sentAt, phase, g.runningCalls(r.service))
 	message.Longest, message.Timeout = g.callBounds(sentAt, r)
 	if self {
 		g.endReport(ctx, r, owner, sentAt, g.takeReport(message), nil)
