--- a/fronthost/rolloutfailure_test.go
+++ b/fronthost/rolloutfailure_test.go
@@ -96,6 +96,7 @@
 	time.Sleep(time.Second)
 	_, n := d.arrivals("plain", "v2", since, time.Now())
 	require.Zero(t, n)
+	l.end()
 	// A host that starts learns it from the store.
 	first := d.joinHosts(1)
 	for range 20 {
@@ -104,6 +105,7 @@
 		r.Body.Close()
 	}
 	// Without the order, the version is left out while another one serves.
+	l = d.plainLoad(10 * time.Millisecond)
 	d.store.Remove(platformtest.RolloutKey("plain"))
 	time.Sleep(time.Second)
 	_, n = d.arrivals("plain", "v2", since, time.Now())
