gateway: the new version of a service with few endpoints meets the load of an old endpoint

One endpoint of the new version gets a share of 0.08, while one of five old ones gets 0.18: a version that is bad only under load met less of it. The owner's answers alternate, in periods of 3 s, between the share of an old endpoint and nothing, with the same mean.

--- a/fronthost/rollout_test.go
+++ b/fronthost/rollout_test.go
@@ -364,11 +364,12 @@
 
 // badVersions are versions that have to be rolled back, by what is bad about them.
 var badVersions = map[string]platformtest.BadVersion{
-	"fails":           {FailureRate: 0.25},
-	"slow":            {Extra: 3 * endpointDelay},
-	"fails later":     {FailureRate: 0.5, After: 30},
-	"fails on a path": {FailureRate: 0.6, Path: "/book/"},
-	"hangs":           {Extra: 3 * time.Second, Path: "/book/"},
+	"fails":            {FailureRate: 0.25},
+	"slow":             {Extra: 3 * endpointDelay},
+	"fails later":      {FailureRate: 0.5, After: 30},
+	"fails on a path":  {FailureRate: 0.6, Path: "/book/"},
+	"fails under load": {FailureRate: 0.8, AboveRunning: 1},
+	"hangs":            {Extra: 3 * time.Second, Path: "/book/"},
 }
 
 // TestBadVersionIsRolledBack guards against a bad version that callers get for longer than the bounds allow,
@@ -385,10 +386,19 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 			l := d.plainLoad(8 * time.Millisecond)
+			if bad.AboveRunning > 0 {
+				// An endpoint has two requests at a time in the mean.
+				for _, e := range d.ofVersion("plain", "v9", false) {
+					e.SetDelay(80 * time.Millisecond)
+				}
+			}
 			ordered := time.Now()
 			d.store.OrderRollout("plain", "v2", rolloutSeconds)
 			time.Sleep(300 * time.Millisecond) // the hosts know the order
 			known := time.Now()
+			defer func() {
+				d.t.Log(lo.SumBy(isNew, func(e *platformtest.Endpoint) int { return len(e.BadAnswers()) }), "bad answers")
+			}()
 			took := d.awaitStatus("plain", "rolled_back", (rolloutSeconds+3)*time.Second, nil)
 			seen := time.Now()
 			time.Sleep(1500 * time.Millisecond)
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -111,3 +111,8 @@
 func (r *Rollout) Report(now cicadapitch.Instant) canary.Report {
 	return r.rollout.report(now, r.rollout.phaseInForce(), nil)
 }
+
+// LoadShare is loadShare.
+func LoadShare(now cicadapitch.Instant, share float64, oldCount int) float64 {
+	return loadShare(now, share, oldCount)
+}
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/samber/lo"
@@ -276,3 +277,21 @@
 	r.Call(5000, "old-0", false, 50)
 	require.Equal(t, [2]int{1, 1}, times())
 }
+
+// TestNewVersionMeetsTheLoadOfAnOldEndpoint guards against a version that is bad only under load and does not
+// meet any in Canary, since its only endpoint in use gets a fraction of what an old one gets.
+func TestNewVersionMeetsTheLoadOfAnOldEndpoint(t *testing.T) {
+	const share = 0.08
+	for _, old := range []int{1, 3, 5, 11, 12, 40} {
+		sum, most := 0.0, 0.0
+		for now := cicadapitch.Instant(0); now < 30_000; now++ {
+			s := gateway.LoadShare(now, share, old)
+			sum, most = sum+s, max(most, s)
+		}
+		require.InDelta(t, share, sum/30_000, 0.001, "%d old endpoints", old)
+		// The load of the new version's endpoints as a part of an old one's.
+		few := max(math.Round(most*float64(old)), 1)
+		require.GreaterOrEqual(t, most/few, 0.75*min((1-most)/float64(old), 0.25), "%d old endpoints", old)
+	}
+	require.Zero(t, gateway.LoadShare(0, 0, 3))
+}
--- a/gateway/rolloutowner.go
+++ b/gateway/rolloutowner.go
@@ -77,12 +77,37 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := RolloutAnswer{Known: true, Phase: o.announced, Share: o.decision.Share}
-	if o.announced == canary.Canary && o.decision.Phase == canary.Shift {
-		a.Share = bounds.CanaryShare() // the shift is being stored
+	if o.announced == canary.Canary {
+		if o.decision.Phase == canary.Shift {
+			a.Share = bounds.CanaryShare() // the shift is being stored
+		}
+		a.Share = loadShare(now, a.Share, r.oldCount)
 	}
 	return a
 }
 
+const (
+	// loadPeriod is the period of the share of a service with few endpoints: long enough that each part of it
+	// lasts several reports.
+	loadPeriod = 3 * cicadapitch.Second
+	// maxLoadShare bounds the share within a period.
+	maxLoadShare = 0.25
+)
+
+// loadShare returns the share in Canary for now, whose mean is share. Where even one endpoint of the new version
+// would get less than one of the old ones, it gets as much as these for a part of each period, and nothing for
+// the rest: a version may be bad only under load.
+func loadShare(now cicadapitch.Instant, share float64, oldCount int) float64 {
+	equal := min(1/float64(oldCount+1), maxLoadShare)
+	if share <= 0 || share >= equal {
+		return share
+	}
+	if at := now % cicadapitch.Instant(loadPeriod); float64(at) < share/equal*float64(loadPeriod) {
+		return equal
+	}
+	return 0
+}
+
 // takeReportOfOther is takeReport for another host. The error is Invalid if a figure is out of range.
 func (g *Gateway) takeReportOfOther(_ context.Context, m RolloutReport) (RolloutAnswer, error) {
 	if err := m.check(); err != nil {
