canary: reports with more failures than answers don't end the owner's decisions

Cause: failures of a broken host that come after their answers gave a stratum with more bad answers than answers, and the sum over it never ended. Change: strata are brought within their bounds.

--- a/canary/judge_test.go
+++ b/canary/judge_test.go
@@ -156,7 +156,7 @@
 	r := *b.reports["host-0"]
 	for i := range uint32(80) {
 		r.Sequence++
-		r.Counts.Routes = map[string]canary.RouteCounts{"r": {New: canary.VersionCounts{Answers: 50 * (i % 2)}}}
+		r.Counts.Routes = map[string]canary.RouteCounts{"r": {New: canary.VersionCounts{Answers: 50 * (i / 2 % 2)}}}
 		b.judge.Report(b.now, "host-0", r)
 		b.run(250)
 	}
@@ -167,6 +167,20 @@
 	}
 }
 
+// Guards against an owner that never returns from a decision, because a broken host reports failures after their answers.
+func TestFailuresWithoutAnswersEndNoDecision(t *testing.T) {
+	b := newBench()
+	r := canary.Report{Revision: 5, Incarnation: "x"}
+	for i := range uint32(40) {
+		r.Sequence++
+		v := canary.VersionCounts{Answers: 10_000, Failures: 100 * i}
+		r.Counts.Routes = map[string]canary.RouteCounts{"r": {Old: v, New: v}}
+		b.judge.Report(b.now, "broken", r)
+		b.run(250)
+	}
+	require.NotEqual(t, canary.Completed, b.decision.Phase)
+}
+
 // Guards against the loss of what a host counted before it restarted, and against its late reports.
 func TestRestartedHostKeepsItsCounts(t *testing.T) {
 	b := newBench()
--- a/canary/likelihood.go
+++ b/canary/likelihood.go
@@ -6,6 +6,14 @@
 // them were bad.
 type stratum struct{ oldAnswers, oldBad, newAnswers, newBad int64 }
 
+// checked returns s with at most as many bad answers as answers. The reports of a broken host may differ, such as by
+// failures that come after their answers.
+func (s stratum) checked() stratum {
+	s.oldAnswers, s.newAnswers = max(s.oldAnswers, 0), max(s.newAnswers, 0)
+	s.oldBad, s.newBad = min(max(s.oldBad, 0), s.oldAnswers), min(max(s.newBad, 0), s.newAnswers)
+	return s
+}
+
 // logRatio returns the natural logarithm of the likelihood ratio of the number of bad answers at the new
 // version, given the number of bad answers at both versions together: odds of a bad answer that are oddsRatio times
 // those of the old version, against equal odds. Its exponential has the mean 1 for equal odds,
@@ -14,7 +22,7 @@
 func (s stratum) logRatio(oddsRatio float64) float64 {
 	bad := s.oldBad + s.newBad
 	least, most := max(0, bad-s.oldAnswers), min(bad, s.newAnswers)
-	if least == most || oddsRatio <= 0 {
+	if least >= most || oddsRatio <= 0 {
 		return 0
 	}
 	step := math.Log(oddsRatio)
--- a/canary/tests.go
+++ b/canary/tests.go
@@ -223,6 +223,7 @@
 // evidence returns the logarithm of the likelihood ratio of the stratum and what else is gathered of it. equal, bad
 // and noticed are the shares of bad answers as in threshold.
 func (s stratum) evidence(key testKey, equal, bad, noticed float64) (float64, lookSample) {
+	s = s.checked()
 	n, k := float64(s.newAnswers), float64(s.newBad)
 	if key.shift {
 		s.oldAnswers, s.oldBad = 0, 0
