--- a/batch/planner.go
+++ b/batch/planner.go
@@ -90,6 +90,8 @@
 	withoutContention bool
 	// lastCallStart is when the last call started.
 	lastCallStart cicadapitch.Instant
+	// versionLimit is nil while no software version is limited.
+	versionLimit *VersionLimit
 	// toFree are the handles of results that the next Plan returns to be freed: no
 	// job needs them, or they were evicted.
 	toFree []string
--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -105,6 +105,7 @@
 	onFirstEvent := func() {
 		took := p.g.clock.Now().Sub(a.sentAt)
 		p.recordSuccess(a.endpoint.ID, took)
+		p.recordForRollout(a.endpoint.ID, a.reply.Status)
 		p.recordFirstEvent(took)
 		if a.reply.Status < 300 {
 			p.recordPrefilled(a.endpoint.ID, took)
--- a/gateway/setview_test.go
+++ b/gateway/setview_test.go
@@ -47,11 +47,14 @@
 func (m *lockedMembership) OwnersOf(string) []fleet.Host          { return m.Hosts() }
 func (m *lockedMembership) ShardOwners(string) []fleet.Host       { return m.Hosts() }
 func (m *lockedMembership) RecordEnded(fleet.Host)                {}
-func (m *lockedMembership) Relays() []fleet.Host                  { return nil }
 func (m *lockedMembership) EngineReports() placement.EngineReports {
 	return placement.NewEngineReports()
 }
-
+func (m *lockedMembership) RunningHosts() []fleet.Host { return m.Hosts() }
+func (m *lockedMembership) StoreRollout(context.Context, fleet.Rollout, fleet.RolloutProgress) error {
+	return nil
+}
+func (m *lockedMembership) Relays() []fleet.Host { return nil }
 func (m *lockedMembership) Hosts() []fleet.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
