--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -23,7 +23,7 @@
 
 // deployment is a store, endpoints and hosts on loopback addresses.
 type deployment struct {
-	t            *testing.T
+	t            testing.TB
 	store        *platformtest.Store
 	endpoints    map[string]*platformtest.Endpoint
 	hostSettings []*platform.Settings
@@ -43,7 +43,7 @@
 // newDeployment starts the store, the endpoints and the given number of hosts, and
 // waits until the hosts are ready. The store also has an invalid entry without an
 // address, which hosts must ignore. changes are made before the hosts start.
-func newDeployment(t *testing.T, hosts int, changes ...func(*deployment)) *deployment {
+func newDeployment(t testing.TB, hosts int, changes ...func(*deployment)) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(), endpoints: map[string]*platformtest.Endpoint{}}
 	t.Cleanup(d.close)
 	for _, change := range changes {
@@ -175,7 +175,7 @@
 	return d.send(d.newRequest(i, method, path, id))
 }
 
-func readBody(t *testing.T, r *http.Response) string {
+func readBody(t testing.TB, r *http.Response) string {
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
 	require.NoError(t, err)
