platform, gateway: one budget for what requests hold, progress bounds for slow sides

A caller that stopped reading held its goroutine, its buffers and megabytes of kernel memory for good: writes to callers had no bound, a body had no read timeout, and nothing bounded the sum.

Each request has a Hold: bodies and buffered parts of answers are reserved in the host's budget (a quarter of memory_mb). Writes to callers and endpoints and reads of bodies are looked at after 250 ms, 500 ms and then each second: without progress for the stall time, or once the request's time is over, the side is given up; if memory is short, the slowest requests are shed. The copy of a long body for the endpoint, and the copy buffer of short answers, are gone.

--- a/fronthost/host.go
+++ b/fronthost/host.go
@@ -87,11 +87,13 @@
 	if err != nil {
 		return nil, err
 	}
+	scope := do.MustInvoke[tally.TestScope](injector)
+	holds := platform.NewHolds(s.MemoryBudget(), clock, platform.WithHoldsLog(log), platform.WithHoldsMetrics(scope))
 	return &Host{
 		settings: s, clock: clock, log: log,
 		membership: do.MustInvoke[*membership.Membership](injector), gateway: g,
-		ingress: platform.NewIngress(g, clock), systemDial: o.systemDial,
-		metrics: do.MustInvoke[tally.TestScope](injector),
+		ingress: platform.NewIngress(g, clock, platform.WithHolds(holds), platform.WithRequestTimes(g.RequestTimes)), systemDial: o.systemDial,
+		metrics: scope,
 	}, nil
 }
 
@@ -134,7 +136,7 @@
 // gracefully. It returns an error only if it cannot listen for callers, readiness
 // checks or directory requests. Other listeners that fail are logged.
 func (h *Host) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(h.settings.Memory) / memoryLimitDivisor)
+	h.limitMemory()
 	terminatedCtx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -160,6 +162,18 @@
 	return nil
 }
 
+// limitMemory sets the soft limit of the garbage collector. Settings without a usable memory limit are logged.
+func (h *Host) limitMemory() {
+	budget := h.settings.MemoryBudget()
+	if budget == 0 {
+		h.log.Warn().Int64("MemoryBytes", int64(h.settings.Memory)).Msg("no usable memory_mb in the settings; nothing bounds what requests hold")
+		return
+	}
+	limit := int64(h.settings.Memory) / memoryLimitDivisor
+	debug.SetMemoryLimit(limit)
+	h.log.Info().Int64("MemoryBytes", int64(h.settings.Memory)).Int64("CollectorBytes", limit).Int64("BudgetBytes", int64(budget)).Msg("memory limits")
+}
+
 // startListeners opens the listeners for callers, readiness checks of the platform, the
 // directory and metrics, and serves them. It returns the server for callers. A
 // metrics port that is in use is logged and otherwise ignored.
--- a/gateway/engineattempt.go
+++ b/gateway/engineattempt.go
@@ -9,6 +9,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/memory"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
@@ -136,6 +137,7 @@
 // it writes anything, so that another engine can take the place of one whose answer breaks off there.
 func (p *proxiedRequest) relayNoStream(a *engineAttempt, onBegin func()) error {
 	body, err := p.readBuffered(a.reply)
+	defer body.Release()
 	if err != nil {
 		return cicadapitch.NewOutcomeUnknown("the answer of " + string(a.endpoint.ID) + " broke off: " + err.Error())
 	}
@@ -182,6 +184,9 @@
 					return nil, err
 				}
 			}
+			if spoilt == nil {
+				spoilt = p.holdPartial(cap(events.partial))
+			}
 			if spoilt != nil {
 				return nil, spoilt
 			}
@@ -206,6 +211,20 @@
 	return complete, nil
 }
 
+// holdPartial reserves the memory of an incomplete event of n bytes. Its error wraps errNotRelayed.
+func (p *proxiedRequest) holdPartial(n int) error {
+	need := cicadapitch.Bytes(n)
+	if need <= streamBufferBytes {
+		need = 0 // part of what each request reserves
+	}
+	if need > p.heldPartial && !p.answer.Hold().Reserve(need-p.heldPartial, memory.Required) {
+		return notRelayed(platform.ErrNoMemory)
+	}
+	p.answer.Hold().Release(p.heldPartial - need)
+	p.heldPartial = need
+	return nil
+}
+
 // beginPart begins the answer, or a further part of it.
 func (p *proxiedRequest) beginPart(reply *platform.Reply) error {
 	begin := p.answer.WriteHeader
@@ -216,6 +235,7 @@
 		return err
 	}
 	p.beginAnswer(reply.Status)
+	p.releaseBody(reply)
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,6 +228,7 @@
 		return
 	}
 	p.answer = a
+	a.Hold().SetTimes(p.deadline, stallTime(p.route))
 	g.running.begin(p)
 	defer g.running.end(p)
 	g.metrics.Tagged(map[string]string{"Route": p.route.Name}).Counter("Requests").Inc(1)
--- a/gateway/losscause.go
+++ b/gateway/losscause.go
@@ -6,6 +6,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/membership"
+	"cicadapitch.example/cicadapitch/platform"
 )
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=lossCause -trimprefix=lossBy -output=losscause_enumer.go
@@ -37,6 +38,8 @@
 	lossByKnowledge
 	// lossByQuarantine means that the request, or a part of its prompt, crashes endpoints.
 	lossByQuarantine
+	// lossByMemory means that the memory of this host was short.
+	lossByMemory
 )
 
 // stageRefusal is the error of a stage without results.
@@ -59,6 +62,8 @@
 		return lossByNothing
 	case end == endedByStop:
 		return lossByStop
+	case end == endedByMemory || errors.Is(err, platform.ErrNoMemory):
+		return lossByMemory
 	case end == endedByDeadline:
 		return lossByDeadline
 	case end == endedByCaller:
--- a/gateway/losscause_enumer.go
+++ b/gateway/losscause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _lossCauseName = "NothingConfigurationStageCapacityEndpointBreakDeadlineCallerStopKnowledgeQuarantine"
+const _lossCauseName = "NothingConfigurationStageCapacityEndpointBreakDeadlineCallerStopKnowledgeQuarantineMemory"
 
-var _lossCauseIndex = [...]uint8{0, 7, 20, 25, 33, 41, 46, 54, 60, 64, 73, 83}
+var _lossCauseIndex = [...]uint8{0, 7, 20, 25, 33, 41, 46, 54, 60, 64, 73, 83, 89}
 
-const _lossCauseLowerName = "nothingconfigurationstagecapacityendpointbreakdeadlinecallerstopknowledgequarantine"
+const _lossCauseLowerName = "nothingconfigurationstagecapacityendpointbreakdeadlinecallerstopknowledgequarantinememory"
 
 func (i lossCause) String() string {
 	if i < 0 || i >= lossCause(len(_lossCauseIndex)-1) {
@@ -35,9 +35,10 @@
 	_ = x[lossByStop-(8)]
 	_ = x[lossByKnowledge-(9)]
 	_ = x[lossByQuarantine-(10)]
+	_ = x[lossByMemory-(11)]
 }
 
-var _lossCauseValues = []lossCause{lossByNothing, lossByConfiguration, lossByStage, lossByCapacity, lossByEndpoint, lossByBreak, lossByDeadline, lossByCaller, lossByStop, lossByKnowledge, lossByQuarantine}
+var _lossCauseValues = []lossCause{lossByNothing, lossByConfiguration, lossByStage, lossByCapacity, lossByEndpoint, lossByBreak, lossByDeadline, lossByCaller, lossByStop, lossByKnowledge, lossByQuarantine, lossByMemory}
 
 var _lossCauseNameToValueMap = map[string]lossCause{
 	_lossCauseName[0:7]:   lossByNothing,
@@ -51,6 +52,7 @@
 	_lossCauseName[60:64]: lossByStop,
 	_lossCauseName[64:73]: lossByKnowledge,
 	_lossCauseName[73:83]: lossByQuarantine,
+	_lossCauseName[83:89]: lossByMemory,
 }
 
 var _lossCauseLowerNameToValueMap = map[string]lossCause{
@@ -65,6 +67,7 @@
 	_lossCauseLowerName[60:64]: lossByStop,
 	_lossCauseLowerName[64:73]: lossByKnowledge,
 	_lossCauseLowerName[73:83]: lossByQuarantine,
+	_lossCauseLowerName[83:89]: lossByMemory,
 }
 
 var _lossCauseNames = []string{
@@ -79,6 +82,7 @@
 	_lossCauseName[60:64],
 	_lossCauseName[64:73],
 	_lossCauseName[73:83],
+	_lossCauseName[83:89],
 }
 
 // lossCauseString retrieves an enum value from the enum constants string name.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
 	"cicadapitch.example/cicadapitch/membership"
+	"cicadapitch.example/cicadapitch/memory"
 	"cicadapitch.example/cicadapitch/platform"
 )
 
@@ -109,12 +109,13 @@
 	}
 	defer reply.Close()
 	body, err := p.readBuffered(reply)
+	defer body.Release()
 	if err != nil {
 		p.recordBreak(ctx, e.ID)
 		p.checkPlainEndpoint(ctx, e, start)
 		return false, cicadapitch.NewOutcomeUnknown("the answer of " + string(e.ID) + " broke off: " + err.Error())
 	}
-	if !attempt.keep() && len(body) == maxBufferedBytes {
+	if !attempt.keep() && body.More {
 		return false, errSilent
 	}
 	p.recordAnswer()
@@ -137,23 +138,48 @@
 	}
 }
 
-// readBuffered reads up to maxBufferedBytes bytes of a body.
-func (p *proxiedRequest) readBuffered(reply *platform.Reply) ([]byte, error) {
-	var body bytes.Buffer
-	_, err := body.ReadFrom(io.LimitReader(reply, maxBufferedBytes))
-	return body.Bytes(), err
+// readBuffered reads up to maxBufferedBytes bytes of a body, or less if the host's memory is short.
+func (p *proxiedRequest) readBuffered(reply *platform.Reply) (*platform.Buffer, error) {
+	return p.answer.Hold().ReadBuffer(reply, reply.Length, maxBufferedBytes, memory.Optional)
 }
 
 // relayWhole relays an answer that only its endpoint can complete. body is the part that readBuffered has
 // read.
-func (p *proxiedRequest) relayWhole(reply *platform.Reply, body []byte) error {
+func (p *proxiedRequest) relayWhole(reply *platform.Reply, body *platform.Buffer) error {
 	if err := p.answer.WriteHeader(reply); err != nil {
 		return err
 	}
 	p.beginAnswer(reply.Status)
-	if _, err := p.answer.Write(body); err != nil {
+	p.releaseBody(reply)
+	if _, err := p.answer.Write(body.Bytes); err != nil {
 		return notRelayed(err)
 	}
-	_, err := io.Copy(p.answer, reply)
+	more := body.More
+	body.Release()
+	if !more {
+		return nil
+	}
+	size := cicadapitch.Bytes(copyBufferBytes)
+	if p.answer.Hold().Reserve(size, memory.Optional) {
+		defer p.answer.Hold().Release(size)
+	} else {
+		size = minCopyBufferBytes
+	}
+	_, err := io.CopyBuffer(p.answer, reply, make([]byte, size))
 	return err
 }
+
+const (
+	// copyBufferBytes is the size of the buffer for the part of an answer that follows the first, and
+	// minCopyBufferBytes that without memory for it, which each request has reserved.
+	copyBufferBytes    = 32 << 10
+	minCopyBufferBytes = 8 << 10
+)
+
+// releaseBody gives back the memory of the request's body if no endpoint needs it any more.
+func (p *proxiedRequest) releaseBody(reply *platform.Reply) {
+	if len(p.request.Body) > 0 && !p.answer.Extensible() && reply.Written() {
+		p.request.Body = nil
+		p.answer.Hold().ReleaseBody()
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -88,23 +88,28 @@
 	refusedBefore bool
 	// status is the HTTP status that was relayed to the caller, or 0.
 	status int
+	// heldPartial is the memory that was reserved for an incomplete event.
+	heldPartial cicadapitch.Bytes
 }
 
-// setDeadlines sets due, deadline and abandonAt from the caller's timeout and the
-// route, with a timeout of at most 10 minutes. It also initializes exclude.
-func (p *proxiedRequest) setDeadlines() {
-	r := p.request
-	timeout := cicadapitch.Millis(1<<62 - 1) // no timeout
-	if r.Timeout > 0 {
-		timeout = r.Timeout
+// requestDeadline returns when the gateway gives the request up, by the caller's timeout and the route, after at
+// most 10 minutes.
+func (p *proxiedRequest) requestDeadline() cicadapitch.Instant {
+	timeout := cicadapitch.Minute * 10
+	if p.request.Timeout > 0 {
+		timeout = min(timeout, p.request.Timeout)
 	}
 	if p.route.Timeout > 0 {
 		timeout = min(timeout, p.route.Timeout)
 	}
-	if timeout > cicadapitch.Minute*10 {
-		timeout = cicadapitch.Minute * 10
-	}
-	p.deadline = r.Arrived.Add(max(timeout-answerMargin, timeout/2))
+	return p.request.Arrived.Add(max(timeout-answerMargin, timeout/2))
+}
+
+// setDeadlines sets due, deadline and abandonAt from the caller's timeout and the
+// route. It also initializes exclude.
+func (p *proxiedRequest) setDeadlines() {
+	r := p.request
+	p.deadline = p.requestDeadline()
 	p.due = r.Arrived.Add(p.route.TargetLatency)
 	p.abandonAt = p.deadline
 	if p.route.Kind == catalog.Streaming {
@@ -314,7 +319,7 @@
 func (p *proxiedRequest) newCall(e fleet.Endpoint, inputs []string, resumeAfter string, commit func() error) platform.Call {
 	return platform.Call{
 		Endpoint: e.Endpoint, Request: p.request, Customer: p.customer, Timeout: p.remaining(),
-		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: commit,
+		Inputs: inputs, Urgency: p.urgency(), ResumeAfter: resumeAfter, Commit: commit, Hold: p.answer.Hold(),
 	}
 }
 
@@ -476,6 +481,8 @@
 		return cicadapitch.NewOutcomeUnknown(err.Error())
 	case p.endOf(ctx, err) == endedByStop:
 		return errStopping.WithRetryAfter(jitter(stoppingRetryAfter))
+	case p.endOf(ctx, err) == endedByMemory:
+		return platform.ErrNoMemory.WithRetryAfter(jitter(platform.ErrNoMemory.RetryAfter))
 	case e != nil && e.Kind == cicadapitch.NotRun && e.RetryAfter > 0:
 		return e.WithRetryAfter(jitter(e.RetryAfter))
 	}
--- a/gateway/requestend_enumer.go
+++ b/gateway/requestend_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _requestEndName = "AnswerRejectionEndpointCallerDeadlineStop"
+const _requestEndName = "AnswerRejectionEndpointCallerDeadlineStopMemory"
 
-var _requestEndIndex = [...]uint8{0, 6, 15, 23, 29, 37, 41}
+var _requestEndIndex = [...]uint8{0, 6, 15, 23, 29, 37, 41, 47}
 
-const _requestEndLowerName = "answerrejectionendpointcallerdeadlinestop"
+const _requestEndLowerName = "answerrejectionendpointcallerdeadlinestopmemory"
 
 func (i requestEnd) String() string {
 	if i < 0 || i >= requestEnd(len(_requestEndIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[endedByCaller-(3)]
 	_ = x[endedByDeadline-(4)]
 	_ = x[endedByStop-(5)]
+	_ = x[endedByMemory-(6)]
 }
 
-var _requestEndValues = []requestEnd{endedByAnswer, endedByRejection, endedByEndpoint, endedByCaller, endedByDeadline, endedByStop}
+var _requestEndValues = []requestEnd{endedByAnswer, endedByRejection, endedByEndpoint, endedByCaller, endedByDeadline, endedByStop, endedByMemory}
 
 var _requestEndNameToValueMap = map[string]requestEnd{
 	_requestEndName[0:6]:   endedByAnswer,
@@ -41,6 +42,7 @@
 	_requestEndName[23:29]: endedByCaller,
 	_requestEndName[29:37]: endedByDeadline,
 	_requestEndName[37:41]: endedByStop,
+	_requestEndName[41:47]: endedByMemory,
 }
 
 var _requestEndLowerNameToValueMap = map[string]requestEnd{
@@ -50,6 +52,7 @@
 	_requestEndLowerName[23:29]: endedByCaller,
 	_requestEndLowerName[29:37]: endedByDeadline,
 	_requestEndLowerName[37:41]: endedByStop,
+	_requestEndLowerName[41:47]: endedByMemory,
 }
 
 var _requestEndNames = []string{
@@ -59,6 +62,7 @@
 	_requestEndName[23:29],
 	_requestEndName[29:37],
 	_requestEndName[37:41],
+	_requestEndName[41:47],
 }
 
 // requestEndString retrieves an enum value from the enum constants string name.
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -178,9 +178,10 @@
 }
 
 // untilGivenUp is that of the gateway, whose context also ends with errStopping once the request has
-// waited for too long to be committed at a host that stops.
+// waited for too long to be committed at a host that stops, and once its Hold gives it up.
 func (p *proxiedRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := p.g.untilGivenUp(ctx)
+	p.answer.Hold().OnGiveUp(cancel)
 	// This only ends the wait sooner: whether the request is sent is decided when it is committed.
 	stop := context.AfterFunc(p.g.stopAnnounced, func() { p.endWait(ctx, cancel) })
 	return ctx, func() { stop(); cancel(nil) }
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -162,6 +162,14 @@
 	b.setQueued(h, max(w.Queued, 0))
 }
 
+// ForgetWaits drops the waits of a request, since it waits for another side from now on.
+func (b *Budget) ForgetWaits(id ID) {
+	if h := b.holders[id]; h != nil {
+		h.waited, h.moved = 0, 0
+		b.setQueued(h, 0)
+	}
+}
+
 func (b *Budget) setQueued(h *holder, n cicadapitch.Bytes) {
 	change := n - h.queued
 	h.queued = n
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -14,91 +14,117 @@
 
 const kb, mb cicadapitch.Bytes = 1 << 10, 1 << 20
 
+// accounts is a Budget beside accounts of the test's own.
+type accounts struct {
+	b        *memory.Budget
+	limit    cicadapitch.Bytes
+	now      cicadapitch.Instant
+	reserved map[memory.ID]cicadapitch.Bytes
+	waits    map[memory.ID]memory.Wait
+	shed     map[memory.ID]bool
+}
+
+func (a *accounts) drawID(t *rapid.T) memory.ID {
+	if len(a.reserved) == 0 {
+		return 0
+	}
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(a.reserved))).Draw(t, "id")
+}
+
+func drawSize(t *rapid.T) cicadapitch.Bytes {
+	return rapid.SampledFrom([]cicadapitch.Bytes{-1, 0, 1, kb, 64 * kb, mb, 40 * mb}).Draw(t, "size")
+}
+
+func (a *accounts) open(t *rapid.T) {
+	n := max(drawSize(t), 0)
+	if id, ok := a.b.Open(a.now, n); ok {
+		require.NotZero(t, id)
+		a.reserved[id] = n
+	}
+}
+
+func (a *accounts) reserve(t *rapid.T) {
+	id, n := a.drawID(t), drawSize(t)
+	if a.b.Reserve(id, n, rapid.SampledFrom(memory.PurposeValues()).Draw(t, "purpose")) {
+		a.reserved[id] += n
+	}
+}
+
+func (a *accounts) release(t *rapid.T) {
+	id, n := a.drawID(t), drawSize(t)
+	a.b.Release(id, n)
+	if id != 0 {
+		a.reserved[id] = max(a.reserved[id]-max(n, 0), 0)
+	}
+}
+
+func (a *accounts) wait(t *rapid.T) {
+	id := a.drawID(t)
+	w := memory.Wait{Took: 250, Moved: max(drawSize(t), 0), Queued: max(drawSize(t), 0)}
+	a.b.Observe(id, w)
+	if id != 0 {
+		a.waits[id] = memory.Wait{Took: a.waits[id].Took + w.Took, Moved: a.waits[id].Moved + w.Moved, Queued: w.Queued}
+	}
+}
+
+func (a *accounts) forgetWaits(t *rapid.T) {
+	id := a.drawID(t)
+	a.b.ForgetWaits(id)
+	delete(a.waits, id)
+}
+
+func (a *accounts) nextShed(t *rapid.T) {
+	a.now = a.now.Add(10)
+	s, ok := a.b.NextShed(a.now)
+	if !ok {
+		return
+	}
+	require.Positive(t, a.limit)
+	require.False(t, a.shed[s.ID], "shed twice")
+	a.shed[s.ID] = true
+	require.Less(t, int64(s.Moved)*1000/int64(s.Waited), int64(16*kb), "the other side is fast")
+	require.Equal(t, a.waits[s.ID], memory.Wait{Took: s.Waited, Moved: s.Moved, Queued: s.Queued})
+}
+
+func (a *accounts) close(t *rapid.T) {
+	id := a.drawID(t)
+	a.b.Close(id)
+	delete(a.reserved, id)
+	delete(a.waits, id)
+}
+
+func (a *accounts) check(t *rapid.T) {
+	sum, queued := cicadapitch.Bytes(0), cicadapitch.Bytes(0)
+	for _, n := range a.reserved {
+		sum += n
+	}
+	for _, w := range a.waits {
+		queued += w.Queued
+	}
+	require.Equal(t, sum, a.b.Reserved())
+	require.Equal(t, sum+queued, a.b.Held())
+	require.True(t, a.limit == 0 || sum <= a.limit)
+	require.Equal(t, len(a.reserved), a.b.Requests())
+}
+
 // TestBudgetKeepsItsAccounts lets requests reserve, release and wait at random. It guards against accounts
 // that become negative, exceed the limit or are not empty once all requests have ended, and against requests
 // that are shed twice or although the other side is fast.
 func TestBudgetKeepsItsAccounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.SampledFrom([]cicadapitch.Bytes{0, 3 * kb, mb, 36 * mb}).Draw(t, "limit")
-		b := memory.NewBudget(limit)
-		size := rapid.Custom(func(t *rapid.T) cicadapitch.Bytes {
-			return rapid.SampledFrom([]cicadapitch.Bytes{-1, 0, 1, kb, 64 * kb, mb, 40 * mb}).Draw(t, "n")
-		})
-		reserved := map[memory.ID]cicadapitch.Bytes{}
-		waits := map[memory.ID]memory.Wait{}
-		shed := map[memory.ID]bool{}
-		pick := func() memory.ID {
-			if len(reserved) == 0 {
-				return 0
-			}
-			return rapid.SampledFrom(slices.Sorted(maps.Keys(reserved))).Draw(t, "id")
+		a := &accounts{
+			b: memory.NewBudget(limit), limit: limit, reserved: map[memory.ID]cicadapitch.Bytes{},
+			waits: map[memory.ID]memory.Wait{}, shed: map[memory.ID]bool{},
 		}
-		now := cicadapitch.Instant(0)
 		t.Repeat(map[string]func(*rapid.T){
-			"open": func(t *rapid.T) {
-				n := max(size.Draw(t, "n"), 0)
-				if id, ok := b.Open(now, n); ok {
-					require.NotZero(t, id)
-					reserved[id] = n
-				}
-			},
-			"reserve": func(t *rapid.T) {
-				id, n := pick(), size.Draw(t, "n")
-				if b.Reserve(id, n, rapid.SampledFrom(memory.PurposeValues()).Draw(t, "purpose")) {
-					reserved[id] += n
-				}
-			},
-			"release": func(t *rapid.T) {
-				id, n := pick(), max(size.Draw(t, "n"), 0)
-				b.Release(id, n)
-				if id != 0 {
-					reserved[id] = max(reserved[id]-n, 0)
-				}
-			},
-			"wait": func(t *rapid.T) {
-				id := pick()
-				w := memory.Wait{Took: 250, Moved: max(size.Draw(t, "moved"), 0), Queued: max(size.Draw(t, "queued"), 0)}
-				b.Observe(id, w)
-				if id != 0 {
-					waits[id] = memory.Wait{Took: waits[id].Took + w.Took, Moved: waits[id].Moved + w.Moved, Queued: w.Queued}
-				}
-			},
-			"shed": func(t *rapid.T) {
-				now = now.Add(10)
-				s, ok := b.NextShed(now)
-				if !ok {
-					return
-				}
-				require.Positive(t, limit)
-				require.False(t, shed[s.ID], "shed twice")
-				shed[s.ID] = true
-				require.Less(t, int64(s.Moved)*1000/int64(s.Waited), int64(16*kb), "the other side is fast")
-			},
-			"close": func(*rapid.T) {
-				id := pick()
-				b.Close(id)
-				delete(reserved, id)
-				delete(waits, id)
-			},
-			"": func(t *rapid.T) {
-				sum := cicadapitch.Bytes(0)
-				for _, n := range reserved {
-					sum += n
-				}
-				queued := cicadapitch.Bytes(0)
-				for _, w := range waits {
-					queued += w.Queued
-				}
-				require.Equal(t, sum, b.Reserved())
-				require.Equal(t, sum+queued, b.Held())
-				require.True(t, limit == 0 || sum <= limit)
-				require.Equal(t, len(reserved), b.Requests())
-			},
+			"open": a.open, "reserve": a.reserve, "release": a.release, "wait": a.wait,
+			"forgetWaits": a.forgetWaits, "shed": a.nextShed, "close": a.close, "": a.check,
 		})
-		for id := range reserved {
-			b.Close(id)
+		for id := range a.reserved {
+			a.b.Close(id)
 		}
-		require.Zero(t, b.Held())
+		require.Zero(t, a.b.Held())
 	})
 }
 
