--- a/memory/budget.go
+++ b/memory/budget.go
@@ -12,8 +12,9 @@
 	// slow one is known as such (minWait) need the rest.
 	shedShare = 0.75
 	// requiredShare is the share up to which Required bytes are granted to a request that holds more than
-	// SmallHolding: a few long bodies must not keep out the short ones.
-	requiredShare = 0.875
+	// SmallHolding: long bodies must not keep out the short ones. With an eighth of the limit left for these, 500
+	// slow callers that came at once beside long bodies kept sound requests out until the first were shed.
+	requiredShare = 0.625
 	// SmallHolding is the most that a request holds that may use the whole limit: its fixed part and a short
 	// body.
 	SmallHolding cicadapitch.Bytes = 64 << 10
