--- a/fronthost/slowreaders_test.go
+++ b/fronthost/slowreaders_test.go
@@ -270,3 +270,55 @@
 
 // maxIdleMemory is what a host needs without requests.
 const maxIdleMemory = 30 << 20
+
+// TestAnswerToACallerThatReadsNothingEnds guards against answers that hold memory beyond the time of their request
+// since the caller has stopped reading.
+func TestAnswerToACallerThatReadsNothingEnds(t *testing.T) {
+	d := newSmallDeployment(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	req := d.newRequest(0, "GET", "/large/a", newID())
+	req.Deadline = 1500
+	for range 3 {
+		go d.sendSlowly(req, 0, stop)
+	}
+	require.Eventually(t, func() bool { return d.metric("MemoryHeld") > 0 }, time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return d.metric("MemoryHeld") == 0 }, 4*time.Second, 50*time.Millisecond)
+	require.Zero(t, d.metric("MemoryShed"), "there is room")
+	require.EqualValues(t, 3, d.metric("SidesGivenUp"))
+}
+
+// TestHostWithoutUsableMemoryLimitServes guards against hosts that reject all requests, or collect garbage all the
+// time, if their settings name no memory limit.
+func TestHostWithoutUsableMemoryLimitServes(t *testing.T) {
+	var log lockedBuffer
+	d := newDeployment(t, 1, func(d *deployment) {
+		d.log = &log
+		d.changeSettings = func(s *platform.Settings) { s.Memory = 0 }
+	})
+	r := d.sendPlain(0, "POST", "/book/a", newID())
+	require.Equal(t, http.StatusOK, r.StatusCode)
+	require.Equal(t, "POST /book/a club body", readBody(t, r))
+	require.Contains(t, log.String(), "no usable memory_mb in the settings")
+	require.Greater(t, debug.SetMemoryLimit(-1), int64(1<<20), "the limit of the collector")
+}
+
+// lockedBuffer is a buffer for logs.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
