--- a/fronthost/host_test.go
+++ b/fronthost/host_test.go
@@ -23,7 +23,7 @@
 
 // deployment is a store, endpoints and hosts on loopback addresses.
 type deployment struct {
-	t            *testing.T
+	t            testing.TB
 	store        *platformtest.Store
 	endpoints    map[string]*platformtest.Endpoint
 	hostSettings []*platform.Settings
@@ -35,6 +35,10 @@
 	hostOptions func(i int) []fronthost.Option
 	// changeSettings changes the settings of the hosts before they start, or is nil.
 	changeSettings func(*platform.Settings)
+	// editConfiguration changes each configuration before it is stored, or is nil.
+	editConfiguration func([]byte) []byte
+	// log receives the hosts' warnings. It is nil for the log of the test.
+	log io.Writer
 }
 
 // nextSubnet gives each deployment addresses of its own.
@@ -43,7 +47,7 @@
 // newDeployment starts the store, the endpoints and the given number of hosts, and
 // waits until the hosts are ready. The store also has an invalid entry without an
 // address, which hosts must ignore. changes are made before the hosts start.
-func newDeployment(t *testing.T, hosts int, changes ...func(*deployment)) *deployment {
+func newDeployment(t testing.TB, hosts int, changes ...func(*deployment)) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(), endpoints: map[string]*platformtest.Endpoint{}}
 	t.Cleanup(d.close)
 	for _, change := range changes {
@@ -68,7 +72,11 @@
 // engine serves up to 14 requests a second. Versions have to increase, but not by one.
 func (d *deployment) setConfiguration(routes string) {
 	d.version += 3
-	d.store.Set(platformtest.ConfigKey, platformtest.Config(d.version, routes, 14))
+	c := platformtest.Config(d.version, routes, 14)
+	if d.editConfiguration != nil {
+		c = d.editConfiguration(c)
+	}
+	d.store.Set(platformtest.ConfigKey, c)
 }
 
 func (d *deployment) startHost(ip string, i int) {
@@ -89,7 +97,11 @@
 	if d.hostOptions != nil {
 		opts = d.hostOptions(i)
 	}
-	h, err := fronthost.New(settings, zerolog.New(zerolog.NewTestWriter(d.t)).Level(zerolog.WarnLevel), cicadapitch.NewSystemClock(), opts...)
+	log := d.log
+	if log == nil {
+		log = zerolog.NewTestWriter(d.t)
+	}
+	h, err := fronthost.New(settings, zerolog.New(log).Level(zerolog.WarnLevel), cicadapitch.NewSystemClock(), opts...)
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -175,7 +187,7 @@
 	return d.send(d.newRequest(i, method, path, id))
 }
 
-func readBody(t *testing.T, r *http.Response) string {
+func readBody(t testing.TB, r *http.Response) string {
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
 	require.NoError(t, err)
