canary: a stratum stays coarse until it is closed

Cause: the mark of reports of a longer time was cleared at each look, also while their stratum was still open. Change: the mark belongs to the stratum of each test.

--- a/canary/final.go
+++ b/canary/final.go
@@ -26,7 +26,7 @@
 )
 
 // finalSuffixes are the parts of the strata that are tested before the shift, counted from the end, as a
-// version may have turned bad late. All of them have half of the risk.
+// version may have turned bad late, and their parts of the risk. The strata as a whole have half of it.
 var finalSuffixes = [...]struct{ part, risk float64 }{{1, 0.5}, {0.5, 0.25}, {0.25, 0.25}}
 
 // history holds the strata of a test in Canary. The evidence that may be looked at any time needs up to
--- a/canary/tests.go
+++ b/canary/tests.go
@@ -60,9 +60,9 @@
 	has        [ways]bool
 	// history holds the strata of Canary, by test, for the first way of being bad.
 	history [2]history
-	// coarse is set while reports of a longer time came, in which the versions may have had different shares of the
-	// requests. They count for the evidence of the look, which is bounded, but not for the tests at checkpoints.
-	coarse bool
+	// coarse holds the tests whose open stratum has reports of a longer time, in which the versions may have had different
+	// shares of the requests. They count for the evidence of the look, which is bounded, but not for the tests at checkpoints.
+	coarse map[testKey]bool
 }
 
 // tests are all tests of a rollout.
@@ -94,15 +94,16 @@
 	for _, name := range slices.Sorted(maps.Keys(g.routes)) {
 		rt := t.routes[name]
 		if rt == nil {
-			rt = &routeTests{compared: map[testKey]routeTotals{}, evidence: map[testKey]*[ways]evidence{}}
+			rt = &routeTests{
+				compared: map[testKey]routeTotals{}, evidence: map[testKey]*[ways]evidence{}, coarse: map[testKey]bool{},
+			}
 			t.routes[name] = rt
 		}
 		totals := *g.routes[name]
-		rt.coarse = rt.coarse || g.coarse
 		for _, key := range keysOf(phase) {
+			rt.coarse[key] = rt.coarse[key] || g.coarse
 			rt.look(key, totals, t.load.explains(phase), sums)
 		}
-		rt.coarse = false
 		rt.follow(totals, phase)
 	}
 	for key, sum := range sums {
@@ -118,7 +119,7 @@
 	oldAnswers, newAnswers := answersSince(key.test, before, totals)
 	switch {
 	case key.shift && !began, newAnswers == 0 && oldAnswers >= maxOldOnly:
-		r.compared[key] = totals
+		r.compared[key], r.coarse[key] = totals, false
 		return
 	case newAnswers == 0, !key.shift && oldAnswers < minOldAnswers:
 		return
@@ -127,6 +128,7 @@
 	if key.test == Failures || !loaded {
 		r.compare(key, before, totals, sums)
 	}
+	r.coarse[key] = false
 }
 
 // keysOf returns the tests of a phase.
@@ -172,7 +174,7 @@
 		sums[key].samples[way] = sums[key].samples[way].plus(route.samples[way])
 	}
 	addAll(r.evidence, key, route)
-	if first := route.samples[0]; !key.shift && !r.coarse && first.newAnswers > 0 {
+	if first := route.samples[0]; !key.shift && !r.coarse[key] && first.newAnswers > 0 {
 		r.history[key.test].add(first)
 	}
 }
