placement: the bound of the choice by work is fixed; running requests weigh twice as much

Cause: the bound was drawn at random against hosts that see the same old reports. The rendezvous order spreads the sessions that leave an engine.

Change: the bound is fixed. decodeShare is 1.0: beside running requests a prompt takes up to twice as long.

--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 
 	"github.com/samber/lo"
 
@@ -61,8 +60,7 @@
 	pace     pace
 	meanWork EngineWork
 	// fixed is by route.
-	fixed  map[string]*fixedTime
-	random func() float64
+	fixed map[string]*fixedTime
 	// parts, fixedMillis, scores, predictions, healthy and ejected are state and buffers of one choice.
 	parts            promptParts
 	fixedMillis      float64
@@ -79,8 +77,8 @@
 	return &Chooser{
 		zone: zone, coldRateFactor: rateFactor, coldExtraCalls: extraCalls,
 		health: map[cicadapitch.EndpointID]*Health{}, limits: NewRateLimits(),
-		engines: map[cicadapitch.EndpointID]*engineState{}, random: rand.Float64,
-		fixed: map[string]*fixedTime{},
+		engines: map[cicadapitch.EndpointID]*engineState{},
+		fixed:   map[string]*fixedTime{},
 	}
 }
 
--- a/placement/enginechoice.go
+++ b/placement/enginechoice.go
@@ -17,7 +17,7 @@
 	// decodeShare is how much longer a prompt takes at an engine whose slots are all taken than at an
 	// idle one: prompts are prefilled between the tokens of the other requests. It also stands for
 	// the delay that a prompt means for those.
-	decodeShare = 0.5
+	decodeShare = 1.0
 	// homeCached is the assumed probability that the first engine in a session's rendezvous order has
 	// its prefix cached while this host has not sent it there: other hosts have.
 	homeCached = 0.95
@@ -28,7 +28,7 @@
 	// time is also taken from the requests that come later.
 	refillWeight = 2.5
 	// keepMillis and keepShare say by how much the predicted time at an engine may exceed the
-	// shortest one, on average, for it to get the requests of the sessions that come to it: some
+	// shortest one for it to get the requests of the sessions that come to it: some
 	// milliseconds, which callers do not notice, and a share of the shortest time.
 	keepMillis = 20.0
 	keepShare  = 0.25
@@ -85,9 +85,6 @@
 // Prediction returns the prediction with which the engine was chosen.
 func (r *Run) Prediction() Prediction { return r.prediction }
 
-// SetRandom sets the source of random numbers from 0 to 1.
-func (c *Chooser) SetRandom(f func() float64) { c.random = f }
-
 // engine returns the state of an engine. It begins anew if the engine's process is another one.
 func (c *Chooser) engine(now cicadapitch.Instant, e *fleet.Endpoint) *engineState {
 	s := c.engines[e.ID]
@@ -112,8 +109,8 @@
 }
 
 // chooseByWork chooses the first engine in the session's rendezvous order whose predicted cost exceeds
-// the lowest one by little. How much is drawn at random for each request, so that hosts
-// which see the same old reports do not all leave an engine for the same other one at once.
+// the lowest one by little. Sessions that leave an engine at the same time go to different ones, each to
+// the next in its own order, also where many hosts see the same old reports.
 func (c *Chooser) chooseByWork(now cicadapitch.Instant, usable []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, Prediction) {
 	c.predictAll(now, usable, &criteria)
 	best, bestInZone := -1, -1
@@ -130,7 +127,7 @@
 		best, inZone = bestInZone, true
 	}
 	lowest := c.predictions[best].cost
-	bound := lowest + 2*c.random()*(keepMillis+keepShare*lowest)
+	bound := lowest + keepMillis + keepShare*lowest
 	for i := range usable {
 		if (!inZone || usable[i].Zone == criteria.Zone) && c.predictions[i].cost <= bound && c.scores[i] > c.scores[best] {
 			best = i
--- a/placement/enginemodel_test.go
+++ b/placement/enginemodel_test.go
@@ -273,7 +273,6 @@
 	rng := rand.New(rand.NewPCG(l.seed, 2))
 	for i := range l.hosts {
 		h := &modelHost{chooser: chooser(), reports: placement.NewEngineReports()}
-		h.chooser.SetRandom(rng.Float64)
 		others := lo.Reject(rng.Perm(l.hosts), func(j, _ int) bool { return j == i })
 		h.heard = others[:min(len(others), modelHeard)]
 		f.hosts = append(f.hosts, h)
--- a/placement/enginereplay_test.go
+++ b/placement/enginereplay_test.go
@@ -80,7 +80,8 @@
 		"ManyHostsHot":   {"long": 0.75, "short": 0.65},
 		"NewSessions":    {"long": 1, "short": 0.5},
 	}
-	for name, want := range gains {
+	for _, name := range slices.Sorted(maps.Keys(gains)) {
+		want := gains[name]
 		t.Run(name, func(t *testing.T) {
 			before, after := meanResults(name, false), meanResults(name, true)
 			for _, kind := range slices.Sorted(maps.Keys(before)) {
