placement: a refused request leaves the record of what its engine has cached

Cause: a call that ended without a first event removed all parts of its prompt from the record of its engine, also those that earlier requests had brought. A full engine would have lost its sessions with each refusal.

Change: only the parts that came with the call are removed. An engine whose slots nobody names is taken to have 64, not one.

--- a/placement/cachedparts.go
+++ b/placement/cachedparts.go
@@ -71,19 +71,23 @@
 	return n
 }
 
-// record records that the engine gets a prompt. The least recently used parts leave the record once it
-// holds more than capacity tokens or maxCachedParts parts.
-func (c *cachedParts) record(now cicadapitch.Instant, p *promptParts, capacity cicadapitch.Tokens) {
+// record records that the engine gets a prompt, and returns the parts that it did not have. The least
+// recently used parts leave the record once it holds more than capacity tokens or maxCachedParts parts.
+func (c *cachedParts) record(now cicadapitch.Instant, p *promptParts, capacity cicadapitch.Tokens) (added []partKey) {
 	if c.parts == nil {
 		c.parts = map[partKey]cachedPart{}
 	}
 	for i, key := range p.keys {
+		if part, ok := c.parts[key]; !ok || now.Sub(part.usedAt) >= cachedPartTTL {
+			added = append(added, key)
+		}
 		c.tokens += p.tokens[i] - c.parts[key].tokens
 		c.parts[key] = cachedPart{now, p.tokens[i]}
 	}
 	for len(c.parts) > 1 && (c.tokens > capacity || len(c.parts) > maxCachedParts) {
 		c.evictOldest()
 	}
+	return added
 }
 
 // evictOldest removes the least recently used part.
--- a/placement/enginechoice.go
+++ b/placement/enginechoice.go
@@ -35,6 +35,9 @@
 	// zoneMillis and zoneShare are the same for engines of the zone in which the inputs are.
 	zoneMillis = 50.0
 	zoneShare  = 0.5
+	// defaultSlots is assumed where neither the engine nor its configuration names slots. Engines have 32
+	// to 128.
+	defaultSlots = 64
 	// defaultOutputTokens is the expected output of a request before any was measured.
 	defaultOutputTokens = 150
 )
@@ -79,7 +82,8 @@
 	work       EngineWork
 	prediction Prediction
 	route      string
-	parts      []partKey
+	// added holds the parts that the engine got with the call.
+	added []partKey
 	// answered is true after the first event.
 	answered bool
 }
@@ -183,10 +187,7 @@
 		work = work.plus(c.meanWork.times(reported.UnknownCalls, 1))
 	}
 	running := float64(s.health.Running + reported.Calls)
-	slots := float64(max(e.Slots, 1))
-	if e.Slots == 0 && criteria.Service.Engine != nil {
-		slots = float64(max(criteria.Service.Engine.Slots, 1))
-	}
+	slots := float64(slotsOf(e, criteria))
 	perToken := (1 + decodeShare*min(running/slots, 1)) / nominalPrefillSpeed
 	// While the engine fetches the inputs of this request, it prefills what came before.
 	nominal := nominalFirstEvent + perToken*float64(uncached) + max(perToken*float64(work.Prefill)-c.fixedMillis, 0)
@@ -212,6 +213,17 @@
 	return wait * serviceTime
 }
 
+// slotsOf returns how many requests an engine runs at once.
+func slotsOf(e *fleet.Endpoint, criteria *Criteria) int {
+	switch spec := criteria.Service.Engine; {
+	case e.Slots > 0:
+		return e.Slots
+	case spec != nil && spec.Slots > 0:
+		return spec.Slots
+	}
+	return defaultSlots
+}
+
 // cacheCapacity returns the tokens that the memory of an engine holds.
 func cacheCapacity(criteria *Criteria) cicadapitch.Tokens {
 	if s := criteria.Service.Engine; s != nil && s.KVCapacityTokens > 0 {
@@ -240,11 +252,11 @@
 	s := c.engine(now, &e)
 	c.parts.set(criteria.Prompt, cacheCapacity(&criteria))
 	r := &Run{
-		endpoint: e.ID, started: e.Started, prediction: p, route: criteria.Route, parts: append([]partKey(nil), c.parts.keys...),
+		endpoint: e.ID, started: e.Started, prediction: p, route: criteria.Route,
 		work: EngineWork{Prefill: p.Uncached, Output: criteria.output(), Held: p.Uncached + criteria.output()},
 	}
 	s.work = s.work.plus(r.work)
-	s.cached.record(now, &c.parts, cacheCapacity(&criteria))
+	r.added = s.cached.record(now, &c.parts, cacheCapacity(&criteria))
 	if c.meanWork == (EngineWork{}) {
 		c.meanWork = r.work
 	}
@@ -271,8 +283,8 @@
 	c.fixedTime(r.route).record(float64(took) - p.nominal)
 }
 
-// EndRun is RecordEnd for a call that RecordRun began. A prompt without a first event is assumed not to
-// be cached.
+// EndRun is RecordEnd for a call that RecordRun began. What the engine got with a call
+// without a first event is assumed not to be cached.
 func (c *Chooser) EndRun(r *Run) {
 	c.RecordEnd(r.endpoint)
 	s := c.engines[r.endpoint]
@@ -281,7 +293,7 @@
 	}
 	s.work = s.work.minus(r.work)
 	if !r.answered {
-		for _, key := range r.parts {
+		for _, key := range r.added {
 			s.cached.remove(key)
 		}
 	}
--- a/placement/enginechoice_test.go
+++ b/placement/enginechoice_test.go
@@ -210,6 +210,10 @@
 	parts, tokens := c.CachedParts(e.ID)
 	require.Zero(t, parts)
 	require.Zero(t, tokens)
+	// What an earlier request brought stays.
+	c.RecordFirstEvent(start, c.RecordRun(start, e, criteria, predicted(t, c, start, e, criteria)), 100)
+	c.EndRun(c.RecordRun(start, e, criteria, predicted(t, c, start, e, criteria)))
+	require.EqualValues(t, 3000, predicted(t, c, start, e, criteria).Uncached)
 }
 
 // TestCachedPartExpires covers sessions that have ended: engines evict their parts.
