--- a/membership/enginereports_test.go
+++ b/membership/enginereports_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"cicadapitch.example/cicadapitch"
@@ -34,3 +35,18 @@
 	clock.Advance(1600)
 	require.Empty(t, m.EngineReports().Calls)
 }
+
+// TestEngineWorkReachesOtherHosts guards against heartbeats that leave the sender's work out.
+func TestEngineWorkReachesOtherHosts(t *testing.T) {
+	a, b := membership.New(&platform.Settings{Host: "a"}), membership.New(&platform.Settings{Host: "b"})
+	work := map[cicadapitch.EndpointID]placement.EngineWork{"e": {Prefill: 12_000, Output: 150, Held: 12_150}}
+	a.SetLoadSources(func() map[cicadapitch.EndpointID]int { return map[cicadapitch.EndpointID]int{"e": 1} },
+		func() map[string][]cicadapitch.Millis { return nil })
+	a.SetEngineWork(func() map[cicadapitch.EndpointID]placement.EngineWork { return work })
+	sent, err := cbor.Marshal(a.NewHeartbeat())
+	require.NoError(t, err)
+	var hb membership.Heartbeat
+	require.NoError(t, cbor.Unmarshal(sent, &hb))
+	b.AddHeartbeat(hb.Checked(), cicadapitch.NewSystemClock().Now())
+	require.Equal(t, placement.ReportedWork{EngineWork: work["e"], Calls: 1}, b.EngineReports().Work["e"])
+}
--- a/membership/export_test.go
+++ b/membership/export_test.go
@@ -11,3 +11,6 @@
 	defer m.mu.Unlock()
 	m.peers[hb.Incarnation] = &peerState{Heartbeat: hb, receivedAt: at}
 }
+
+// NewHeartbeat is newHeartbeat.
+func (m *Membership) NewHeartbeat() Heartbeat { return m.newHeartbeat() }
