--- a/placement/enginechoice.go
+++ b/placement/enginechoice.go
@@ -17,7 +17,7 @@
 	// decodeShare is how much longer a prompt takes at an engine whose slots are all taken than at an
 	// idle one: prompts are prefilled between the tokens of the other requests. It also stands for
 	// the delay that a prompt means for those.
-	decodeShare = 0.5
+	decodeShare = 1.0
 	// homeCached is the assumed probability that the first engine in a session's rendezvous order has
 	// its prefix cached while this host has not sent it there: other hosts have.
 	homeCached = 0.95
@@ -28,13 +28,16 @@
 	// time is also taken from the requests that come later.
 	refillWeight = 2.5
 	// keepMillis and keepShare say by how much the predicted time at an engine may exceed the
-	// shortest one, on average, for it to get the requests of the sessions that come to it: some
+	// shortest one for it to get the requests of the sessions that come to it: some
 	// milliseconds, which callers do not notice, and a share of the shortest time.
 	keepMillis = 20.0
 	keepShare  = 0.25
 	// zoneMillis and zoneShare are the same for engines of the zone in which the inputs are.
 	zoneMillis = 50.0
 	zoneShare  = 0.5
+	// defaultSlots is assumed where neither the engine nor its configuration names slots. Engines have 32
+	// to 128.
+	defaultSlots = 64
 	// defaultOutputTokens is the expected output of a request before any was measured.
 	defaultOutputTokens = 150
 )
@@ -46,6 +49,8 @@
 	// restartedAt is when another process took the place of the one before, or 0 if this host has not seen
 	// that.
 	restartedAt cicadapitch.Instant
+	// health is the engine's, which outlasts its process.
+	health *Health
 	// work is this host's outstanding work.
 	work   EngineWork
 	cached cachedParts
@@ -77,7 +82,8 @@
 	work       EngineWork
 	prediction Prediction
 	route      string
-	parts      []partKey
+	// added holds the parts that the engine got with the call.
+	added []partKey
 	// answered is true after the first event.
 	answered bool
 }
@@ -85,18 +91,15 @@
 // Prediction returns the prediction with which the engine was chosen.
 func (r *Run) Prediction() Prediction { return r.prediction }
 
-// SetRandom sets the source of random numbers from 0 to 1.
-func (c *Chooser) SetRandom(f func() float64) { c.random = f }
-
 // engine returns the state of an engine. It begins anew if the engine's process is another one.
 func (c *Chooser) engine(now cicadapitch.Instant, e *fleet.Endpoint) *engineState {
 	s := c.engines[e.ID]
 	if s == nil {
-		s = &engineState{started: e.Started}
+		s = &engineState{started: e.Started, health: c.Health(e.ID)}
 		c.engines[e.ID] = s
 	}
 	if s.started != e.Started {
-		*s = engineState{started: e.Started, restartedAt: now}
+		*s = engineState{started: e.Started, restartedAt: now, health: s.health}
 	}
 	return s
 }
@@ -112,8 +115,8 @@
 }
 
 // chooseByWork chooses the first engine in the session's rendezvous order whose predicted cost exceeds
-// the lowest one by little. How much is drawn at random for each request, so that hosts
-// which see the same old reports do not all leave an engine for the same other one at once.
+// the lowest one by little. Sessions that leave an engine at the same time go to different ones, each to
+// the next in its own order, also where many hosts see the same old reports.
 func (c *Chooser) chooseByWork(now cicadapitch.Instant, usable []fleet.Endpoint, criteria Criteria) (fleet.Endpoint, Prediction) {
 	c.predictAll(now, usable, &criteria)
 	best, bestInZone := -1, -1
@@ -130,7 +133,7 @@
 		best, inZone = bestInZone, true
 	}
 	lowest := c.predictions[best].cost
-	bound := lowest + 2*c.random()*(keepMillis+keepShare*lowest)
+	bound := lowest + keepMillis + keepShare*lowest
 	for i := range usable {
 		if (!inZone || usable[i].Zone == criteria.Zone) && c.predictions[i].cost <= bound && c.scores[i] > c.scores[best] {
 			best = i
@@ -183,11 +186,8 @@
 	if reported.UnknownCalls > 0 {
 		work = work.plus(c.meanWork.times(reported.UnknownCalls, 1))
 	}
-	running := float64(c.load(e.ID, *criteria))
-	slots := float64(max(e.Slots, 1))
-	if e.Slots == 0 && criteria.Service.Engine != nil {
-		slots = float64(max(criteria.Service.Engine.Slots, 1))
-	}
+	running := float64(s.health.Running + reported.Calls)
+	slots := float64(slotsOf(e, criteria))
 	perToken := (1 + decodeShare*min(running/slots, 1)) / nominalPrefillSpeed
 	// While the engine fetches the inputs of this request, it prefills what came before.
 	nominal := nominalFirstEvent + perToken*float64(uncached) + max(perToken*float64(work.Prefill)-c.fixedMillis, 0)
@@ -213,6 +213,17 @@
 	return wait * serviceTime
 }
 
+// slotsOf returns how many requests an engine runs at once.
+func slotsOf(e *fleet.Endpoint, criteria *Criteria) int {
+	switch spec := criteria.Service.Engine; {
+	case e.Slots > 0:
+		return e.Slots
+	case spec != nil && spec.Slots > 0:
+		return spec.Slots
+	}
+	return defaultSlots
+}
+
 // cacheCapacity returns the tokens that the memory of an engine holds.
 func cacheCapacity(criteria *Criteria) cicadapitch.Tokens {
 	if s := criteria.Service.Engine; s != nil && s.KVCapacityTokens > 0 {
@@ -241,11 +252,11 @@
 	s := c.engine(now, &e)
 	c.parts.set(criteria.Prompt, cacheCapacity(&criteria))
 	r := &Run{
-		endpoint: e.ID, started: e.Started, prediction: p, route: criteria.Route, parts: append([]partKey(nil), c.parts.keys...),
+		endpoint: e.ID, started: e.Started, prediction: p, route: criteria.Route,
 		work: EngineWork{Prefill: p.Uncached, Output: criteria.output(), Held: p.Uncached + criteria.output()},
 	}
 	s.work = s.work.plus(r.work)
-	s.cached.record(now, &c.parts, cacheCapacity(&criteria))
+	r.added = s.cached.record(now, &c.parts, cacheCapacity(&criteria))
 	if c.meanWork == (EngineWork{}) {
 		c.meanWork = r.work
 	}
@@ -272,8 +283,8 @@
 	c.fixedTime(r.route).record(float64(took) - p.nominal)
 }
 
-// EndRun is RecordEnd for a call that RecordRun began. A prompt without a first event is assumed not to
-// be cached.
+// EndRun is RecordEnd for a call that RecordRun began. What the engine got with a call
+// without a first event is assumed not to be cached.
 func (c *Chooser) EndRun(r *Run) {
 	c.RecordEnd(r.endpoint)
 	s := c.engines[r.endpoint]
@@ -282,7 +293,7 @@
 	}
 	s.work = s.work.minus(r.work)
 	if !r.answered {
-		for _, key := range r.parts {
+		for _, key := range r.added {
 			s.cached.remove(key)
 		}
 	}
