batch, gateway: calls are hedged less while calls are full, unused work is counted by cause

A call is repeated after 1.5 of its expected time, also if its endpoint is known to be slow, and while calls are full the repeated pieces take the places of others.

Change: the limit counts the slowdown of the endpoint when the call started, and is three times the expected time while the next call is full without repeated pieces. The planner counts work that is of no use by cause (counter StageWasteMs), and a host the results of requests that ended before their engine (UnusedStageResults).

A late job keeps its place in its own level now, behind those on time there.

--- a/batch/admission.go
+++ b/batch/admission.go
@@ -73,7 +73,7 @@
 	case p.contended(now) && p.graceIsOver(now, job), !p.contended(now) && late:
 		return p.demand.totalRate(now)
 	case late:
-		return p.demand.moreUrgentRate(now, priorityLevel(job.Priority)+2)
+		return p.demand.moreUrgentRate(now, priorityLevel(job.Priority)+1)
 	}
 	return p.demand.moreUrgentRate(now, priorityLevel(job.Priority))
 }
--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -12,6 +12,10 @@
 	// endpoint counts as slow. The ratios of endpoints at normal speed differ by
 	// much less from stage to stage.
 	slowThreshold = 1.5
+	// busyThreshold replaces slowThreshold for calls to be overdue while calls are full: the pieces then take the
+	// places of others, and a call that takes up to 2.5 times as long as on machines that are shared with
+	// others ends before another one would.
+	busyThreshold = 3.0
 	// overdueSlack is added to the expected time before a call is overdue, for
 	// transit and for fetching the inputs.
 	overdueSlack cicadapitch.Millis = 80
@@ -34,6 +38,8 @@
 type inFlightCall struct {
 	Call
 	started cicadapitch.Instant
+	// slowdown is that of the endpoint when the call started.
+	slowdown float64
 	// overdue is set once the pieces were put back into the queue.
 	overdue bool
 }
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -131,9 +131,9 @@
 	for _, ref := range refs {
 		s.resultMemoryUsed += ref.Job.ResultBytes
 	}
-	s.calls[c.ID] = &inFlightCall{Call: c, started: now}
 	s.lastStart = now
 	s.slowdown, s.slowdownAt = s.currentSlowdown(now), now
+	s.calls[c.ID] = &inFlightCall{Call: c, started: now, slowdown: s.slowdown}
 	p.calls[c.ID] = s
 	return c
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -106,6 +106,17 @@
 	InputLost, Expired, NoRoom, Failed bool
 }
 
+// wasteCause returns why the work for a piece without a result, whose input exists, is of no use.
+func (r PieceResult) wasteCause() WasteCause {
+	switch {
+	case r.NoRoom:
+		return WasteNoMemory
+	case r.Expired:
+		return WasteExpired
+	}
+	return WasteFailed
+}
+
 // Failure says why a call ended without results.
 type Failure int
 
--- a/batch/order.go
+++ b/batch/order.go
@@ -23,7 +23,7 @@
 	// under contention and 3 for jobs whose grace is over. Without contention it is 2 for jobs on time
 	// and 3 for late ones.
 	section int
-	// level is the priority level under contention, one more for late jobs, and 0 without.
+	// level is the priority level under contention, and 0 without.
 	level int
 	// lateness is 0 for jobs on time, 1 for those whose request was refused before, 2 for other
 	// late ones.
@@ -59,9 +59,6 @@
 	case p.graceIsOver(now, job):
 		return place{section: sectionLast, lateness: lateness, due: mixedDue}
 	}
-	if lateness > 0 {
-		level++
-	}
 	return place{sectionRegular, level, lateness, job.DueAt}
 }
 
@@ -99,9 +96,9 @@
 // refused before, then the other late ones. Each group is sorted by due time, to which priorityStep is
 // added for each priority level.
 //
-// Under contention the priority levels follow each other. A late job follows the jobs on time of the next
-// level while its answer is worth something: behind all jobs on time it would wait for as long as there
-// are any, and before them it would make more of them late than it gains (docs/design/stages.md).
+// Under contention the priority levels follow each other, each in the order above. A late job keeps its place in
+// its level while its answer is worth something: behind all jobs on time it would wait for as long as there
+// are any (docs/design/stages.md).
 func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
 	type placedJob struct {
 		place
@@ -168,11 +165,5 @@
 	if !several {
 		return false
 	}
-	free := 0
-	for _, s := range p.endpoints {
-		if s.canStart(now, p.spec.Slots) {
-			free++
-		}
-	}
-	return queued > free*p.spec.MaxPieces
+	return queued > p.freeCount(now)*p.spec.MaxPieces
 }
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -89,8 +89,16 @@
 	// a service without contention, for comparison.
 	contendedAt       cicadapitch.Instant
 	withoutContention bool
+	// hedgeEverything hedges overdue calls without regard to their endpoints and the queue, for comparison.
+	hedgeEverything bool
 	// lastCallStart is when the last call started.
 	lastCallStart cicadapitch.Instant
+	// plannedAt is when Plan last ran.
+	plannedAt cicadapitch.Instant
+	// waste is the unused work that TakeWaste has not returned yet, endedJobs are the jobs whose calls
+	// may still run.
+	waste     Waste
+	endedJobs map[JobID]endedJob
 	// toFree are the handles of results that the next Plan returns to be freed: no
 	// job needs them, or they were evicted.
 	toFree []string
@@ -105,6 +113,7 @@
 		results:   map[string]result{},
 		calls:     map[CallID]*endpointState{},
 		refusedAt: map[string]cicadapitch.Instant{},
+		endedJobs: map[JobID]endedJob{},
 	}
 }
 
@@ -231,6 +240,7 @@
 	if job == nil {
 		return
 	}
+	p.recordEnd(job, WasteCanceled)
 	p.removeJob(job)
 }
 
@@ -245,8 +255,9 @@
 	}
 }
 
-// endJob removes a job and adds its outcome.
-func (p *Planner) endJob(job *jobState, o Outcome) {
+// endJob removes a job and adds its outcome. cause is that of the work which is of no use then.
+func (p *Planner) endJob(job *jobState, o Outcome, cause WasteCause) {
+	p.recordEnd(job, cause)
 	p.removeJob(job)
 	o.Job = job.ID
 	p.outcomes = append(p.outcomes, o)
@@ -281,29 +292,35 @@
 			s.recordSlowdown(now, ratio)
 		}
 	}
+	work := float64(now.Sub(c.started)) / float64(len(c.Pieces))
 	for i, ref := range c.Pieces {
 		if failure != NoFailure {
+			if failure == CallFailed {
+				p.countWaste(WasteFailed, work)
+			}
 			p.updateMemoryAfterFailure(now, s, c, i, failure)
 			p.requeuePiece(ref, failure == CallFailed)
 			continue
 		}
-		p.recordPieceResult(now, s, ref, results[i])
+		p.recordPieceResult(now, s, ref, results[i], work)
 	}
 	if slices.ContainsFunc(results, func(r PieceResult) bool { return r.NoRoom }) {
 		p.countUnknownResults(now, s, id)
 	}
 }
 
-// recordPieceResult processes the result of one piece of a call that was answered.
-func (p *Planner) recordPieceResult(now cicadapitch.Instant, s *endpointState, ref PieceRef, r PieceResult) {
+// recordPieceResult processes the result of one piece of a call that was answered. work is the
+// part of the call's time that the piece took, in milliseconds.
+func (p *Planner) recordPieceResult(now cicadapitch.Instant, s *endpointState, ref PieceRef, r PieceResult, work float64) {
 	if r.Handle == "" {
 		s.resultMemoryUsed -= ref.Job.ResultBytes
 	} else {
-		p.results[r.Handle] = result{endpoint: s.ID, bytes: ref.Job.ResultBytes, expiresAt: now.Add(p.spec.ResultTTL)}
+		p.results[r.Handle] = result{endpoint: s.ID, bytes: ref.Job.ResultBytes, expiresAt: now.Add(p.spec.ResultTTL), work: work}
 	}
 	job := p.jobs[ref.Job.ID]
 	switch {
 	case job == nil || job.handles[ref.Index] != "":
+		p.countWaste(p.unusedBy(ref), work)
 		if r.Handle != "" {
 			p.toFree = append(p.toFree, r.Handle)
 		}
@@ -316,8 +333,10 @@
 			p.outcomes = append(p.outcomes, Outcome{Job: job.ID, Handles: job.handles, Zone: job.mainZone(), Retried: job.Retried})
 		}
 	case r.InputLost:
-		p.endJob(job, Outcome{InputLost: true, Reason: "an input is gone"})
+		p.countWaste(WasteInputLost, work)
+		p.endJob(job, Outcome{InputLost: true, Reason: "an input is gone"}, WasteInputLost)
 	default:
+		p.countWaste(r.wasteCause(), work)
 		p.requeuePiece(ref, r.Failed)
 	}
 }
@@ -335,7 +354,7 @@
 	}
 	if failed {
 		if job.failures++; job.failures > maxFailuresPerPiece*job.Pieces {
-			p.endJob(job, Outcome{Reason: "the pieces failed too often"})
+			p.endJob(job, Outcome{Reason: "the pieces failed too often"}, WasteFailed)
 			return
 		}
 	}
@@ -361,6 +380,8 @@
 // Plan returns the calls to start, the outcomes of jobs that ended, the handles
 // of results to free, and the time after which to plan again at the latest.
 func (p *Planner) Plan(now cicadapitch.Instant) (calls []Call, outcomes []Outcome, toFree []string, next cicadapitch.Millis) {
+	p.plannedAt = now
+	p.forgetEndedJobs(now)
 	p.findContention(now)
 	p.expireJobsAndResults(now)
 	p.hedgeOverdueCalls(now)
@@ -405,7 +426,7 @@
 func (p *Planner) HandOver() {
 	for _, job := range p.jobs {
 		if len(job.queued) == job.Pieces && !job.OwnerUnreachable {
-			p.endJob(job, Outcome{OwnerChanged: true, Reason: "the service has another owner"})
+			p.endJob(job, Outcome{OwnerChanged: true, Reason: "the service has another owner"}, WasteCanceled)
 		}
 	}
 }
@@ -427,7 +448,7 @@
 			end = end.Add(untilFree + cicadapitch.Millis(float64(queuedUpTo)/spareRate))
 		}
 		if end > job.ExpiresAt {
-			p.endJob(job, Outcome{Reason: "the request's time does not suffice", RetryAfter: p.drainTime(now)})
+			p.endJob(job, Outcome{Reason: "the request's time does not suffice", RetryAfter: p.drainTime(now)}, WasteExpired)
 		}
 	}
 	for h, r := range p.results {
@@ -441,10 +462,14 @@
 // another endpoint runs them too: the endpoint may be slow or have stopped
 // without notice.
 func (p *Planner) hedgeOverdueCalls(now cicadapitch.Instant) {
+	threshold := slowThreshold
+	if !p.hedgeEverything && p.nextCallIsFull(now) {
+		threshold = busyThreshold
+	}
 	for _, s := range p.endpoints {
 		for _, c := range s.calls {
 			took := now.Sub(c.started)
-			limit := cicadapitch.Millis(float64(c.ExpectedDuration)*slowThreshold) + overdueSlack
+			limit := cicadapitch.Millis(float64(c.ExpectedDuration)*threshold*p.expectedSlowdown(c)) + overdueSlack
 			if c.overdue || took <= limit {
 				continue
 			}
@@ -461,6 +486,31 @@
 	}
 }
 
+// expectedSlowdown returns the factor by which a call is expected to take longer.
+func (p *Planner) expectedSlowdown(c *inFlightCall) float64 {
+	if p.hedgeEverything {
+		return 1
+	}
+	return c.slowdown
+}
+
+// nextCallIsFull reports whether more pieces wait than the free endpoints and the next call take, so that the
+// pieces of overdue calls would take the places of others.
+func (p *Planner) nextCallIsFull(now cicadapitch.Instant) bool {
+	return p.queuedPieces() >= p.spec.MaxPieces*(p.freeCount(now)+1)
+}
+
+// freeCount returns the number of endpoints that can start a call now.
+func (p *Planner) freeCount(now cicadapitch.Instant) int {
+	n := 0
+	for _, s := range p.endpoints {
+		if s.canStart(now, p.spec.Slots) {
+			n++
+		}
+	}
+	return n
+}
+
 // Endpoint returns the endpoint with the given id and whether the planner knows
 // one.
 func (p *Planner) Endpoint(id cicadapitch.EndpointID) (catalog.Endpoint, bool) {
--- a/batch/reclaim.go
+++ b/batch/reclaim.go
@@ -60,6 +60,7 @@
 func (p *Planner) reclaim(job *jobState, index int) cicadapitch.Bytes {
 	h := job.handles[index]
 	r := p.results[h]
+	p.countWaste(WasteReclaimed, r.work)
 	if s := p.endpoints[r.endpoint]; s != nil {
 		job.zones[s.Zone]--
 	}
--- a/batch/results.go
+++ b/batch/results.go
@@ -12,6 +12,8 @@
 	endpoint  cicadapitch.EndpointID
 	bytes     cicadapitch.Bytes
 	expiresAt cicadapitch.Instant
+	// work is the part of its call's time that the result took, in milliseconds.
+	work float64
 	// fetched is set once the next stage has read the result. evictFetched clears
 	// it when it adds the result to toFree.
 	fetched bool
--- a/gateway/heldresults.go
+++ b/gateway/heldresults.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// countUnused counts the results that are still held and will not be used.
+func (h *heldResults) countUnused(cause string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, handles := range h.handles {
+		n += len(handles)
+	}
+	if n > 0 {
+		h.request.g.metrics.Tagged(map[string]string{"Route": h.request.route.Name, "Cause": cause}).Counter("UnusedStageResults").Inc(int64(n))
+	}
+}
+
 // freeAll frees all results that are still held.
 func (h *heldResults) freeAll() {
 	h.mu.Lock()
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -290,6 +290,9 @@
 func (r *shardRunner) applyPlan(now cicadapitch.Instant) {
 	r.planner.SetRateLimits(r.shards.limits.Of)
 	calls, outcomes, toFree, delay := r.planner.Plan(now)
+	for cause, work := range r.planner.TakeWaste() {
+		r.shards.metrics.Tagged(map[string]string{"Service": r.shard.Key(), "Cause": cause.String()}).Counter("StageWasteMs").Inc(int64(work))
+	}
 	for _, out := range outcomes {
 		if ch := r.waiters[out.Job]; ch != nil {
 			ch <- out
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/samber/lo"
@@ -64,6 +65,7 @@
 		outcome := <-outcomes
 		running--
 		if outcome.err != nil {
+			held.countUnused(unusedCause(ctx, outcome.err))
 			cancel()
 			held.freeAll()
 			go held.freeLateResults(outcomes, running)
@@ -87,6 +89,20 @@
 	return out, nil
 }
 
+// unusedCause says why the stage results of a request are of no use after err.
+func unusedCause(ctx context.Context, err error) string {
+	var refusal stageRefusal
+	switch {
+	case errors.Is(err, errInputLost):
+		return "InputLost"
+	case errors.As(err, &refusal):
+		return "StageRefused"
+	case ctx.Err() != nil:
+		return "RequestEnded"
+	}
+	return "Failed"
+}
+
 // pieceCounts returns the number of pieces of each stage of the route.
 func (p *proxiedRequest) pieceCounts() []int {
 	pieces := p.request.Pieces
@@ -321,7 +337,7 @@
 			return 0
 		}
 		if late <= batch.Grace(p.due, p.abandonAt) {
-			// The jobs on time of the next level precede it.
+			// The wait of the next level includes the late jobs of this one.
 			return w[min(max(p.priority, 0)+1, len(w)-1)]
 		}
 		return w[len(w)-1]
