batch, gateway: customers share a stage service equally while they compete

While customers compete, those below the mean of the ones whose jobs wait go before those above within a priority level, in the order and in the estimates for admission. StageCall names the customer (optional; missing in calls of earlier builds, which then share one).

Hosts estimated the wait of late work by that of the next level. Where one level alone takes all there is, that is tens of seconds, so that small customers were refused at the first stage although their turn would have come. They take twice the wait of the request's own level now.

--- a/batch/chain_test.go
+++ b/batch/chain_test.go
@@ -269,6 +269,15 @@
 	return sum
 }
 
+// downstreamWork is downstream without the waits.
+func (s *chainSim) downstreamWork(r *chainRequest, stage int) cicadapitch.Millis {
+	sum := s.downstream(r, stage, r.kind.priority)
+	for j := s.next(r, stage); j < 3; j = s.next(r, j) {
+		sum -= s.waits[j][r.kind.priority]
+	}
+	return sum
+}
+
 func (s *chainSim) stageTime(stage, level int) cicadapitch.Millis {
 	spec := s.load.specs[stage]
 	return spec.CallTime + cicadapitch.Millis(spec.PieceTime*float64(spec.MaxPieces)/2) + chainHandoverEstimate + s.waits[stage][level]
@@ -285,14 +294,14 @@
 	downstream := s.downstream(r, stage, r.kind.priority)
 	late, due := downstream, r.submitted.Add(r.kind.objective)
 	if end := now.Add(s.stageTime(stage, r.kind.priority) + downstream + chainEngineTime); end > due {
-		late = s.downstream(r, stage, r.kind.priority+1)
+		late = 2*downstream - s.downstreamWork(r, stage) // as gateway's lateWaitFactor
 		if s.load.before || end > due.Add(batch.Grace(due, s.abandonAt(r))) {
 			late = s.downstream(r, stage, 4)
 		}
 	}
 	j := batch.Job{
 		ID: r.job, Request: cicadapitch.RequestID(fmt.Sprint(r.job)), Stage: stage, Pieces: r.pieces[stage], ResultBytes: 8000, Zone: "z",
-		Priority: r.kind.priority, Retried: r.tries > 1,
+		Priority: r.kind.priority, Retried: r.tries > 1, Customer: r.customer,
 		DueAt: due - cicadapitch.Instant(downstream+chainEngineTime), ExpiresAt: s.abandonAt(r) - cicadapitch.Instant(late+chainEngineTime),
 	}
 	if len(r.handles) > 0 {
--- a/batch/chainreplay_test.go
+++ b/batch/chainreplay_test.go
@@ -102,3 +102,21 @@
 	require.Equal(t, before, now)
 	require.Equal(t, now.kinds["A"].asked, now.kinds["A"].inTime)
 }
+
+// TestSmallCustomerIsServedBesideABurst replays a customer whose requests come five times as often as usual
+// beside three small ones, one of them of a thousandth of the load. The small ones must not wait behind the burst.
+func TestSmallCustomerIsServedBesideABurst(t *testing.T) {
+	load := chainBurst(8000)
+	load.kinds = load.kinds[:2]
+	load.kinds[1].priority = 1
+	load.burstFactor = 5
+	for i := range load.kinds {
+		load.kinds[i].customers = []float64{0.969, 0.02, 0.01, 0.001}
+	}
+	before, now := compareChain(t, load)
+	for _, c := range []string{"c1", "c2", "c3"} {
+		require.Greater(t, now.customers[c].servedShare(), 0.95, "customer %s", c)
+	}
+	require.Less(t, before.customers["c1"].servedShare(), 0.9)
+	require.Greater(t, now.worth(), 0.95*before.worth(), "what the small ones gain costs the large one little")
+}
--- a/batch/estimate.go
+++ b/batch/estimate.go
@@ -45,7 +45,7 @@
 func (p *Planner) EstimateWait(now cicadapitch.Instant, priority int) cicadapitch.Millis {
 	level, queuedAhead := priorityLevel(priority), 0
 	if p.contended(now) {
-		queuedAhead = p.queuedUpTo(now, place{section: sectionRegular, level: level, due: math.MaxInt64})
+		queuedAhead = p.queuedUpTo(now, place{section: sectionRegular, level: level, share: 1, due: math.MaxInt64})
 	} else {
 		for _, job := range p.jobs {
 			if job.Priority <= priority && !p.isLate(now, job) {
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -130,6 +130,7 @@
 	c := Call{ID: p.lastCallID, Endpoint: s.Endpoint, Pieces: refs, ExpectedDuration: p.ExpectedDuration(len(refs)), Queued: p.queuedPieces(), RoomUsed: s.resultMemoryUsed}
 	for _, ref := range refs {
 		s.resultMemoryUsed += ref.Job.ResultBytes
+		p.shares.Charge(now, ref.Job.Customer, float64(c.ExpectedDuration)/float64(len(refs)))
 	}
 	s.lastStart = now
 	s.slowdown, s.slowdownAt = s.currentSlowdown(now), now
--- a/batch/job.go
+++ b/batch/job.go
@@ -36,6 +36,8 @@
 	// Retried is set for a request that was refused before and that its caller
 	// has sent again.
 	Retried bool
+	// Customer is the customer of the request. Requests whose customer is not known share the empty one.
+	Customer cicadapitch.CustomerID
 	// Resumed is set for a stream that its caller takes up again. Its jobs precede all others,
 	// since the caller has a part of the answer already.
 	Resumed bool
--- a/batch/order.go
+++ b/batch/order.go
@@ -25,6 +25,8 @@
 	section int
 	// level is the priority level under contention, and 0 without.
 	level int
+	// share is 1 under contention for jobs of customers that have had more than an equal share.
+	share int
 	// lateness is 0 for jobs on time, 1 for those whose request was refused before, 2 for other
 	// late ones.
 	lateness int
@@ -33,7 +35,7 @@
 }
 
 func (a place) compare(b place) int {
-	return cmp.Or(cmp.Compare(a.section, b.section), cmp.Compare(a.level, b.level), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.due, b.due))
+	return cmp.Or(cmp.Compare(a.section, b.section), cmp.Compare(a.level, b.level), cmp.Compare(a.share, b.share), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.due, b.due))
 }
 
 // Sections of the order.
@@ -57,9 +59,17 @@
 	case !p.contended(now):
 		return place{section: sectionRegular + min(lateness, 1), lateness: lateness, due: mixedDue}
 	case p.graceIsOver(now, job):
-		return place{section: sectionLast, lateness: lateness, due: mixedDue}
+		return place{section: sectionLast, share: p.shareOf(now, job), lateness: lateness, due: mixedDue}
 	}
-	return place{sectionRegular, level, lateness, job.DueAt}
+	return place{sectionRegular, level, p.shareOf(now, job), lateness, job.DueAt}
+}
+
+// shareOf returns the share of a place.
+func (p *Planner) shareOf(now cicadapitch.Instant, job *jobState) int {
+	if p.shares.Work(now, job.Customer) > p.equalShare {
+		return 1
+	}
+	return 0
 }
 
 // latenessOf returns the lateness of a place.
@@ -96,7 +106,8 @@
 // refused before, then the other late ones. Each group is sorted by due time, to which priorityStep is
 // added for each priority level.
 //
-// Under contention the priority levels follow each other, each in the order above. A late job keeps its place in
+// Under contention the priority levels follow each other, each in the order above, with the jobs of customers
+// that have had more than an equal share behind those of others. A late job keeps its place in
 // its level while its answer is worth something: behind all jobs on time it would wait for as long as there
 // are any (docs/design/stages.md).
 func (p *Planner) sortedJobs(now cicadapitch.Instant) []*jobState {
@@ -120,14 +131,14 @@
 	return list
 }
 
-// contended reports whether several priority levels compete for the endpoints, so that some of their jobs are
+// contended reports whether several priority levels or customers compete for the endpoints, so that some of their jobs are
 // late or will be.
 func (p *Planner) contended(now cicadapitch.Instant) bool {
 	return p.contendedAt > 0 && now.Sub(p.contendedAt) < contentionHold
 }
 
 // findContention finds out whether jobs compete. It does so by the order without contention: jobs of
-// several levels wait, more than the free endpoints can take, and one of them is late or
+// several levels or customers wait, more than the free endpoints can take, and one of them is late or
 // expected to be.
 func (p *Planner) findContention(now cicadapitch.Instant) {
 	if p.withoutContention || !p.competingJobs(now) {
@@ -150,19 +161,20 @@
 	}
 }
 
-// competingJobs reports whether jobs of several levels wait, and more pieces than the
-// calls that can start now take.
+// competingJobs reports whether jobs of several levels or customers wait, and more pieces than the
+// calls that can start now take. It sets equalShare.
 func (p *Planner) competingJobs(now cicadapitch.Instant) bool {
-	queued, several, level := 0, false, -1
+	queued, levels, wanting := 0, map[int]bool{}, map[cicadapitch.CustomerID]bool{}
 	for _, job := range p.jobs {
 		if len(job.queued) == 0 || job.Resumed {
 			continue
 		}
 		queued += len(job.queued)
-		several = several || level >= 0 && level != priorityLevel(job.Priority)
-		level = priorityLevel(job.Priority)
+		levels[priorityLevel(job.Priority)] = true
+		wanting[job.Customer] = true
 	}
-	if !several {
+	p.equalShare = p.shares.Equal(now, wanting)
+	if len(levels) < 2 && len(wanting) < 2 {
 		return false
 	}
 	return queued > p.freeCount(now)*p.spec.MaxPieces
--- a/batch/planner.go
+++ b/batch/planner.go
@@ -78,6 +78,9 @@
 	outcomes []Outcome
 	demand   demand
 	reserve  reserve
+	shares   *Shares
+	// equalShare is the equal share of the customers whose jobs wait, as of the last look for contention.
+	equalShare float64
 	// meanResultBytes is the smoothed size of the result of a piece.
 	meanResultBytes float64
 	// firstJobAt is when the planner got its first job, or 0.
@@ -114,6 +117,7 @@
 		calls:     map[CallID]*endpointState{},
 		refusedAt: map[string]cicadapitch.Instant{},
 		endedJobs: map[JobID]endedJob{},
+		shares:    NewShares(),
 	}
 }
 
--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -38,6 +38,9 @@
 	// ResultBytes is the approximate size of one result.
 	ResultBytes cicadapitch.Bytes
 	Priority    int
+	// Customer is the customer of the request. It is empty if there is none, and in calls of builds that did not
+	// send it.
+	Customer cicadapitch.CustomerID `cbor:",omitempty"`
 	// DueIn is the time left to meet the latency objective, ExpireIn the time after
 	// which the results are of no use.
 	DueIn, ExpireIn cicadapitch.Millis
@@ -56,6 +59,8 @@
 	maxCallTime = int64(cicadapitch.Minute * 60)
 	// maxCallBytes bounds the sizes of a call.
 	maxCallBytes = 1 << 50
+	// maxCallCustomer bounds the bytes of the customer's name.
+	maxCallCustomer = 64 << 10
 )
 
 // check returns an Invalid error if a number of the call is out of range.
@@ -66,6 +71,7 @@
 	}{
 		{"Stage", int64(c.Stage), 0, math.MaxInt32},
 		{"Pieces", int64(c.Pieces), 1, catalog.MaxPieces},
+		{"Customer", int64(len(c.Customer)), 0, maxCallCustomer},
 		{"MoveBytes", int64(c.MoveBytes), 0, maxCallBytes},
 		{"ResultBytes", int64(c.ResultBytes), 0, maxCallBytes},
 		{"DueIn", int64(c.DueIn), -maxCallTime, maxCallTime},
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -150,7 +150,7 @@
 	done := make(chan batch.Outcome, 1)
 	r.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		InputShards: c.InputShards, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Retried: c.Returned && !c.Resumed, Resumed: c.Resumed, OwnerUnreachable: c.StandIn,
+		InputShards: c.InputShards, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Retried: c.Returned && !c.Resumed, Resumed: c.Resumed, Customer: c.Customer, OwnerUnreachable: c.StandIn,
 		DueAt: now.Add(c.DueIn), ExpiresAt: now.Add(c.ExpireIn),
 	}, done)
 	select {
--- a/gateway/stagecall_test.go
+++ b/gateway/stagecall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,6 +22,7 @@
 		"Stage":       func(c *gateway.StageCall) { c.Stage = -1 },
 		"ResultBytes": func(c *gateway.StageCall) { c.ResultBytes = math.MaxInt64 },
 		"MoveBytes":   func(c *gateway.StageCall) { c.MoveBytes = -1 },
+		"Customer":    func(c *gateway.StageCall) { c.Customer = cicadapitch.CustomerID(strings.Repeat("c", 70_000)) },
 		"DueIn":       func(c *gateway.StageCall) { c.DueIn = math.MinInt64 },
 		"ExpireIn":    func(c *gateway.StageCall) { c.ExpireIn = math.MaxInt64 },
 	} {
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -223,7 +223,7 @@
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.priority, Returned: args.refusedBefore, Resumed: p.resumed(),
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.priority, Returned: args.refusedBefore, Resumed: p.resumed(), Customer: p.customer,
 		DueIn:    p.due.Sub(now) - downstream - firstEvent,
 		ExpireIn: p.abandonAt.Sub(now) - lateDownstream - firstEvent,
 	}
@@ -328,6 +328,10 @@
 	return w[min(max(p.priority, 0), len(w)-2)]
 }
 
+// lateWaitFactor is the wait of late work that keeps its place in its priority level, as a multiple of that of work
+// on time there. Owners report only the latter.
+const lateWaitFactor = 2
+
 // reportedLateWait is reportedWait for a request that is going to miss its latency objective by the given
 // time, so that the later stages queue it as late work.
 func (p *proxiedRequest) reportedLateWait(waits map[string]QueueWaits, late cicadapitch.Millis) func(batch.Shard) cicadapitch.Millis {
@@ -337,8 +341,7 @@
 			return 0
 		}
 		if late <= batch.Grace(p.due, p.abandonAt) {
-			// The wait of the next level includes the late jobs of this one.
-			return w[min(max(p.priority, 0)+1, len(w)-1)]
+			return min(lateWaitFactor*p.waitForPriority(waits, s), w[len(w)-1])
 		}
 		return w[len(w)-1]
 	}
