--- a/batch/demand.go
+++ b/batch/demand.go
@@ -11,28 +11,6 @@
 // Priorities of priorityLevels-1 and above share the last level.
 const priorityLevels = catalog.Ranks
 
-// levelTTL is how long after its last job a priority level counts as in use. Most of them never are.
-const levelTTL = 10 * cicadapitch.Second
-
-// LevelInUse returns the first priority level from the given one on that jobs have used lately, or the given one
-// if there is none.
-func (p *Planner) LevelInUse(now cicadapitch.Instant, level int) int {
-	for l := level; l < priorityLevels; l++ {
-		if at := p.levelUsedAt[l]; at > 0 && now.Sub(at) < levelTTL {
-			return l
-		}
-	}
-	return level
-}
-
-// nextLevel returns the next priority level that is in use, or the one that follows the given one.
-func (p *Planner) nextLevel(now cicadapitch.Instant, level int) int {
-	if level+1 >= priorityLevels {
-		return priorityLevels
-	}
-	return p.LevelInUse(now, level+1)
-}
-
 // demandTimeConstant is the time constant with which the measured arrival rate
 // decays, the duration of a few calls.
 const demandTimeConstant cicadapitch.Millis = 1200
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -156,7 +156,7 @@
 	done := make(chan batch.Outcome, 1)
 	r.submit(now, batch.Job{
 		ID: id, Request: c.Request, Stage: c.Stage, Pieces: c.Pieces, Key: c.Key, Inputs: c.Inputs,
-		InputShards: c.InputShards, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Retried: c.Returned && !c.Resumed, Resumed: c.Resumed, OwnerUnreachable: c.StandIn,
+		InputShards: c.InputShards, Zone: c.Zone, MoveBytes: c.MoveBytes, ResultBytes: c.ResultBytes, Priority: c.Priority, Retried: c.Returned && !c.Resumed, Resumed: c.Resumed, Customer: c.Customer, OwnerUnreachable: c.StandIn,
 		DueAt: now.Add(c.DueIn), ExpiresAt: now.Add(c.ExpireIn),
 	}, done)
 	select {
@@ -222,7 +222,7 @@
 		if !r.planner.Idle() {
 			w := make(QueueWaits, reportedPriorities, reportedPriorities+1)
 			for p := range w {
-				w[p] = r.planner.EstimateWait(now, r.planner.LevelInUse(now, p))
+				w[p] = r.planner.EstimateWait(now, p)
 			}
 			w = append(w, r.planner.EstimateLateWait(now))
 			out[shard.Key()] = w
@@ -297,6 +297,9 @@
 	r.planner.SetRateLimits(r.shards.limits.Of)
 	r.limitVersion(now)
 	calls, outcomes, toFree, delay := r.planner.Plan(now)
+	for cause, work := range r.planner.TakeWaste() {
+		r.shards.metrics.Tagged(map[string]string{"Service": r.shard.Key(), "Cause": cause.String()}).Counter("StageWasteMs").Inc(int64(work))
+	}
 	for _, out := range outcomes {
 		if ch := r.waiters[out.Job]; ch != nil {
 			ch <- out
--- a/gateway/stagerun.go
+++ b/gateway/stagerun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/samber/lo"
@@ -64,6 +65,7 @@
 		outcome := <-outcomes
 		running--
 		if outcome.err != nil {
+			held.countUnused(unusedCause(ctx, outcome.err))
 			cancel()
 			held.freeAll()
 			go held.freeLateResults(outcomes, running)
@@ -87,6 +89,20 @@
 	return out, nil
 }
 
+// unusedCause says why the stage results of a request are of no use after err.
+func unusedCause(ctx context.Context, err error) string {
+	var refusal stageRefusal
+	switch {
+	case errors.Is(err, errInputLost):
+		return "InputLost"
+	case errors.As(err, &refusal):
+		return "StageRefused"
+	case ctx.Err() != nil:
+		return "RequestEnded"
+	}
+	return "Failed"
+}
+
 // pieceCounts returns the number of pieces of each stage of the route.
 func (p *proxiedRequest) pieceCounts() []int {
 	pieces := p.request.Pieces
@@ -207,7 +223,7 @@
 	}
 	c := StageCall{
 		Request: p.request.ID, Stage: stage, Pieces: pieces[stage],
-		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.rank, Returned: args.refusedBefore, Resumed: p.resumed(),
+		Zone: zone, ResultBytes: s.ResultBytes, Priority: p.rank, Returned: args.refusedBefore, Resumed: p.resumed(), Customer: p.customer,
 		DueIn:    p.due.Sub(now) - downstream - firstEvent,
 		ExpireIn: p.abandonAt.Sub(now) - lateDownstream - firstEvent,
 	}
@@ -312,6 +328,10 @@
 	return w[min(p.rank, len(w)-2)]
 }
 
+// lateWaitFactor is the wait of late work that keeps its place in its priority level, as a multiple of that of work
+// on time there. Owners report only the latter.
+const lateWaitFactor = 2
+
 // reportedLateWait is reportedWait for a request that is going to miss its latency objective by the given
 // time, so that the later stages queue it as late work.
 func (p *proxiedRequest) reportedLateWait(waits map[string]QueueWaits, late cicadapitch.Millis) func(batch.Shard) cicadapitch.Millis {
@@ -321,8 +341,7 @@
 			return 0
 		}
 		if late <= batch.Grace(p.due, p.abandonAt) {
-			// The jobs on time of the next level precede it.
-			return w[min(p.rank+1, len(w)-1)]
+			return min(lateWaitFactor*p.waitForPriority(waits, s), w[len(w)-1])
 		}
 		return w[len(w)-1]
 	}
