platform, batch, gateway: stage calls are planned by the lasting pace of endpoints

Answers may carry Cicadapitch-Server-Load: running, waiting, slots and how long work takes at the moment in percent of normal. Numbers out of range make the whole header unknown. The planner averages the last figure over ten answers, since it changes many times a second. Calls are expected, and hedged, by that pace; a job that would take most of its time at a slower endpoint is left to the faster ones if it ends earlier there. Without the header nothing changes.

--- a/batch/chain_test.go
+++ b/batch/chain_test.go
@@ -53,6 +53,8 @@
 	// slowShare is the share of endpoints at half speed, noiseShare the share of the time in which an
 	// endpoint takes noiseFactor times as long.
 	slowShare, noiseShare, noiseFactor float64
+	// namesPace makes the endpoints name how long work takes at the moment.
+	namesPace bool
 	// before makes the hosts and planners decide as before contention was known.
 	before bool
 	// hedgeEverything makes planners hedge as before.
@@ -366,6 +368,9 @@
 			}
 		}
 		s.changed[stage] = true
+		if s.load.namesPace {
+			s.planners[stage].RecordPace(end, c.Endpoint.ID, speed*noise)
+		}
 		s.planners[stage].FinishCall(end, c.ID, results, batch.NoFailure)
 	})
 }
--- a/batch/chainreplay_test.go
+++ b/batch/chainreplay_test.go
@@ -120,3 +120,44 @@
 	require.Less(t, before.customers["c1"].servedShare(), 0.9)
 	require.Greater(t, now.worth(), 0.95*before.worth(), "what the small ones gain costs the large one little")
 }
+
+// TestUrgentWorkGetsFastEndpoints replays the noisy burst with endpoints that name how long work takes at the
+// moment. It guards against urgent requests that are late since one of their stages ran at a slow endpoint.
+func TestUrgentWorkGetsFastEndpoints(t *testing.T) {
+	load := noisyChainBurst(5000)
+	load.namesPace = true
+	var with, without chainResult
+	for seed := range uint64(chainSeeds) {
+		with.add(replayChain(load, seed))
+		load.namesPace = false
+		without.add(replayChain(load, seed))
+		load.namesPace = true
+	}
+	t.Logf("without: %s", without)
+	t.Logf("with: %s", with)
+	require.Greater(t, with.worth(), without.worth())
+	require.Greater(t, with.kinds["A"].worthShare(), without.kinds["A"].worthShare())
+	require.Greater(t, with.kinds["C"].worthShare(), without.kinds["C"].worthShare()+0.05)
+	require.Greater(t, with.kinds["B"].servedShare(), 0.9)
+}
+
+// TestCallsAreHedgedByThePaceOfTheirEndpoints guards against calls that are repeated although their endpoint said that
+// work takes longer there. One figure of noise does not change the expected time by much.
+func TestCallsAreHedgedByThePaceOfTheirEndpoints(t *testing.T) {
+	for factor, hedgedAfter := range map[float64]cicadapitch.Millis{1: 753, 2: 1425} {
+		p := planner(2)
+		for range 20 {
+			p.RecordPace(start, "e0", factor)
+			p.RecordPace(start, "e1", factor)
+		}
+		p.RecordPace(start, "e0", factor/2)
+		p.RecordPace(start, "e0", factor*3/2)
+		p.Submit(start, job(1, 8, 3000, 9000))
+		calls, _, _, _ := p.Plan(start)
+		require.Len(t, calls, 1)
+		again, _, _, _ := p.Plan(start.Add(hedgedAfter * 9 / 10))
+		require.Empty(t, again, "pace %g", factor)
+		again, _, _, _ = p.Plan(start.Add(hedgedAfter * 11 / 10))
+		require.Len(t, again, 1, "pace %g", factor)
+	}
+}
--- a/batch/endpoint.go
+++ b/batch/endpoint.go
@@ -53,6 +53,8 @@
 	// and when it ends with results.
 	slowdown   float64
 	slowdownAt cicadapitch.Instant
+	// pace is the lasting pace of the endpoint by its own figures.
+	pace pace
 	// backoff is the length of the last pause after a failed call. The endpoint
 	// gets no call before backoffUntil.
 	backoff      cicadapitch.Millis
@@ -85,8 +87,22 @@
 	return &endpointState{Endpoint: e, calls: map[CallID]*inFlightCall{}, slowdown: 1}
 }
 
-// currentSlowdown returns the slowdown after its decay until now.
+// currentSlowdown returns the factor by which a call is expected to take longer than normal. The endpoint's lasting
+// pace stands for it where it is known, unless calls take so much longer that noise does not explain it.
 func (s *endpointState) currentSlowdown(now cicadapitch.Instant) float64 {
+	slowdown := s.measuredSlowdown(now)
+	factor, ok := s.pace.known(now)
+	if !ok {
+		return slowdown
+	}
+	if slowdown < busyThreshold {
+		slowdown = 1
+	}
+	return factor * slowdown
+}
+
+// measuredSlowdown returns the slowdown after its decay until now.
+func (s *endpointState) measuredSlowdown(now cicadapitch.Instant) float64 {
 	idle := float64(now.Sub(s.slowdownAt)) / float64(slowdownTimeConstant)
 	return 1 + (s.slowdown-1)*math.Exp(-max(idle, 0))
 }
@@ -94,7 +110,7 @@
 // recordSlowdown adds the ratio of actual to expected time of an ended call.
 func (s *endpointState) recordSlowdown(now cicadapitch.Instant, ratio float64) {
 	const weight = 0.5
-	s.slowdown = (1-weight)*s.currentSlowdown(now) + weight*max(ratio, 1)
+	s.slowdown = (1-weight)*s.measuredSlowdown(now) + weight*max(ratio, 1)
 	s.slowdownAt = now
 }
 
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -43,13 +43,19 @@
 	free := p.freeMemory(s)
 	slowdown := s.currentSlowdown(now)
 	share := min(p.spec.MaxPieces, (resumedPieces(jobs)+idle-1)/idle)
+	fasterRate, leastPace := p.fasterRate(now, s)
+	ahead := 0
 	for _, job := range jobs {
+		ahead += len(job.queued)
 		if len(refs) == p.spec.MaxPieces || len(refs) > 0 && refs[0].Job.Resumed && (!job.Resumed || len(refs) >= share) {
 			break
 		}
 		end := now.Add(cicadapitch.Millis(float64(p.ExpectedDuration(len(refs)+len(job.queued))) * slowdown))
+		if !job.Resumed && p.endsEarlierElsewhere(now, end, job, ahead, fasterRate, leastPace) {
+			continue
+		}
 		// A slow endpoint gets no job that would become late there.
-		if slowdown >= slowThreshold && end > job.DueAt && !p.missesObjective(now, job) {
+		if fasterRate == 0 && slowdown >= slowThreshold && end > job.DueAt && !p.missesObjective(now, job) {
 			continue
 		}
 		// A large transfer waits for an endpoint in its own zone.
@@ -127,13 +133,13 @@
 func (p *Planner) startCall(now cicadapitch.Instant, s *endpointState, refs []PieceRef) Call {
 	p.lastCallID++
 	p.lastCallStart = now
-	c := Call{ID: p.lastCallID, Endpoint: s.Endpoint, Pieces: refs, ExpectedDuration: p.ExpectedDuration(len(refs)), Queued: p.queuedPieces(), RoomUsed: s.resultMemoryUsed}
+	c := Call{ID: p.lastCallID, Endpoint: s.Endpoint, Pieces: refs, ExpectedDuration: cicadapitch.Millis(float64(p.ExpectedDuration(len(refs))) * s.expectedPace(now)), Queued: p.queuedPieces(), RoomUsed: s.resultMemoryUsed}
 	for _, ref := range refs {
 		s.resultMemoryUsed += ref.Job.ResultBytes
 		p.shares.Charge(now, ref.Job.Customer, float64(c.ExpectedDuration)/float64(len(refs)))
 	}
 	s.lastStart = now
-	s.slowdown, s.slowdownAt = s.currentSlowdown(now), now
+	s.slowdown, s.slowdownAt = s.measuredSlowdown(now), now
 	s.calls[c.ID] = &inFlightCall{Call: c, started: now, slowdown: s.slowdown}
 	p.calls[c.ID] = s
 	return c
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "cicadapitch.example/cicadapitch"
+import (
+	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
+)
 
 // CallTimes is callTimes for tests.
 type CallTimes struct{ times *callTimes }
@@ -23,3 +26,11 @@
 
 // CheckStageCall is StageCall.check.
 func CheckStageCall(c StageCall) error { return c.check() }
+
+// ExpectedPace is the pace of an endpoint at the planner of a shard of g.
+func ExpectedPace(g *Gateway, s batch.Shard, id cicadapitch.EndpointID) float64 {
+	r := g.shards.runner(s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.ExpectedPace(g.clock.Now(), id)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,7 +156,7 @@
 	g.paths = relay.NewTable(g.logPath)
 	g.relayDialer = relay.NewDialer(s.Host, g.dial, g.paths, relayFleet{g}, g.clock, g.log)
 	g.relays = relay.NewServer(g.dial, g.paths, g.clock, g.log)
-	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit),
+	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit), platform.WithServerLoads(g.recordServerLoad),
 		platform.WithEndpointDial(g.relayDialer.DialContext), platform.WithSendCheck(g.checkSend),
 		platform.WithIdleLimit(g.idleLimit))
 	g.chooser.SetRateLimits(g.limits)
@@ -342,6 +342,16 @@
 	})
 }
 
+// recordServerLoad records what an answer says of its endpoint's load.
+func (g *Gateway) recordServerLoad(e catalog.Endpoint, load platform.ServerLoad) {
+	if !load.Known {
+		g.metrics.Counter("InvalidServerLoads").Inc(1)
+		g.log.Debug().Str("Endpoint", string(e.ID)).Str("Load", load.Invalid).Msg("invalid load of an endpoint ignored")
+		return
+	}
+	g.shards.recordPace(e, float64(load.Pace)/100)
+}
+
 // logRateLimit logs a change of an endpoint's rate limit.
 func (g *Gateway) logRateLimit(id cicadapitch.EndpointID, limit placement.RateLimit) {
 	g.log.Info().Str("Endpoint", string(id)).Bool("Leaving", limit.Leaving).Bool("Limited", limit.Limited).
--- a/gateway/peerstop_test.go
+++ b/gateway/peerstop_test.go
@@ -92,6 +92,21 @@
 	require.Less(t, time.Since(start), time.Second)
 }
 
+// TestLoadOfAStageEndpointReachesItsPlanner guards against a header whose figures are dropped between the connection and
+// the planner. Numbers out of range change nothing.
+func TestLoadOfAStageEndpointReachesItsPlanner(t *testing.T) {
+	o := newStageOwner(t)
+	for _, c := range []struct {
+		load string
+		pace float64
+	}{{"", 1}, {"1,0,1,250", 2.5}, {"1,0,1,0", 2.5}, {"1,0,1,100001", 2.5}, {"1,0,1,150", 2}} {
+		o.endpoint.SetServerLoad(c.load)
+		_, err := o.runStage(t)
+		require.NoError(t, err)
+		require.InDelta(t, c.pace, gateway.ExpectedPace(o.gateway, o.shard, "s1"), 0.001, "load %q", c.load)
+	}
+}
+
 // TestHostThatStopsKeepsToItsShare guards against hosts that stop together, of which each takes itself for
 // the only one that is left and uses the whole of what endpoints allow.
 func TestHostThatStopsKeepsToItsShare(t *testing.T) {
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -226,6 +226,20 @@
 	return out
 }
 
+// recordPace records how long work takes at an endpoint at the moment, as a factor of the normal time.
+func (s *ShardRunners) recordPace(e catalog.Endpoint, factor float64) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for shard, r := range s.runners {
+		if shard.Contains(e) {
+			r.mu.Lock()
+			r.planner.RecordPace(now, e.ID, factor)
+			r.mu.Unlock()
+		}
+	}
+}
+
 // setView applies the endpoints and the batch settings of a view to the planner.
 func (r *shardRunner) setView(v *fleet.View) {
 	r.mu.Lock()
