--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/batch"
 	"cicadapitch.example/cicadapitch/canary"
 	"cicadapitch.example/cicadapitch/catalog"
 	"cicadapitch.example/cicadapitch/fleet"
@@ -115,4 +116,11 @@
 // LoadShare is loadShare.
 func LoadShare(now cicadapitch.Instant, share float64, oldCount int) float64 {
 	return loadShare(now, share, oldCount)
+
+// ExpectedPace is the pace of an endpoint at the planner of a shard of g.
+func ExpectedPace(g *Gateway, s batch.Shard, id cicadapitch.EndpointID) float64 {
+	r := g.shards.runner(s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.ExpectedPace(g.clock.Now(), id)
 }
