--- a/fronthost/rollout_test.go
+++ b/fronthost/rollout_test.go
@@ -181,6 +181,7 @@
 // TestGoodVersionIsCompleted guards against a rollout that misses its deadline, against requests at the old
 // version when it is reported as completed, and against requests that callers lose meanwhile.
 func TestGoodVersionIsCompleted(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 3, withRolloutBounds)
 	d.addEndpoints(3, "plain", "v1")
 	d.addEndpoints(5, "plain", "v2")
@@ -216,6 +217,7 @@
 // TestStreamStaysAtItsVersionDuringARollout breaks streams off, so that they go on at another endpoint or are
 // taken up by their callers, while a rollout moves from one version to the other.
 func TestStreamStaysAtItsVersionDuringARollout(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	d.addEndpoints(3, "engine", "v2")
 	d.abortStreams(2)
@@ -281,6 +283,7 @@
 // TestRolloutGoesOnWithoutItsFirstOwner guards against a rollout that ends with the host that decides it:
 // the first owner refuses connections, and the next one stops later.
 func TestRolloutGoesOnWithoutItsFirstOwner(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 3, withRolloutBounds)
 	d.addEndpoints(3, "plain", "v2")
 	d.registerEndedHosts(1, "rollout/plain")
@@ -305,6 +308,7 @@
 // TestRolloutOutlastsAnOutageOfTheStore guards against a rollout that stays where it was when the store went
 // away.
 func TestRolloutOutlastsAnOutageOfTheStore(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	d.addEndpoints(2, "plain", "v2")
 	time.Sleep(200 * time.Millisecond)
@@ -325,6 +329,7 @@
 // TestWithdrawnAndInvalidOrdersChangeNothing guards against an order that has effects although it is not
 // one, and against one that goes on after it was withdrawn.
 func TestWithdrawnAndInvalidOrdersChangeNothing(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	d.addEndpoints(2, "plain", "v2")
 	time.Sleep(200 * time.Millisecond)
--- a/fronthost/rolloutfailure_test.go
+++ b/fronthost/rolloutfailure_test.go
@@ -76,6 +76,7 @@
 // TestRollbackOutlastsAnOlderCopyOfTheStore guards against a bad version that comes back since the store did
 // not know any more that it was rolled back.
 func TestRollbackOutlastsAnOlderCopyOfTheStore(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	isNew := d.addEndpoints(2, "plain", "v2")
 	for _, e := range isNew {
@@ -115,6 +116,7 @@
 
 // TestRepeatedOrderStartsAnew repeats the order of a version that was rolled back and has been mended since.
 func TestRepeatedOrderStartsAnew(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	isNew := d.addEndpoints(2, "plain", "v2")
 	for _, e := range isNew {
@@ -135,6 +137,7 @@
 
 // TestOrderOfAVersionWithoutEndpointsChangesNothing guards against requests that find no endpoint.
 func TestOrderOfAVersionWithoutEndpointsChangesNothing(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	l := d.plainLoad(20 * time.Millisecond)
 	d.store.OrderRollout("plain", "v9", 3)
@@ -150,6 +153,7 @@
 // TestStreamsEndBeforeTheStatus guards against streams that the end of the old endpoints cuts: some last for
 // seconds.
 func TestStreamsEndBeforeTheStatus(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	d.addEndpoints(3, "engine", "v2")
 	for _, e := range d.ofVersion("engine", "v9", false) {
@@ -221,6 +225,7 @@
 
 // TestHostsReportOnlyWithAnOrder counts the writes to the store: none without an order, few with one.
 func TestHostsReportOnlyWithAnOrder(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t, 2, withRolloutBounds)
 	d.addEndpoints(2, "plain", "v2")
 	time.Sleep(1500 * time.Millisecond)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -259,8 +259,8 @@
 func (p *proxiedRequest) recordBreak(ctx context.Context, id cicadapitch.EndpointID) {
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
 		p.recordFailure(id, 1)
-		p.recordFailureForRollout(id)
 	}
+	p.recordLossForRollout(ctx, id)
 }
 
 // takeRetry reports whether the request may be sent to one more endpoint, and if so,
@@ -300,9 +300,7 @@
 		if cicadapitch.KindOf(err) != cicadapitch.NotRun {
 			p.attempts++
 			p.mayHaveRun = true
-			if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
-				p.recordFailureForRollout(e.ID)
-			}
+			p.recordLossForRollout(ctx, e.ID)
 		}
 		switch {
 		case ctx.Err() == nil:
--- a/gateway/rolloutrequest.go
+++ b/gateway/rolloutrequest.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 
 	"github.com/samber/lo"
@@ -98,6 +100,15 @@
 	p.endForRollout(id, true)
 }
 
+// recordLossForRollout records that the answer of an endpoint did not come or broke off, unless the attempt was
+// canceled since the caller has left or the host stops. An answer that is not there by the caller's deadline
+// is a failure: a version may hang.
+func (p *proxiedRequest) recordLossForRollout(ctx context.Context, id cicadapitch.EndpointID) {
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errSilent) || errors.Is(cause, errDeadline) {
+		p.recordFailureForRollout(id)
+	}
+}
+
 func (p *proxiedRequest) endForRollout(id cicadapitch.EndpointID, failed bool) {
 	if r := p.g.rollouts.of(p.service.Name); r != nil {
 		r.end(p.g.clock.Now(), callKey{p, id}, failed)
