--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -116,6 +116,7 @@
 // LoadShare is loadShare.
 func LoadShare(now cicadapitch.Instant, share float64, oldCount int) float64 {
 	return loadShare(now, share, oldCount)
+}
 
 // ExpectedPace is the pace of an endpoint at the planner of a shard of g.
 func ExpectedPace(g *Gateway, s batch.Shard, id cicadapitch.EndpointID) float64 {
