--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -361,12 +361,13 @@
 
 // recordServerLoad records what an answer says of its endpoint's load.
 func (g *Gateway) recordServerLoad(e catalog.Endpoint, load platform.ServerLoad) {
-	if !load.Known {
+	switch {
+	case load.Invalid != "":
 		g.metrics.Counter("InvalidServerLoads").Inc(1)
 		g.log.Debug().Str("Endpoint", string(e.ID)).Str("Load", load.Invalid).Msg("invalid load of an endpoint ignored")
-		return
+	case load.Known:
+		g.shards.recordPace(e, float64(load.Pace)/100)
 	}
-	g.shards.recordPace(e, float64(load.Pace)/100)
 }
 
 // logRateLimit logs a change of an endpoint's rate limit.
