--- a/batch/planner.go
+++ b/batch/planner.go
@@ -106,9 +106,15 @@
 	toFree []string
 }
 
+// Option configures a Planner.
+type Option func(*Planner)
+
+// WithoutContention keeps the order of a service without contention at all times.
+func WithoutContention() Option { return func(p *Planner) { p.withoutContention = true } }
+
 // NewPlanner returns a planner without endpoints.
-func NewPlanner(spec catalog.BatchSpec) *Planner {
-	return &Planner{
+func NewPlanner(spec catalog.BatchSpec, opts ...Option) *Planner {
+	p := &Planner{
 		spec:      spec,
 		endpoints: map[cicadapitch.EndpointID]*endpointState{},
 		jobs:      map[JobID]*jobState{},
@@ -118,6 +124,10 @@
 		endedJobs: map[JobID]endedJob{},
 		shares:    NewShares(),
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // SetSpec replaces the specification of the service.
--- a/gateway/shardrunner.go
+++ b/gateway/shardrunner.go
@@ -126,8 +126,9 @@
 	if spec == nil || spec.Batch == nil {
 		return nil
 	}
+	// The order under contention made an earlier deployment worse; see docs/design/stages.md.
 	r := &shardRunner{
-		shards: s, shard: shard, planner: batch.NewPlanner(*spec.Batch),
+		shards: s, shard: shard, planner: batch.NewPlanner(*spec.Batch, batch.WithoutContention()),
 		waiters:     map[batch.JobID]chan batch.Outcome{},
 		pendingFree: map[cicadapitch.EndpointID][]string{},
 		freedAt:     map[cicadapitch.EndpointID]cicadapitch.Instant{},
