--- a/review/bed/deployment.go
+++ b/review/bed/deployment.go
@@ -33,6 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return b.DeployBefore(store, size, service, config, prepare)
+}
+
+// DeployBefore is Deploy before a store that was started already.
+func (b *Bed) DeployBefore(store *Store, size Size, service string, config []byte, prepare func(*Replica)) (*Deployment, error) {
+	var err error
 	d := &Deployment{Store: store, bed: b, service: service, prepare: prepare}
 	store.Set("op/config", config)
 	for range size.Replicas {
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -1,8 +1,10 @@
 package bed
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +28,43 @@
 	mu sync.Mutex
 	// silent is open while the store answers nothing, or nil.
 	silent chan struct{}
+	// lost are the writes whose answers are lost.
+	lost lostWrites
+}
+
+// lostWrites says which writes are done late and not answered: the next n whose body contains a text.
+type lostWrites struct {
+	n    int
+	text string
+	late time.Duration
+}
+
+// LoseAnswers makes the store answer the next n writes whose body contains a text not at all, and do them late.
+func (s *Store) LoseAnswers(n int, text string, late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = lostWrites{n, text, late}
+}
+
+// loses reports whether the answer to a write is lost, and after which time the write is done.
+func (s *Store) loses(body []byte) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost.n == 0 || !bytes.Contains(body, []byte(s.lost.text)) {
+		return 0, false
+	}
+	s.lost.n--
+	return s.lost.late, true
+}
+
+// doLate does a write after a time.
+func (s *Store) doLate(r *http.Request, body []byte, late time.Duration) {
+	time.Sleep(late)
+	again := r.Clone(context.Background())
+	again.Body = io.NopCloser(bytes.NewReader(body))
+	answer := httptest.NewRecorder()
+	s.inner.ServeHTTP(answer, again)
+	s.bed.Log("store: a write whose answer was lost is done %d ms late, status %d: %.120s", late.Milliseconds(), answer.Code, body)
 }
 
 // NewStore starts an empty store.
@@ -49,6 +88,16 @@
 
 // ServeHTTP implements http.Handler. A channel on which an answer is due while the store is down returns nothing.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if late, ok := s.loses(body); ok {
+		go s.doLate(r, body, late)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	answer := httptest.NewRecorder()
 	if s.gate() == nil {
 		s.inner.ServeHTTP(answer, r)
