--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -107,7 +107,7 @@
 
 func (r *Replica) serveHTTP(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
-	version, born := r.version, r.born
+	version, born, handle, arrived := r.version, r.born, r.Handle, r.OnArrival
 	r.mu.Unlock()
 	w.Header().Set("Cicadapitch-Instance-Id", r.ID)
 	switch want := req.Header.Get("Cicadapitch-Target-Instance"); {
@@ -122,11 +122,11 @@
 		return
 	}
 	id := req.Header.Get("Cicadapitch-Request-Id")
-	if r.OnArrival != nil {
-		r.OnArrival(id, time.Now())
+	if arrived != nil {
+		arrived(id, time.Now())
 	}
 	w.Header().Set("Cicadapitch-Request-Id", id)
-	r.Handle(w, req, version)
+	handle(w, req, version)
 }
 
 // Seal adds the replica's seal to an answer.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/ ./review/cmd/review-inplace ./review/cmd/review-lapse ./review/cmd/review-restore ./review/cmd/review-pause ./review/cmd/review-hidden
+go build -o target/ ./review/cmd/review-inplace ./review/cmd/review-lapse ./review/cmd/review-restore ./review/cmd/review-coldagain ./review/cmd/review-hidden
