internal/answer: net/http clients check the heads of answers too

The store, the host list, other hosts, a relay that is taken over and the engines and services of the product's own daemon are read by net/http, which accepts the same invalid heads: a commit was confirmed, or a call answered, by an answer behind a head with status 000 or in a head with a blank in a name.

Change: answer.Conn puts the same scanner under http.Transport. It finds the ends of the requests that are written, so that it knows where a head is due; TLS, requests in chunks and other protocols pass unchecked.

--- a/administration/client.go
+++ b/administration/client.go
@@ -14,6 +14,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/entry"
+	"cicadapitch.example/cicadapitch/internal/answer"
 	"cicadapitch.example/cicadapitch/order"
 )
 
@@ -39,7 +40,7 @@
 // New returns a client with an operator's key. Hosts are base URLs. The client
 // calls them in the given order, until one answers.
 func New(hosts []string, key string, opts ...Option) *Client {
-	c := &Client{hosts: hosts, key: key, http: &http.Client{Timeout: callTimeout.Duration()}}
+	c := &Client{hosts: hosts, key: key, http: &http.Client{Transport: answer.NewTransport(), Timeout: callTimeout.Duration()}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/internal/answer"
 	"cicadapitch.example/cicadapitch/pipeline"
 )
 
@@ -82,7 +83,7 @@
 func newTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
-	t.DialContext = newDialer().DialContext
+	t.DialContext = answer.CheckDial(newDialer().DialContext)
 	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	return t
 }
--- a/deployment/local.go
+++ b/deployment/local.go
@@ -12,6 +12,7 @@
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/configuration"
 	"cicadapitch.example/cicadapitch/daemon"
+	"cicadapitch.example/cicadapitch/internal/answer"
 	"cicadapitch.example/cicadapitch/platform/platformtest"
 	"cicadapitch.example/cicadapitch/questionnaire"
 	"cicadapitch.example/cicadapitch/settings"
@@ -130,13 +131,16 @@
 	return nil
 }
 
+// readyClient sends the readiness checks.
+var readyClient = &http.Client{Transport: answer.NewTransport()}
+
 // isReady reports whether the readiness check of the host at a base URL succeeds.
 func isReady(ctx context.Context, url string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", http.NoBody)
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := readyClient.Do(req)
 	if err != nil {
 		return false
 	}
--- a/driver/transport.go
+++ b/driver/transport.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/internal/answer"
 )
 
 const (
@@ -58,7 +59,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: c}, nil
+			return &sealableConn{Conn: answer.NewConn(c)}, nil
 		},
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/answer/fields.go
+++ b/internal/answer/fields.go
@@ -6,6 +6,7 @@
 const (
 	nameLength   = "content-length"
 	nameEncoding = "transfer-encoding"
+	nameUpgrade  = "upgrade"
 	longestName  = len(nameEncoding)
 )
 
@@ -29,8 +30,10 @@
 	// name holds the first bytes of the current name, nameLen its length.
 	name    [longestName]byte
 	nameLen int
-	// hasLength and hasEncoding are true after the fields of these names.
-	hasLength, hasEncoding bool
+	// hasLength, hasEncoding and hasUpgrade are true after the fields of these names. length is the value of a single
+	// valid Content-Length.
+	hasLength, hasEncoding, hasUpgrade bool
+	length                             int64
 }
 
 // step reads one byte. The error says why the head is invalid.
@@ -59,6 +62,9 @@
 	if c < ' ' && c != '\t' || c == 0x7f {
 		return invalid("a value holds %#02x", c)
 	}
+	if f.at == inValue && '0' <= c && c <= '9' && f.named(nameLength) {
+		f.length = 10*f.length + int64(c-'0')
+	}
 	return nil
 }
 
@@ -71,6 +77,7 @@
 		f.at = inValue
 		f.hasLength = f.hasLength || f.named(nameLength)
 		f.hasEncoding = f.hasEncoding || f.named(nameEncoding)
+		f.hasUpgrade = f.hasUpgrade || f.named(nameUpgrade)
 		return nil
 	case !isTokenByte(c):
 		return invalid("the name of a field holds %#02x", c)
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -8,6 +8,7 @@
 	"github.com/coder/websocket"
 
 	"cicadapitch.example/cicadapitch"
+	"cicadapitch.example/cicadapitch/internal/answer"
 )
 
 // Dialer makes calls to other hosts. All calls to an address share one
@@ -44,7 +45,7 @@
 	o := newOptions(opts)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	transport := &http.Transport{
-		DialContext:       o.dialContext,
+		DialContext:       answer.CheckDial(o.dialContext),
 		DisableKeepAlives: true,
 	}
 	return &Dialer{
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -15,6 +15,7 @@
 
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/fleet"
+	"cicadapitch.example/cicadapitch/internal/answer"
 	"cicadapitch.example/cicadapitch/peer"
 	"cicadapitch.example/cicadapitch/platform"
 )
@@ -241,11 +242,12 @@
 	}
 	r.Header.Set("Connection", "Upgrade")
 	r.Header.Set("Upgrade", "relay")
-	if err := r.Write(c); err != nil {
+	checked := answer.NewConn(c)
+	if err := r.Write(checked); err != nil {
 		return cicadapitch.Wrap(err)
 	}
 	// What follows the header is the endpoint's and must stay in c.
-	resp, err := http.ReadResponse(bufio.NewReader(byteReader{c}), r)
+	resp, err := http.ReadResponse(bufio.NewReader(byteReader{checked}), r)
 	if err != nil {
 		return cicadapitch.Wrap(err)
 	}
