--- a/internal/answer/conn_test.go
+++ b/internal/answer/conn_test.go
@@ -138,3 +138,93 @@
 	require.NoError(t, err)
 	require.Equal(t, want, string(b))
 }
+
+// early is an answer without length or chunks that a server sends before it has read the request.
+type early struct {
+	// delay is the time until what follows: a reset, an orderly end with a reset later, or the reading of the request.
+	delay               time.Duration
+	ends, resets, reads bool
+}
+
+// send sends the answer.
+func (e early) send(c *net.TCPConn, r *http.Request) {
+	io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+	time.Sleep(e.delay)
+	if e.ends {
+		c.CloseWrite()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if e.reads {
+		io.Copy(io.Discard, r.Body)
+	}
+	if e.resets {
+		c.SetLinger(0)
+	}
+}
+
+// TestEndOfAnAnswerToAnUnreadRequest guards against a part of an answer that is taken for the whole, and against whole
+// ones that are refused.
+func TestEndOfAnAnswerToAnUnreadRequest(t *testing.T) {
+	upload := strings.Repeat("x", 16<<20)
+	for name, c := range map[string]struct {
+		early
+		whole bool
+	}{
+		"reset at once":          {early{resets: true}, false},
+		"reset after 1 ms":       {early{delay: time.Millisecond, resets: true}, false},
+		"reset after 30 ms":      {early{delay: 30 * time.Millisecond, resets: true}, false},
+		"reset after the end":    {early{ends: true, resets: true}, false},
+		"ended, then read":       {early{ends: true, reads: true}, true},
+		"read, then ended":       {early{reads: true}, true},
+		"read later, then ended": {early{delay: 30 * time.Millisecond, reads: true}, true},
+		"ended later, then read": {early{delay: 30 * time.Millisecond, ends: true, reads: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := startServer(t, func(conn *net.TCPConn, r *http.Request) bool {
+				c.send(conn, r)
+				return false
+			})
+			client, whole := newClient(t), 0
+			const runs = 20
+			for range runs {
+				r, err := client.Post(url, "text/plain", strings.NewReader(upload))
+				if err != nil {
+					continue
+				}
+				b, err := io.ReadAll(r.Body)
+				r.Body.Close()
+				if err == nil {
+					require.Equal(t, "part", string(b))
+					whole++
+				}
+			}
+			if c.whole {
+				require.Equal(t, runs, whole, "sound answers")
+			} else {
+				require.Zero(t, whole, "of %d answers that broke off look whole", runs)
+			}
+		})
+	}
+}
+
+// TestUnreadRequestDoesNotKeepAClientWaiting covers a server that ends its answer and never reads the request: the call
+// ends with its context.
+func TestUnreadRequestDoesNotKeepAClientWaiting(t *testing.T) {
+	stop := make(chan struct{})
+	defer close(stop)
+	url := startServer(t, func(c *net.TCPConn, r *http.Request) bool {
+		early{ends: true}.send(c, r)
+		<-stop
+		return false
+	})
+	client := newClient(t)
+	client.Timeout = 300 * time.Millisecond
+	start := time.Now()
+	r, err := client.Post(url, "text/plain", strings.NewReader(strings.Repeat("x", 16<<20)))
+	if err == nil {
+		_, err = io.ReadAll(r.Body)
+		r.Body.Close()
+	}
+	require.Error(t, err)
+	require.Less(t, time.Since(start), 2*time.Second)
+}
