--- a/internal/answer/fields.go
+++ b/internal/answer/fields.go
@@ -120,8 +120,8 @@
 	return false
 }
 
-// IsName reports whether s may be the name of a field.
-func IsName(s string) bool {
+// isName reports whether s may be the name of a field.
+func isName(s string) bool {
 	for i := range len(s) {
 		if !isTokenByte(s[i]) {
 			return false
