gateway, platform: refused answers are logged with the reason and counted

An operator could not tell why an answer was not passed on: the error of a head stood in the line of the call, that of an end nowhere if another endpoint served the request, and no metric counted either.

Change: EndpointClient reports each answer that the checks refuse, once, unless the call had been ended; a host writes the line answer refused with the request, the endpoint, the fault and the reason, and counts AnswersRefused by service and fault.

Seen: TestRefusedAnswersAreLoggedAndCounted (a head, the end of a plain answer, that of a stream, a stage call) passes with the race detector; before there was neither line nor counter to look for.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,7 +171,7 @@
 	g.relays = relay.NewServer(g.dial, g.paths, g.clock, g.log)
 	g.endpoints = platform.NewEndpointClient(platform.WithRateLimits(g.recordRateLimit), platform.WithServerLoads(g.recordServerLoad),
 		platform.WithEndpointDial(g.relayDialer.DialContext), platform.WithSendCheck(g.checkSend),
-		platform.WithIdleLimit(g.idleLimit), platform.WithMaxUnread(s.MaxUnread()))
+		platform.WithIdleLimit(g.idleLimit), platform.WithMaxUnread(s.MaxUnread()), platform.WithRefusedAnswers(g.recordRefusedAnswer))
 	g.chooser.SetRateLimits(g.limits)
 	g.limits.OnChange(g.logRateLimit)
 	g.quarantine.OnChange(g.logQuarantine)
