--- a/internal/answer/fields.go
+++ b/internal/answer/fields.go
@@ -21,8 +21,8 @@
 	afterHead
 )
 
-// fields reads the lines of a head that follow the first one. The zero value is at the start of the first line, which
-// the user of fields reads.
+// fields reads a head line by line. Of the first line, at whose start the zero value is, it checks only that it holds
+// no control bytes.
 type fields struct {
 	at position
 	// afterCR is true if the last byte was a CR.
