--- a/fronthost/earlyanswer_test.go
+++ b/fronthost/earlyanswer_test.go
@@ -28,16 +28,12 @@
 // sendUpload sends a long request to host 0 and returns its id, the status of the answer and its body. The error is
 // that of reading the body.
 func (d *deployment) sendUpload(path string) (id string, status int, body string, err error) {
-	id = newID()
-	req := d.newRequest(0, "POST", path, id)
-	if path != "/look/a" && path != "/book/a" {
-		req = d.newStreamRequest(0, path, id, "0,0")
-	}
+	req := d.requestTo(path)
 	req.Body = strings.NewReader(strings.Repeat("x", uploadBytes))
 	r := d.send(req)
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
-	return id, r.StatusCode, string(b), err
+	return req.ID, r.StatusCode, string(b), err
 }
 
 // earlyBodies are the bodies of early answers by path: events where the route is one of streams.
@@ -48,10 +44,21 @@
 	"/plan/a":   "id: 1\nevent: v1\ndata: part 1\n\n",
 }
 
+// isStreamPath reports whether the route of a path is one of streams.
+func isStreamPath(path string) bool { return strings.HasPrefix(earlyBodies[path], "id:") }
+
+// requestTo returns a request to host 0 of the kind that a path stands for.
+func (d *deployment) requestTo(path string) platformtest.CallerRequest {
+	if isStreamPath(path) {
+		return d.newStreamRequest(0, path, newID(), "0,0")
+	}
+	return d.newRequest(0, "POST", path, newID())
+}
+
 // setEarlyAnswers makes all endpoints answer requests on a path early.
 func (d *deployment) setEarlyAnswers(path string, a platformtest.EarlyAnswer) {
 	a.Body = earlyBodies[path]
-	if strings.HasPrefix(a.Body, "id:") {
+	if isStreamPath(path) {
 		a.Header = http.Header{"Content-Type": {"text/event-stream"}}
 	}
 	for _, e := range d.endpoints {
--- a/fronthost/invalidhead_test.go
+++ b/fronthost/invalidhead_test.go
@@ -1,7 +1,6 @@
 package fronthost_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -26,22 +25,10 @@
 
 // rawAnswer returns an answer, a stream of one event where the path is that of streams, whose head begins with first.
 func rawAnswer(path, first string) func(id string) string {
-	return func(id string) string {
-		body := earlyBodies[path]
-		head := first
-		if strings.HasPrefix(body, "id:") {
-			head += "Content-Type: text/event-stream\r\n"
-		}
-		return fmt.Sprintf("%sCicadapitch-Request-Id: %s\r\nCicadapitch-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(body), body)
+	if isStreamPath(path) {
+		first += "Content-Type: text/event-stream\r\n"
 	}
-}
-
-// requestTo returns a request to host 0 of the kind that a path stands for.
-func (d *deployment) requestTo(path string) platformtest.CallerRequest {
-	if strings.HasPrefix(earlyBodies[path], "id:") {
-		return d.newStreamRequest(0, path, newID(), "0,0")
-	}
-	return d.newRequest(0, "POST", path, newID())
+	return platformtest.AnswerWithHead(first, earlyBodies[path])
 }
 
 // TestAnswerWithAnInvalidHeadIsNotPassedOn guards against callers who get an answer that was read from an invalid head.
@@ -61,7 +48,7 @@
 				r.Body.Close()
 				assert.NoError(t, err, name)
 				assert.Equal(t, http.StatusBadGateway, r.StatusCode, "%s: %q %q", name, r.Header, body)
-				assert.Empty(t, r.Header.Get("Cicadapitch-Response-Seal"), name)
+				assert.False(t, platformtest.HasSignature(r), name)
 				if path == "/book/a" || path == "/plan/a" {
 					assert.Equal(t, 1, d.runCount(req.ID), name)
 				}
