review: case 12, a shared part is quarantined in place of the bad one before it

Requests with a part of a prompt that crashes replicas come 10 times a second for 8 s, beside sound ones that share the part after it.

--- a/review/bed-3/replica.go
+++ b/review/bed-3/replica.go
@@ -37,7 +37,10 @@
 	sequence int
 	state    string
 	born     int64
-	stopped  chan struct{}
+	conns    map[*net.TCPConn]bool
+	// down is true while there is no process of the replica.
+	down    bool
+	stopped chan struct{}
 }
 
 // AddReplica starts a replica that answers with serve.
@@ -48,15 +51,23 @@
 	}
 	r := &Replica{
 		ID: id, Service: service, Zone: zone, Version: version, Address: l.Addr().String(),
-		bed: b, serve: serve, listener: l, state: "ready", born: time.Now().UnixMilli(), stopped: make(chan struct{}),
+		bed: b, serve: serve, listener: l, state: "ready", born: time.Now().UnixMilli(), stopped: make(chan struct{}), conns: map[*net.TCPConn]bool{},
 	}
-	b.onStop(func() { close(r.stopped); _ = l.Close() })
-	go r.accept()
+	b.onStop(r.stop)
+	go r.accept(l)
 	r.checkIn()
 	go r.keepCheckingIn()
 	return r, nil
 }
 
+// stop ends the replica for good.
+func (r *Replica) stop() {
+	close(r.stopped)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.listener.Close()
+}
+
 // SetState changes the state in the replica's entry.
 func (r *Replica) SetState(state string) {
 	r.mu.Lock()
@@ -69,6 +80,9 @@
 func (r *Replica) checkIn() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.down {
+		return
+	}
 	r.sequence++
 	r.bed.Store.Set(platformtest.EndpointKey(r.ID), map[string]any{
 		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.Version, "slots": 64, "state": r.state,
@@ -87,9 +101,9 @@
 	}
 }
 
-func (r *Replica) accept() {
+func (r *Replica) accept(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -99,7 +113,15 @@
 
 // serveConn answers the requests of a connection.
 func (r *Replica) serveConn(c *net.TCPConn) {
-	defer func() { _ = c.Close() }()
+	r.mu.Lock()
+	r.conns[c] = true
+	r.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, c)
+	}()
 	for reader := bufio.NewReaderSize(c, 4096); ; {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
@@ -127,3 +149,33 @@
 	_, err := fmt.Fprintf(x.Conn, "%x\r\n%s\r\n", len(b), b)
 	return err
 }
+
+// Crash ends all channels of the replica with resets. Its process is back after a time, under the same id and address.
+func (r *Replica) Crash(down time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return
+	}
+	r.down = true
+	_ = r.listener.Close()
+	for c := range r.conns {
+		_ = c.SetLinger(0) // the close that follows is a reset
+		_ = c.Close()
+	}
+	time.AfterFunc(down, r.restart)
+}
+
+// restart starts another process of the replica.
+func (r *Replica) restart() {
+	l, err := net.Listen("tcp", r.Address)
+	if err != nil {
+		r.bed.Record("replica %s does not start again: %v", r.ID, err)
+		return
+	}
+	r.mu.Lock()
+	r.listener, r.down, r.born = l, false, time.Now().UnixMilli()
+	r.mu.Unlock()
+	go r.accept(l)
+	r.checkIn()
+}
