--- a/review/cmd-3/badpart/main.go
+++ b/review/cmd-3/badpart/main.go
@@ -1,5 +1,5 @@
 // Command badpart sends requests with a part of a prompt that crashes replicas, beside sound requests that share the
-// caller and the other parts. The bad part comes before the shared one.
+// caller and the other parts. The bad part stands between two that all requests share.
 package main
 
 import (
@@ -109,7 +109,7 @@
 	if x.WriteHead("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") != nil {
 		return false
 	}
-	if p.bed.Trouble && strings.HasPrefix(x.Request.Header.Get("Cicadapitch-Prompt-Prefix"), "badd:") {
+	if p.bed.Trouble && strings.Contains(x.Request.Header.Get("Cicadapitch-Prompt-Prefix"), ",badd:") {
 		p.mu.Lock()
 		p.crashes = append(p.crashes, time.Now())
 		n := len(p.crashes)
@@ -130,7 +130,7 @@
 // sendSound sends a request about one of five documents.
 func (p *play) sendSound(i int) {
 	id, at := bed3.NewID(), time.Now()
-	status, reason, err := p.request(i, id, fmt.Sprintf("doc%d:400,tmpl:300,%s:50", i%5, id))
+	status, reason, err := p.request(i, id, fmt.Sprintf("sys:900,doc%d:400,tmpl:300,%s:50", i%5, id))
 	p.bed.Record("sound request %s: status %d %s %v", id, status, reason, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -140,7 +140,7 @@
 // sendBad sends a request with the bad part.
 func (p *play) sendBad(i int) {
 	id, at := bed3.NewID(), time.Now()
-	status, _, err := p.request(i, id, fmt.Sprintf("badd:400,tmpl:300,%s:50", id))
+	status, _, err := p.request(i, id, fmt.Sprintf("sys:900,badd:400,tmpl:300,%s:50", id))
 	p.bed.Record("bad request %s: status %d %v", id, status, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -154,7 +154,7 @@
 		return 0, "", err
 	}
 	defer c.Close()
-	headers := "Cicadapitch-Model: m\r\nCicadapitch-Token-Counts: 750,40\r\nCicadapitch-Prompt-Prefix: " + prompt + "\r\n"
+	headers := "Cicadapitch-Model: m\r\nCicadapitch-Token-Counts: 1650,40\r\nCicadapitch-Prompt-Prefix: " + prompt + "\r\n"
 	if err := c.Send(http.MethodPost, "/answer/a", id, deadline, headers, []byte(id)); err != nil {
 		return 0, "", err
 	}
