--- a/review/cmd-3/copyresume/main.go
+++ b/review/cmd-3/copyresume/main.go
@@ -54,15 +54,9 @@
 			}
 		}
 	}
-	for i := range 6 {
-		if _, err := b.AddHost(zones[i%3], b.Store.Address()); err != nil {
-			return false, err
-		}
-	}
-	if err := b.AwaitReady(20 * time.Second); err != nil {
+	if err := startHosts(b, zones); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // contact_ms: the hosts are in touch
 	older := b.Store.Copy()
 	b.Record("the store is copied")
 	silent := make(chan struct{})
@@ -87,7 +81,7 @@
 	}
 	time.Sleep(untilLoss)
 	close(silent)
-	b.Record("the requesters\x27 channels fall silent")
+	b.Record("the requesters' channels fall silent")
 	if b.Trouble && os.Getenv("LOSS") != "0" {
 		b.Record("all machines lose power")
 		for _, h := range b.Hosts {
@@ -100,6 +94,20 @@
 	return judge(b, requesters, began), nil
 }
 
+// startHosts starts six hosts and waits until they are in touch.
+func startHosts(b *bed3.Bed, zones []string) error {
+	for i := range 6 {
+		if _, err := b.AddHost(zones[i%3], b.Store.Address()); err != nil {
+			return err
+		}
+	}
+	if err := b.AwaitReady(20 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(3500 * time.Millisecond) // contact_ms
+	return nil
+}
+
 // judge applies the rule: of streams that are taken up again, at least half the share of new ones that begin goes on.
 func judge(b *bed3.Bed, requesters []*requester, began int) bool {
 	takenUp, wentOn := 0, 0
--- a/review/cmd-3/copyversions/main.go
+++ b/review/cmd-3/copyversions/main.go
@@ -57,15 +57,9 @@
 			return false, err
 		}
 	}
-	for i := range 6 {
-		if _, err := b.AddHost(zones[i%3], b.Store.Address()); err != nil {
-			return false, err
-		}
-	}
-	if err := b.AwaitReady(20 * time.Second); err != nil {
+	if err := startHosts(b, zones); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond) // contact_ms: the hosts are in touch
 	older := b.Store.Copy()
 	b.Record("the store is copied")
 	began := time.Now()
@@ -100,6 +94,20 @@
 	return mixed > allowed, nil
 }
 
+// startHosts starts six hosts and waits until they are in touch.
+func startHosts(b *bed3.Bed, zones []string) error {
+	for i := range 6 {
+		if _, err := b.AddHost(zones[i%3], b.Store.Address()); err != nil {
+			return err
+		}
+	}
+	if err := b.AwaitReady(20 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(3500 * time.Millisecond) // contact_ms
+	return nil
+}
+
 // trouble kills all hosts, and lets the store come back from a copy.
 func trouble(b *bed3.Bed, older standin.StoreCopy) {
 	if b.Trouble && os.Getenv("DRILL") != "0" {
