catalog: customers without keys are not the same as no customers

Cause: the catalog held customers only by their keys, and the gateway asked for no key if there were none, so that an empty set counted as "not configured".

Change: Catalog.KeysRequired keeps the difference from the decoder through changes between hosts; Catalog.Authenticate decides. A change of an earlier build that does not name it and has no key is rejected. A holder whose whole configuration cannot be applied is dropped instead of asked again, so that the store is read. An empty key matches no request. The log line of a configuration names KeysRequired and Keys, the metric ConfigurationKeys counts them.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -16,10 +16,17 @@
 // AddService adds a service.
 func (b *Builder) AddService(s *Service) { b.c.Services[s.Name] = s }
 
-// AddCustomer adds a customer with its API keys.
+// RequireKeys makes requests need an API key, whether or not there are any.
+func (b *Builder) RequireKeys() { b.c.KeysRequired = true }
+
+// AddCustomer adds a customer with its API keys, of which there may be none, and makes requests
+// need a key. An empty key is ignored, since requests without a key would match it.
 func (b *Builder) AddCustomer(c *Customer, keys ...string) {
+	b.RequireKeys()
 	for _, k := range keys {
-		b.customers.set(k, c)
+		if k != "" {
+			b.customers.set(k, c)
+		}
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -19,6 +19,9 @@
 	Version  int64
 	Services map[ServiceID]*Service
 	Limits   Limits
+	// KeysRequired is set if the configuration has customers, even if none of them has an API
+	// key. Requests then need an API key, unless their route is anonymous.
+	KeysRequired bool
 	// customers maps each API key to its customer.
 	customers table[string, *Customer]
 	routes    table[RouteKey, *Route]
@@ -167,9 +170,8 @@
 // Routes returns the number of routes.
 func (c *Catalog) Routes() int { return c.routes.size }
 
-// HasCustomers reports whether any customer has an API key. If so, a request needs
-// an API key unless its route is anonymous.
-func (c *Catalog) HasCustomers() bool { return c.customers.size > 0 }
+// Keys returns the number of API keys.
+func (c *Catalog) Keys() int { return c.customers.size }
 
 // CustomerOf returns the customer with the given API key, or nil.
 func (c *Catalog) CustomerOf(key string) *Customer {
@@ -177,6 +179,17 @@
 	return customer
 }
 
+// Authenticate returns the customer whose request for a route has the given API key, which is
+// empty if there is none. The customer is nil if the route needs no key. ok is false if it
+// needs one and key is not that of a customer.
+func (c *Catalog) Authenticate(r *Route, key string) (customer *Customer, ok bool) {
+	if !c.KeysRequired || r.Anonymous {
+		return nil, true
+	}
+	customer = c.CustomerOf(key)
+	return customer, customer != nil
+}
+
 // Allows reports whether the route leads to a service.
 func (r *Route) Allows(s ServiceID) bool {
 	return slices.ContainsFunc(r.TrafficSplit, func(w WeightedService) bool { return w.Service == s })
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -23,7 +23,11 @@
 	RemovedRoutes   []RouteKey    `cbor:",omitempty"`
 	SetCustomers    []CustomerKey `cbor:",omitempty"`
 	RemovedKeys     []string      `cbor:",omitempty"`
-	// Digest is the checksum of the resulting catalog.
+	// KeysRequired is that of the resulting catalog, or nil if the sender is of an earlier build
+	// that does not tell customers without keys from none.
+	KeysRequired *bool `cbor:",omitempty"`
+	// Digest is the checksum of the resulting catalog. It leaves KeysRequired out, which each
+	// change states in full, since hosts of earlier builds would reject the change.
 	Digest uint64
 }
 
@@ -47,7 +51,7 @@
 	if before == nil {
 		before = empty
 	}
-	c := Change{From: before.Version, To: after.Version, Limits: after.Limits, Digest: after.digest}
+	c := Change{From: before.Version, To: after.Version, Limits: after.Limits, KeysRequired: &after.KeysRequired, Digest: after.digest}
 	for id, s := range after.Services {
 		if old := before.Services[id]; old == nil || !reflect.DeepEqual(old, s) {
 			c.SetServices = append(c.SetServices, s)
@@ -71,7 +75,8 @@
 
 // Apply returns the catalog of version c.To. before, which may be nil, is not modified and
 // shares with the result what did not change. Apply returns a Conflict error if before has
-// another version or the result differs from the catalog that c was made from.
+// another version, the result differs from the catalog that c was made from, or c does not
+// say whether requests need a key.
 func (c *Change) Apply(before *Catalog) (*Catalog, error) {
 	if before == nil {
 		before = empty
@@ -100,6 +105,10 @@
 	if next.digest != c.Digest {
 		return nil, cicadapitch.NewError(cicadapitch.Conflict, "the change gives another configuration than its sender has", "fetch the whole configuration")
 	}
+	if c.KeysRequired == nil && next.Keys() == 0 {
+		return nil, cicadapitch.NewError(cicadapitch.Conflict, "the change does not say whether requests need a key", "fetch the configuration from another host or the store")
+	}
+	next.KeysRequired = c.KeysRequired == nil || *c.KeysRequired
 	return next, nil
 }
 
--- a/catalog/change_test.go
+++ b/catalog/change_test.go
@@ -110,3 +110,32 @@
 	require.Nil(t, c.Match("other", "/a/"))
 	require.Nil(t, c.Match("h", ""))
 }
+
+// TestChangeOfAnEarlierBuildOpensNoRoutes guards against hosts that take customers without keys for none,
+// since changes of the build before do not tell them apart.
+func TestChangeOfAnEarlierBuildOpensNoRoutes(t *testing.T) {
+	withKey, withoutKey := build(1, nil, map[int]int{1: 1}, nil), build(2, nil, nil, nil)
+	for name, c := range map[string]struct {
+		before, after *catalog.Catalog
+		rejected      bool
+	}{
+		"the last key is removed":       {withKey, withoutKey, true},
+		"a whole catalog without keys":  {nil, withoutKey, true},
+		"a whole catalog with keys":     {nil, withKey, false},
+		"a key is added to none":        {withoutKey, build(3, nil, map[int]int{2: 2}, nil), false},
+		"a key is replaced by another":  {withKey, build(2, nil, map[int]int{2: 2}, nil), false},
+		"a catalog without keys before": {withoutKey, build(3, map[int]int{1: 1}, nil, nil), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			change := catalog.Diff(c.before, c.after)
+			change.KeysRequired = nil
+			got, err := change.Apply(c.before)
+			if c.rejected {
+				require.Equal(t, cicadapitch.Conflict, cicadapitch.KindOf(err))
+				return
+			}
+			require.NoError(t, err)
+			require.True(t, got.KeysRequired)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -294,14 +294,14 @@
 	for _, part := range r.SharedParts() {
 		p.keys = append(p.keys, quarantine.Key(part))
 	}
-	if v.Catalog.HasCustomers() && !route.Anonymous {
-		c := v.Catalog.CustomerOf(r.Key)
-		if c == nil && lag.Latest > 0 {
-			return nil, errBehind
-		}
-		if c == nil {
-			return nil, cicadapitch.NewError(cicadapitch.Denied, "the key is unknown", "use a key of a customer")
-		}
+	c, ok := v.Catalog.Authenticate(route, r.Key)
+	if !ok && lag.Latest > 0 {
+		return nil, errBehind
+	}
+	if !ok {
+		return nil, denied(v.Catalog)
+	}
+	if c != nil {
 		p.customer = c.Name
 		if c.HasPriority {
 			p.rank = catalog.Rank(c.Priority, route.Priority)
@@ -320,6 +320,14 @@
 	return p, nil
 }
 
+// denied returns the error for a request that needs a key and has none of a customer.
+func denied(c *catalog.Catalog) error {
+	if c.Keys() == 0 {
+		return cicadapitch.NewError(cicadapitch.Denied, "no customer has a key at present", "ask the operator for a key")
+	}
+	return cicadapitch.NewError(cicadapitch.Denied, "the key is unknown", "use a key of a customer")
+}
+
 // notReadyRetryAfter is the retry delay for callers of a host that has just
 // started and has no configuration yet.
 const notReadyRetryAfter cicadapitch.Millis = 300
--- a/membership/catalogsync.go
+++ b/membership/catalogsync.go
@@ -97,12 +97,13 @@
 	m.mu.Unlock()
 	age := m.lag.Age(now)
 	m.log.Info().Int64("Version", c.Version).Int64("Revision", s.revision.Number()).Str("From", s.from).
-		Bool("InForce", adopted).Int("Routes", c.Routes()).Int64("AgeMs", int64(age)).Int64("Base", s.base).
+		Bool("InForce", adopted).Int("Routes", c.Routes()).Bool("KeysRequired", c.KeysRequired).Int("Keys", c.Keys()).Int64("AgeMs", int64(age)).Int64("Base", s.base).
 		Int("Bytes", s.bytes).Int64("TookMs", int64(s.took)).Int64("DecodeMs", int64(s.decodeTook)).Msg("configuration")
 	if adopted {
 		_, behind := m.lag.Behind(now)
 		m.metrics.Gauge("ConfigurationBehindMs").Update(float64(behind))
 		m.metrics.Gauge("ConfigurationVersion").Update(float64(c.Version))
+		m.metrics.Gauge("ConfigurationKeys").Update(float64(c.Keys()))
 		m.metrics.Histogram("ConfigurationAge", catalogAgeBuckets).RecordDuration(age.Duration())
 		m.announceCatalog()
 	}
@@ -180,10 +181,12 @@
 			return
 		}
 		err := m.fetchChange(ctx, holders[0], whole)
-		whole = cicadapitch.KindOf(err) == cicadapitch.Conflict
+		// A holder whose whole configuration cannot be applied either is of no use.
+		useless := whole || cicadapitch.KindOf(err) != cicadapitch.Conflict
+		whole = err != nil && !useless
 		if err != nil {
 			m.log.Warn().Str("From", holders[0]).Int64("Latest", latest).Int64("AgeMs", int64(age)).Err(err).Msg("fetching a configuration from a host failed")
-			if !whole {
+			if useless {
 				m.lag.Drop(holders[0])
 			}
 		}
