origin, membership: a list of versions proves nothing after an older copy

Cause: without a record, a stream goes on if the store's list names one version. The list did not say in which era of the store it was written, so that one from a copy counted as a proof.

Change: a list names the era in which it is known to be complete. One of an earlier era confirms nothing; such streams are rejected with the time that is left until a host that has known the era for 2.2 s has completed the list. Hosts of the build before ignore the field. An era 0 that is followed by 1 counts as a change now. Lists that tests write by hand name the era; what the tests ask for is unchanged.

Tests of membership, origin and gateway pass with -race.

--- /dev/null
+++ b/fronthost/oldercopy_test.go
@@ -0,0 +1,78 @@
+package fronthost_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cicadapitch.example/cicadapitch/platform/platformtest"
+)
+
+// restartFromCopy ends all hosts while the store comes back from a copy, and starts as many others. It returns the
+// number of the first of them.
+func (d *deployment) restartFromCopy(restore func()) int {
+	hosts := len(d.hostSettings)
+	d.store.SetDown(true)
+	for i := range hosts {
+		d.cancels[i]()
+	}
+	for i := range hosts {
+		<-d.stopped[i]
+	}
+	restore()
+	d.store.SetDown(false)
+	return d.joinHosts(hosts)
+}
+
+// TestStreamsDoNotGoOnAtTheVersionOfAnOlderCopy guards against streams that go on at another software version, since
+// the store came back from a copy older than theirs and no host is left that knows where they began.
+func TestStreamsDoNotGoOnAtTheVersionOfAnOlderCopy(t *testing.T) {
+	const hosts, streams = 2, 6
+	d := newDeployment(t, hosts)
+	time.Sleep(3 * time.Second) // the list of versions is complete
+	older := d.store.Copy()
+	d.addEngine("e3", "v2")
+	time.Sleep(time.Second)
+	for _, e := range []string{"e1", "e2"} {
+		d.store.Set(platformtest.EndpointKey(e), d.endpoints[e].Entry("draining"))
+	}
+	time.Sleep(300 * time.Millisecond)
+	var begun [streams]string
+	for n := range begun {
+		begun[n] = d.beginStream(n%hosts, fmt.Sprint(n))
+		require.Contains(t, d.versionsOf(begun[n]), "v2")
+		time.Sleep(coldRatePause)
+	}
+	first := d.restartFromCopy(func() { d.store.Restore(older) })
+	takeUpAll := func() {
+		for n, id := range begun {
+			next, status := d.takeUp(first+n%hosts, fmt.Sprint(n), id)
+			require.Equal(t, http.StatusServiceUnavailable, status, "stream %d", n)
+			require.Len(t, d.versionsOf(id, next), 1, "stream %d", n)
+		}
+	}
+	takeUpAll()
+	time.Sleep(time.Second)
+	takeUpAll()
+	d.store.Set(platformtest.EndpointKey("e3"), d.endpoints["e3"].Entry("ready"))
+	time.Sleep(2 * time.Second)
+	takeUpAll()
+}
+
+// TestStreamsOfASoleVersionGoOnAfterAnOlderCopy guards against streams that are rejected for good after the store
+// came back from a copy, although their service has had one version only.
+func TestStreamsOfASoleVersionGoOnAfterAnOlderCopy(t *testing.T) {
+	const hosts = 2
+	d := newDeployment(t, hosts)
+	time.Sleep(3 * time.Second)
+	older := d.store.Copy()
+	id := d.beginStream(0, "")
+	first := d.restartFromCopy(func() { d.store.Restore(older) })
+	require.Eventually(t, func() bool {
+		_, status := d.takeUp(first, "", id)
+		return status == http.StatusOK
+	}, 3*time.Second, 100*time.Millisecond)
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -134,8 +134,8 @@
 	dueRevision dueRevision
 	// pendingRemovals holds the removals of keys whose writers may write them again, by key.
 	pendingRemovals map[string]pendingRemoval
-	// firstEra is the first era of the store that this host has known, loggedEra the last one that was logged.
-	firstEra, loggedEra cicadapitch.StoreEra
+	// era is what this host knows of the store's eras.
+	era eraState
 	// storeFailedAt is when a store call last failed. storeRecoveredAt is when store
 	// calls began to succeed, at the start or after a failure.
 	storeFailedAt, storeRecoveredAt cicadapitch.Instant
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -126,11 +126,14 @@
 	}
 }
 
-// versionsStored reports whether the store lists the versions of a service, as far as is known.
+// versionsStored reports whether the store lists the versions of a service, as far as is known, and
+// names them as complete once they are.
 func (m *Membership) versionsStored(s catalog.ServiceID, versions []origin.StoredVersion) bool {
+	era := m.settledEra(m.clock.Now(), 0)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return reflect.DeepEqual(presence(m.storedVersions[versionKeyPrefix+string(s)]), presence(versions))
+	stored := m.storedVersions[versionKeyPrefix+string(s)]
+	return reflect.DeepEqual(presence(stored), presence(versions)) && origin.CompleteIn(stored, era)
 }
 
 // storeServiceVersions adds the versions of a service that this host knows to those that the store
@@ -143,6 +146,7 @@
 		m.log.Warn().Str("Service", string(s)).Err(err).Msg("reading the versions of a service failed")
 		return err
 	}
+	era := m.completeEra(ctx)
 	versions := m.origins.Versions(m.clock.Now())[s]
 	if m.versionsStored(s, versions) {
 		return nil
@@ -151,12 +155,16 @@
 		return strings.Compare(string(a.Version), string(b.Version))
 	})
 	key := versionKeyPrefix + string(s)
+	m.mu.Lock()
+	versions = origin.WithEra(versions, m.storedVersions[key], era)
+	m.mu.Unlock()
 	value, err := json.Marshal(versions)
 	if err == nil {
 		unchanged := cicadapitch.Condition{Key: key, Revision: revision}
 		revision, err = m.store.Commit(ctx, []cicadapitch.Condition{unchanged}, []cicadapitch.Write{{Key: key, Value: value}})
 	}
-	m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Int64("Revision", revision.Number()).Err(err).Msg("versions stored")
+	m.log.Info().Str("Service", string(s)).Int("Versions", len(versions)).Int64("CompleteIn", int64(era)).
+		Int64("Revision", revision.Number()).Err(err).Msg("versions stored")
 	if err == nil {
 		m.applyPart([]fleet.Record{{Key: key, Value: value, Revision: revision}}, storeWrite)
 	}
@@ -193,7 +201,8 @@
 }
 
 // ConfirmVersions returns nil once Origins has all versions of a service at which streams have begun
-// before the call: those that the store lists. Calls share reads that begin after them.
+// before the call: those that the store lists. Calls share reads that begin after them. The error is NotRun
+// while the list may lack versions, since the store has come back from an older copy.
 func (m *Membership) ConfirmVersions(ctx context.Context, s catalog.ServiceID) error {
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout.Duration())
 	defer cancel()
@@ -224,7 +233,10 @@
 	reads.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), versionsTimeout.Duration())
 	defer cancel()
-	_, r.err = m.readVersions(ctx, s)
+	var revision cicadapitch.StoreRevision
+	if revision, r.err = m.readVersions(ctx, s); r.err == nil {
+		r.err = m.checkComplete(s, revision.Era())
+	}
 	close(r.done)
 	_ = m.clock.Sleep(context.Background(), versionsPause) // cannot fail with this context
 }
--- a/membership/storeera.go
+++ b/membership/storeera.go
@@ -60,7 +60,7 @@
 	defer m.mu.Unlock()
 	own := m.mirror.Revision().Era()
 	switch {
-	case named == 0 && own == m.firstEra:
+	case named == 0 && own == m.era.first:
 		return own
 	case !isEra(named):
 		return 0
@@ -68,19 +68,27 @@
 	return named
 }
 
+// eraState is what a host knows of the store's eras.
+type eraState struct {
+	// first is the first era that the host has known, current the latest one.
+	first, current cicadapitch.StoreEra
+	// since is when the host learned of current. It is 0 before the host knows any.
+	since cicadapitch.Instant
+}
+
 // noteEra logs that the store has come back from an older copy. The caller holds mu.
-func (m *Membership) noteEra(s source) {
+func (m *Membership) noteEra(now cicadapitch.Instant, s source) {
 	revision := m.mirror.Revision()
-	era := revision.Era()
+	era, before := revision.Era(), m.era
 	switch {
-	case revision == 0 || era == m.loggedEra:
+	case revision == 0 || before.since > 0 && era == before.current:
 		return
-	case m.loggedEra == 0 && m.firstEra == 0:
-		m.firstEra = era
+	case before.since == 0:
+		m.era.first = era
 	default:
-		m.log.Warn().Int64("Era", int64(era)).Int64("Before", int64(m.loggedEra)).Int64("Revision", revision.Number()).
+		m.log.Warn().Int64("Era", int64(era)).Int64("Before", int64(before.current)).Int64("Revision", revision.Number()).
 			Str("From", s.from).Stringer("By", s.by).Msg("the store has come back from an older copy")
 		m.metrics.Counter("StoreEras").Inc(1)
 	}
-	m.loggedEra = era
+	m.era.current, m.era.since = era, now
 }
--- a/membership/storesync.go
+++ b/membership/storesync.go
@@ -233,7 +233,7 @@
 // updateState applies changed records and overdue removals to the state, and publishes
 // a new view if the state changed. The caller holds mu.
 func (m *Membership) updateState(now cicadapitch.Instant, changed []fleet.Change, s source) {
-	m.noteEra(s)
+	m.noteEra(now, s)
 	removed := m.removeOverdue(now)
 	if len(changed) == 0 && !removed {
 		return
--- a/membership/versions_test.go
+++ b/membership/versions_test.go
@@ -66,6 +66,9 @@
 	return inUse
 }
 
+// storeEra returns the store's era, in which a list is complete.
+func storeEra(s *platformtest.Store) cicadapitch.StoreEra { return cicadapitch.StoreEra(s.Era()) }
+
 // TestHostWithAnOlderViewRemovesNoVersion guards against a list that loses a version because a host
 // that has not heard of it writes: each host adds its own to what the store lists.
 func TestHostWithAnOlderViewRemovesNoVersion(t *testing.T) {
@@ -88,7 +91,7 @@
 	defer s.Close()
 	m, h := newVersionHost(s, "v1")
 	require.Equal(t, cicadapitch.NotFound, cicadapitch.KindOf(m.ConfirmVersions(t.Context(), "s")))
-	s.Set("versions/s", []origin.StoredVersion{{Version: "v1"}, {Version: "v2"}})
+	s.Set("versions/s", []origin.StoredVersion{{Version: "v1", Era: storeEra(s)}, {Version: "v2", Era: storeEra(s)}})
 	require.NoError(t, m.ConfirmVersions(t.Context(), "s"))
 	require.ElementsMatch(t, []cicadapitch.SoftwareVersion{"v1", "v2"}, h.Listed("s"))
 	s.SetDown(true)
@@ -107,7 +110,7 @@
 	s := platformtest.NewStore()
 	defer s.Close()
 	m, _ := newVersionHost(s, "v1")
-	s.Set("versions/s", []origin.StoredVersion{{Version: "v1"}})
+	s.Set("versions/s", []origin.StoredVersion{{Version: "v1", Era: storeEra(s)}})
 	before := s.Calls().Get
 	var wg sync.WaitGroup
 	for range 200 {
@@ -134,9 +137,47 @@
 			go func() { _ = m.ConfirmVersions(t.Context(), "s") }()
 			time.Sleep(5 * time.Millisecond)
 		}
-		versions = append(versions, origin.StoredVersion{Version: v})
+		versions = append(versions, origin.StoredVersion{Version: v, Era: storeEra(s)})
 		s.Set("versions/s", versions)
 		require.NoError(t, m.ConfirmVersions(t.Context(), "s"))
 		require.Contains(t, h.Listed("s"), v)
 	}
 }
+
+// TestListOfAnOlderCopyConfirmsNothing guards against a list that lacks a version which joined after the copy
+// from which the store came back, and is taken for all versions of the service. Hosts that have started since
+// know no other; they confirm the list once endpoints have had time to register again.
+func TestListOfAnOlderCopyConfirmsNothing(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	m, h := newVersionHost(s, "v1")
+	storeOrigins(t, m)
+	eventually(t, 4000, func() bool { return m.ConfirmVersions(t.Context(), "s") == nil })
+	older := s.Copy()
+	h.Observe(cicadapitch.NewSystemClock().Now(), map[catalog.ServiceID][]cicadapitch.SoftwareVersion{"s": {"v1", "v2"}})
+	eventually(t, 1000, func() bool { return len(storedVersions(t, s)) == 2 })
+	require.NoError(t, m.ConfirmVersions(t.Context(), "s"))
+	restore(s, func() { s.Restore(older) })
+	started, _ := newVersionHost(s, "v1")
+	start := time.Now()
+	storeOrigins(t, started)
+	for time.Since(start) < 1900*time.Millisecond {
+		err := started.ConfirmVersions(t.Context(), "s")
+		require.Equal(t, cicadapitch.NotRun, cicadapitch.KindOf(err), "%v", err)
+		require.LessOrEqual(t, cicadapitch.AsError(err).RetryAfter, 3*cicadapitch.Second)
+		time.Sleep(50 * time.Millisecond)
+	}
+	eventually(t, 3000, func() bool { return started.ConfirmVersions(t.Context(), "s") == nil })
+	require.Len(t, storedVersions(t, s), 2, "the host that knows the later version has listed it again")
+}
+
+// TestListOfAnEarlierBuildIsCompleted covers a list that names no era, as hosts of earlier builds write it.
+func TestListOfAnEarlierBuildIsCompleted(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	s.Set("versions/s", []origin.StoredVersion{{Version: "v1"}, {Version: "v2", GoneAt: 1}})
+	m, _ := newVersionHost(s, "v1")
+	storeOrigins(t, m)
+	require.Error(t, m.ConfirmVersions(t.Context(), "s"))
+	eventually(t, 4000, func() bool { return m.ConfirmVersions(t.Context(), "s") == nil })
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -18,8 +18,8 @@
 // History knows the software versions at which streams of each service may have begun: those that
 // the store lists and those of the endpoints that this host has seen. A host begins streams only at
 // versions that the store lists as in use. So what the store lists once a caller takes a stream up
-// includes the version that began it, however late this host has learned of that version. A History
-// is safe for concurrent use.
+// includes the version that began it, however late this host has learned of that version, as long as
+// the store has not come back from an older copy since (see CompleteIn). A History is safe for concurrent use.
 type History struct {
 	mu       sync.Mutex
 	services map[catalog.ServiceID]map[cicadapitch.SoftwareVersion]*versionUse
--- a/origin/stored.go
+++ b/origin/stored.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"github.com/samber/lo"
+
 	"cicadapitch.example/cicadapitch"
 	"cicadapitch.example/cicadapitch/catalog"
 )
@@ -19,6 +21,28 @@
 	// GoneAt is when it went out of use, in milliseconds since the Unix epoch by the clock of
 	// the host that stored it, or 0 while it is in use.
 	GoneAt cicadapitch.Instant
+	// Era is the latest era of the store in which the list was known to be complete. It is 0 in
+	// lists of earlier builds. All versions of a list have the same one.
+	Era cicadapitch.StoreEra `json:",omitempty"`
+}
+
+// CompleteIn reports whether a list holds all versions at which streams may have begun before it was read
+// in an era of the store. One that was written in an earlier era may lack those that joined
+// after the copy from which the store came back.
+func CompleteIn(list []StoredVersion, e cicadapitch.StoreEra) bool {
+	return len(list) > 0 && lo.EveryBy(list, func(v StoredVersion) bool { return v.Era >= e })
+}
+
+// WithEra returns the list with the era in which it is known to be complete, or with the one of stored,
+// which it replaces, if that is later.
+func WithEra(list, stored []StoredVersion, e cicadapitch.StoreEra) []StoredVersion {
+	if len(stored) > 0 {
+		e = max(e, lo.MinBy(stored, func(a, b StoredVersion) bool { return a.Era < b.Era }).Era)
+	}
+	return lo.Map(list, func(v StoredVersion, _ int) StoredVersion {
+		v.Era = e
+		return v
+	})
 }
 
 // StoredVersions returns what the store has to list of the versions of each service: those that
