quarantine: evidence goes before the place of a part in prompts

Cause: a later part counted as the better explanation of the same crashes although it was in answers, the last of the guilty parts was taken, and the others were cleared as if they had been answered, so that nothing took the decision back.

Evidence: in the ledger alone, with both shared parts answered before, three crashes spare the document, and more condemn the template.

Change: a part without answers explains the crashes of one that was in answers, never the other way round; crashes that a repeating part without answers took part in do not count against answered ones. What a quarantined part explains is derived. A request that lacks another explanation is tried; its answer ends the quarantine and condemns the other part, its crash ends the doubt.

Two tests asked for the state of a bad part alone; they ask for its whole prompt now, since a request without the other parts is tried once. The simulation passes the keys of a request to AllowsTrial.

--- a/gateway/ownercall.go
+++ b/gateway/ownercall.go
@@ -289,9 +289,8 @@
 	peer.Handle(s, callTrial, func(_ context.Context, c TrialCall) (TrialReply, error) {
 		return g.grantTrial(c), nil
 	})
-	peer.Handle(s, callSuspects, func(_ context.Context, n SuspectNotice) (struct{}, error) {
-		g.addSuspects(n)
-		return struct{}{}, nil
+	peer.Handle(s, callSuspects, func(_ context.Context, n SuspectNotice) (SuspectReply, error) {
+		return g.addSuspects(n), nil
 	})
 	peer.Handle(s, callRollout, g.takeReportOfOther)
 	peer.Handle(s, callAddOrigins, func(_ context.Context, n OriginNotice) (struct{}, error) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -48,6 +48,9 @@
 type TrialCall struct {
 	Part    string
 	Request cicadapitch.RequestID
+	// Keys are those of the request and of the parts of its prompt. Earlier builds do not name them, and
+	// get no trial of a quarantined part.
+	Keys []string `cbor:",omitempty"`
 }
 
 // TrialReply is the answer to a TrialCall.
@@ -67,6 +70,12 @@
 	Gather bool
 }
 
+// SuspectReply is the answer to a SuspectNotice: what the host knows of the parts, such as answers that had
+// them. It is empty from hosts of earlier builds.
+type SuspectReply struct {
+	Reports []quarantine.Report `cbor:",omitempty"`
+}
+
 // trialKey is the key by which hosts own a suspected part.
 func trialKey(part string) string { return "trial/" + part }
 
@@ -100,8 +109,9 @@
 			return nil
 		case state == quarantine.Quarantined:
 			return p.rejectQuarantined()
-		case p.g.beginTrial(ctx, part, p.request.ID):
+		case p.g.beginTrial(ctx, TrialCall{part, p.request.ID, p.keys}):
 			p.trial = part
+			p.g.metrics.Counter("PromptsTried").Inc(1)
 			p.g.log.Info().Str("Id", string(p.request.ID)).Str("Part", part).Int64("WaitedMs", int64(waited)).Msg("trial of a suspected part")
 			return nil
 		case waited >= maxTrialWait:
@@ -116,15 +126,15 @@
 
 // beginTrial asks the owner of a suspected part for its trial. If none of the first
 // maxTrialOwners hosts answers, this host decides for itself.
-func (g *Gateway) beginTrial(ctx context.Context, part string, id cicadapitch.RequestID) bool {
-	owners := g.membership.OwnersOf(trialKey(part))
+func (g *Gateway) beginTrial(ctx context.Context, c TrialCall) bool {
+	owners := g.membership.OwnersOf(trialKey(c.Part))
 	dialer := g.membership.Dialer()
 	for _, h := range owners[:min(len(owners), maxTrialOwners)] {
 		if dialer == nil || g.membership.IsSelf(h) {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, trialCallTimeout.Duration())
-		reply, err := peer.Call[TrialCall, TrialReply](callCtx, dialer, h.Peers, callTrial, TrialCall{part, id})
+		reply, err := peer.Call[TrialCall, TrialReply](callCtx, dialer, h.Peers, callTrial, c)
 		cancel()
 		if err == nil {
 			g.quarantine.Merge(g.clock.Now(), reply.Reports)
@@ -133,15 +143,15 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		g.log.Warn().Str("Host", string(h.ID)).Str("Part", part).Err(err).Msg("asking for the trial of a suspected part failed")
+		g.log.Warn().Str("Host", string(h.ID)).Str("Part", c.Part).Err(err).Msg("asking for the trial of a suspected part failed")
 	}
-	return g.grantTrial(TrialCall{part, id}).Granted
+	return g.grantTrial(c).Granted
 }
 
 // grantTrial decides on a trial as the owner of the part.
 func (g *Gateway) grantTrial(c TrialCall) TrialReply {
 	now := g.clock.Now()
-	granted := g.quarantine.AllowsTrial(now, c.Part) && g.trials.Begin(now, c.Part, c.Request)
+	granted := g.quarantine.AllowsTrial(now, c.Part, c.Keys...) && g.trials.Begin(now, c.Part, c.Request)
 	return TrialReply{Granted: granted, Reports: g.quarantine.Reports(now, c.Part)}
 }
 
@@ -240,17 +250,24 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout.Duration())
 	defer cancel()
-	if _, err := peer.Call[SuspectNotice, struct{}](ctx, dialer, h.Peers, callSuspects, n); err != nil {
+	reply, err := peer.Call[SuspectNotice, SuspectReply](ctx, dialer, h.Peers, callSuspects, n)
+	if err != nil {
 		g.log.Warn().Str("Host", string(h.ID)).Int("Suspects", len(n.Reports)).Err(err).Msg("telling a host of suspected parts failed")
 		return false
 	}
+	g.quarantine.Merge(g.clock.Now(), reply.Reports)
 	return true
 }
 
-// addSuspects applies a notice.
-func (g *Gateway) addSuspects(n SuspectNotice) {
+// addSuspects applies a notice, and returns what this host knows of the same parts.
+func (g *Gateway) addSuspects(n SuspectNotice) SuspectReply {
 	now := g.clock.Now()
 	g.quarantine.Merge(now, n.Reports)
+	var reply SuspectReply
+	if len(n.Reports) > 0 {
+		parts := lo.Map(n.Reports, func(r quarantine.Report, _ int) string { return r.Part })
+		reply.Reports = g.quarantine.Reports(now, parts...)
+	}
 	for _, r := range n.Reports {
 		if n.Gather && g.quarantine.Crashes(r.Part) > 1 {
 			g.quarantine.Judge(now, []string{r.Part})
@@ -260,6 +277,7 @@
 	if n.Request != "" {
 		g.trials.End(n.Request)
 	}
+	return reply
 }
 
 // logQuarantine logs a change of a part's quarantine.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -83,7 +83,7 @@
 
 // owner returns the host that grants trials, as h knows it.
 func (f *simFleet) owner(h *simHost) *simHost {
-	for _, o := range f.hosts[:2] {
+	for _, o := range f.hosts[:min(2, len(f.hosts))] {
 		if o == h || !f.cut(o) && !f.cut(h) {
 			return o
 		}
@@ -100,7 +100,7 @@
 	}
 	if state == quarantine.Suspected {
 		o := f.owner(h)
-		granted := o.ledger.AllowsTrial(f.now, part) && o.trials.Begin(f.now, part, id)
+		granted := o.ledger.AllowsTrial(f.now, part, parts...) && o.trials.Begin(f.now, part, id)
 		h.ledger.Merge(f.now, o.ledger.Reports(f.now, part))
 		if granted {
 			send()
@@ -232,17 +232,22 @@
 	}
 }
 
+// runDue runs the events that are due.
+func (f *simFleet) runDue() {
+	due := slices.Clone(f.events)
+	f.events = f.events[:0]
+	for _, e := range due {
+		if e.at <= f.now {
+			e.do()
+		} else {
+			f.events = append(f.events, e)
+		}
+	}
+}
+
 func (f *simFleet) run(badGap cicadapitch.Millis) {
 	for end := f.now.Add(runTime); f.now < end; f.now = f.now.Add(stepTime) {
-		due := slices.Clone(f.events)
-		f.events = f.events[:0]
-		for _, e := range due {
-			if e.at <= f.now {
-				e.do()
-			} else {
-				f.events = append(f.events, e)
-			}
-		}
+		f.runDue()
 		if f.rng.Int64N(int64(badGap/stepTime)) == 0 {
 			f.sendBad(f.hosts[f.rng.IntN(len(f.hosts))])
 		}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -39,14 +39,16 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	suspects map[string]*suspect
-	// answered holds when parts were last in an answer here, suspects or not.
-	answered map[string]cicadapitch.Instant
-	onChange func(Change)
+	// quarantinedParts is the number of suspects that are quarantined and no whole requests.
+	quarantinedParts int
+	// answeredParts and answeredRequests hold what was in answers here, suspects or not.
+	answeredParts, answeredRequests answerLog
+	onChange                        func(Change)
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{suspects: map[string]*suspect{}, answered: map[string]cicadapitch.Instant{}}
+	return &Ledger{suspects: map[string]*suspect{}}
 }
 
 // OnChange registers a function that is called with each change. It runs with the lock
@@ -63,13 +65,18 @@
 
 // RecordCrash records that the endpoint of a request with the given shared parts crashed.
 // A request with a part that is quarantined already says nothing of its other parts, but
-// explains the crash for requests that ran beside it.
+// explains the crash for requests that ran beside it. Other parts with the same crashes remain
+// as good an explanation.
 func (l *Ledger) RecordCrash(now cicadapitch.Instant, parts []string, c Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if part, state := l.worst(now, parts); state == Quarantined {
-		l.change(now, part, func(s *suspect) { s.addCrashes(c) })
-		l.clearExplained(now, part)
+	if part, state := l.worst(now, parts, false); state == Quarantined {
+		known := independent(l.suspects[part].crashes)
+		for _, p := range parts {
+			if s := l.suspects[p]; p == part || s != nil && !IsRequestKey(p) && len(known) > 0 && s.covers(known) {
+				l.change(now, p, func(s *suspect) { s.addCrashes(c) })
+			}
+		}
 		return
 	}
 	for i, part := range parts {
@@ -78,131 +85,96 @@
 }
 
 // Judge quarantines one of the shared parts of a request whose endpoint crashed, if it has
-// crashed enough endpoints, and reports whether it did. That is the part with the most
-// independent crashes, and of several the last one, which the fewest sound requests share.
-// A part is spared while it was in answers lately or another one explains its crashes:
-// requests with both ran side by side, or all requests have the part.
+// crashed enough endpoints, and reports whether it did. Of several that may have, that is one that was in no
+// answer lately, with the most independent crashes, and then the last one, which the fewest sound requests share.
+// A part is spared while another one explains its crashes: requests with both ran side by side, or all
+// requests have the part.
 func (l *Ledger) Judge(now cicadapitch.Instant, parts []string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, state := l.worst(now, parts); state != Suspected {
+	if _, state := l.worst(now, parts, false); state != Suspected {
 		return false
 	}
 	guilty := lo.Filter(parts, func(part string, _ int) bool { return l.guilty(part, parts) })
-	part, _ := l.worst(now, guilty)
+	unanswered := lo.Filter(guilty, func(part string, _ int) bool { return l.suspects[part].answeredAt == 0 })
+	if len(unanswered) > 0 {
+		guilty = unanswered
+	}
+	part, _ := l.worst(now, guilty, false)
 	if part == "" {
 		return false
 	}
 	l.change(now, part, func(s *suspect) { s.quarantinedAt = now })
-	l.clearExplained(now, part)
+	l.liftExplained(now)
 	return true
 }
 
-// guilty reports whether the crashes of a part of a request with the given parts suffice to
-// quarantine it. The part need not be a suspect. The caller holds mu.
-func (l *Ledger) guilty(part string, parts []string) bool {
-	s := l.suspects[part]
-	if s == nil {
-		return false
-	}
-	switch crashes := len(s.independent()); {
-	case crashes >= ambiguousCrashes:
-		return true
-	case crashes < crashesToQuarantine || s.answeredAt > 0:
-		return false
-	}
-	return !lo.SomeBy(lo.Entries(l.suspects), func(o lo.Entry[string, *suspect]) bool {
-		switch {
-		case o.Value == s:
-			return false
-		case IsRequestKey(part):
-			return !slices.Contains(parts, o.Key) && l.explainsRequest(o.Key, s)
-		}
-		return !IsRequestKey(o.Key) && o.Value.explains(s)
-	})
-}
-
-// explainsRequest reports whether a suspect explains the independent crashes of a whole request
-// of whose parts it is none: it was in no answer, and in runs that ended with the same
-// processes. Another whole request has to have crashed more, so that two bad ones which come
-// together do not excuse each other. The caller holds mu.
-func (l *Ledger) explainsRequest(key string, request *suspect) bool {
-	s := l.suspects[key]
-	needed := len(request.crashes)
-	if IsRequestKey(key) {
-		needed++
-	}
-	return s.answeredAt == 0 && len(s.crashes) >= needed && s.covers(request.independent())
-}
-
-// clearExplained clears the parts whose crashes a quarantined part explains, as an answer
-// would. It clears no whole requests, and a whole request clears nothing: a bad one would need
-// more crashes then. The caller holds mu.
-func (l *Ledger) clearExplained(now cicadapitch.Instant, quarantined string) {
-	if IsRequestKey(quarantined) {
-		return
-	}
-	q := l.suspects[quarantined]
-	for part, s := range l.suspects {
-		if part != quarantined && !IsRequestKey(part) && len(s.crashes) > 0 && (s.quarantinedAt == 0 && q.covers(s.crashes) || q.explains(s)) {
-			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
-		}
-	}
-}
-
 // RecordAnswer records that a run with the given shared parts outlived the beginning of
 // its answer, which clears all of them.
 func (l *Ledger) RecordAnswer(now cicadapitch.Instant, parts []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.answered)+len(parts) > maxAnswered {
-		clear(l.answered)
-	}
+	quarantined := l.quarantinedParts
 	for _, part := range parts {
-		l.answered[part] = now
+		l.answered(part).record(now, part)
 		if s := l.suspects[part]; s != nil && s.state() != Clear {
 			l.change(now, part, func(s *suspect) { s.addAnswer(now) })
 		}
 	}
+	if l.quarantinedParts < quarantined {
+		l.judgeAll(now)
+	}
+}
+
+// answered returns the log of answers for a part or for a whole request. The caller holds mu.
+func (l *Ledger) answered(part string) *answerLog {
+	if IsRequestKey(part) {
+		return &l.answeredRequests
+	}
+	return &l.answeredParts
 }
 
 // Suspects reports whether there may be any suspects.
 func (l *Ledger) Suspects() bool { return l.size.Load() > 0 }
 
 // Check returns the worst state of the given parts, and the part that is in it: that with
-// the most crashes, and of several the last one. The part is empty if all are clear.
+// the most crashes, and of several the last one. The part is empty if all are clear. A quarantined
+// part counts as suspected if an answer to the request would show that it is sound.
 func (l *Ledger) Check(now cicadapitch.Instant, parts []string) (string, State) {
 	if l.size.Load() == 0 {
 		return "", Clear
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.worst(now, parts)
+	return l.worst(now, parts, true)
 }
 
-// worst is Check with the lock held.
-func (l *Ledger) worst(now cicadapitch.Instant, parts []string) (string, State) {
+// worst is Check with the lock held. Quarantined parts stay so unless mayDispute is set.
+func (l *Ledger) worst(now cicadapitch.Instant, parts []string, mayDispute bool) (string, State) {
 	worst, state, crashes := "", Clear, 0
 	for _, part := range parts {
 		s := l.suspects[part]
 		if s == nil || s.expired(now) {
 			continue
 		}
-		n := len(s.independent())
-		if st := s.state(); st > state || st == state && st != Clear && n >= crashes {
+		st, n := l.stateOf(part, s), len(independent(s.crashes))
+		if st == Quarantined && mayDispute && l.disputed(part, parts) {
+			st = Suspected
+		}
+		if st > state || st == state && st != Clear && n >= crashes {
 			worst, state, crashes = part, st, n
 		}
 	}
 	return worst, state
 }
 
-// AllowsTrial reports whether a request with a part may be sent to find out whether it
-// crashes its endpoint, so that the crash would count as independent.
-func (l *Ledger) AllowsTrial(now cicadapitch.Instant, part string) bool {
+// AllowsTrial reports whether a request with the given parts, of which part is one, may be sent to find out
+// whether it crashes its endpoint, so that the crash would count as independent.
+func (l *Ledger) AllowsTrial(now cicadapitch.Instant, part string, parts ...string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.suspects[part]
-	return s == nil || s.state() != Quarantined && now >= s.lastCrash().Add(relaySlack)
+	return s == nil || now >= s.lastCrash().Add(relaySlack) && (s.state() != Quarantined || l.disputed(part, parts))
 }
 
 // Crashes returns the number of crashes that are known of a part.
@@ -272,6 +244,7 @@
 	for _, r := range reports {
 		l.merge(now, r)
 	}
+	l.liftExplained(now)
 }
 
 // merge adds one report. The caller holds mu.
@@ -290,9 +263,6 @@
 			s.quarantinedAt = quarantinedAt
 		}
 	})
-	if quarantinedAt > 0 && len(r.Crashes) > 0 {
-		l.clearExplained(now, r.Part)
-	}
 }
 
 // change applies f to the suspect for a part, which it creates if needed, and tells
@@ -301,16 +271,16 @@
 	s := l.suspects[part]
 	if s == nil {
 		l.prune(now)
-		s = &suspect{}
-		if at, ok := l.answered[part]; ok && now.Sub(at) < answerMemory {
-			s.answeredAt = at
-		}
+		s = &suspect{answeredAt: l.answered(part).last(now, part)}
 		l.suspects[part] = s
 		l.size.Store(int32(len(l.suspects)))
 	}
 	before, crashes := s.state(), len(s.crashes)
 	f(s)
 	after := s.state()
+	if !IsRequestKey(part) {
+		l.quarantinedParts += quarantines(after) - quarantines(before)
+	}
 	if after != before || len(s.crashes) != crashes {
 		s.changedAt = now
 	}
@@ -319,12 +289,19 @@
 	}
 }
 
+func quarantines(s State) int {
+	if s == Quarantined {
+		return 1
+	}
+	return 0
+}
+
 // prune removes the expired suspects, and while there is no room for another one, the one
 // that matters least. The caller holds mu.
 func (l *Ledger) prune(now cicadapitch.Instant) {
 	for part, s := range l.suspects {
 		if s.expired(now) {
-			delete(l.suspects, part)
+			l.remove(part)
 		}
 	}
 	for len(l.suspects) >= maxSuspects {
@@ -334,7 +311,15 @@
 				least = part
 			}
 		}
-		delete(l.suspects, least)
+		l.remove(least)
 	}
 	l.size.Store(int32(len(l.suspects)))
 }
+
+// remove forgets a suspect. The caller holds mu.
+func (l *Ledger) remove(part string) {
+	if !IsRequestKey(part) {
+		l.quarantinedParts -= quarantines(l.suspects[part].state())
+	}
+	delete(l.suspects, part)
+}
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -93,12 +93,12 @@
 	for i := range 4 {
 		crash(l, cicadapitch.Millis(i)*1000, "first", "session", "bad")
 	}
-	require.Equal(t, quarantine.Quarantined, stateOf(l, 4000, "bad"))
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 4000, "first", "session", "bad"))
 	require.Equal(t, quarantine.Clear, stateOf(l, 4000, "first", "session"))
 	for i := range 5 {
 		crash(l, cicadapitch.Millis(5000+1000*i), "first", "session")
 	}
-	require.Equal(t, quarantine.Quarantined, stateOf(l, 10_000, "session"), "the session crashes endpoints without the other part")
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 10_000, "first", "session"), "the session crashes endpoints without the other part")
 }
 
 // TestPartsThatRunBesideABadOneAreSpared ends requests with a sound part together with bad
@@ -146,11 +146,11 @@
 		require.NotEqual(t, quarantine.Quarantined, stateOf(l, cicadapitch.Millis(i)*1000, "first"))
 		l.Judge(now, bad)
 	}
-	require.Equal(t, quarantine.Quarantined, stateOf(l, 2000, "bad"))
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 2000, bad...))
 	require.NotEqual(t, quarantine.Quarantined, stateOf(l, 2000, "first", "session1"))
 	other := quarantine.NewLedger()
 	other.Merge(start.Add(2010), l.Reports(start.Add(2010)))
-	require.Equal(t, quarantine.Quarantined, stateOf(other, 2010, "bad"))
+	require.Equal(t, quarantine.Quarantined, stateOf(other, 2010, bad...))
 	require.NotEqual(t, quarantine.Quarantined, stateOf(other, 2010, "first"))
 }
 
@@ -302,3 +302,50 @@
 	require.Equal(t, quarantine.Quarantined, stateOf(l, 4100, "bad"))
 	require.Equal(t, quarantine.Clear, stateOf(l, 4100, "first", "session"))
 }
+
+// TestBadPartBetweenSharedOnesIsQuarantined guards against the quarantine of a later part that all requests share,
+// and that was in answers, in place of the bad one before it.
+func TestBadPartBetweenSharedOnesIsQuarantined(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.RecordAnswer(start.Add(-5*cicadapitch.Minute), []string{"system", "document", "template"})
+	for i := range 3 {
+		crash(l, cicadapitch.Millis(i)*220, "system", "bad", "template")
+	}
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 500, "system", "bad", "template"))
+	require.Equal(t, quarantine.Clear, stateOf(l, 500, "system", "document", "template"))
+}
+
+// TestSharedPartIsTriedWithoutTheOtherOne guards against the rejection of all requests that share a part with bad ones,
+// where nothing tells the two apart yet: a request with the one and not the other is tried, and its answer does.
+func TestSharedPartIsTriedWithoutTheOtherOne(t *testing.T) {
+	l := quarantine.NewLedger()
+	bad, sound := []string{"system", "bad", "template"}, []string{"system", "document", "template"}
+	for i := range 3 {
+		crash(l, cicadapitch.Millis(i)*220, bad...)
+	}
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 500, bad...))
+	part, state := l.Check(start.Add(500), sound)
+	require.Equal(t, quarantine.Suspected, state)
+	require.True(t, l.AllowsTrial(start.Add(700), part, sound...))
+	require.False(t, l.AllowsTrial(start.Add(700), part, bad...))
+	other := quarantine.NewLedger()
+	other.Merge(start.Add(700), l.Reports(start.Add(700)))
+	l.RecordAnswer(start.Add(1200), sound)
+	other.Merge(start.Add(1300), l.Reports(start.Add(1300)))
+	for _, l := range []*quarantine.Ledger{l, other} {
+		require.Equal(t, quarantine.Clear, stateOf(l, 1300, sound...))
+		require.Equal(t, quarantine.Quarantined, stateOf(l, 1300, bad...))
+	}
+}
+
+// TestFailedTrialEndsTheDoubt guards against more and more requests that are tried with a part that does crash endpoints.
+func TestFailedTrialEndsTheDoubt(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 3 {
+		crash(l, cicadapitch.Millis(i)*220, "system", "document", "bad")
+	}
+	require.Equal(t, quarantine.Suspected, stateOf(l, 500, "system", "other", "bad"))
+	crash(l, 1500, "system", "other", "bad")
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 1600, "system", "other", "bad"))
+	require.Equal(t, quarantine.Quarantined, stateOf(l, 1600, "system", "new", "bad"))
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -9,12 +9,12 @@
 
 const (
 	// crashesToQuarantine is the number of independent crashes after which a part is
-	// quarantined, ambiguousCrashes the number if another part explains them too or the
+	// quarantined, ambiguousCrashes the number if another part explains them better or the
 	// part was in answers lately.
 	crashesToQuarantine = 3
 	ambiguousCrashes    = 5
 	// maxCrashes bounds the crashes of a part that are kept, the latest ones.
-	maxCrashes = 8
+	maxCrashes = 16
 	// relaySlack is the error of an instant that was relayed between hosts as an age. It
 	// counts in favor of a part: parts that crash endpoints are in no answer at all.
 	relaySlack cicadapitch.Millis = 150
@@ -23,10 +23,6 @@
 	// clearedMemory is how long a cleared suspect is kept, so that reports of its older
 	// crashes do not make it a suspect again.
 	clearedMemory = 10 * cicadapitch.Second
-	// answerMemory is how long it is remembered that a part was in an answer, and
-	// maxAnswered the number of parts for which it is.
-	answerMemory = cicadapitch.Minute
-	maxAnswered  = 8192
 )
 
 // Crash is the run of a request that ended with its endpoint.
@@ -96,11 +92,11 @@
 	s.crashes = s.crashes[max(len(s.crashes)-maxCrashes, 0):]
 }
 
-// independent returns the independent crashes: each run was sent after the run before it
-// had ended, so that endpoints which are lost together count once.
-func (s *suspect) independent() []Crash {
+// independent returns those of crashes, in the order of their ends, that are independent: each run
+// was sent after the run before it had ended, so that endpoints which are lost together count once.
+func independent(crashes []Crash) []Crash {
 	var out []Crash
-	for _, c := range s.crashes {
+	for _, c := range crashes {
 		if len(out) == 0 || c.after(out[len(out)-1]) {
 			out = append(out, c)
 		}
@@ -109,20 +105,25 @@
 }
 
 // explains reports whether this part is the better explanation of the independent crashes
-// of another one: it was in runs at each of these processes, and at more besides, or it has
-// not been in an answer, as the other has, or it comes later in prompts, so that fewer sound
-// ones share it.
+// of another one: it was in runs at each of these processes, and the other was in an answer, which
+// this one was not. If that does not tell them apart, it was in more crashes, or comes later in prompts,
+// so that fewer sound ones share it.
 func (s *suspect) explains(other *suspect) bool {
-	better := len(s.crashes) > len(other.crashes) || s.answeredAt == 0 && other.answeredAt > 0 ||
-		len(s.crashes) == len(other.crashes) && s.position > other.position
-	return better && s.covers(other.independent())
+	better := len(s.crashes) > len(other.crashes) || len(s.crashes) == len(other.crashes) && s.position > other.position
+	if answered := s.answeredAt > 0; answered != (other.answeredAt > 0) {
+		better = !answered
+	}
+	return better && s.covers(independent(other.crashes))
 }
 
 // covers reports whether a run with the part ended with each of the same processes.
 func (s *suspect) covers(crashes []Crash) bool {
-	return !slices.ContainsFunc(crashes, func(c Crash) bool { return !slices.ContainsFunc(s.crashes, c.same) })
+	return !slices.ContainsFunc(crashes, func(c Crash) bool { return !s.has(c) })
 }
 
+// has reports whether a run with the part ended with the same process.
+func (s *suspect) has(c Crash) bool { return slices.ContainsFunc(s.crashes, c.same) }
+
 // addAnswer clears the crashes before an answer, and the quarantine.
 func (s *suspect) addAnswer(at cicadapitch.Instant) {
 	if at <= s.answeredAt {
