origin, membership: records of streams are stored again after an older copy

In a new era nothing put it back.

Evidence: with the loss of power alone all 40 go on, so that records are stored and read; hosts hold them in memory for the 2.5 s.

Change: the registry knows in which era the store is known to hold each record.

Tests of origin, gateway and membership pass with -race.

--- a/fronthost/oldercopy_test.go
+++ b/fronthost/oldercopy_test.go
@@ -1,6 +1,7 @@
 package fronthost_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"testing"
@@ -76,3 +77,50 @@
 		return status == http.StatusOK
 	}, 3*time.Second, 100*time.Millisecond)
 }
+
+// TestRecordsOfStreamsAreStoredAgainAfterAnOlderCopy guards against streams that are rejected, since the store came back
+// from a copy without their records and then all hosts ended. Some of the records were known to the hosts from the
+// store alone.
+func TestRecordsOfStreamsAreStoredAgainAfterAnOlderCopy(t *testing.T) {
+	for name, drills := range map[string]int{"one": 1, "two": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const hosts, streams = 3, 8
+			d := newDeployment(t, hosts, func(d *deployment) {
+				d.editConfiguration = func(c []byte) []byte {
+					return bytes.ReplaceAll(c, []byte(`"timeout_ms":5000`), []byte(`"timeout_ms":20000`))
+				}
+			})
+			d.setVersion("e2", "v2")
+			time.Sleep(time.Second)
+			older := d.store.Copy()
+			var begun [streams]string
+			for n := range begun {
+				begun[n] = d.beginStream(n%hosts, fmt.Sprint(n))
+				time.Sleep(coldRatePause)
+			}
+			time.Sleep(500 * time.Millisecond)
+			first := 0
+			for range drills {
+				d.store.SetDown(true)
+				time.Sleep(300 * time.Millisecond)
+				d.store.Restore(older)
+				d.store.SetDown(false)
+				d.setVersion("e2", "v2") // as endpoints write again
+				time.Sleep(1500 * time.Millisecond)
+				for i := first; i < first+hosts; i++ {
+					d.cancels[i]()
+				}
+				for i := first; i < first+hosts; i++ {
+					<-d.stopped[i]
+				}
+				first = d.joinHosts(hosts)
+			}
+			for n, id := range begun {
+				next, status := d.takeUp(first+n%hosts, fmt.Sprint(n), id)
+				require.Equal(t, http.StatusOK, status, "stream %d", n)
+				require.Len(t, d.versionsOf(id, next), 1, "stream %d", n)
+			}
+		})
+	}
+}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -65,10 +65,10 @@
 	return &origins{registry: origin.NewRegistry(), history: origin.NewHistory(), pending: map[string][]origin.Record{}}
 }
 
-// AddRecords adds records that the store holds.
-func (o *origins) AddRecords(now cicadapitch.Instant, records []origin.Record) {
+// AddRecords adds records that the store holds in an era.
+func (o *origins) AddRecords(now cicadapitch.Instant, e cicadapitch.StoreEra, records []origin.Record) {
 	for _, rec := range records {
-		o.registry.Add(now, rec)
+		o.registry.AddStored(now, rec, e)
 	}
 }
 
@@ -106,6 +106,14 @@
 	}
 }
 
+// RenewRecords adds the records that are not stored in an era, of the streams for which owned returns true, to those that
+// have to be, and returns how many there are.
+func (o *origins) RenewRecords(now cicadapitch.Instant, e cicadapitch.StoreEra, owned func(cicadapitch.RequestID) bool) int {
+	records := o.registry.TakeUnstored(now, e, owned)
+	o.ReturnRecords(now, records)
+	return len(records)
+}
+
 // claim returns what this host knows about a stream.
 func (o *origins) claim(now cicadapitch.Instant, q OriginQuery) origin.Claim {
 	var c origin.Claim
@@ -176,7 +184,11 @@
 }
 
 // addOrigins adds the records of another host.
-func (g *Gateway) addOrigins(n OriginNotice) { g.origins.AddRecords(g.clock.Now(), n.Records) }
+func (g *Gateway) addOrigins(n OriginNotice) {
+	for _, rec := range n.Records {
+		g.origins.registry.Add(g.clock.Now(), rec)
+	}
+}
 
 // queryOrigin asks other hosts for their claims on a stream, in parallel, and returns
 // those that came in time, up to the first with a record, and how many were asked. id
--- a/membership/origins.go
+++ b/membership/origins.go
@@ -47,8 +47,8 @@
 // Origins holds what a host knows of where streams began. Package gateway implements it. Its
 // methods must not call the Membership.
 type Origins interface {
-	// AddRecords adds records that the store holds.
-	AddRecords(now cicadapitch.Instant, records []origin.Record)
+	// AddRecords adds records that the store holds in an era.
+	AddRecords(now cicadapitch.Instant, e cicadapitch.StoreEra, records []origin.Record)
 	// ApplyVersions records what the store lists of the versions of a service.
 	ApplyVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion)
 	// Versions returns the versions that the store has to hold, by service.
@@ -57,12 +57,15 @@
 	// those that could not be.
 	TakeRecords(now cicadapitch.Instant, n int) []origin.Record
 	ReturnRecords(now cicadapitch.Instant, records []origin.Record)
+	// RenewRecords makes TakeRecords return the known records that are not stored in an era, of the streams for
+	// which owned returns true, and returns how many there are.
+	RenewRecords(now cicadapitch.Instant, e cicadapitch.StoreEra, owned func(cicadapitch.RequestID) bool) int
 }
 
 // noOrigins is the Origins of a host that begins no streams.
 type noOrigins struct{}
 
-func (noOrigins) AddRecords(cicadapitch.Instant, []origin.Record) {}
+func (noOrigins) AddRecords(cicadapitch.Instant, cicadapitch.StoreEra, []origin.Record) {}
 func (noOrigins) ApplyVersions(cicadapitch.Instant, catalog.ServiceID, []origin.StoredVersion) {
 }
 
@@ -71,6 +74,9 @@
 }
 func (noOrigins) TakeRecords(cicadapitch.Instant, int) []origin.Record { return nil }
 func (noOrigins) ReturnRecords(cicadapitch.Instant, []origin.Record)   {}
+func (noOrigins) RenewRecords(cicadapitch.Instant, cicadapitch.StoreEra, func(cicadapitch.RequestID) bool) int {
+	return 0
+}
 
 // SetOrigins sets what the store keeps of the origins of streams. It is called before the
 // goroutines of m start.
@@ -99,6 +105,7 @@
 			continue
 		}
 		m.storeVersions(ctx, outdated)
+		m.renewRecords()
 		m.storeRecords(ctx, &lease, n)
 	}
 }
@@ -332,7 +339,7 @@
 		m.log.Warn().Str("Key", r.Key).Err(err).Msg("invalid store entry of streams ignored")
 		return
 	}
-	m.origins.AddRecords(now, records)
+	m.origins.AddRecords(now, r.Revision.Era(), records)
 }
 
 // applyVersions applies the key of a service's versions. The caller holds mu.
--- a/membership/versions_test.go
+++ b/membership/versions_test.go
@@ -19,7 +19,7 @@
 // versionOrigins is the Origins of a host that begins no streams but knows versions.
 type versionOrigins struct{ history *origin.History }
 
-func (versionOrigins) AddRecords(cicadapitch.Instant, []origin.Record) {}
+func (versionOrigins) AddRecords(cicadapitch.Instant, cicadapitch.StoreEra, []origin.Record) {}
 func (o versionOrigins) ApplyVersions(now cicadapitch.Instant, s catalog.ServiceID, stored []origin.StoredVersion) {
 	o.history.ApplyStored(now, s, stored)
 }
@@ -29,6 +29,9 @@
 }
 func (versionOrigins) TakeRecords(cicadapitch.Instant, int) []origin.Record { return nil }
 func (versionOrigins) ReturnRecords(cicadapitch.Instant, []origin.Record)   {}
+func (versionOrigins) RenewRecords(cicadapitch.Instant, cicadapitch.StoreEra, func(cicadapitch.RequestID) bool) int {
+	return 0
+}
 
 // newVersionHost returns a host that has endpoints of the versions in its view, and hears of nothing.
 func newVersionHost(s *platformtest.Store, present ...cicadapitch.SoftwareVersion) (*membership.Membership, *origin.History) {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -116,3 +116,23 @@
 	require.NoError(t, cbor.Unmarshal(b, &c))
 	require.Equal(t, origin.Claim{Seen: []cicadapitch.SoftwareVersion{"v1"}}, c)
 }
+
+// TestRecordsOfAnEarlierEraAreTakenOnce guards against records that are stored again and again, or never, after the
+// store has come back from an older copy.
+func TestRecordsOfAnEarlierEraAreTakenOnce(t *testing.T) {
+	r := origin.NewRegistry()
+	record := func(id cicadapitch.RequestID) origin.Record {
+		return origin.Record{Request: id, Origin: origin.Origin{Service: "s", Version: "v1"}, Lifetime: 1000}
+	}
+	r.Add(start, record("begun"))
+	r.AddStored(start, record("stored"), 1)
+	r.AddStored(start, record("copied"), 2)
+	r.AddStored(start, record("other"), 1)
+	owned := func(id cicadapitch.RequestID) bool { return id != "other" }
+	taken := r.TakeUnstored(start.Add(400), 2, owned)
+	require.ElementsMatch(t, []cicadapitch.RequestID{"begun", "stored"}, []cicadapitch.RequestID{taken[0].Request, taken[1].Request})
+	require.EqualValues(t, 600, taken[0].Lifetime)
+	require.Empty(t, r.TakeUnstored(start.Add(400), 2, owned))
+	require.Len(t, r.TakeUnstored(start.Add(400), 3, func(cicadapitch.RequestID) bool { return true }), 4)
+	require.Empty(t, r.TakeUnstored(start.Add(1000), 4, owned), "they have expired")
+}
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -32,6 +32,8 @@
 type heldRecord struct {
 	origin    Origin
 	expiresAt cicadapitch.Instant
+	// storedIn is the latest era of the store in which it is known to hold the record.
+	storedIn cicadapitch.StoreEra
 }
 
 // NewRegistry returns an empty registry.
@@ -56,7 +58,7 @@
 	if _, ok := s.records[rec.Request]; ok {
 		return
 	}
-	s.records[rec.Request] = heldRecord{rec.Origin, now.Add(min(max(rec.Lifetime, 0), MaxLifetime))}
+	s.records[rec.Request] = heldRecord{origin: rec.Origin, expiresAt: now.Add(min(max(rec.Lifetime, 0), MaxLifetime))}
 	s.inserted = append(s.inserted, rec.Request)
 }
 
@@ -70,6 +72,37 @@
 	return held.origin, ok && now < held.expiresAt
 }
 
+// AddStored adds a record that the store holds in an era, unless there is one of the same request.
+func (r *Registry) AddStored(now cicadapitch.Instant, rec Record, e cicadapitch.StoreEra) {
+	r.Add(now, rec)
+	s := r.stripe(rec.Request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held, ok := s.records[rec.Request]; ok {
+		held.storedIn = max(held.storedIn, e)
+		s.records[rec.Request] = held
+	}
+}
+
+// TakeUnstored returns the records that are not known to be stored in an era, of the streams for which owned returns
+// true, with the lifetimes that are left. It counts them as stored from then on.
+func (r *Registry) TakeUnstored(now cicadapitch.Instant, e cicadapitch.StoreEra, owned func(cicadapitch.RequestID) bool) []Record {
+	var out []Record
+	for i := range r.stripes {
+		s := &r.stripes[i]
+		s.mu.Lock()
+		for id, held := range s.records {
+			if now < held.expiresAt && held.storedIn < e && owned(id) {
+				out = append(out, Record{id, held.origin, held.expiresAt.Sub(now)})
+				held.storedIn = e
+				s.records[id] = held
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // evict removes the oldest records while they have expired or the stripe is full. The
 // caller holds mu.
 func (s *stripe) evict(now cicadapitch.Instant) {
