membership: a list of versions that cannot be completed yet is not written again

Cause: a host that had known the era for long enough, but whose knowledge of the endpoints stayed older, would have written the same list every 200 ms (read, not seen in a run). Change: an unchanged list is not written. Tests of versions and of older copies pass; there is none that failed before.

--- a/membership/origins.go
+++ b/membership/origins.go
@@ -163,8 +163,12 @@
 	})
 	key := versionKeyPrefix + string(s)
 	m.mu.Lock()
-	versions = origin.WithEra(versions, m.storedVersions[key], era)
+	stored := m.storedVersions[key]
 	m.mu.Unlock()
+	versions = origin.WithEra(versions, stored, era)
+	if slices.Equal(versions, stored) {
+		return nil // the list cannot be completed yet
+	}
 	value, err := json.Marshal(versions)
 	if err == nil {
 		unchanged := cicadapitch.Condition{Key: key, Revision: revision}
