gateway: the answer to a notice of a crash carries only answers that its sender lacks

Cause: a host that was told of a crash answered with all it knew of the parts, up to 64 reports with their crashes; each of many hosts tells all others of the same crash. That these answers are the cause is not shown.

Change: only parts of which the sender names no answer come back, with the age of their answer alone. Tests of gateway and those of fronthost on quarantined parts pass.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -70,8 +70,8 @@
 	Gather bool
 }
 
-// SuspectReply is the answer to a SuspectNotice: what the host knows of the parts, such as answers that had
-// them. It is empty from hosts of earlier builds.
+// SuspectReply is the answer to a SuspectNotice: when parts were in answers, if the sender knows of none. It is
+// empty from hosts of earlier builds.
 type SuspectReply struct {
 	Reports []quarantine.Report `cbor:",omitempty"`
 }
@@ -259,15 +259,11 @@
 	return true
 }
 
-// addSuspects applies a notice, and returns what this host knows of the same parts.
+// addSuspects applies a notice, and returns the answers that the sender lacks.
 func (g *Gateway) addSuspects(n SuspectNotice) SuspectReply {
 	now := g.clock.Now()
 	g.quarantine.Merge(now, n.Reports)
-	var reply SuspectReply
-	if len(n.Reports) > 0 {
-		parts := lo.Map(n.Reports, func(r quarantine.Report, _ int) string { return r.Part })
-		reply.Reports = g.quarantine.Reports(now, parts...)
-	}
+	reply := SuspectReply{g.answersOf(now, n.Reports)}
 	for _, r := range n.Reports {
 		if n.Gather && g.quarantine.Crashes(r.Part) > 1 {
 			g.quarantine.Judge(now, []string{r.Part})
@@ -280,6 +276,21 @@
 	return reply
 }
 
+// answersOf returns when the parts of reports were last in an answer that this host knows of and the sender of the
+// reports does not. That is all that goes back, since many hosts tell all others of the same crash.
+func (g *Gateway) answersOf(now cicadapitch.Instant, reports []quarantine.Report) []quarantine.Report {
+	unanswered := lo.FilterMap(reports, func(r quarantine.Report, _ int) (string, bool) {
+		return r.Part, r.AnsweredAgo == quarantine.Never
+	})
+	if len(unanswered) == 0 {
+		return nil
+	}
+	return lo.FilterMap(g.quarantine.Reports(now, unanswered...), func(r quarantine.Report, _ int) (quarantine.Report, bool) {
+		answer := quarantine.Report{Part: r.Part, AnsweredAgo: r.AnsweredAgo, QuarantinedAgo: quarantine.Never}
+		return answer, r.AnsweredAgo != quarantine.Never
+	})
+}
+
 // logQuarantine logs a change of a part's quarantine.
 func (g *Gateway) logQuarantine(c quarantine.Change) {
 	g.log.Warn().Str("Part", c.Part).Stringer("State", c.State).Int("Crashes", c.Crashes).Msg("quarantine")
